Copy a call that is out for 3 T1, even if its backend has answered another

A call got no copy at any of its timers once its backend had answered any other call sent later. An answer to another call now holds a copy back at the first firing only.

The new test sees no copy at all without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -644,10 +644,12 @@
         self.calls[slot].fired += 1;
         self.set_timer(slot, actions);
         // A backend that has answered since is alive, and the call merely long: a copy would
-        // double the work of the longest calls, which is what tips a busy fleet over.
-        let alive = self.learn_waiting(slot, false);
+        // double the work of the longest calls, which is what tips a busy fleet over. That holds
+        // for one firing: what is out for 3 T1 may never be answered, as its connection can stand
+        // still, or its backend may have fallen silent since.
+        let long = self.learn_waiting(slot, false) && self.calls[slot].fired == 1;
         let chance = (self.repeat_chance(self.calls[slot].t1) * (1.0 - self.pressure())).max(P_MIN);
-        if !alive && self.may_send(slot).is_some() && self.rng.random::<f64>() < chance {
+        if !long && self.may_send(slot).is_some() && self.rng.random::<f64>() < chance {
             self.send(slot, actions);
         }
         let call = &self.calls[slot];
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -98,6 +98,25 @@
     assert_eq!(sends(&plain(b.run_to(0.5))), [(1, 2)]);
 }
 
+#[test]
+fn a_call_left_out_by_a_backend_that_answered_others_is_copied_in_the_end() {
+    // Guards against calls that wait for all their time at a backend that answered one more call
+    // and fell silent, or on a connection that stands still.
+    let mut b = Bench::new(safe(), &[entry(1)]);
+    for id in 100..200 {
+        b.served(id, 0.05);
+    }
+    let sent = b.now;
+    b.request(1);
+    b.request(2);
+    b.run_to(sent + 0.03);
+    b.end(2, 0, 1, Outcome::Served, 0.03);
+    b.event(Event::List(ListUpdate::Changes(&[entry(2)])));
+    // T1 is a little over 0.05: one firing passes, the next sends the copy.
+    assert_eq!(sends(&plain(b.run_to(sent + 0.1))), []);
+    assert_eq!(sends(&plain(b.run_to(sent + 0.3))), [(1, 2)]);
+}
+
 #[test]
 fn attempts_are_bounded_and_copies_may_be_forbidden() {
     let mut settings = safe();
