--- a/src/logic.rs
+++ b/src/logic.rs
@@ -282,9 +282,8 @@
     groups: HashMap<Scope, Vec<usize>>,
     subset: Vec<usize>,
     sent: Rate,
-    /// Calls answered, over the same memory and of late.
+    /// Calls answered.
     served: Rate,
-    served_lately: Rate,
     normal: Vec<Normal>,
     /// The same over all classes.
     wait: Normal,
@@ -331,7 +330,6 @@
             subset: Vec::new(),
             sent: Rate::new(now),
             served: Rate::new(now),
-            served_lately: Rate::new(now),
             wait: Normal::default(),
             normal: vec![Normal::default(); settings.classes.len()],
             arrivals: vec![[Rate::new(now); 2]; settings.classes.len()],
@@ -543,16 +541,12 @@
         Some(t1.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0)
     }
 
-    /// How far the unanswered calls exceed those that the rate of calls and the normal answer
-    /// time explain: 0 within chance, 1 far outside it. An excess seen once may be chance, one
-    /// that lasts is not: what passes as chance narrows with its mean over a while. The rate is
-    /// that of admitted calls or, if it is higher, that of the answers of late: more traffic,
-    /// answered as fast as ever, is no overload, and what is shed is not among the admitted.
+    /// How far the unanswered calls exceed those that the rate of admitted calls and the
+    /// normal answer time explain: 0 within chance, 1 far outside it. An excess seen once may be
+    /// chance, one that lasts is not: what passes as chance narrows with its mean over a while.
     fn pressure(&mut self) -> f64 {
         self.sent.age(self.now, self.memory);
-        self.served_lately.age(self.now, EXCESS_MEMORY * self.memory);
-        let rate = self.sent.per_second().max(self.served_lately.per_second());
-        let usual = rate * self.wait.mean;
+        let usual = self.sent.per_second() * self.wait.mean;
         let beyond = (self.crowd() - usual) / usual.max(1.0).sqrt().max(USUAL_SPREAD * usual);
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
         self.excess = beyond + (self.excess - beyond) * keep;
@@ -815,7 +809,6 @@
                     Served => {
                         self.backends[backend].answered_at = self.now;
                         self.served.add(self.now, self.memory);
-                        self.served_lately.add(self.now, EXCESS_MEMORY * self.memory);
                         self.learn(backend, class, ended.took, false);
                         let calm = self.pressure() <= 0.0;
                         let took = ended.took.min(NORMAL_REACH * self.settings.classes[class].aim);
