--- a/src/logic.rs
+++ b/src/logic.rs
@@ -862,7 +862,7 @@
         };
         let id = call.id;
         actions.push(match harmless {
-            true => Action::Refuse { id, retry_after: None },
+            true => Action::Refuse { id, retry_after: self.retry_after(call.t1) },
             false => Action::Fail { id },
         });
         self.finish(slot, None, actions);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -246,6 +246,21 @@
     assert_eq!(sends(&actions), []);
 }
 
+#[test]
+fn a_refusal_after_an_attempt_tells_when_to_come_back() {
+    for (max_retry_after, told) in [(2.0, true), (0.0, false)] {
+        let mut b = Bench::new(Settings { max_retry_after, max_attempts: 1, ..safe() }, &fleet(1));
+        b.request(1);
+        let actions = b.end(1, 0, 1, Outcome::Full, 0.01);
+        let wait = actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        let wait = wait.expect("refused at once");
+        assert_eq!(wait.is_some_and(|w| w > 0.0 && w <= max_retry_after), told, "{wait:?}");
+    }
+}
+
 #[test]
 fn losers_are_cancelled_where_that_is_allowed() {
     for cancel in [true, false] {
