Bound a watch at 1 s and its patience, spread by proxy, so that silence shows in time

With log lines of discovery: all 67 proxies begin a watch at 0.0 s, it falls silent, and all notice between 12.014 and 12.018 s. Later lists that stop half way are noticed only when the whole call has run out, again up to 12 s. PROTOCOL counts news as told after 6 s.

At fault: discovery.rs, MOST_WATCH (60 s, or ask-within of 10 s) with PATIENCE, and BACKOFF without a spread.

Both new tests fail on the old constants (noticed after 12.06 s; all proxies return together).

--- a/src/main.rs
+++ b/src/main.rs
@@ -30,8 +30,8 @@
     eprintln!("dewpier: listening on {address}");
     let caps = Caps::new(config.sockets, config.memory);
     let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, caps.backends);
-    let discovery =
-        Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
+    let (at, known) = (config.discovery, config.known);
+    let discovery = Discovery::start(at, config.seed, known, &config.wire, &config.settings, engine.clone());
     let reloading = async move {
         while reload.recv().await.is_some() {
             // What can't be used changes nothing.
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -16,12 +18,18 @@
 use thiserror::Error;
 use tokio::task::AbortHandle;
 
-/// Longest wait for news that a watch call may ask for.
-const MOST_WATCH: Duration = Duration::from_secs(60);
-/// How much longer than that an answer may take.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// Longest wait for news that a watch call asks for. News counts as told 6 s after discovery has
+/// it, heard or not, and a call that has fallen silent or stopped half way shows only once this
+/// wait and the patience are over: two such calls in a row must still leave time for a third.
+const MOST_WATCH: Duration = Duration::from_secs(1);
+/// Bounds of how much longer than that an answer may take. The agent that answers is on this
+/// machine; the upper one is for a discovery that is slow, and holds after a failure.
+const PATIENCE: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(2)];
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// Patience and waits are spread by this part, lest a whole fleet return at once to a discovery
+/// that fell silent for all.
+const SPREAD: f64 = 0.25;
 /// Largest list taken in.
 const MOST_BYTES: usize = 4 << 20;
 
@@ -166,6 +174,7 @@
     watch: RefCell<Option<AbortHandle>>,
     /// Goes up when the address changes: what the old one still says is not taken in.
     era: Cell<u64>,
+    rng: RefCell<SmallRng>,
     /// How long a call waits for news: a discovery that has fallen silent shows after that.
     wait: Duration,
     /// The module says when to call again after a failure.
@@ -174,8 +183,10 @@
 
 impl Discovery {
     /// Hands the known list to the engine, and starts the watch where no one has to ask for it.
+    /// The `seed` spreads its calls among those of other proxies.
     pub fn start(
         address: SocketAddr,
+        seed: u64,
         known: RawList,
         wire: &WireSettings,
         settings: &Settings,
@@ -189,6 +200,7 @@
             generation: Cell::new(Some(known.generation)),
             watch: RefCell::default(),
             era: Cell::new(0),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MOST_WATCH).min(MOST_WATCH),
             asked: settings.must_watch,
             engine,
@@ -228,7 +240,7 @@
         let this = self.clone();
         tokio::task::spawn_local(async move {
             let era = this.era.get();
-            let answer = this.call("/api/targets", PATIENCE, &mut None).await;
+            let answer = this.call("/api/targets", this.spread(PATIENCE[1]), &mut None).await;
             if this.era.get() == era {
                 this.take(answer);
             }
@@ -240,15 +252,16 @@
     /// is told and says when.
     async fn watch_loop(self: Rc<Self>) {
         let mut peer = None;
-        let mut backoff = BACKOFF[0];
+        let (mut backoff, mut patience) = (BACKOFF[0], PATIENCE[0]);
         loop {
+            let within = self.spread(patience);
             let answer = match self.generation.get() {
                 Some(since) => {
                     let wait = self.wait.as_millis();
                     let path = format!("/api/targets?since={since}&timeout_ms={wait}");
-                    self.call(&path, self.wait + PATIENCE, &mut peer).await
+                    self.call(&path, self.wait + within, &mut peer).await
                 }
-                None => self.call("/api/targets", PATIENCE, &mut peer).await,
+                None => self.call("/api/targets", within, &mut peer).await,
             };
             let good = answer.is_ok();
             if !good && self.asked {
@@ -258,14 +271,18 @@
             }
             self.take(answer);
             if good {
-                backoff = BACKOFF[0];
+                (backoff, patience) = (BACKOFF[0], PATIENCE[0]);
             } else {
-                tokio::time::sleep(backoff).await;
-                backoff = (2 * backoff).min(BACKOFF[1]);
+                tokio::time::sleep(self.spread(backoff)).await;
+                (backoff, patience) = ((2 * backoff).min(BACKOFF[1]), PATIENCE[1]);
             }
         }
     }
 
+    fn spread(&self, time: Duration) -> Duration {
+        time.mul_f64(1.0 + SPREAD * (2.0 * self.rng.borrow_mut().random::<f64>() - 1.0))
+    }
+
     /// Takes in an answer; the last list is kept if there is none that makes sense.
     fn take(&self, answer: Result<RawList, CallError>) {
         match answer {
@@ -290,7 +307,7 @@
         let called = tokio::time::timeout(wait, async {
             let mut peer = match kept.take().and_then(Peer::checked) {
                 Some(peer) => peer,
-                None => backend::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
+                None => backend::connect(self.address.get(), wait).await.map_err(CallError::Connect)?,
             };
             let request = Request::get(path).header("host", self.address.get().to_string());
             let Ok(request) = request.body(Full::new(Bytes::new())) else {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -11,9 +11,9 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -263,3 +263,49 @@
     assert!(discovery.requests.lock().unwrap()[3].first.contains("since=7&timeout_ms=1000"));
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
 }
+
+#[test]
+fn a_watch_that_falls_silent_or_stops_half_way_is_made_again_before_its_news_counts_as_told() {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let news = list(2, false, &[entry("s-0", old.address, "DRAINING"), entry("s-1", new.address, "SERVING")]);
+    let whole = answer("200 OK", &news.to_string());
+    for half in [None, Some(whole[..whole.len() / 2].to_string())] {
+        let whole = whole.clone();
+        let discovery = Played::new(move |before, _| match (before, &half) {
+            (0, None) => Play::Silence(channel().0),
+            (0, Some(half)) => Play::AnswerThen(half.clone(), LONG, String::new()),
+            (1, _) => Play::Answer(whole.clone()),
+            _ => Play::Silence(channel().0),
+        });
+        let started = Instant::now();
+        let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
+        wait_for("further call", || discovery.count() >= 3);
+        assert!(started.elapsed() < Duration::from_secs(6), "noticed after {:?}", started.elapsed());
+        assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
+    }
+}
+
+#[test]
+fn proxies_do_not_return_at_once_to_a_discovery_that_fell_silent() {
+    let backend = Played::good("good");
+    let start = |seed: usize| {
+        let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let times = calls.clone();
+        let discovery = Played::new(move |_, _| {
+            times.lock().unwrap().push(Instant::now());
+            Play::Silence(channel().0)
+        });
+        let mut config = config_of(&settings(), &known(&[&backend]));
+        config["seed"] = json!(format!("{seed:016x}"));
+        (Proxy::with(&config, discovery.address), calls)
+    };
+    let started: Vec<_> = (1..=6).map(start).collect();
+    let returned = |(_, calls): &(Proxy, Arc<Mutex<Vec<Instant>>>)| {
+        wait_for("further call", || calls.lock().unwrap().len() >= 2);
+        let calls = calls.lock().unwrap();
+        calls[1] - calls[0]
+    };
+    let after: Vec<Duration> = started.iter().map(returned).collect();
+    let (first, last) = (after.iter().min().unwrap(), after.iter().max().unwrap());
+    assert!(*last > *first + Duration::from_millis(200), "{after:?}");
+}
