Let other warm backends stand in for members that are cold, and count calls at them

Proxy n9 has one warm member of five and 61 calls in flight there, while its four cold ones have had their part; other proxies likewise. Its refusals stop in the middle of it, as a member far slower than the best is no part of the crowd.

At fault: logic.rs, place (a member that can't be used was left out without another in its place; four draws among all when none was left) and crowd (members only).

Both tests fail without it (12 of 12 calls at one backend, 13 not sent; 199 of 200 calls sent while nothing is answered).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -565,19 +565,26 @@
         self.crowd() * sharing.max(1.0) / sound.max(1.0)
     }
 
-    /// Calls in flight, but for those at members far slower than the best, which tell of bad
-    /// backends and not of a fleet that has too much to do; those turned away for want of room
-    /// count while they wait, copies of a call do not.
+    /// Calls in flight, those at stand-ins too, but for those at backends far slower than the best
+    /// member, which tell of bad backends and not of a fleet that has too much to do; those turned
+    /// away for want of room count while they wait, copies of a call do not.
     fn crowd(&self) -> f64 {
-        let out = self.sound().map(|b| self.backends[b].in_flight).sum::<usize>() + self.turned_away;
+        let most = FAR_SLOWER * self.best();
+        let sound = |b: &&usize| self.seen(&self.backends[**b]) <= most;
+        let out = self.listed.iter().filter(sound).map(|b| self.backends[*b].in_flight).sum::<usize>();
+        let out = out + self.turned_away;
         out.min(self.by_id.len() - self.held) as f64
     }
 
     /// The members that are not far slower than the best.
     fn sound(&self) -> impl Iterator<Item = usize> {
-        let slow = |b: &usize| self.seen(&self.backends[*b]);
-        let best = self.subset.iter().map(slow).fold(f64::INFINITY, f64::min);
-        self.subset.iter().copied().filter(move |b| slow(b) <= FAR_SLOWER * best)
+        let most = FAR_SLOWER * self.best();
+        self.subset.iter().copied().filter(move |b| self.seen(&self.backends[*b]) <= most)
+    }
+
+    /// What is known of the best member.
+    fn best(&self) -> f64 {
+        self.subset.iter().map(|b| self.seen(&self.backends[*b])).fold(f64::INFINITY, f64::min)
     }
 
     /// T1 lies above the normal answer time and leaves room for a repeat in the time left.
@@ -703,7 +710,7 @@
     }
 
     /// Of two random members of the subset the one with fewer calls in flight; for a repeat
-    /// the other one, or two new ones. Where no member can be used, any backend of the scope.
+    /// the other one, or two new ones. Where members can't be used, any backends of the scope.
     fn place(&mut self, slot: Slot, scope: Scope) -> Option<usize> {
         let tried: Vec<usize> = self.calls[slot].attempts.iter().map(|a| a.backend).collect();
         let other = self.calls[slot].other.take();
@@ -714,19 +721,26 @@
             return Some(other);
         }
         let mut pool = self.subset.clone();
-        pool.retain(|b| scope.holds(&self.backends[*b].entry) && !tried.contains(b) && self.usable(*b));
-        if pool.is_empty() {
-            let wide = match scope {
-                Scope::Anywhere => &self.listed,
-                _ => self.groups.get(&scope)?,
+        pool.retain(|b| scope.holds(&self.backends[*b].entry) && !tried.contains(b));
+        let members = pool.len();
+        pool.retain(|b| self.usable(*b));
+        // Others stand in for members that are cold and have had their part: what those can't take
+        // must not all fall on the few warm ones that a subset happens to hold.
+        let wanted = if pool.is_empty() { 2 * SUBSET } else { members };
+        if pool.len() < wanted {
+            let mut wide = match scope {
+                Scope::Anywhere => self.listed.clone(),
+                _ => self.groups.get(&scope)?.clone(),
             };
-            for _ in 0..2 * SUBSET {
-                let drawn = *wide.get(self.rng.random_range(0..wide.len().max(1)))?;
-                if !tried.contains(&drawn) && !pool.contains(&drawn) {
+            wide.retain(|b| !tried.contains(b) && !self.subset.contains(b));
+            while pool.len() < wanted
+                && let Some(i) = self.draw(wide.len())
+            {
+                let drawn = wide.swap_remove(i);
+                if self.usable(drawn) {
                     pool.push(drawn);
                 }
             }
-            pool.retain(|b| self.usable(*b));
         }
         // Those with more than the mean load are left out of the draw: slow machines would be
         // crowded whenever both drawn are slow.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -638,6 +638,52 @@
     assert!(at_once <= 130, "{at_once} of 200");
 }
 
+#[test]
+fn what_cold_members_cannot_take_is_spread_over_all_that_are_warm() {
+    // Seventeen balancers before sixteen backends, of which all but six are replaced by cold ones.
+    let (warm, instances, calls) = (6, 17, 12);
+    let (mut met, mut unsent) = (vec![0; warm], 0);
+    let mut most_at_one = 0;
+    for me in 0..instances {
+        let settings = Settings { instances, me, cold: 9.0, cold_share: 0.3, ..safe() };
+        let mut b = Bench::seeded(me as u64, settings, &fleet(16));
+        for id in 0..100 {
+            b.served(id, 0.08);
+        }
+        let mut list = fleet(warm as u32);
+        list.extend((101..=110).map(|id| Entry { started: Some(b.now), ..entry(id) }));
+        b.event(Event::List(ListUpdate::Full(&list)));
+        let mut own = vec![0; warm];
+        for id in 200..200 + calls {
+            match sends(&b.request(id)).first() {
+                Some(&(_, to)) => own.get_mut(to as usize - 1).into_iter().for_each(|n| *n += 1),
+                None => unsent += 1,
+            }
+        }
+        most_at_one = most_at_one.max(*own.iter().max().unwrap());
+        met.iter_mut().zip(own).for_each(|(all, n)| *all += n);
+    }
+    assert_eq!(unsent, 0, "calls that found no backend, with six warm ones");
+    assert!(most_at_one <= calls / 2, "{most_at_one} of {calls} calls of a balancer went to one");
+    let mean = met.iter().sum::<u64>() as f64 / warm as f64;
+    assert!(met.iter().all(|n| (0.6 * mean..1.6 * mean).contains(&(*n as f64))), "{met:?}");
+}
+
+#[test]
+fn calls_at_stand_ins_count_as_pressure() {
+    let settings = Settings { tier: 0, cold: 1000.0, cold_share: 0.01, ..safe() };
+    let mut list = fleet(12);
+    let mut b = Bench::new(Settings { instances: 4, ..settings }, &list);
+    let members: std::collections::BTreeSet<u32> = (0..200).map(|id| b.served(id, 0.05)).collect();
+    assert!(members.len() < 12, "{members:?}");
+    // All members are cold from now on, so that others take nearly every call.
+    let now = b.now;
+    list.iter_mut().filter(|e| members.contains(&e.id.0)).for_each(|e| e.started = Some(now));
+    b.event(Event::List(ListUpdate::Full(&list)));
+    let out: usize = (1000..1200).map(|id| sends(&b.request(id)).len()).sum();
+    assert!(out < 60, "{out} of 200 calls sent, with none answered");
+}
+
 // ---- shedding at the entry ----
 
 #[test]
