Take the pressure's cut off repeats of calls that could not connect anywhere

At fault: logic.rs, timer: the paper's p times (1 - pressure), a guard against copies, also for calls that have cost nothing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -649,7 +649,11 @@
         // for one firing: what is out for 3 T1 may never be answered, as its connection can stand
         // still, or its backend may have fallen silent since.
         let long = self.learn_waiting(slot, false) && self.calls[slot].fired == 1;
-        let chance = (self.repeat_chance(self.calls[slot].t1) * (1.0 - self.pressure())).max(P_MIN);
+        // Pressure cuts copies, which cost work twice, and what busy backends turned away. What
+        // could not connect has cost none, and holds its place among the admitted already.
+        let unreached = self.calls[slot].attempts.iter().all(|a| a.outcome == Some(Outcome::NoConnection));
+        let pressure = if unreached { 0.0 } else { self.pressure() };
+        let chance = (self.repeat_chance(self.calls[slot].t1) * (1.0 - pressure)).max(P_MIN);
         if !long && self.may_send(slot).is_some() && self.rng.random::<f64>() < chance {
             self.send(slot, actions);
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -733,6 +733,32 @@
     assert_eq!(held_back_when_traffic_doubles(28.0), 0);
 }
 
+#[test]
+fn pressure_does_not_cut_repeats_of_calls_that_could_not_connect() {
+    let mut b = Bench::new(Settings { tier: 0, instances: 1, ..safe() }, &fleet(3));
+    let mut out = std::collections::VecDeque::<(Time, u64, u32, Time)>::new();
+    // A hundred a second for a while, answered after 0.05 s or 0.2 s; then no answers come.
+    for id in 0..540 {
+        let took = if id % 2 == 0 { 0.05 } else { 0.2 };
+        out.extend(sends(&b.request(id)).into_iter().map(|(id, to)| (b.now + took, id, to, took)));
+        b.run_to(b.now + 0.01);
+        out.make_contiguous().sort_by(|x, y| x.0.total_cmp(&y.0));
+        while let Some((_, done, to, took)) = out.front().copied().filter(|o| id < 500 && o.0 <= b.now) {
+            out.pop_front();
+            let actions = b.end(done, 0, to, Outcome::Served, took);
+            b.cancelled(&actions);
+        }
+    }
+    assert!(sends(&b.request(1000)).is_empty(), "there is pressure, as it waits at the entry");
+    let unreached: Vec<(u64, u32)> = out.iter().rev().take(10).map(|o| (o.1, o.2)).collect();
+    for (id, to) in &unreached {
+        b.end(*id, 0, *to, Outcome::NoConnection, 0.001);
+    }
+    b.run_to(b.now + 0.6);
+    let again = unreached.iter().filter(|(id, _)| b.sent[id].len() > 1).count();
+    assert!(again >= 8, "{again} of 10 sent again");
+}
+
 #[test]
 fn least_worth_and_over_share_go_first() {
     let mut settings = safe();
