Seek the best member among warm ones, so that fast cold ones don't hide a jam

All proxies lose their pressure at about the same time.

At fault: logic.rs, best: a cold member, fast as it gets little, was the measure by which calls at all others were left out of the crowd.

The test fails without it (200 of 200 calls sent while nothing is answered).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -582,9 +582,19 @@
         self.subset.iter().copied().filter(move |b| self.seen(&self.backends[*b]) <= most)
     }
 
-    /// What is known of the best member.
+    /// What is known of the best member that is warm, if one is: cold ones are fast as they get
+    /// little, and beside them all others would look bad in a jam, when those take the rest.
     fn best(&self) -> f64 {
-        self.subset.iter().map(|b| self.seen(&self.backends[*b])).fold(f64::INFINITY, f64::min)
+        let least = |cold: bool| {
+            let members = self.subset.iter().filter(|b| cold || self.cold_since(**b).is_none());
+            members.map(|b| self.seen(&self.backends[*b])).reduce(f64::min)
+        };
+        least(false).or_else(|| least(true)).unwrap_or(f64::INFINITY)
+    }
+
+    /// When it started, while it is cold.
+    fn cold_since(&self, backend: usize) -> Option<Time> {
+        self.backends[backend].entry.started.filter(|s| self.now < s + self.settings.cold)
     }
 
     /// T1 lies above the normal answer time and leaves room for a repeat in the time left.
@@ -782,7 +792,7 @@
             return false;
         }
         let (from, cold) = (self.settings.cold_share, self.settings.cold);
-        let Some(started) = self.backends[backend].entry.started.filter(|s| self.now < s + cold) else {
+        let Some(started) = self.cold_since(backend) else {
             return true;
         };
         if !self.subset.contains(&backend) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -733,6 +733,25 @@
     assert_eq!(held_back_when_traffic_doubles(28.0), 0);
 }
 
+#[test]
+fn fast_cold_members_do_not_hide_a_jam_at_all_others() {
+    let settings = Settings { tier: 0, instances: 1, cold: 1000.0, cold_share: 0.01, ..safe() };
+    let mut list = fleet(6);
+    let mut b = Bench::new(settings, &list);
+    for id in 0..200 {
+        b.served(id, 0.05);
+    }
+    let now = b.now;
+    list[3..].iter_mut().for_each(|e| e.started = Some(now));
+    b.event(Event::List(ListUpdate::Full(&list)));
+    // The warm half answers eight times slower; the cold half gets next to nothing.
+    for id in 300..315 {
+        b.served(id, 0.8);
+    }
+    let out: usize = (1000..1200).map(|id| sends(&b.request(id)).len()).sum();
+    assert!(out < 100, "{out} of 200 calls sent, with none answered");
+}
+
 #[test]
 fn pressure_does_not_cut_repeats_of_calls_that_could_not_connect() {
     let mut b = Bench::new(Settings { tier: 0, instances: 1, ..safe() }, &fleet(3));
