--- a/src/logic.rs
+++ b/src/logic.rs
@@ -354,6 +354,16 @@
         self.by_backend.len()
     }
 
+    /// Backends in the list.
+    pub fn backends_listed(&self) -> usize {
+        self.backends.iter().filter(|b| b.entry.status != Status::Gone).count()
+    }
+
+    /// Listed backends that get nothing or little now: members far slower than the best one.
+    pub fn backends_avoided(&self) -> usize {
+        self.subset.len() - self.sound().count()
+    }
+
     /// Decides what to do about `event`, which happens at `now`.
     pub fn handle(&mut self, now: Time, event: Event<'_>, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,6 +1,7 @@
 //! Connections to backends, attempts and probes on them, and the exact outcome of each.
 
 use super::engine::{Clock, Payload};
+use super::figures::Figures;
 use super::limits::{Budget, MOST_BODY, MOST_HEAD, Permit};
 use crate::{Outcome, Report, Time};
 use bytes::Bytes;
@@ -17,7 +18,6 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
@@ -62,12 +62,32 @@
 /// connections that the other side has given up without a word, or resets as it accepts them.
 const HELD: Duration = Duration::from_millis(1);
 
+/// How much of a request has gone out.
+#[derive(Default)]
+struct Written {
+    /// All of it.
+    whole: Cell<bool>,
+    /// Where that is to be counted.
+    figures: RefCell<Option<Rc<Figures>>>,
+}
+
+impl Written {
+    fn begin(&self, figures: Option<Rc<Figures>>) {
+        self.whole.set(false);
+        self.figures.replace(figures);
+    }
+
+    fn end(&self) {
+        self.whole.set(true);
+        self.figures.take().into_iter().for_each(|figures| figures.forwarded());
+    }
+}
+
 /// A socket that notes when something came, and holds the last byte back.
 struct Line {
     stream: TcpStream,
     heard: Heard,
-    /// All that was to be written has gone out.
-    whole: Arc<AtomicBool>,
+    written: Rc<Written>,
     held: Option<u8>,
     /// Until when it is held.
     wait: Pin<Box<Sleep>>,
@@ -121,7 +141,7 @@
         if self.held.is_some() {
             ready!(self.wait.as_mut().poll(cx));
             ready!(self.poll_held(cx))?;
-            self.whole.store(true, Ordering::Relaxed);
+            self.written.end();
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
@@ -137,7 +157,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     io: Io,
     heard: Heard,
-    whole: Arc<AtomicBool>,
+    written: Rc<Written>,
 }
 
 struct Io {
@@ -160,13 +180,13 @@
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let heard = Heard::default();
-    let whole = Arc::new(AtomicBool::new(false));
+    let written = Rc::<Written>::default();
     let wait = Box::pin(tokio::time::sleep(Duration::ZERO));
-    let line = Line { stream, heard: heard.clone(), whole: whole.clone(), held: None, wait };
+    let line = Line { stream, heard: heard.clone(), written: written.clone(), held: None, wait };
     // A head without end must not grow without bound.
     let builder = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(TokioIo::new(line));
     let (sender, io) = builder.await.map_err(io::Error::other)?;
-    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false }, heard, whole })
+    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false }, heard, written })
 }
 
 impl Peer {
@@ -182,11 +202,15 @@
 
     /// Sends a request and waits for the answer, which must come whole and be nothing but that:
     /// one that stands still half way, or is too long, or might be read in two ways, is none.
-    async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), Spoilt> {
+    async fn exchange(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        figures: Option<Rc<Figures>>,
+    ) -> Result<(Parts, Bytes), Spoilt> {
         let heard = self.heard.clone();
         heard.set(None);
-        let whole = self.whole.clone();
-        whole.store(false, Ordering::Relaxed);
+        let written = self.written.clone();
+        written.begin(figures);
         let begun_anew = heard.clone();
         // 1xx answers come ahead of the one that counts, perhaps long ahead.
         hyper::ext::on_informational(&mut request, move |_| begun_anew.set(None));
@@ -194,7 +218,7 @@
             let answer = match self.send(request).await {
                 Some(Ok(answer)) => answer,
                 // The connection had ended before all of it was written.
-                _ if !whole.load(Ordering::Relaxed) => return Err(Spoilt::Unsent),
+                _ if !written.whole.get() => return Err(Spoilt::Unsent),
                 _ => return Err(Spoilt::Sent),
             };
             let (head, body) = answer.into_parts();
@@ -387,8 +411,10 @@
     clock: Clock,
     until: Time,
     written: Rc<Cell<bool>>,
+    figures: Rc<Figures>,
 ) -> Done {
-    exchange(&endpoint, &clock, &written, || payload.request(until - clock.now())).await
+    let request = || payload.request(until - clock.now());
+    exchange(&endpoint, &clock, &written, request, Some(figures)).await
 }
 
 /// Makes one probe of `path`.
@@ -401,7 +427,7 @@
     };
     let within = 4 * endpoint.connect_timeout;
     let written = Cell::new(false);
-    let probed = exchange(&endpoint, &clock, &written, request);
+    let probed = exchange(&endpoint, &clock, &written, request, None);
     tokio::time::timeout(within, probed).await.unwrap_or(Done::without_answer(Outcome::Timeout))
 }
 
@@ -410,6 +436,7 @@
     clock: &Clock,
     written: &Cell<bool>,
     request: impl Fn() -> Request<Full<Bytes>>,
+    figures: Option<Rc<Figures>>,
 ) -> Done {
     let era = endpoint.era.get();
     let mut again = false;
@@ -422,7 +449,7 @@
             return Done::without_answer(Outcome::NoConnection);
         }
         written.set(true);
-        match peer.exchange(request()).await {
+        match peer.exchange(request(), figures.clone()).await {
             Ok((head, body)) => break (peer, permit, head, body),
             // One that was kept may have ended meanwhile; a second new one would end again.
             Err(Spoilt::Unsent) if new && again => return Done::without_answer(Outcome::NoConnection),
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -46,6 +46,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where those who run the proxy call it, if anywhere.
+    pub management: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For the module's random numbers.
@@ -84,6 +86,7 @@
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
+    management: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: Limits,
@@ -255,7 +258,11 @@
             }
             _ => address("RELAY_DISCOVERY", &file.discovery)?,
         };
-        Self::from_file(file, listen, discovery)
+        let named = |text: &String| !text.is_empty();
+        let management = std::env::var("RELAY_MANAGEMENT").ok().filter(named);
+        let management = management.or_else(|| file.management.clone().filter(named));
+        let parsed = management.map(|m| m.parse().map_err(|_| bad("management", "address:port", m)));
+        Ok(Self { management: parsed.transpose()?, ..Self::from_file(file, listen, discovery)? })
     }
 
     fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
@@ -298,7 +305,8 @@
             quantum: raw.quantum,
         };
         let (sockets, memory) = (file.limits.sockets, (file.limits.memory_mb * f64::from(1 << 20)) as usize);
-        Ok(Self { listen, discovery, seed, sockets, memory, known: file.known, settings, wire })
+        let management = None;
+        Ok(Self { listen, management, discovery, seed, sockets, memory, known: file.known, settings, wire })
     }
 }
 
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -5,6 +5,7 @@
 use super::backend::{self, Done, Endpoint, Served};
 use super::config::WireSettings;
 use super::discovery::{Discovery, Listed, News};
+use super::figures::Figures;
 use super::limits::Budget;
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
@@ -171,6 +172,7 @@
     listed: Cell<bool>,
     discovery: RefCell<Weak<Discovery>>,
     budget: Rc<Budget>,
+    figures: Rc<Figures>,
     connect_timeout: Duration,
     idle_close: Duration,
     drain_grace: Time,
@@ -182,7 +184,13 @@
 impl Engine {
     /// An engine with a module of its own, and its timers running. At most `connections` to
     /// backends are open at once.
-    pub fn start(settings: Settings, wire: &WireSettings, seed: u64, connections: usize) -> Rc<Self> {
+    pub fn start(
+        settings: Settings,
+        wire: &WireSettings,
+        seed: u64,
+        connections: usize,
+        figures: Rc<Figures>,
+    ) -> Rc<Self> {
         let clock = Clock::start();
         let engine = Rc::new_cyclic(|this| Self {
             this: this.clone(),
@@ -192,6 +200,7 @@
             listed: Cell::new(false),
             discovery: RefCell::default(),
             budget: Budget::new(connections),
+            figures,
             connect_timeout: wire.connect_timeout,
             idle_close: wire.idle_close,
             drain_grace: wire.drain_grace.as_secs_f64(),
@@ -240,6 +249,17 @@
         !self.state.borrow().open.is_empty()
     }
 
+    /// What is counted.
+    pub fn figures(&self) -> &Rc<Figures> {
+        &self.figures
+    }
+
+    /// What has been counted, and what the module says of the list, as a line of JSON.
+    pub fn figures_line(&self) -> serde_json::Result<String> {
+        let balancer = &self.state.borrow().balancer;
+        self.figures.line(balancer.backends_listed(), balancer.backends_avoided())
+    }
+
     /// Takes in a request, named `txn` by its client, which will wait for `request.budget` seconds.
     /// The answer comes to the receiver in that time. None if the name is in use.
     pub fn request(
@@ -432,7 +452,8 @@
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
         let (payload, clock) = (open.payload.clone(), self.clock);
-        let attempted = backend::attempt(endpoint, payload, clock, until, written.clone());
+        let figures = self.figures.clone();
+        let attempted = backend::attempt(endpoint, payload, clock, until, written.clone(), figures);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
--- a/src/proxy/limits.rs
+++ b/src/proxy/limits.rs
@@ -28,8 +28,9 @@
 impl Caps {
     /// The caps of a process with so many descriptors and bytes of memory. Clients get the larger
     /// part of the descriptors, as connections that ask for nothing are among theirs.
-    pub fn new(descriptors: usize, memory: usize) -> Self {
-        let descriptors = descriptors.min(MOST_DESCRIPTORS).saturating_sub(OWN_DESCRIPTORS);
+    /// `kept` are for other use.
+    pub fn new(descriptors: usize, memory: usize, kept: usize) -> Self {
+        let descriptors = descriptors.min(MOST_DESCRIPTORS).saturating_sub(OWN_DESCRIPTORS + kept);
         let part = memory / PART;
         Self {
             clients: (descriptors * 3 / 5).min(part / MOST_HEAD).max(1),
--- /dev/null
+++ b/src/proxy/management.rs
@@ -0,0 +1,138 @@
+//! The second address, for those who run the proxy: one call a connection, a line each way.
+
+use super::server::Server;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+/// Connections held at once. They have descriptors of their own.
+pub const MOST_CALLERS: usize = 16;
+/// Longest line.
+const MOST_LINE: u64 = 256;
+/// A call must have come within this, and its answer have been taken within the same again.
+const WITHIN: Duration = Duration::from_secs(2);
+
+/// What can be asked.
+#[derive(Debug, PartialEq, Eq)]
+enum Call {
+    Status,
+    Stats,
+}
+
+/// Why there is no answer but `ERR`.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("no call: status, stats")]
+    Unknown,
+    #[error("the call did not come whole")]
+    Incomplete,
+    #[error("the call did not come in time")]
+    Late,
+    #[error("not ready")]
+    NotReady,
+    #[error("no figures: {0}")]
+    Figures(#[from] serde_json::Error),
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+impl FromStr for Call {
+    type Err = CallError;
+
+    fn from_str(line: &str) -> Result<Self, CallError> {
+        let mut words = line.split_ascii_whitespace();
+        match (words.next(), words.next(), words.next()) {
+            (Some("status"), None, None) => Ok(Call::Status),
+            (Some("stats"), None, None) => Ok(Call::Stats),
+            _ => Err(CallError::Unknown),
+        }
+    }
+}
+
+/// Answers calls.
+pub struct Management {
+    server: Rc<Server>,
+    /// The connections, the oldest first.
+    callers: RefCell<VecDeque<AbortHandle>>,
+}
+
+impl Management {
+    /// One that speaks for this server.
+    pub fn new(server: Rc<Server>) -> Rc<Self> {
+        Rc::new(Self { server, callers: RefCell::default() })
+    }
+
+    /// Answers calls for as long as the process runs.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.clone().admit(stream),
+                Err(error) => {
+                    eprintln!("management: {error}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    /// Takes in a caller. One that has sent its call is answered in the same turn, so that those
+    /// that are still there say nothing, and the oldest of them may go for want of room.
+    fn admit(self: Rc<Self>, stream: TcpStream) {
+        let this = self.clone();
+        let mut callers = self.callers.borrow_mut();
+        callers.retain(|caller| !caller.is_finished());
+        if callers.len() >= MOST_CALLERS {
+            callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+        }
+        let caller = tokio::task::spawn_local(async move {
+            // A caller that is gone needs no answer.
+            let _ = this.serve(stream).await;
+        });
+        callers.push_back(caller.abort_handle());
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        let call = tokio::time::timeout(WITHIN, read(&mut stream)).await;
+        let answer = match call.unwrap_or(Err(CallError::Late)).and_then(|call| self.answer(&call)) {
+            Ok(text) => format!("{text}\n"),
+            Err(error) => format!("ERR {error}\n"),
+        };
+        let written = async {
+            stream.write_all(answer.as_bytes()).await?;
+            stream.shutdown().await?;
+            // What is left unread would reset the connection, and the answer might be lost.
+            tokio::io::copy(&mut stream.take(MOST_LINE), &mut tokio::io::sink()).await
+        };
+        tokio::time::timeout(WITHIN, written).await??;
+        Ok(())
+    }
+
+    /// Figures come bare, as operators' programs read them; all else begins with `OK`.
+    fn answer(&self, call: &Call) -> Result<String, CallError> {
+        match call {
+            Call::Status if self.server.ready() => Ok("OK ready".to_string()),
+            Call::Status => Err(CallError::NotReady),
+            Call::Stats => Ok(format!("{}\nEND", self.server.figures()?)),
+        }
+    }
+}
+
+async fn read(stream: &mut TcpStream) -> Result<Call, CallError> {
+    let mut line = Vec::new();
+    BufReader::new(stream.take(MOST_LINE)).read_until(b'\n', &mut line).await?;
+    let line = line.strip_suffix(b"\n").ok_or(CallError::Incomplete)?;
+    std::str::from_utf8(line).map_err(|_| CallError::Unknown)?.parse()
+}
+
+/// Binds the second address.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,6 +5,8 @@
 pub mod config;
 pub mod discovery;
 pub mod engine;
+pub mod figures;
 pub mod limits;
+pub mod management;
 pub mod request;
 pub mod server;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -45,7 +45,10 @@
     Late,
     /// The bodies of other requests take all the room.
     #[error("too much at once, try again")]
-    NoRoom,
+    NoRoom {
+        /// The request's class.
+        class: usize,
+    },
 }
 
 impl Unfit {
@@ -56,7 +59,7 @@
             Self::Length => StatusCode::LENGTH_REQUIRED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
-            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoom { .. } => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -94,7 +97,7 @@
         return Err(Unfit::Target);
     }
     let (txn, request) = check(&head.method, &head.headers, settings, wire)?;
-    let room = bodies.take(length).ok_or(Unfit::NoRoom)?;
+    let room = bodies.take(length).ok_or(Unfit::NoRoom { class: request.class })?;
     let body = tokio::time::timeout_at(until, whole(body, length)).await.map_err(|_| Unfit::Late)??;
     let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body };
     Ok(Asked { request, txn, payload, room })
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,10 +2,10 @@
 
 use super::clients::{self, Client, Clients, Place, Socket};
 use super::config::WireSettings;
-use super::engine::{Answer, Engine};
+use super::engine::{Answer, Engine, Payload};
 use super::limits::{Budget, Caps, MOST_HEAD};
 use super::request::{self, Unfit};
-use crate::{RequestId, Settings, Time};
+use crate::{Request, RequestId, Settings, Time};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -94,6 +94,16 @@
         })
     }
 
+    /// It takes requests, and has backends to send them to.
+    pub fn ready(&self) -> bool {
+        self.engine.listed() && self.stopping.get().is_none()
+    }
+
+    /// What it has counted, as a line of JSON.
+    pub fn figures(&self) -> serde_json::Result<String> {
+        self.engine.figures_line()
+    }
+
     /// From SIGTERM to SIGKILL.
     fn notice(&self) -> Duration {
         let longest = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
@@ -196,32 +206,45 @@
 
     async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
         if request.uri().path() == "/-/ready" {
-            return match self.engine.listed() && self.stopping.get().is_none() {
+            return match self.ready() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
         }
         let until = client.read_until();
-        let mut asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
+        let asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
             Ok(asked) => asked,
-            Err(unfit) => return refusal(&unfit),
+            Err(unfit) => {
+                if let Unfit::NoRoom { class } = unfit {
+                    self.engine.figures().taken(class).ended(unfit.status());
+                }
+                return refusal(&unfit);
+            }
         };
+        let taken = self.engine.figures().taken(asked.request.class);
         client.opened();
         let _room = asked.room;
+        let Some(reply) = self.answer(asked.txn, asked.request, asked.payload, full).await else {
+            return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
+        };
+        taken.ended(reply.status());
+        reply
+    }
+
+    /// The final answer to a request. None if its name is in use.
+    async fn answer(&self, txn: u64, mut request: Request, payload: Payload, full: bool) -> Option<Reply> {
         if full {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
+            return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n"));
         }
         if let Some(stopping) = self.stopping.get() {
             let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
-            asked.request.budget = asked.request.budget.min(left.as_secs_f64());
+            request.budget = request.budget.min(left.as_secs_f64());
         }
-        let Some((id, answer)) = self.engine.request(asked.txn, asked.request, asked.payload) else {
-            return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
-        };
+        let (id, answer) = self.engine.request(txn, request, payload)?;
         let leaving = Leaving(&self.engine, id);
         let answer = answer.await;
         drop(leaving); // it has had its answer: nothing is told
-        match answer {
+        Some(match answer {
             Ok(Answer::Served(served)) => {
                 let mut reply = Response::new(Full::new(served.body));
                 if let Some(content_type) = served.content_type {
@@ -237,7 +260,7 @@
                 reply
             }
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-        }
+        })
     }
 }
 
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -188,6 +188,7 @@
     pub child: Child,
     path: std::path::PathBuf,
     pub address: SocketAddr,
+    pub management: Option<SocketAddr>,
 }
 
 impl Proxy {
@@ -199,12 +200,50 @@
         let (mut command, path) = command(&config.to_string(), discovery);
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let address = line.trim().strip_prefix("dewpier: listening on ").expect(&line).parse().unwrap();
+        let mut management = None;
+        let address = loop {
+            let mut line = String::new();
+            log.read_line(&mut line).unwrap();
+            let told = line.trim().strip_prefix("dewpier: ").expect(&line);
+            match told.split_once(" on ") {
+                Some(("listening", address)) => break address.parse().unwrap(),
+                Some(("management", address)) => management = Some(address.parse().unwrap()),
+                _ => panic!("{line}"),
+            }
+        };
         // Its log is read on, lest it block.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, path, address }
+        Self { child, path, address, management }
+    }
+
+    /// One that knows these backends, with a second address.
+    pub fn managed(backends: &[&Played]) -> Self {
+        let mut config = config_of(&settings(), &known(backends));
+        config["management"] = json!("127.0.0.1:0");
+        Self::with(&config, quiet().address)
+    }
+
+    pub fn connect_management(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.management.expect("a second address")).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        BufReader::new(stream)
+    }
+
+    /// What a call to the second address is answered, to the end of the connection.
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = self.connect_management();
+        stream.get_mut().write_all(line.as_bytes()).unwrap();
+        let _ = stream.get_mut().shutdown(Shutdown::Write); // it may have been closed already
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    /// The figures.
+    pub fn figures(&self) -> Value {
+        let text = self.call("stats\n");
+        let figures = text.strip_suffix("\nEND\n").expect(&text);
+        serde_json::from_str(figures).unwrap()
     }
 
     /// Replaces the file of its configuration.
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -8,6 +8,7 @@
 use gannetproxy::proxy::config::WireSettings;
 use gannetproxy::proxy::discovery::{Listed, News};
 use gannetproxy::proxy::engine::{Engine, Payload};
+use gannetproxy::proxy::figures::Figures;
 use gannetproxy::*;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -31,7 +32,7 @@
             max_open: 10,
             ..WireSettings::default()
         };
-        let engine = Engine::start(safe(), &wire, 1, 10);
+        let engine = Engine::start(safe(), &wire, 1, 10, Figures::new(&wire));
         engine.news(News::Full(vec![listed(1, silent.address)]));
         let payload = Payload {
             method: hyper::Method::GET,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,7 +6,9 @@
 use common::sockets::*;
 use gannetproxy::Outcome;
 use gannetproxy::proxy::backend::{Endpoint, attempt};
+use gannetproxy::proxy::config::WireSettings;
 use gannetproxy::proxy::engine::{Clock, Payload};
+use gannetproxy::proxy::figures::Figures;
 use gannetproxy::proxy::limits::Budget;
 use serde_json::json;
 use std::io::Write;
@@ -216,7 +218,9 @@
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: "body".into(),
         };
-        let attempted = attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, Default::default());
+        let figures = Figures::new(&WireSettings::default());
+        let attempted =
+            attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, Default::default(), figures);
         runtime.block_on(attempted).outcome
     };
     assert_eq!(attempt(Some(0.0)), Outcome::NoConnection);
