--- a/src/interface.rs
+++ b/src/interface.rs
@@ -201,8 +201,11 @@
     pub tenant: Option<usize>,
     /// What it is about; orders the requests of classes that ask for it.
     pub key: Option<u64>,
-    /// Time until the caller gives this try up.
+    /// Time until the caller gives this try up. Where its body is still coming, from its end on.
     pub budget: Time,
+    /// Its body is still coming, and passes through: it can't go to two backends, nor to another
+    /// one after [`Event::Spent`].
+    pub streamed: bool,
 }
 
 /// How an attempt ended.
@@ -257,6 +260,10 @@
 pub enum Event<'a> {
     /// A request came in; it needs exactly one final answer.
     Request(Request),
+    /// The body of a streamed request has come whole: its time begins.
+    Received(RequestId),
+    /// So much of the body of a streamed request has passed on that it can't be sent again.
+    Spent(RequestId),
     /// A streamed answer has begun: the attempt is the caller's now.
     Started {
         /// The request.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -174,6 +174,16 @@
     service: Option<Time>,
 }
 
+impl Backend {
+    /// It has a call to answer.
+    fn take_on(&mut self, now: Time) {
+        if self.in_flight == 0 {
+            self.alive_at = now;
+        }
+        self.in_flight += 1;
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     backend: usize,
@@ -208,6 +218,14 @@
     lane: Option<u64>,
     /// It waits for its turn in the lane or at the entry; no attempt of it has been sent.
     held: bool,
+    /// Its body passes through, and can't be sent twice at once.
+    streamed: bool,
+    /// It is still coming.
+    coming: bool,
+    /// Too much of it has gone by for another attempt.
+    spent: bool,
+    /// How long it is waited for once it has come.
+    patience: Time,
     /// Its place among those that come, 1 being the best: it waits while pressure is above that.
     rank: f64,
     /// It was turned away for want of room, and waits to be sent again.
@@ -270,8 +288,10 @@
     by_id: HashMap<RequestId, Slot>,
     /// Calls that wait at the entry, the best last.
     queue: Vec<Slot>,
-    /// Calls that wait for their turn there or in a lane, and those that were turned away.
+    /// Calls that wait for their turn there or in a lane, those begun with a body that is still
+    /// coming, and those that were turned away.
     held: usize,
+    coming: usize,
     turned_away: usize,
     /// Mean excess of unanswered calls over a while, in roots of the usual number.
     excess: f64,
@@ -327,6 +347,7 @@
             by_id: HashMap::new(),
             queue: Vec::new(),
             held: 0,
+            coming: 0,
             turned_away: 0,
             excess: 0.0,
             excess_at: now,
@@ -389,6 +410,10 @@
         }
         match event {
             Event::Request(request) => self.arrive(request, actions),
+            Event::Received(id) => self.received(id, actions),
+            Event::Spent(id) => {
+                self.by_id.get(&id).into_iter().for_each(|slot| self.calls[*slot].spent = true);
+            }
             Event::Started { id, attempt } => self.end(id, Some(attempt), actions),
             Event::Outcome(ended) => self.ended(ended, actions),
             Event::ClientLeft(id) => self.end(id, None, actions),
@@ -421,7 +446,7 @@
         if patience <= needed || waits && lane.is_some() {
             return actions.push(Action::Refuse { id: request.id, retry_after: self.retry_after(t1) });
         }
-        let until = self.now + patience;
+        let until = if request.streamed { Time::INFINITY } else { self.now + patience };
         let call = Call {
             id: request.id,
             class: request.class,
@@ -437,10 +462,16 @@
             rank,
             turned_away: false,
             other: None,
+            streamed: request.streamed,
+            coming: request.streamed,
+            spent: false,
+            patience,
         };
         let slot = self.calls.insert(call);
         self.by_id.insert(request.id, slot);
-        actions.push(Action::Timer { at: until, token: token(slot, LAST) });
+        if !request.streamed {
+            actions.push(Action::Timer { at: until, token: token(slot, LAST) });
+        }
         self.held += usize::from(self.calls[slot].held);
         if waits {
             let place = self.queue.partition_point(|s| self.calls[*s].rank < rank);
@@ -462,6 +493,7 @@
     }
 
     fn begin(&mut self, slot: Slot, actions: &mut Vec<Action>) {
+        self.coming += usize::from(self.calls[slot].coming);
         self.set_timer(slot, actions);
         self.sent.add(self.now, self.memory);
         if let Some((_, left)) = self.calls[slot].tenant.and_then(|t| self.shares.get_mut(t)) {
@@ -476,6 +508,28 @@
         }
     }
 
+    /// The body of a call has come: its backend has it to do from now on, and its time runs.
+    fn received(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(slot) = self.by_id.get(&id).copied().filter(|slot| self.calls[*slot].coming) else {
+            return;
+        };
+        self.count_coming(slot);
+        let call = &mut self.calls[slot];
+        call.coming = false;
+        call.until = self.now + call.patience;
+        actions.push(Action::Timer { at: call.until, token: token(slot, LAST) });
+    }
+
+    /// A backend that only takes in a body is not at work on it, and can't answer: its calls in
+    /// flight are those that have come whole.
+    fn count_coming(&mut self, slot: Slot) {
+        let call = &self.calls[slot];
+        self.coming -= usize::from(!call.held);
+        for attempt in call.attempts.iter().filter(|a| a.outcome.is_none()) {
+            self.backends[attempt.backend].take_on(self.now);
+        }
+    }
+
     /// Lets the next request of a key run, if it may. Guards the order of keys: a request waits
     /// while an earlier one is unfinished or has an attempt without its outcome, whoever ended
     /// it, and while the key rests after an attempt that may still be running.
@@ -496,11 +550,13 @@
     /// Begins a call that was held.
     fn take_turn(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         self.held -= 1;
-        let (now, class, until) = (self.now, self.calls[slot].class, self.calls[slot].until);
-        let t1 = self.t1(class, until - now);
+        let (now, class) = (self.now, self.calls[slot].class);
+        let call = &self.calls[slot];
+        let left = if call.coming { call.patience } else { call.until - now };
+        let t1 = self.t1(class, left);
         let call = &mut self.calls[slot];
         (call.held, call.arrived, call.t1) = (false, now, t1);
-        if until - now <= HOPELESS * self.normal[class].mean {
+        if left <= HOPELESS * self.normal[class].mean {
             return self.finish_unserved(slot, actions);
         }
         self.begin(slot, actions);
@@ -598,7 +654,12 @@
         let sound = |b: &&usize| self.seen(&self.backends[**b]) <= most;
         let out = self.listed.iter().filter(sound).map(|b| self.backends[*b].in_flight).sum::<usize>();
         let out = out + self.turned_away;
-        out.min(self.by_id.len() - self.held) as f64
+        out.min(self.unanswered()) as f64
+    }
+
+    /// Calls begun that have come whole, and have no final answer.
+    fn unanswered(&self) -> usize {
+        self.by_id.len() - self.held - self.coming
     }
 
     /// The members that are not far slower than the best.
@@ -640,7 +701,7 @@
     /// The paper's p, from the calls unanswered here and the average rate of original sends.
     fn repeat_chance(&mut self, t1: Time) -> f64 {
         self.sent.age(self.now, self.memory);
-        let unanswered = (self.by_id.len() - self.held) as f64;
+        let unanswered = self.unanswered() as f64;
         let min = (self.sent.per_second() * t1).max(FLOOR);
         let max = ALPHA * min;
         let over = ((unanswered - min) / (max - min)).clamp(0.0, 1.0);
@@ -712,7 +773,7 @@
         if call.attempts.len() >= self.settings.max_attempts || self.now >= call.until {
             return None;
         }
-        if !self.settings.second_copies && call.waits() {
+        if call.spent || (call.streamed || !self.settings.second_copies) && call.waits() {
             return None;
         }
         let Some(first) = call.attempts.iter().find(|a| a.may_have_run()) else {
@@ -734,11 +795,11 @@
             return false;
         };
         let (now, until) = (self.now, self.calls[slot].until);
+        let coming = self.calls[slot].coming;
         let b = &mut self.backends[backend];
-        if b.in_flight == 0 {
-            b.alive_at = now;
+        if !coming {
+            b.take_on(now);
         }
-        b.in_flight += 1;
         b.named += 1;
         b.cold.room -= 1.0;
         let (cell, zone, id) = (b.entry.cell, b.entry.zone, b.entry.id);
@@ -855,8 +916,10 @@
         use Outcome::*;
         let slot = self.by_id.get(&ended.id).copied();
         if let Some(&backend) = self.by_backend.get(&ended.backend) {
+            let coming = slot.is_some_and(|slot| self.calls[slot].coming);
+            let streamed = slot.is_some_and(|slot| self.calls[slot].streamed);
             let b = &mut self.backends[backend];
-            b.in_flight = b.in_flight.saturating_sub(1);
+            b.in_flight = b.in_flight.saturating_sub(usize::from(!coming));
             if matches!(ended.outcome, Served | Error | Full | Reset) {
                 b.alive_at = self.now;
             }
@@ -868,13 +931,17 @@
                     Served => {
                         self.backends[backend].answered_at = self.now;
                         self.served.add(self.now, self.memory);
-                        self.learn(backend, class, ended.took, false);
-                        let calm = self.pressure() <= 0.0;
-                        let took = ended.took.min(NORMAL_REACH * self.settings.classes[class].aim);
-                        self.normal[class].add(took, calm);
-                        self.wait.add(took, calm);
+                        // How long a body took says nothing of its backend.
+                        if !streamed {
+                            self.learn(backend, class, ended.took, false);
+                            let calm = self.pressure() <= 0.0;
+                            let took = ended.took.min(NORMAL_REACH * self.settings.classes[class].aim);
+                            self.normal[class].add(took, calm);
+                            self.wait.add(took, calm);
+                        }
                     }
                     Cancelled | NeverSent => {}
+                    _ if coming => {}
                     _ => self.learn(backend, class, ended.took, true),
                 }
             }
@@ -929,6 +996,9 @@
 
     /// Drops a call, and cancels its attempts but for the one that answered.
     fn finish(&mut self, slot: Slot, keep: Option<usize>, actions: &mut Vec<Action>) {
+        if self.calls.get(slot).is_some_and(|call| call.coming) {
+            self.count_coming(slot);
+        }
         let Some(call) = self.calls.remove(slot) else {
             return;
         };
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -2,17 +2,19 @@
 
 use super::engine::{Clock, Payload};
 use super::figures::Figures;
-use super::limits::{Budget, MOST_BODY, MOST_HEAD, Permit};
+use super::limits::{Budget, MOST_BODY, MOST_HEAD, MOST_HELD, Permit};
+use super::stream::{Content, Flow, Outgoing};
 use crate::{Outcome, Report, Time};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -34,6 +36,9 @@
 const SETTLED: Duration = Duration::from_millis(25);
 /// An answer that has begun and then stands still for so long is given up as spoilt.
 const STALLED: Duration = Duration::from_millis(500);
+/// An answer of unknown length is held for so long. Then what has come goes on, and the rest as it
+/// comes: the client's time is that of the first bytes where an answer is long.
+const HELD_WITHIN: Duration = Duration::from_millis(250);
 /// How often that is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -67,6 +72,8 @@
 struct Written {
     /// All of it.
     whole: Cell<bool>,
+    /// What is written next holds its last byte.
+    last: Rc<Cell<bool>>,
     /// Where that is to be counted.
     figures: RefCell<Option<Rc<Figures>>>,
 }
@@ -74,6 +81,7 @@
 impl Written {
     fn begin(&self, figures: Option<Rc<Figures>>) {
         self.whole.set(false);
+        self.last.set(false);
         self.figures.replace(figures);
     }
 
@@ -123,6 +131,9 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         // What is held is not the last byte after all.
         ready!(self.poll_held(cx))?;
+        if !self.written.last.get() {
+            return Pin::new(&mut self.stream).poll_write(cx, data);
+        }
         let Some((last, rest)) = data.split_last() else {
             return Poll::Ready(Ok(0));
         };
@@ -154,18 +165,25 @@
 /// A connection and what drives it. Nothing is read or written but while its owner waits on it,
 /// so that dropping it ends both at once.
 pub struct Peer {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Outgoing>,
     io: Io,
     heard: Heard,
     written: Rc<Written>,
 }
 
 struct Io {
-    connection: Pin<Box<http1::Connection<TokioIo<Line>, Full<Bytes>>>>,
+    connection: Pin<Box<http1::Connection<TokioIo<Line>, Outgoing>>>,
     ended: bool,
 }
 
-type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
+type Sent = hyper::client::conn::TrySendError<Request<Outgoing>>;
+
+/// An answer of any status.
+enum Answered {
+    Whole(Bytes),
+    /// Longer than what is held: what has come, and what brings the rest.
+    Flow(VecDeque<Bytes>, Incoming),
+}
 
 /// Why there is no answer.
 enum Spoilt {
@@ -196,26 +214,34 @@
     }
 
     /// Sends a request and waits for the head of the answer.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<Result<Response<Incoming>, Sent>> {
+    pub async fn send(&mut self, request: Request<Outgoing>) -> Option<Result<Response<Incoming>, Sent>> {
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
-    /// Sends a request and waits for the answer, which must come whole and be nothing but that:
-    /// one that stands still half way, or is too long, or might be read in two ways, is none.
+    /// Lets the connection work, and tells whether it has ended.
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> bool {
+        self.io.poll(cx);
+        self.io.ended
+    }
+
+    /// Sends a request and waits for the answer, which must come whole or grow too long to be held,
+    /// and be nothing but that: one that stands still half way, or might be read in two ways, is
+    /// none. None if its body can't be sent any more.
     async fn exchange(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<Outgoing>>,
         figures: Option<Rc<Figures>>,
-    ) -> Result<(Parts, Bytes), Spoilt> {
+    ) -> Option<Result<(Parts, Answered), Spoilt>> {
         let heard = self.heard.clone();
         heard.set(None);
         let written = self.written.clone();
         written.begin(figures);
+        let mut sent = request(&written.last)?;
         let begun_anew = heard.clone();
         // 1xx answers come ahead of the one that counts, perhaps long ahead.
-        hyper::ext::on_informational(&mut request, move |_| begun_anew.set(None));
+        hyper::ext::on_informational(&mut sent, move |_| begun_anew.set(None));
         let answered = async {
-            let answer = match self.send(request).await {
+            let answer = match self.send(sent).await {
                 Some(Ok(answer)) => answer,
                 // The connection had ended before all of it was written.
                 _ if !written.whole.get() => return Err(Spoilt::Unsent),
@@ -223,19 +249,46 @@
             };
             let (head, body) = answer.into_parts();
             let double = [TRANSFER_ENCODING, CONTENT_LENGTH].iter().all(|n| head.headers.contains_key(n));
-            let long = body.size_hint().lower() > MOST_BODY as u64;
+            let long = body.size_hint().lower() > MOST_BODY;
             if double || long || head.status.is_informational() {
                 return Err(Spoilt::Sent);
             }
-            match self.drive(Limited::new(body, MOST_BODY).collect()).await {
-                Some(Ok(body)) => Ok((head, body.to_bytes())),
-                _ => Err(Spoilt::Sent),
-            }
+            Ok((head, self.hold(body).await.ok_or(Spoilt::Sent)?))
         };
-        tokio::select! {
+        let answered = tokio::select! {
             answered = answered => answered,
             () = heard.stalled() => Err(Spoilt::Sent),
+        };
+        let again = || request(&written.last).is_some();
+        (!matches!(answered, Err(Spoilt::Unsent)) || again()).then_some(answered)
+    }
+
+    /// Takes in an answer, as far as it is held. None if it breaks off.
+    async fn hold(&mut self, mut body: Incoming) -> Option<Answered> {
+        let known = body.size_hint().exact();
+        let (mut first, mut length) = (VecDeque::new(), 0);
+        let mut soon = pin!(tokio::time::sleep(HELD_WITHIN));
+        while known.is_none_or(|known| known <= MOST_HELD as u64) && length <= MOST_HELD {
+            let frame = tokio::select! {
+                biased;
+                frame = self.io.drive(body.frame()) => frame?,
+                () = soon.as_mut(), if known.is_none() => break,
+            };
+            match frame {
+                // Trailers may be left out on the way.
+                Some(frame) => {
+                    let data = frame.ok()?.into_data().unwrap_or_default();
+                    length += data.len();
+                    first.push_back(data);
+                }
+                None => {
+                    let mut whole = BytesMut::with_capacity(length);
+                    first.iter().for_each(|data| whole.extend_from_slice(data));
+                    return Some(Answered::Whole(whole.freeze()));
+                }
+            }
         }
+        Some(Answered::Flow(first, body))
     }
 
     /// It, if it can carry another request and the other side has not closed it meanwhile. Waits
@@ -391,9 +444,21 @@
 /// An answer of a backend.
 pub struct Served {
     /// Its body.
-    pub body: Bytes,
-    /// What the body is.
-    pub content_type: Option<HeaderValue>,
+    pub content: Content,
+    /// How long that is, where it is known.
+    pub length: Option<u64>,
+    /// Its headers.
+    pub headers: HeaderMap,
+}
+
+impl Served {
+    /// Its body, if it is held.
+    pub fn whole(&self) -> Option<&Bytes> {
+        match &self.content {
+            Content::Whole(whole) => Some(whole),
+            Content::Flow(_) => None,
+        }
+    }
 }
 
 /// How an attempt or probe ended.
@@ -407,11 +472,31 @@
 }
 
 impl Done {
-    fn without_answer(outcome: Outcome) -> Self {
+    /// One that has brought no answer.
+    pub fn without_answer(outcome: Outcome) -> Self {
         Self { outcome, served: None, report: None }
     }
 }
 
+/// Where a connection goes once it is free again.
+pub struct Kept {
+    endpoint: Rc<Endpoint>,
+    permit: Permit,
+    era: u64,
+}
+
+impl Kept {
+    /// It is free.
+    pub fn free(self, peer: Peer) {
+        let Self { endpoint, permit, era } = self;
+        if let Some(peer) = peer.checked()
+            && endpoint.era.get() == era
+        {
+            endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
+        }
+    }
+}
+
 /// Makes one attempt. `written` is set as soon as any of the request may have gone out: from then
 /// on a break may hide a request that runs, and is told as a reset.
 pub async fn attempt(
@@ -422,17 +507,18 @@
     written: Rc<Cell<bool>>,
     figures: Rc<Figures>,
 ) -> Done {
-    let request = || payload.request(until - clock.now());
+    let request = |last: &Rc<Cell<bool>>| payload.request(until - clock.now(), last);
     exchange(&endpoint, &clock, &written, request, Some(figures)).await
 }
 
 /// Makes one probe of `path`.
 pub async fn probe(endpoint: Rc<Endpoint>, path: &'static str, clock: Clock) -> Done {
-    let request = || {
-        let mut request = Request::new(Full::default());
+    let request = |last: &Rc<Cell<bool>>| {
+        last.set(true);
+        let mut request = Request::new(Outgoing::empty());
         *request.uri_mut() = hyper::Uri::from_static(path);
         request.headers_mut().insert("host", HeaderValue::from_static("backend"));
-        request
+        Some(request)
     };
     let within = 4 * endpoint.connect_timeout;
     let written = Cell::new(false);
@@ -441,15 +527,15 @@
 }
 
 async fn exchange(
-    endpoint: &Endpoint,
+    endpoint: &Rc<Endpoint>,
     clock: &Clock,
     written: &Cell<bool>,
-    request: impl Fn() -> Request<Full<Bytes>>,
+    request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<Outgoing>>,
     figures: Option<Rc<Figures>>,
 ) -> Done {
     let era = endpoint.era.get();
     let mut again = false;
-    let (peer, permit, head, body) = loop {
+    let (peer, permit, head, answered) = loop {
         let Some((mut peer, permit, new)) = endpoint.peer().await else {
             return Done::without_answer(Outcome::NoConnection);
         };
@@ -458,22 +544,17 @@
             return Done::without_answer(Outcome::NoConnection);
         }
         written.set(true);
-        match peer.exchange(request(), figures.clone()).await {
-            Ok((head, body)) => break (peer, permit, head, body),
+        match peer.exchange(&request, figures.clone()).await {
+            Some(Ok((head, answered))) => break (peer, permit, head, answered),
             // One that was kept may have ended meanwhile; a second new one would end again.
-            Err(Spoilt::Unsent) if new && again => return Done::without_answer(Outcome::NoConnection),
-            Err(Spoilt::Unsent) => {
+            Some(Err(Spoilt::Unsent)) if !(new && again) => {
                 again = again || new;
                 written.set(false);
             }
-            Err(Spoilt::Sent) => return Done::without_answer(Outcome::Reset),
+            Some(Err(Spoilt::Unsent)) | None => return Done::without_answer(Outcome::NoConnection),
+            Some(Err(Spoilt::Sent)) => return Done::without_answer(Outcome::Reset),
         }
     };
-    if let Some(peer) = peer.checked()
-        && endpoint.era.get() == era
-    {
-        endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
-    }
     let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Served,
@@ -481,8 +562,20 @@
         _ => Outcome::Error,
     };
     let report = head.headers.get("x-pressure").and_then(|v| report(v.as_bytes()));
-    let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let served = (outcome == Outcome::Served).then_some(Served { body, content_type });
+    let kept = Kept { endpoint: endpoint.clone(), permit, era };
+    let (content, length) = match answered {
+        Answered::Whole(whole) => {
+            kept.free(peer);
+            let length = whole.len() as u64;
+            (Content::Whole(whole), Some(length))
+        }
+        Answered::Flow(first, rest) => {
+            let come: usize = first.iter().map(Bytes::len).sum();
+            let length = rest.size_hint().exact().map(|left| left + come as u64);
+            (Content::Flow(Box::new(Flow::new(first, rest, length, peer, kept))), length)
+        }
+    };
+    let served = (outcome == Outcome::Served).then_some(Served { content, length, headers: head.headers });
     Done { outcome, served, report }
 }
 
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,6 +1,7 @@
 //! The connections of clients: what each one is at, which have outstayed their time, and which
 //! goes when there is no room.
 
+use super::framing::Framing;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -12,9 +13,13 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep};
 
-/// A request that has begun must have come whole within this, and so must the first one of a
+/// A head that has begun must have come whole within this, and so must the first one of a
 /// connection: guards against clients that say nothing, stop half way, or never come to an end.
-pub const READ_WITHIN: Duration = Duration::from_millis(2300);
+const READ_WITHIN: Duration = Duration::from_millis(2400);
+/// The least that is left for the body.
+const BODY_WITHIN: Duration = Duration::from_millis(400);
+/// A client that takes nothing of its answer for so long will not take the rest.
+const TAKEN_WITHIN: Duration = Duration::from_secs(10);
 /// A connection without an open request is kept for so long while there is room.
 const KEEP: Duration = Duration::from_secs(75);
 /// For want of room, one that has been without an open request for so long is closed,
@@ -32,65 +37,115 @@
 
 /// A client's connection.
 pub struct Client {
-    /// A whole request has come, and its answer has not been given.
-    open: Cell<bool>,
+    stage: Cell<Stage>,
     /// It has asked for something.
     asked: Cell<bool>,
     /// The last end of an open request, at first the connection's start.
     since: Cell<Instant>,
-    /// When the request that is being read began.
-    begun: Cell<Option<Instant>>,
     /// Something came while a request was open.
     early: Cell<bool>,
     /// It is being closed for want of room, or has outstayed its time.
     ending: Cell<bool>,
     end: Notify,
+    framing: RefCell<Framing>,
+    /// Since when it has taken nothing of what is written to it.
+    blocked: Cell<Option<Instant>>,
+}
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing of a request has come.
+    Quiet,
+    /// A head is coming, since then; at first since the connection's start.
+    Head(Instant),
+    /// A body is coming. Its reader sees to it that it does.
+    Body,
+    /// A whole request has come, and its answer has not been given.
+    Open,
+}
+
+/// What is known of a head beside what it says.
+#[derive(Clone, Copy, Debug)]
+pub struct Head {
+    /// Its length is given in two ways.
+    pub doubtful: bool,
+    /// The time that its body has at any rate.
+    pub within: Duration,
 }
 
 impl Client {
-    /// When the request that is being read must have come whole.
-    pub fn read_until(&self) -> Instant {
-        self.begun.get().unwrap_or_else(Instant::now) + READ_WITHIN
+    fn new() -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Self {
+            stage: Cell::new(Stage::Head(now)),
+            asked: Cell::new(false),
+            since: Cell::new(now),
+            early: Cell::new(false),
+            ending: Cell::new(false),
+            end: Notify::new(),
+            framing: RefCell::default(),
+            blocked: Cell::new(None),
+        })
+    }
+
+    /// A head has come.
+    pub fn headed(&self) -> Head {
+        let took = match self.stage.replace(Stage::Body) {
+            Stage::Head(begun) => begun.elapsed(),
+            _ => Duration::ZERO,
+        };
+        let doubtful = self.framing.borrow_mut().next_is_doubtful();
+        Head { doubtful, within: READ_WITHIN.saturating_sub(took).max(BODY_WITHIN) }
     }
 
     /// A whole request has come.
     pub fn opened(&self) {
-        self.open.set(true);
+        self.stage.set(Stage::Open);
         self.asked.set(true);
-        self.begun.set(None);
     }
 
     /// There is an answer to what has come.
     pub fn answered(&self) {
         let now = Instant::now();
-        self.open.set(false);
         self.since.set(now);
-        self.begun.set(self.early.take().then_some(now));
+        self.stage.set(if self.early.take() { Stage::Head(now) } else { Stage::Quiet });
     }
 
     /// Waits until it is to be closed. A request that has come at the last moment goes before.
     pub async fn ended(&self) {
         loop {
             self.end.notified().await;
-            if !self.open.get() {
+            if !self.open() || self.stands_still() {
                 return;
             }
             self.ending.set(false);
         }
     }
 
-    fn heard(&self) {
-        if self.open.get() {
-            self.early.set(true);
-        } else if self.begun.get().is_none() {
-            self.begun.set(Some(Instant::now()));
+    fn heard(&self, data: &[u8]) {
+        self.framing.borrow_mut().feed(data);
+        match self.stage.get() {
+            Stage::Quiet => self.stage.set(Stage::Head(Instant::now())),
+            Stage::Open => self.early.set(true),
+            Stage::Head(_) | Stage::Body => {}
         }
     }
 
+    fn open(&self) -> bool {
+        self.stage.get() == Stage::Open
+    }
+
+    fn stands_still(&self) -> bool {
+        self.blocked.get().is_some_and(|since| since.elapsed() > TAKEN_WITHIN)
+    }
+
     fn overdue(&self) -> bool {
-        // A body that does not come is answered by its reader; this is for all else.
-        let unread = self.begun.get().is_some_and(|begun| begun.elapsed() > READ_WITHIN + STEP);
-        !self.open.get() && (unread || self.since.get().elapsed() > KEEP)
+        match self.stage.get() {
+            Stage::Quiet => self.since.get().elapsed() > KEEP,
+            Stage::Head(begun) => begun.elapsed() > READ_WITHIN,
+            Stage::Body | Stage::Open => self.stands_still(),
+        }
     }
 
     fn close(&self) {
@@ -155,6 +210,11 @@
         self.all.borrow().is_empty()
     }
 
+    /// Some have requests without an answer, or an answer that is on its way.
+    pub fn busy(&self) -> bool {
+        self.all.borrow().iter().any(|c| c.open())
+    }
+
     /// There are more than there is room for.
     pub fn full(&self) -> bool {
         self.all.borrow().len() > self.most.get()
@@ -167,16 +227,7 @@
 
     /// Takes in a connection.
     pub fn admit(self: &Rc<Self>) -> Place {
-        let now = Instant::now();
-        let client = Rc::new(Client {
-            open: Cell::new(false),
-            asked: Cell::new(false),
-            since: Cell::new(now),
-            begun: Cell::new(Some(now)),
-            early: Cell::new(false),
-            ending: Cell::new(false),
-            end: Notify::new(),
-        });
+        let client = Client::new();
         self.all.borrow_mut().push(client.clone());
         Place { clients: self.clone(), client }
     }
@@ -196,7 +247,7 @@
             return true;
         }
         let longest = |enough: &dyn Fn(&Client) -> bool| {
-            let closable = all.iter().filter(|c| !c.open.get() && !c.ending.get() && enough(c));
+            let closable = all.iter().filter(|c| !c.open() && !c.ending.get() && enough(c));
             closable.min_by_key(|c| c.since.get()).cloned()
         };
         let idle = longest(&|c| c.since.get().elapsed() >= IDLE_ENOUGH);
@@ -235,7 +286,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.client.heard();
+            self.client.heard(&buffer.filled()[before..]);
         }
         read
     }
@@ -243,7 +294,10 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        let written = Pin::new(&mut self.stream).poll_write(cx, data);
+        let since = self.client.blocked.get().unwrap_or_else(Instant::now);
+        self.client.blocked.set(written.is_pending().then_some(since));
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -4,9 +4,9 @@
 use super::config::WireSettings;
 use super::engine::{Clock, Engine};
 use super::maintenance::Book;
+use super::stream::Outgoing;
 use crate::{BackendId, Entry, Settings, Status};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -337,7 +337,7 @@
                 None => backend::connect(self.address.get(), wait).await.map_err(CallError::Connect)?,
             };
             let request = Request::get(path).header("host", self.address.get().to_string());
-            let Ok(request) = request.body(Full::new(Bytes::new())) else {
+            let Ok(request) = request.body(Outgoing::empty()) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
             let answer = peer.send(request).await.ok_or(CallError::Broken)?.map_err(|e| e.into_error())?;
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -7,13 +7,13 @@
 use super::discovery::{Discovery, Listed, News};
 use super::figures::Figures;
 use super::limits::Budget;
+use super::stream::{Outgoing, Source};
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
     Settings, Status, Time,
 };
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -72,19 +72,47 @@
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Sending,
+}
+
+/// The body of a request on its way to backends.
+#[derive(Debug)]
+pub enum Sending {
+    /// All of it, as often as it takes.
+    Whole(Bytes),
+    /// What is still coming, of this length if that is known.
+    Flow(Rc<Source>, Option<u64>),
 }
 
 impl Payload {
-    /// The request for an attempt that is given up after `wait` seconds.
-    pub fn request(&self, wait: Time) -> hyper::Request<Full<Bytes>> {
-        let mut request = hyper::Request::new(Full::new(self.body.clone()));
+    /// The request for an attempt that is given up after `wait` seconds; `last` is set once the
+    /// last of its body is given out. None if it can't be sent any more.
+    pub fn request(&self, wait: Time, last: &Rc<Cell<bool>>) -> Option<hyper::Request<Outgoing>> {
+        let (body, length) = match &self.body {
+            Sending::Whole(whole) => {
+                last.set(true);
+                (Outgoing::Whole(Some(whole.clone()).filter(|w| !w.is_empty())), None)
+            }
+            Sending::Flow(source, _) if source.spent() => return None,
+            Sending::Flow(source, length) => {
+                (Outgoing::Flow { source: source.clone(), sent: 0, last: last.clone() }, *length)
+            }
+        };
+        let mut request = hyper::Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
         request.headers_mut().insert("x-remaining-ms", wait);
-        request
+        if let Some(length) = length {
+            request.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        Some(request)
+    }
+
+    /// Its body is passing through, and can't be sent again.
+    fn spent(&self) -> bool {
+        matches!(&self.body, Sending::Flow(source, _) if source.spent())
     }
 }
 
@@ -135,7 +163,10 @@
     txn: u64,
     answer: oneshot::Sender<Answer>,
     payload: Rc<Payload>,
+    /// When it must have its answer; without end while its body is coming.
     until: Time,
+    /// How long it is waited for once that has come.
+    patience: Time,
     attempts: usize,
 }
 
@@ -269,11 +300,6 @@
         self.listed.get()
     }
 
-    /// There are requests without a final answer.
-    pub fn owes_answers(&self) -> bool {
-        !self.state.borrow().open.is_empty()
-    }
-
     /// What is counted.
     pub fn figures(&self) -> &Rc<Figures> {
         &self.figures
@@ -308,17 +334,37 @@
         let now = self.clock.now();
         // The client has waited since it sent, so for as long as the request lay unread too.
         request.budget -= self.lag.get();
-        let until = now + request.budget - 0.5 * ANSWER_WAY;
+        let patience = request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
+        let until = if request.streamed { Time::INFINITY } else { now + patience };
         let payload = Rc::new(payload);
-        state.open.insert(request.id, Open { txn, answer, payload, until, attempts: 0 });
-        self.set_timer(&mut state, until, Due::Request(request.id));
+        state.open.insert(request.id, Open { txn, answer, payload, until, patience, attempts: 0 });
+        if !request.streamed {
+            self.set_timer(&mut state, until, Due::Request(request.id));
+        }
         state.told.push_back(Told::Event(Event::Request(request)));
         let id = request.id;
         self.decide(state);
         Some((id, receiver))
     }
 
+    /// The body of a request that was streamed has come whole.
+    pub fn received(&self, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let Some(open) = state.open.get_mut(&id) else {
+            return;
+        };
+        open.until = now + open.patience;
+        let (until, attempts) = (open.until, open.attempts);
+        self.set_timer(&mut state, until, Due::Request(id));
+        for attempt in 0..attempts {
+            self.set_timer(&mut state, until, Due::Attempt(id, attempt));
+        }
+        state.told.push_back(Told::Event(Event::Received(id)));
+        self.decide(state);
+    }
+
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
@@ -377,6 +423,9 @@
             return; // ended otherwise before
         };
         running.task.abort();
+        if state.open.get(&id).is_some_and(|open| open.payload.spent()) {
+            state.told.push_back(Told::Event(Event::Spent(id)));
+        }
         if let Some(served) = done.served
             && let Some(open) = close(state, id)
         {
@@ -437,8 +486,7 @@
         match action {
             Action::Send { id, backend, timeout } => self.send(state, id, backend, timeout, now),
             Action::Cancel { id, attempt } => {
-                let done = Done { outcome: Outcome::Cancelled, served: None, report: None };
-                self.ended(state, id, attempt, done);
+                self.ended(state, id, attempt, Done::without_answer(Outcome::Cancelled));
             }
             Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
             Action::Fail { id } => answer(state, id, Answer::Failed),
@@ -479,14 +527,18 @@
         let written = Rc::new(Cell::new(false));
         let (payload, clock) = (open.payload.clone(), self.clock);
         let figures = self.figures.clone();
-        let attempted = backend::attempt(endpoint, payload, clock, until, written.clone(), figures);
+        // A body that is coming has its time once it has come.
+        let wait = if until.is_finite() { until } else { now + open.patience };
+        let attempted = backend::attempt(endpoint, payload, clock, wait, written.clone(), figures);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
         });
         let task = task.abort_handle();
         state.running.insert((id, attempt), Running { backend, sent: now, written, task });
-        self.set_timer(state, until, Due::Attempt(id, attempt));
+        if until.is_finite() {
+            self.set_timer(state, until, Due::Attempt(id, attempt));
+        }
     }
 
     fn probe(&self, state: &State, backend: BackendId) {
@@ -494,7 +546,7 @@
             let probed = backend::probe(endpoint.clone(), self.probe_path, self.clock);
             tokio::task::spawn_local(async move {
                 let done = probed.await;
-                let body = done.served.as_ref().and_then(|s| backend::report(&s.body));
+                let body = done.served.as_ref().and_then(|s| backend::report(s.whole()?));
                 engine.probed(backend, done.outcome, done.report.or(body));
             });
         }
@@ -538,7 +590,7 @@
                 Due::Attempt(id, attempt) => {
                     let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
-                    self.ended(&mut state, id, attempt, Done { outcome, served: None, report: None });
+                    self.ended(&mut state, id, attempt, Done::without_answer(outcome));
                 }
                 // The module has not answered in time: the client must not be left without.
                 Due::Request(id) => {
--- a/src/proxy/limits.rs
+++ b/src/proxy/limits.rs
@@ -3,8 +3,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Largest body, of a request or an answer.
-pub const MOST_BODY: usize = 64 << 10;
+/// Largest body of a request or an answer, in bytes: the longest that are announced, and some more.
+pub const MOST_BODY: u64 = 40 << 20;
+/// Largest body, of a request or an answer, that is held whole and can be repeated. Of a longer one
+/// that much is held before it flows.
+pub const MOST_HELD: usize = 64 << 10;
 /// Largest head of a request or an answer.
 pub const MOST_HEAD: usize = 16 << 10;
 /// Descriptors kept for what is neither a client nor a backend.
@@ -37,7 +40,7 @@
     pub clients: usize,
     /// Connections to backends.
     pub backends: usize,
-    /// Bytes of requests' bodies held at once.
+    /// Bytes of requests' bodies held at once, or kept for a repeat.
     pub bodies: usize,
 }
 
@@ -51,8 +54,8 @@
         let part = memory / PART;
         Self {
             clients: (descriptors * 3 / 5).min(part / MOST_HEAD).max(1),
-            backends: (descriptors * 2 / 5).min(part / (MOST_HEAD + MOST_BODY)).max(1),
-            bodies: part.max(MOST_BODY),
+            backends: (descriptors * 2 / 5).min(part / (MOST_HEAD + MOST_HELD)).max(1),
+            bodies: part.max(MOST_HELD),
         }
     }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -1,18 +1,18 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
+use super::clients::Head;
 use super::config::WireSettings;
-use super::engine::Payload;
-use super::limits::{Budget, MOST_BODY, Permit};
+use super::engine::{Payload, Sending};
+use super::limits::{Budget, MOST_BODY, MOST_HELD, Permit};
+use super::stream::{Cut, Source};
 use crate::{Effect, Request, RequestId, Settings, Time};
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName};
 use hyper::header::{TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use hyper::{Method, StatusCode};
 use std::rc::Rc;
 use thiserror::Error;
-use tokio::time::Instant;
 
 /// Why a request is not taken.
 #[derive(Debug, Error, PartialEq, Eq)]
@@ -32,9 +32,9 @@
     #[error("expected a path")]
     Target,
     /// Framing that might be read in two ways.
-    #[error("a Content-Length is needed")]
+    #[error("the length is given twice")]
     Length,
-    /// More than 64 KiB.
+    /// Longer than any may be.
     #[error("the body is too large")]
     TooLarge,
     /// The body broke off.
@@ -55,8 +55,9 @@
     /// The status that tells of it.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::Header { .. } | Self::Method | Self::Target | Self::Broken => StatusCode::BAD_REQUEST,
-            Self::Length => StatusCode::LENGTH_REQUIRED,
+            Self::Header { .. } | Self::Method | Self::Target | Self::Length | Self::Broken => {
+                StatusCode::BAD_REQUEST
+            }
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoom { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -64,7 +65,7 @@
     }
 }
 
-/// A request that has come whole and can be sent on.
+/// A request that can be sent on.
 pub struct Asked {
     /// What the module is told; the engine gives it an id of its own.
     pub request: Request,
@@ -74,41 +75,54 @@
     pub payload: Payload,
     /// The room that its body takes.
     pub room: Permit,
+    /// Its body, if it is still coming.
+    pub coming: Option<Rc<Source>>,
 }
 
-/// Reads a request that must have come whole by `until`. What can be told from its head is
-/// refused before its body is read.
+impl From<Cut> for Unfit {
+    fn from(cut: Cut) -> Self {
+        match cut {
+            Cut::Broken => Self::Broken,
+            Cut::Still => Self::Late,
+            Cut::Long => Self::TooLarge,
+        }
+    }
+}
+
+/// Reads a request, all of it if it can be held. What can be told from its head is refused before
+/// its body is read.
 pub async fn read(
     request: hyper::Request<Incoming>,
+    head_read: Head,
     settings: &Settings,
     wire: &WireSettings,
     bodies: &Rc<Budget>,
-    until: Instant,
 ) -> Result<Asked, Unfit> {
     let (head, body) = request.into_parts();
-    // hyper takes the length away where both are given, and what one side reads as a body may be
-    // a request to the other: what has a coding is not taken at all, as clients send lengths.
-    if head.headers.contains_key(TRANSFER_ENCODING) {
+    if head_read.doubtful {
         return Err(Unfit::Length);
     }
-    let length = body.size_hint().exact().unwrap_or(u64::MAX);
-    let length = usize::try_from(length).ok().filter(|l| *l <= MOST_BODY).ok_or(Unfit::TooLarge)?;
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > MOST_BODY) {
+        return Err(Unfit::TooLarge);
+    }
     if !head.uri.path().starts_with('/') || head.uri.authority().is_some() {
         return Err(Unfit::Target);
     }
-    let (txn, request) = check(&head.method, &head.headers, settings, wire)?;
-    let room = bodies.take(length).ok_or(Unfit::NoRoom { class: request.class })?;
-    let body = tokio::time::timeout_at(until, whole(body, length)).await.map_err(|_| Unfit::Late)??;
+    let (txn, mut request) = check(&head.method, &head.headers, settings, wire)?;
+    let held = length.and_then(|l| usize::try_from(l).ok()).unwrap_or(MOST_HELD).min(MOST_HELD);
+    let room = bodies.take(held).ok_or(Unfit::NoRoom { class: request.class })?;
+    let source = Source::new(body, head_read.within);
+    let (body, coming) = match length {
+        Some(0) => (Sending::Whole(Bytes::new()), None),
+        _ => match source.first(MOST_HELD).await? {
+            Some(whole) => (Sending::Whole(whole), None),
+            None => (Sending::Flow(source.clone(), length), Some(source)),
+        },
+    };
+    request.streamed = coming.is_some();
     let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body };
-    Ok(Asked { request, txn, payload, room })
-}
-
-async fn whole(mut body: Incoming, length: usize) -> Result<Bytes, Unfit> {
-    let mut whole = BytesMut::with_capacity(length);
-    while let Some(frame) = body.frame().await {
-        whole.extend_from_slice(&frame.map_err(|_| Unfit::Broken)?.into_data().unwrap_or_default());
-    }
-    Ok(whole.freeze())
+    Ok(Asked { request, txn, payload, room, coming })
 }
 
 /// The one value of a header; which of two is meant can't be known.
@@ -156,7 +170,7 @@
     };
     let key = single(headers, "idempotency-key")?;
     let fits = match class.effect {
-        Effect::Safe => method == Method::GET,
+        Effect::Safe => method == Method::GET || method == Method::HEAD,
         Effect::Keyed { .. } | Effect::Unsafe => method == Method::POST,
     };
     match class.effect {
@@ -167,7 +181,7 @@
         Effect::Unsafe if key.is_some() => Err(unfit("Idempotency-Key", "none, for this class")),
         _ => {
             let id = RequestId::default();
-            Ok((txn, Request { id, class: index, tenant, key: subject(headers), budget }))
+            Ok((txn, Request { id, class: index, tenant, key: subject(headers), budget, streamed: false }))
         }
     }
 }
@@ -183,8 +197,8 @@
     Some(u64::from_str_radix(sid, 16).unwrap_or_else(|_| scattered()))
 }
 
-/// The headers that go on to backends: all but those of the connection itself.
-fn onward(mut headers: HeaderMap) -> HeaderMap {
+/// The headers that go on, either way: all but those of the connection itself.
+pub fn onward(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .into_iter()
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,18 +2,17 @@
 
 use super::clients::{self, Client, Clients, Place, Socket};
 use super::config::WireSettings;
-use super::engine::{Answer, Engine, Payload};
+use super::engine::{Answer, Engine};
 use super::limits::{Budget, Caps, MOST_HEAD};
-use super::request::{self, Unfit};
+use super::request::{self, Asked, Unfit};
 use super::seat::Seat;
-use crate::{Request, RequestId, Settings, Time};
-use bytes::Bytes;
-use http_body_util::Full;
+use super::stream::{Content, Reply};
+use crate::{RequestId, Settings, Time};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -47,7 +46,7 @@
 /// How long a connection without a request may take to end once it is to be closed.
 const CLOSE_WITHIN: Duration = Duration::from_millis(200);
 
-type Reply = Response<Full<Bytes>>;
+type Answered = Response<Reply>;
 
 /// Answers clients.
 pub struct Server {
@@ -80,16 +79,12 @@
     }
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Reply {
-    let mut reply = Response::new(Full::new(text.into()));
+fn plain(status: StatusCode, text: String, client: &Rc<Client>) -> Answered {
+    let mut reply = Response::new(Reply::new(Content::Whole(text.into()), None, client.clone()));
     *reply.status_mut() = status;
     reply
 }
 
-fn refusal(unfit: &Unfit) -> Reply {
-    plain(unfit.status(), format!("{unfit}\n"))
-}
-
 impl Server {
     /// A server that keeps to these caps.
     pub fn new(
@@ -166,7 +161,7 @@
         let mut idle = 0;
         while !self.clients.is_empty() && idle < IDLE_STEPS {
             self.clients.one_left(STEP).await;
-            idle = if self.engine.owes_answers() { 0 } else { idle + 1 };
+            idle = if self.clients.busy() { 0 } else { idle + 1 };
         }
     }
 
@@ -236,7 +231,6 @@
             let mut closing = server.closing.subscribe();
             let service = service_fn(|request| async move {
                 let mut reply = server.reply(request, client, full).await;
-                client.answered();
                 // What is wrong once is not given another try on the same connection: the rest of
                 // it may be anything, and each try has its price.
                 let wrong = reply.status().is_client_error();
@@ -264,15 +258,18 @@
         });
     }
 
-    async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
+    async fn reply(&self, request: hyper::Request<Incoming>, client: &Rc<Client>, full: bool) -> Answered {
+        let head = client.headed();
+        let head_only = request.method() == Method::HEAD;
+        let plain = |status, text: &str| plain(status, text.to_string(), client);
         if request.uri().path() == "/-/ready" {
             return match self.ready() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
         }
-        let until = client.read_until();
-        let asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
+        let refusal = |unfit: &Unfit| plain(unfit.status(), &format!("{unfit}\n"));
+        let asked = match request::read(request, head, &self.settings, &self.wire, &self.bodies).await {
             Ok(asked) => asked,
             Err(unfit) => {
                 if let Unfit::NoRoom { class } = unfit {
@@ -281,35 +278,59 @@
                 return refusal(&unfit);
             }
         };
-        let taken = self.engine.figures().taken(asked.request.class);
-        client.opened();
-        let _room = asked.room;
-        let Some(reply) = self.answer(asked.txn, asked.request, asked.payload, full).await else {
-            return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
-        };
-        taken.ended(reply.status());
-        reply
-    }
-
-    /// The final answer to a request. None if its name is in use.
-    async fn answer(&self, txn: u64, mut request: Request, payload: Payload, full: bool) -> Option<Reply> {
-        if full {
-            return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n"));
+        let Asked { mut request, txn, payload, room: _room, coming } = asked;
+        let class = request.class;
+        // One that is coming has not been taken yet.
+        let mut taken = coming.is_none().then(|| self.engine.figures().taken(class));
+        if coming.is_none() {
+            client.opened();
         }
         if let Some(stopping) = self.stopping.get() {
             let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
             request.budget = request.budget.min(left.as_secs_f64());
         }
-        let (id, answer) = self.engine.request(txn, request, payload)?;
-        let leaving = Leaving(&self.engine, id);
-        let answer = answer.await;
-        drop(leaving); // it has had its answer: nothing is told
-        Some(match answer {
-            Ok(Answer::Served(served)) => {
-                let mut reply = Response::new(Full::new(served.body));
-                if let Some(content_type) = served.content_type {
-                    reply.headers_mut().insert(CONTENT_TYPE, content_type);
+        let answer = if full {
+            Ok(Answer::Refused(None))
+        } else {
+            let Some((id, mut answer)) = self.engine.request(txn, request, payload) else {
+                return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
+            };
+            let leaving = Leaving(&self.engine, id);
+            let ended = match &coming {
+                Some(source) => tokio::select! {
+                    biased;
+                    answer = &mut answer => Ok(answer),
+                    ended = source.ended() => Err(ended),
+                },
+                None => Err(Ok(())),
+            };
+            let answer = match ended {
+                // Before its body had come whole.
+                Ok(answer) => answer,
+                Err(Ok(())) => {
+                    if coming.is_some() {
+                        self.engine.received(id);
+                        client.opened();
+                        taken = Some(self.engine.figures().taken(class));
+                    }
+                    answer.await
+                }
+                Err(Err(cut)) => {
+                    drop(leaving);
+                    return refusal(&cut.into());
                 }
+            };
+            drop(leaving); // it has had its answer: nothing is told
+            answer
+        };
+        let mut reply = match answer {
+            Ok(Answer::Served(served)) => {
+                let mut reply = Response::new(Reply::new(served.content, served.length, client.clone()));
+                // For HEAD it tells the length of what GET would bring.
+                let length = served.headers.get(CONTENT_LENGTH).filter(|_| head_only).cloned();
+                *reply.headers_mut() = request::onward(served.headers);
+                reply.headers_mut().remove("x-pressure");
+                length.into_iter().for_each(|l| drop(reply.headers_mut().insert(CONTENT_LENGTH, l)));
                 reply
             }
             Ok(Answer::Refused(wait)) => {
@@ -320,7 +341,11 @@
                 reply
             }
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-        })
+        };
+        let status = reply.status();
+        let taken = taken.unwrap_or_else(|| self.engine.figures().taken(class));
+        reply.body_mut().counts(taken, status);
+        reply
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -245,7 +245,14 @@
             let class = class.ok_or_else(|| bad("the class", "a class of the settings", rest))?;
             let tenant = names.tenants.iter().position(|t| t == tenant);
             let budget = number("the time left", budget)?;
-            Line::Event(Event::Request(Request { id: request_id(id)?, class, tenant, key, budget }))
+            Line::Event(Event::Request(Request {
+                id: request_id(id)?,
+                class,
+                tenant,
+                key,
+                budget,
+                streamed: false,
+            }))
         }
         "BEGUN" => {
             let [id, duration, attempt, backend] = values("BEGUN", rest)?;
