Give places back in a crowd, and answer what comes whole as its connection closes

Lost: src/proxy/server.rs dropped a connection 200 ms after it was to go for want of room, also when its request had come whole in that time and been sent on. Refused: lines logged at refusals and counts of places showed all of them to be for want of room, none by the module: answered connections kept theirs for 2 s, connections already being closed counted as taking room (src/proxy/clients.rs, full), and room was made for one where several were over.

--- a/src/main.rs
+++ b/src/main.rs
@@ -102,6 +102,7 @@
         () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
         () = reloading => {}
     }
+    eprintln!("dewpier: stopped");
     Ok(())
 }
 
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -22,9 +22,9 @@
 const TAKEN_WITHIN: Duration = Duration::from_secs(10);
 /// A connection without an open request is kept for so long while there is room.
 const KEEP: Duration = Duration::from_secs(75);
-/// For want of room, one that has been without an open request for so long is closed,
+/// For want of room, one that has been without a request for so long is closed,
 const IDLE_ENOUGH: Duration = Duration::from_secs(2);
-/// and failing such, one that has never asked for anything and is older than this.
+/// and failing such, one that has never asked for anything and was silent for so long.
 const MUTE_ENOUGH: Duration = Duration::from_millis(500);
 /// Part of the room that is for connections which only get a refusal, as all others are at work.
 const OVERFLOW: usize = 8;
@@ -42,6 +42,8 @@
     asked: Cell<bool>,
     /// The last end of an open request, at first the connection's start.
     since: Cell<Instant>,
+    /// When something came last.
+    heard: Cell<Instant>,
     /// Something came while a request was open.
     early: Cell<bool>,
     /// It is being closed for want of room, or has outstayed its time.
@@ -81,6 +83,7 @@
             stage: Cell::new(Stage::Head(now)),
             asked: Cell::new(false),
             since: Cell::new(now),
+            heard: Cell::new(now),
             early: Cell::new(false),
             ending: Cell::new(false),
             end: Notify::new(),
@@ -116,7 +119,7 @@
     pub async fn ended(&self) {
         loop {
             self.end.notified().await;
-            if !self.open() || self.stands_still() {
+            if !self.at_work() {
                 return;
             }
             self.ending.set(false);
@@ -125,6 +128,7 @@
 
     fn heard(&self, data: &[u8]) {
         self.framing.borrow_mut().feed(data);
+        self.heard.set(Instant::now());
         match self.stage.get() {
             Stage::Quiet => self.stage.set(Stage::Head(Instant::now())),
             Stage::Open => self.early.set(true),
@@ -132,10 +136,19 @@
         }
     }
 
+    fn quiet(&self) -> bool {
+        self.stage.get() == Stage::Quiet
+    }
+
     fn open(&self) -> bool {
         self.stage.get() == Stage::Open
     }
 
+    /// It has a request to answer, and takes the answer.
+    pub fn at_work(&self) -> bool {
+        self.open() && !self.stands_still()
+    }
+
     fn stands_still(&self) -> bool {
         self.blocked.get().is_some_and(|since| since.elapsed() > TAKEN_WITHIN)
     }
@@ -201,8 +214,7 @@
         let (most, over) = split(most);
         self.most.set(most);
         self.over.set(over);
-        let ending = || self.all.borrow().iter().filter(|c| c.ending.get()).count();
-        while self.all.borrow().len() > most + ending() && self.make_room() {}
+        self.shrink_to(most);
     }
 
     /// There are none.
@@ -215,9 +227,14 @@
         self.all.borrow().iter().any(|c| c.open())
     }
 
-    /// There are more than there is room for.
+    /// Half of the room is taken: connections had better not stay behind their answers.
+    pub fn filling(&self) -> bool {
+        2 * self.all.borrow().len() > self.most.get()
+    }
+
+    /// There are more than there is room for, without those that are being closed.
     pub fn full(&self) -> bool {
-        self.all.borrow().len() > self.most.get()
+        self.all.borrow().iter().filter(|c| !c.ending.get()).count() > self.most.get()
     }
 
     /// There is no room for those to be refused either.
@@ -237,22 +254,27 @@
         let _ = tokio::time::timeout(within, self.left.notified()).await;
     }
 
-    /// Makes room for one more, at the cost of the connection that has been without a request
-    /// longest: guards against those that stay for good and keep others out. Tells whether there
-    /// is room, or will be at once.
+    /// Makes room for one more. Tells whether there is room, or will be at once.
     pub fn make_room(&self) -> bool {
+        self.shrink_to(self.most.get().saturating_sub(1))
+    }
+
+    /// Closes those that have been without a request longest: guards against those that stay for
+    /// good and keep others out. Tells whether no more than so many stay.
+    fn shrink_to(&self, most: usize) -> bool {
         let all = self.all.borrow();
-        let ending = all.iter().filter(|c| c.ending.get()).count();
-        if all.len() < self.most.get() + ending {
-            return true;
+        let staying = || all.iter().filter(|c| !c.ending.get());
+        while staying().count() > most {
+            let closable = || staying().filter(|c| !c.open());
+            let idle = closable().filter(|c| c.quiet() && c.since.get().elapsed() >= IDLE_ENOUGH);
+            let mute = closable().filter(|c| !c.asked.get() && c.heard.get().elapsed() >= MUTE_ENOUGH);
+            let longest = idle.min_by_key(|c| c.since.get()).or_else(|| mute.min_by_key(|c| c.heard.get()));
+            let Some(longest) = longest else {
+                return false;
+            };
+            longest.close();
         }
-        let longest = |enough: &dyn Fn(&Client) -> bool| {
-            let closable = all.iter().filter(|c| !c.open() && !c.ending.get() && enough(c));
-            closable.min_by_key(|c| c.since.get()).cloned()
-        };
-        let idle = longest(&|c| c.since.get().elapsed() >= IDLE_ENOUGH);
-        let mute = || longest(&|c| !c.asked.get() && c.since.get().elapsed() >= MUTE_ENOUGH);
-        idle.or_else(mute).inspect(|c| c.close()).is_some()
+        true
     }
 
     /// Closes connections that have outstayed their time.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -132,6 +132,7 @@
         let stopped = async {
             stop.await;
             self.stopping.set(Some(Instant::now()));
+            eprintln!("dewpier: stopping");
             self.relieved.set(self.seat.as_ref().is_some_and(|seat| seat.relieved()));
             if !self.relieved.get() {
                 tokio::time::sleep(self.notice().mul_f64(LINGER)).await;
@@ -234,7 +235,8 @@
                 // What is wrong once is not given another try on the same connection: the rest of
                 // it may be anything, and each try has its price.
                 let wrong = reply.status().is_client_error();
-                if full || wrong || server.relieved.get() || *server.closing.borrow() {
+                let ending = server.relieved.get() || *server.closing.borrow();
+                if full || wrong || ending || server.clients.filling() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
@@ -248,7 +250,10 @@
                 _ = connection.as_mut() => return, // its end is no news: clients come and go
                 () = client.ended() => {
                     connection.as_mut().graceful_shutdown();
-                    let _ = tokio::time::timeout(CLOSE_WITHIN, connection).await;
+                    // A request may come whole at the last moment: it is taken then, and answered.
+                    while tokio::time::timeout(CLOSE_WITHIN, connection.as_mut()).await.is_err()
+                        && client.at_work()
+                    {}
                     return;
                 }
                 _ = closing.wait_for(|closing| *closing) => {}
