Count two processes side by side as two, so that together they fill backends no further

A line of the module's state each half second (not kept) showed pressure at 1 and nine calls in flight at each of two or three backends, in the old process and in the new one at once: 14 and 8 at 13.8 s, on the backends that one would hold to nine each. src/logic.rs, each(): it counted the instances of the settings, which do not know of a second process.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -293,6 +293,8 @@
         /// It is out.
         out: bool,
     },
+    /// Another process takes requests of the same clients beside this one, or no longer does.
+    Beside(bool),
     /// News of the list.
     List(ListUpdate<'a>),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -323,6 +323,8 @@
     /// This balancer's part of each tenant's quota, and what is left of it.
     shares: Vec<(f64, Bucket)>,
     memory: Time,
+    /// Another process is at work beside this one: there are twice as many for the time.
+    beside: bool,
     /// Members that the calls in flight have called for so far.
     grown: usize,
     /// Mean of the service times that backends report.
@@ -368,6 +370,7 @@
             arrivals: vec![[Rate::new(now); 2]; settings.classes.len()],
             shares: settings.quotas.iter().map(|q| q / settings.instances.max(1) as f64).map(share).collect(),
             memory: RATE_MEMORY * T1_REACH * longest,
+            beside: false,
             grown: 0,
             service: 0.0,
             sends: 0,
@@ -421,6 +424,7 @@
             Event::Timer(token) => self.timer(token, actions),
             Event::Probed { backend, report, .. } => self.take_report(backend, report),
             Event::Maintenance { backend, out } => self.maintain(backend, out, actions),
+            Event::Beside(beside) => self.beside = beside,
             Event::List(update) => self.list(update, actions),
         }
         self.let_in(actions);
@@ -642,7 +646,8 @@
     /// Calls in flight at each sound backend, if all balancers have as many as this one.
     fn each(&self) -> f64 {
         let sound = self.sound().count() as f64;
-        let sharing = (self.settings.instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64;
+        let instances = self.settings.instances * (1 + usize::from(self.beside));
+        let sharing = (instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64;
         self.crowd() * sharing.max(1.0) / sound.max(1.0)
     }
 
@@ -916,8 +921,8 @@
         use Outcome::*;
         let slot = self.by_id.get(&ended.id).copied();
         if let Some(&backend) = self.by_backend.get(&ended.backend) {
-            let coming = slot.is_some_and(|slot| self.calls[slot].coming);
-            let streamed = slot.is_some_and(|slot| self.calls[slot].streamed);
+            let of = |slot: Slot| (self.calls[slot].coming, self.calls[slot].streamed);
+            let (coming, streamed) = slot.map_or((false, false), of);
             let b = &mut self.backends[backend];
             b.in_flight = b.in_flight.saturating_sub(usize::from(!coming));
             if matches!(ended.outcome, Served | Error | Full | Reset) {
@@ -1137,7 +1142,7 @@
         self.maintained.retain(|_, m| !matches!(m, Maintained::Back(at) if now >= *at + cold));
         let place = self.by_backend.get(&id).copied();
         match (self.maintained.get(&id).copied(), out) {
-            (Some(Maintained::Out(_)), true) => return,
+            (Some(Maintained::Out(_)), true) | (None | Some(Maintained::Back(_)), false) => return,
             (_, true) => {
                 self.maintained.insert(id, Maintained::Out(now));
                 actions.push(Action::Release(id));
@@ -1149,11 +1154,9 @@
                     self.maintained.insert(id, Maintained::Back(now));
                 }
                 if let Some(b) = place.map(|b| &mut self.backends[b]) {
-                    let fresh = Bucket { room: 0.0, at: now };
-                    (b.slowness, b.slowness_at, b.cold) = (1.0, now, fresh);
+                    (b.slowness, b.slowness_at, b.cold) = (1.0, now, Bucket { room: 0.0, at: now });
                 }
             }
-            (_, false) => return,
         }
         self.relist();
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -68,7 +68,7 @@
     let discovery =
         Discovery::start(at, config.seed, known, wire, &config.settings, engine.clone(), book.clone());
     let maintenance = book.map(|book| Maintenance::start(book, discovery.clone(), engine.clone()));
-    let server = Server::new(engine, config.settings, config.wire, caps, seat.clone());
+    let server = Server::new(engine.clone(), config.settings, config.wire, caps, seat.clone());
     if let Some((listener, maintenance)) = management.zip(maintenance) {
         tokio::task::spawn_local(Management::new(server.clone(), maintenance).run(listener));
     }
@@ -94,7 +94,9 @@
         tokio::task::spawn_local(async move {
             loop {
                 tokio::time::sleep(LOOK).await;
-                server.keep_to(caps_of(seat.shared()));
+                let shared = seat.shared();
+                server.keep_to(caps_of(shared));
+                engine.beside(shared);
             }
         });
     }
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -365,6 +365,13 @@
         self.decide(state);
     }
 
+    /// Another process takes requests of the same clients beside this one, or no longer does.
+    pub fn beside(&self, beside: bool) {
+        let mut state = self.state.borrow_mut();
+        state.told.push_back(Told::Event(Event::Beside(beside)));
+        self.decide(state);
+    }
+
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::sockets::*;
+use common::{Bench, entry, safe, sends};
 use gannetproxy::proxy::seat::Seat;
+use gannetproxy::*;
 use serde_json::json;
 use std::io::Write;
 use std::sync::Arc;
@@ -193,3 +195,24 @@
     wait_for("room", || held(&old) + held(&next) <= 160 && held(&old) <= 80);
     drop(clients);
 }
+
+/// How many of forty requests that come at once are let in at once, by a balancer that knows what
+/// is usual.
+fn let_in(beside: &[bool]) -> usize {
+    let settings = Settings { tier: 0, instances: 1, ..safe() };
+    let mut bench = Bench::new(settings, &[entry(1), entry(2)]);
+    for id in 0..100 {
+        bench.served(id, 0.1);
+    }
+    beside.iter().for_each(|beside| drop(bench.event(Event::Beside(*beside))));
+    (1000..1040).map(|id| sends(&bench.request(id)).len()).sum()
+}
+
+#[test]
+fn two_processes_side_by_side_let_in_no_more_than_one() {
+    let alone = let_in(&[]);
+    assert!((10..40).contains(&alone), "{alone}");
+    let half = let_in(&[true]);
+    assert!(2 * half <= alone + 1 && half > 0, "{half} beside another, {alone} alone");
+    assert_eq!(let_in(&[true, true, false]), alone);
+}
