Use backends again after maintenance by hand, whatever was dealt out meanwhile

At fault: src/logic.rs, relist(): members are dealt out anew with each change of the list, and a backend that comes back was only taken in where the new deal happened to hold it; a cold one that is no member gets nothing (usable). Each part has a test that was seen to fail without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -253,11 +253,13 @@
 
 /// What was done to a backend by hand.
 #[derive(Clone, Copy, Debug)]
-enum Maintained {
-    /// Taken out then.
-    Out(Time),
-    /// Back since then, as cold as if it had started: nobody says when it did.
-    Back(Time),
+struct Maintained {
+    /// It is out, or was and is back,
+    out: bool,
+    /// since then. Back, it is as cold as if it had started: nobody says when it did.
+    at: Time,
+    /// It was a member when it went, or had stood in for one of late.
+    used: bool,
 }
 
 /// Where a call may be sent (again).
@@ -288,8 +290,7 @@
     by_id: HashMap<RequestId, Slot>,
     /// Calls that wait at the entry, the best last.
     queue: Vec<Slot>,
-    /// Calls that wait for their turn there or in a lane, those begun with a body that is still
-    /// coming, and those that were turned away.
+    /// Calls that wait there or in a lane, those begun with a body still to come, those turned away.
     held: usize,
     coming: usize,
     turned_away: usize,
@@ -686,10 +687,7 @@
     /// When it started, while it is cold.
     fn cold_since(&self, backend: usize) -> Option<Time> {
         let entry = &self.backends[backend].entry;
-        let back = match self.maintained.get(&entry.id) {
-            Some(Maintained::Back(at)) => Some(*at),
-            _ => None,
-        };
+        let back = self.maintained.get(&entry.id).filter(|m| !m.out).map(|m| m.at);
         let started = entry.started.into_iter().chain(back).reduce(Time::max);
         started.filter(|s| self.now < s + self.settings.cold)
     }
@@ -1131,31 +1129,29 @@
     }
 
     fn is_out(&self, backend: BackendId) -> bool {
-        matches!(self.maintained.get(&backend), Some(Maintained::Out(_)))
+        self.maintained.get(&backend).is_some_and(|m| m.out)
     }
 
     /// Takes a backend out of all that calls are placed on, whatever the list says, or puts it
     /// back. It has been restarted meanwhile, and the list may tell late: it is back as a cold
     /// one, unless the list shows a start since it went.
     fn maintain(&mut self, id: BackendId, out: bool, actions: &mut Vec<Action>) {
-        let (now, cold) = (self.now, self.settings.cold);
-        self.maintained.retain(|_, m| !matches!(m, Maintained::Back(at) if now >= *at + cold));
+        let now = self.now;
+        self.maintained.retain(|_, m| m.out || now < m.at + self.settings.cold);
+        if self.is_out(id) == out {
+            return;
+        }
         let place = self.by_backend.get(&id).copied();
-        match (self.maintained.get(&id).copied(), out) {
-            (Some(Maintained::Out(_)), true) | (None | Some(Maintained::Back(_)), false) => return,
-            (_, true) => {
-                self.maintained.insert(id, Maintained::Out(now));
-                actions.push(Action::Release(id));
-            }
-            (Some(Maintained::Out(since)), false) => {
-                self.maintained.remove(&id);
-                let started = place.and_then(|b| self.backends[b].entry.started);
-                if started.is_none_or(|s| s < since) {
-                    self.maintained.insert(id, Maintained::Back(now));
-                }
-                if let Some(b) = place.map(|b| &mut self.backends[b]) {
-                    (b.slowness, b.slowness_at, b.cold) = (1.0, now, Bucket { room: 0.0, at: now });
-                }
+        if out {
+            let late = now - HEALTH_MEMORY * self.memory;
+            let used = |b| self.subset.contains(&b) || self.backends[b].alive_at > late;
+            self.maintained.insert(id, Maintained { out, at: now, used: place.is_some_and(used) });
+            actions.push(Action::Release(id));
+        } else if let Some(m) = self.maintained.get_mut(&id) {
+            let started = place.and_then(|b| self.backends[b].entry.started);
+            (m.out, m.at) = (false, if started.is_some_and(|s| s >= m.at) { f64::NEG_INFINITY } else { now });
+            if let Some(b) = place.map(|b| &mut self.backends[b]) {
+                (b.slowness, b.slowness_at, b.cold) = (1.0, now, Bucket { room: 0.0, at: now });
             }
         }
         self.relist();
@@ -1235,6 +1231,11 @@
         let size = self.subset_size();
         let mut mine = self.deal(home, self.least_subset(), size);
         mine.extend(self.deal(away, AWAY_SUBSET.max(self.least_subset() - SUBSET), 0));
+        // One that was used becomes a member after its maintenance, whatever was dealt meanwhile.
+        let was = |b: &usize| self.maintained.get(&self.backends[*b].entry.id).is_some_and(|m| m.used);
+        mine.extend(
+            self.listed.iter().copied().filter(was).filter(|b| !mine.contains(b)).collect::<Vec<_>>(),
+        );
         let size = mine.len();
         let listed = &self.listed;
         self.subset.retain(|b| listed.binary_search(b).is_ok());
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -6,6 +6,7 @@
 use common::{Bench, entry, refused, safe, sends};
 use gannetproxy::*;
 use serde_json::json;
+use std::collections::BTreeSet;
 
 fn maintain(bench: &mut Bench, id: u32, out: bool) -> Vec<Action> {
     bench.event(Event::Maintenance { backend: BackendId(id), out })
@@ -55,6 +56,11 @@
 /// Ten calls at once, answered unevenly, so that none is repeated; how many of them went to the
 /// first backend.
 fn ten(bench: &mut Bench, from: u64) -> usize {
+    ten_to(bench, from).into_iter().filter(|to| *to == 1).count()
+}
+
+/// Where they went.
+fn ten_to(bench: &mut Bench, from: u64) -> Vec<u32> {
     let to: Vec<u32> = (from..from + 10).map(|id| sends(&bench.request(id))[0].1).collect();
     for (i, (id, to)) in (from..).zip(&to).enumerate() {
         if i % 5 == 0 {
@@ -63,7 +69,7 @@
         let took = if i < 5 { 0.05 } else { 0.1 };
         bench.end(id, 0, *to, Outcome::Served, took);
     }
-    to.into_iter().filter(|to| *to == 1).count()
+    to
 }
 
 #[test]
@@ -87,6 +93,54 @@
     }
 }
 
+#[test]
+fn a_member_is_one_again_whatever_was_dealt_meanwhile() {
+    // Twelve backends, four to each of three balancers; one of them goes and others come meanwhile.
+    let entries: Vec<Entry> = (1..=12).map(entry).collect();
+    let settings = Settings { instances: 3, cold: 1.0, ..safe() };
+    for me in 0..3 {
+        let mut bench = Bench::new(Settings { me, ..settings.clone() }, &entries);
+        let tens = (0..20).flat_map(|i| ten_to(&mut bench, 10 * i));
+        let used: BTreeSet<u32> = tens.collect();
+        assert!(used.len() < 12, "{used:?}");
+        for (member, gone) in used.into_iter().flat_map(|m| (1..=12).map(move |gone| (m, gone))) {
+            let mut bench = Bench::new(Settings { me, ..settings.clone() }, &entries);
+            (0..20).for_each(|i| drop(ten_to(&mut bench, 10 * i)));
+            maintain(&mut bench, member, true);
+            let others: Vec<Entry> = entries.iter().filter(|e| e.id.0 != gone).cloned().collect();
+            bench.event(Event::List(ListUpdate::Full(&others)));
+            (20..40).for_each(|i| drop(ten_to(&mut bench, 10 * i)));
+            maintain(&mut bench, member, false);
+            // One that went itself is back a little later, and others in place of the rest.
+            let new = (20..24).map(entry).chain([entry(member)]);
+            let new: Vec<Entry> = others.iter().filter(|e| e.id.0 != member).cloned().chain(new).collect();
+            bench.event(Event::List(ListUpdate::Full(&new)));
+            let mut after = (40..80).flat_map(|i| ten_to(&mut bench, 10 * i));
+            assert!(after.any(|to| to == member), "{member} at {me}, {gone} gone");
+        }
+    }
+}
+
+#[test]
+fn a_stand_in_that_was_used_is_used_again() {
+    // One balancer of many; its members are cold when calls come, so that others stand in.
+    let settings = Settings { instances: 20, cold: 2.0, cold_share: 0.1, dear_connections: true, ..safe() };
+    let entries: Vec<Entry> = (1..=12).map(entry).collect();
+    let mut bench = Bench::new(settings.clone(), &entries);
+    let members: BTreeSet<u32> = (0..40).flat_map(|i| ten_to(&mut bench, 10 * i)).collect();
+    let started = Some(bench.now);
+    let cold = |e: &Entry| Entry { started: started.filter(|_| members.contains(&e.id.0)), ..e.clone() };
+    let cold: Vec<Entry> = entries.iter().map(cold).collect();
+    bench.event(Event::List(ListUpdate::Full(&cold)));
+    let to: Vec<u32> = (40..60).flat_map(|i| ten_to(&mut bench, 10 * i)).collect();
+    let stand_in = *to.iter().find(|to| !members.contains(to)).expect("one that stands in");
+    maintain(&mut bench, stand_in, true);
+    (60..90).for_each(|i| drop(ten_to(&mut bench, 10 * i)));
+    maintain(&mut bench, stand_in, false);
+    let mut after = (90..130).flat_map(|i| ten_to(&mut bench, 10 * i));
+    assert!(after.any(|to| to == stand_in), "{stand_in}, members {members:?}");
+}
+
 #[test]
 fn a_return_that_was_no_absence_changes_nothing() {
     let settings = Settings { cold: 20.0, cold_share: 0.1, ..safe() };
