--- a/src/proxy/seat.rs
+++ b/src/proxy/seat.rs
@@ -28,7 +28,7 @@
 impl Seat {
     /// Takes a free seat among the two at `path`.
     pub async fn take(path: &Path) -> io::Result<Self> {
-        let seats = [path.with_added_extension("seat-0"), path.with_extension("seat-1")];
+        let seats = [path.with_added_extension("seat-0"), path.with_added_extension("seat-1")];
         for _ in 0..TRIES {
             for (i, seat) in seats.iter().enumerate() {
                 let file = open(seat)?;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -171,6 +171,19 @@
     });
 }
 
+#[test]
+fn seats_of_different_addresses_in_one_folder_are_different_ones() {
+    let place = Place::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let paths = ["x-127.0.0.1:7070", "x-127.0.0.2:7070"].map(|name| place.file("a").with_file_name(name));
+        let taken = [Seat::take(&paths[0]).await.unwrap(), Seat::take(&paths[0]).await.unwrap()];
+        let other = Seat::take(&paths[1]).await.unwrap();
+        assert!(taken[0].shared() && !other.shared());
+        drop(taken);
+    });
+}
+
 #[test]
 fn two_processes_keep_within_the_descriptors_of_one() {
     let backend = Played::good("hello");
