--- a/src/proxy/maintenance.rs
+++ b/src/proxy/maintenance.rs
@@ -43,6 +43,8 @@
     read: Cell<Option<(u64, i64, i64)>>,
     /// There is something that the file lacks.
     unsaved: Cell<bool>,
+    /// The file could not be written. Told once, not at each beat.
+    failing: Cell<bool>,
 }
 
 fn stamp(metadata: &Metadata) -> (u64, i64, i64) {
@@ -57,6 +59,7 @@
             pages: RefCell::default(),
             read: Cell::new(None),
             unsaved: Cell::new(false),
+            failing: Cell::new(false),
         };
         book.look();
         Rc::new(book)
@@ -111,7 +114,10 @@
         change(&mut self.pages.borrow_mut());
         let saved = self.save();
         self.unsaved.set(saved.is_err());
-        if let Err(error) = saved {
+        let told = self.failing.replace(saved.is_err());
+        if let Err(error) = saved
+            && !told
+        {
             eprintln!("maintenance: {}: {error}", self.path.display());
         }
         drop(lock);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -126,6 +126,19 @@
     assert_eq!(next.figures()["ejected"], json!(1));
 }
 
+#[test]
+fn without_a_folder_to_write_to_it_starts_serves_and_bans() {
+    let backends = ["zero", "one"].map(Played::good);
+    let place = Place::new();
+    place.remove_folder();
+    let proxy = place.start(&config_of(&settings(), &known(&[&backends[0], &backends[1]])));
+    wait_for("ready", || proxy.call("status\n").starts_with("OK"));
+    assert!(proxy.call("maint-on s-0\n").starts_with("OK"));
+    for _ in 0..5 {
+        assert_eq!(proxy.ask(&request("look", 9000)).body, b"one");
+    }
+}
+
 #[test]
 fn a_successor_hears_discovery_before_it_is_ready_and_does_without_a_silent_one() {
     let backends = ["zero", "one"].map(Played::good);
