Notice a client that leaves behind bytes which nobody takes in

Seen: the HTTP library looks for the end of a connection only while its own buffer is empty, and reads no body that nobody asks for. A client that had written another request behind the first, or a long body whose attempt was stuck, could leave unnoticed until its deadline (20 s in the test), or until the backend took the body, which was then sent on whole.

A connection is now served together with a wait for the end of its client's side, which the system tells whatever is unread before it (`Client::left`, src/proxy/clients.rs). A client that ends its side has left, whether or not it still reads: the protocol says so of one that closes, and a half-closed one looks the same. It gets the end of its connection. For this the socket is shared between the HTTP library's side and that wait.

Without the mend the test with another request behind fails (noticed only at the deadline), and so does the one with a body of 7 MB in the system's buffers.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -2,13 +2,15 @@
 //! goes when there is no room.
 
 use super::framing::Framing;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep};
@@ -49,6 +51,8 @@
     /// It is being closed for want of room, or has outstayed its time.
     ending: Cell<bool>,
     end: Notify,
+    /// The head of a request has come.
+    head: Notify,
     framing: RefCell<Framing>,
     /// Since when it has taken nothing of what is written to it.
     blocked: Cell<Option<Instant>>,
@@ -87,6 +91,7 @@
             early: Cell::new(false),
             ending: Cell::new(false),
             end: Notify::new(),
+            head: Notify::new(),
             framing: RefCell::default(),
             blocked: Cell::new(None),
         })
@@ -98,6 +103,7 @@
             Stage::Head(begun) => begun.elapsed(),
             _ => Duration::ZERO,
         };
+        self.head.notify_one();
         let doubtful = self.framing.borrow_mut().next_is_doubtful();
         Head { doubtful, within: READ_WITHIN.saturating_sub(took).max(BODY_WITHIN) }
     }
@@ -126,6 +132,27 @@
         }
     }
 
+    /// Serves its connection, until that ends or the client has left its request.
+    pub async fn served<T>(&self, connection: impl Future<Output = T>, stream: &TcpStream) {
+        tokio::select! {
+            biased;
+            _ = connection => {} // its end is no news: clients come and go
+            () = self.left(stream) => {}
+        }
+    }
+
+    /// Returns once the client has left a request that it was to have an answer to. A client that
+    /// ends its side has left, whether or not it could still read: the two can't be told apart. The
+    /// HTTP library sees it too, but only once all that came before the end has been taken in, and
+    /// while a request waits nothing is: neither what was sent behind it nor the rest of its body.
+    async fn left(&self, stream: &TcpStream) {
+        // This waits for the end of the other side alone, whatever there is to be read before it.
+        let _ = stream.ready(Interest::PRIORITY).await;
+        while !matches!(self.stage.get(), Stage::Body | Stage::Open) {
+            self.head.notified().await;
+        }
+    }
+
     fn heard(&self, data: &[u8]) {
         self.framing.borrow_mut().feed(data);
         self.heard.set(Instant::now());
@@ -286,7 +313,7 @@
 
 /// A client's socket, which notes what comes, and ends so that the last answer arrives.
 pub struct Socket {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     client: Rc<Client>,
     linger: Option<Pin<Box<Sleep>>>,
     discarded: usize,
@@ -294,19 +321,40 @@
 
 impl Socket {
     /// The socket of a connection.
-    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+    pub fn new(stream: Rc<TcpStream>, client: Rc<Client>) -> Self {
         Self { stream, client, linger: None, discarded: 0 }
     }
+
+    /// Reads what has come, without telling the client's record of it.
+    fn poll_take(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(drop)),
+            }
+        }
+    }
+
+    fn poll_give(&self, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(data) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
 }
 
 impl AsyncRead for Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let read = self.poll_take(cx, buffer);
         if buffer.filled().len() > before {
             self.client.heard(&buffer.filled()[before..]);
         }
@@ -315,27 +363,27 @@
 }
 
 impl AsyncWrite for Socket {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, data);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let written = self.poll_give(cx, data);
         let since = self.client.blocked.get().unwrap_or_else(Instant::now);
         self.client.blocked.set(written.is_pending().then_some(since));
         written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
             self.linger = Some(Box::pin(tokio::time::sleep(LINGER)));
         }
         // Closing a socket with something unread resets it, and the answer may never be seen.
         while !self.client.ending.get() && self.discarded < MOST_DISCARDED {
             let mut space = [0; 4096];
             let mut buffer = ReadBuf::new(&mut space);
-            match Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
+            match self.poll_take(cx, &mut buffer) {
                 Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
                     self.discarded += buffer.filled().len();
                 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -226,6 +226,7 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
         let _ = stream.set_nodelay(true); // it still works if not
+        let stream = Rc::new(stream);
         let full = self.clients.full();
         tokio::task::spawn_local(async move {
             let (server, client) = (&self, place.client());
@@ -241,17 +242,19 @@
                 }
                 Ok::<_, Infallible>(reply)
             });
-            let socket = Socket::new(stream, client.clone());
+            let socket = Socket::new(stream.clone(), client.clone());
             let connection =
                 http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(TokioIo::new(socket), service);
             let mut connection = std::pin::pin!(connection);
             tokio::select! {
                 biased; // a request that has come is read before the connection is closed
-                _ = connection.as_mut() => return, // its end is no news: clients come and go
+                () = client.served(connection.as_mut(), &stream) => return,
                 () = client.ended() => {
                     connection.as_mut().graceful_shutdown();
                     // A request may come whole at the last moment: it is taken then, and answered.
-                    while tokio::time::timeout(CLOSE_WITHIN, connection.as_mut()).await.is_err()
+                    while tokio::time::timeout(CLOSE_WITHIN, client.served(connection.as_mut(), &stream))
+                        .await
+                        .is_err()
                         && client.at_work()
                     {}
                     return;
@@ -259,7 +262,7 @@
                 _ = closing.wait_for(|closing| *closing) => {}
             }
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            client.served(connection, &stream).await;
         });
     }
 
