Go on without a reader of the log

Seen: `eprintln!` panics where the standard error can't be written to, as behind a pipe whose reader has gone. In the main task that ends the process (an invalid configuration on SIGHUP did it in the test), in another it ends that task: the watch, the timers or the acceptor. Ruled out: the signal itself, which is ignored by the runtime. All lines of the log now go through a macro of ours that drops what can't be written. Without it the new test finds the address refused after the first SIGHUP.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+use gannetproxy::log;
 use gannetproxy::proxy::config::{Config, ConfigError, Wins};
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
@@ -35,7 +36,7 @@
 /// This process's place beside another one. Without it the proxy serves as if it were alone.
 async fn take_seat(place: &Path) -> Option<Rc<Seat>> {
     let seat = Seat::take(place).await;
-    seat.inspect_err(|error| eprintln!("dewpier: {}: {error}", place.display())).ok().map(Rc::new)
+    seat.inspect_err(|error| log!("dewpier: {}: {error}", place.display())).ok().map(Rc::new)
 }
 
 async fn run() -> Result<(), StartError> {
@@ -48,7 +49,7 @@
         None => None,
     };
     if let Some(listener) = &management {
-        eprintln!("dewpier: management on {}", listener.local_addr()?);
+        log!("dewpier: management on {}", listener.local_addr()?);
     }
     // What two processes share, where one may be replaced by another.
     let place = std::env::temp_dir().join(format!("dewpier-{}", config.listen));
@@ -77,13 +78,13 @@
         let _ = tokio::time::timeout(LIST_WITHIN, discovery.heard()).await; // else the known list holds
     }
     let listener = server::bind(config.listen, managed)?;
-    eprintln!("dewpier: listening on {}", listener.local_addr()?);
+    log!("dewpier: listening on {}", listener.local_addr()?);
     let reloading = async move {
         while reload.recv().await.is_some() {
             // What can't be used changes nothing.
             match Config::from_env(Wins::File) {
                 Ok(config) => discovery.move_to(config.discovery),
-                Err(error) => eprintln!("dewpier: not reloaded: {error}"),
+                Err(error) => log!("dewpier: not reloaded: {error}"),
             }
         }
         std::future::pending().await
@@ -104,7 +105,7 @@
         () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
         () = reloading => {}
     }
-    eprintln!("dewpier: stopped");
+    log!("dewpier: stopped");
     Ok(())
 }
 
@@ -114,7 +115,7 @@
     match ran.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("dewpier: {error}");
+            log!("dewpier: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -5,6 +5,7 @@
 use super::engine::{Clock, Engine};
 use super::maintenance::Book;
 use super::stream::Outgoing;
+use crate::log;
 use crate::{BackendId, Entry, Settings, Status};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
@@ -243,7 +244,7 @@
     /// Goes over to the discovery at `address`. Its versions are its own, so that the whole list
     /// is asked for at once; until it comes, the last one holds.
     pub fn move_to(self: &Rc<Self>, address: SocketAddr) {
-        eprintln!("discovery: now at {address}");
+        log!("discovery: now at {address}");
         self.watch(false);
         self.address.set(address);
         self.generation.set(None);
@@ -321,7 +322,7 @@
                 self.names.borrow_mut().forget(|id| self.engine.knows(id));
             }
             Err(error) => {
-                eprintln!("discovery: {error}");
+                log!("discovery: {error}");
                 if self.asked {
                     self.engine.news(News::Refused);
                 }
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -8,6 +8,7 @@
 use super::figures::Figures;
 use super::limits::Budget;
 use super::stream::{Outgoing, Source};
+use crate::log;
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
     Settings, Status, Time,
@@ -512,7 +513,7 @@
             }
             Action::Watch(on) => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.watch(on)),
             Action::Fetch => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch()),
-            Action::Log(text) => eprintln!("{text}"),
+            Action::Log(text) => log!("{text}"),
         }
     }
 
--- a/src/proxy/maintenance.rs
+++ b/src/proxy/maintenance.rs
@@ -3,6 +3,7 @@
 
 use super::discovery::Discovery;
 use super::engine::Engine;
+use crate::log;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -118,7 +119,7 @@
         if let Err(error) = saved
             && !told
         {
-            eprintln!("maintenance: {}: {error}", self.path.display());
+            log!("maintenance: {}: {error}", self.path.display());
         }
         drop(lock);
     }
--- a/src/proxy/management.rs
+++ b/src/proxy/management.rs
@@ -2,6 +2,7 @@
 
 use super::maintenance::{Maintenance, NeverListed};
 use super::server::Server;
+use crate::log;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
@@ -89,7 +90,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.clone().admit(stream),
                 Err(error) => {
-                    eprintln!("management: {error}");
+                    log!("management: {error}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -7,6 +7,7 @@
 use super::request::{self, Asked, Unfit};
 use super::seat::Seat;
 use super::stream::{Content, Reply};
+use crate::log;
 use crate::{RequestId, Settings, Time};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
@@ -132,7 +133,7 @@
         let stopped = async {
             stop.await;
             self.stopping.set(Some(Instant::now()));
-            eprintln!("dewpier: stopping");
+            log!("dewpier: stopping");
             self.relieved.set(self.seat.as_ref().is_some_and(|seat| seat.relieved()));
             if !self.relieved.get() {
                 tokio::time::sleep(self.notice().mul_f64(LINGER)).await;
@@ -148,7 +149,7 @@
             self.clone().serve(stream, self.clients.admit());
         }
         if let Err(error) = self.take_rest(listener) {
-            eprintln!("accept: {error}");
+            log!("accept: {error}");
         }
         if self.relieved.get() {
             tokio::select! {
@@ -208,7 +209,7 @@
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
-                    eprintln!("accept: {error}");
+                    log!("accept: {error}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
                     continue;
                 }
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -402,9 +402,19 @@
     pub fn start_with(&self, config: &Value, discovery: SocketAddr) -> Proxy {
         let mut config = config.clone();
         config["management"] = json!("127.0.0.1:0");
+        let (command, path) = self.command(&config, discovery);
+        Proxy::run(command, path)
+    }
+
+    /// The same, without a wait until it listens.
+    pub fn spawn(&self, config: &Value, discovery: SocketAddr) -> Child {
+        self.command(config, discovery).0.stderr(Stdio::null()).spawn().unwrap()
+    }
+
+    fn command(&self, config: &Value, discovery: SocketAddr) -> (Command, PathBuf) {
         let (mut command, path) = command(&config.to_string(), discovery);
         command.env("RELAY_LISTEN", self.listen.to_string()).env("TMPDIR", &self.folder);
-        Proxy::run(command, path)
+        (command, path)
     }
 }
 
