See a planned stop through: what has begun to come is waited for and answered

Seen in tests on sockets, each of which fails without the mend: - A kept connection with a part of its next head was closed with the idle ones, as the HTTP library counts it idle until a head is whole; a body under way was not "busy", so that the process went 0.5 s later under it (`busy`, clients.rs; the last loop of `run`, server.rs). - What lay whole in the listener at the last look was accepted and closed unread: `take_rest` was followed at once by the close of all connections without a request, and nothing had been read yet. - A request with more time left than the process has waited for SIGKILL without an answer. - A connection chosen for eviction could be closed over what had come since.

Now connections are closed behind a look at what has come (`between_requests`), heads and bodies under way keep the process, while they are swept away as ever if they don't come, and the engine gives all their answers 0.2 s before SIGKILL at the latest (`end_by`). A seat that can't be written no longer ends the process.

--- a/src/main.rs
+++ b/src/main.rs
@@ -90,7 +90,9 @@
         std::future::pending().await
     };
     if let Some(seat) = seat {
-        seat.listening()?;
+        // Without it the other process takes this one for absent, and goes on taking connections.
+        let told = seat.listening();
+        told.unwrap_or_else(|error| log!("dewpier: {}: {error}", place.display()));
         let server = server.clone();
         tokio::task::spawn_local(async move {
             loop {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -32,6 +32,8 @@
 const OVERFLOW: usize = 8;
 /// How often connections that have outstayed their time are looked for.
 pub const STEP: Duration = Duration::from_millis(100);
+/// How often it is looked whether a head has come whole, where a connection is closed behind it.
+const HEAD_STEP: Duration = Duration::from_millis(10);
 /// After the end of our side, what the client still sends is read for so long,
 const LINGER: Duration = Duration::from_millis(300);
 /// and up to so much, lest its system throw away the answer along with the connection.
@@ -42,6 +44,8 @@
     stage: Cell<Stage>,
     /// It has asked for something.
     asked: Cell<bool>,
+    /// Nothing at all has come from it.
+    mute: Cell<bool>,
     /// The last end of an open request, at first the connection's start.
     since: Cell<Instant>,
     /// When something came last.
@@ -86,6 +90,7 @@
         Rc::new(Self {
             stage: Cell::new(Stage::Head(now)),
             asked: Cell::new(false),
+            mute: Cell::new(true),
             since: Cell::new(now),
             heard: Cell::new(now),
             early: Cell::new(false),
@@ -121,17 +126,31 @@
         self.stage.set(if self.early.take() { Stage::Head(now) } else { Stage::Quiet });
     }
 
-    /// Waits until it is to be closed. A request that has come at the last moment goes before.
+    /// Waits until it is to be closed. A request that has come, or begun to, since that was
+    /// decided goes before.
     pub async fn ended(&self) {
         loop {
             self.end.notified().await;
-            if !self.at_work() {
+            tokio::task::yield_now().await; // what has come by now is read
+            let begun = self.heading() && self.heard.get().elapsed() < MUTE_ENOUGH && !self.overdue();
+            if !self.at_work() && !begun {
                 return;
             }
             self.ending.set(false);
         }
     }
 
+    /// Returns once no head is coming. One that has begun would be cut off by a close.
+    pub async fn between_requests(&self) {
+        loop {
+            tokio::task::yield_now().await; // what has come by now is read
+            if !self.heading() {
+                return;
+            }
+            tokio::time::sleep(HEAD_STEP).await;
+        }
+    }
+
     /// Serves its connection, until that ends or the client has left its request.
     pub async fn served<T>(&self, connection: impl Future<Output = T>, stream: &TcpStream) {
         tokio::select! {
@@ -156,6 +175,7 @@
     fn heard(&self, data: &[u8]) {
         self.framing.borrow_mut().feed(data);
         self.heard.set(Instant::now());
+        self.mute.set(false);
         match self.stage.get() {
             Stage::Quiet => self.stage.set(Stage::Head(Instant::now())),
             Stage::Open => self.early.set(true),
@@ -171,6 +191,16 @@
         self.stage.get() == Stage::Open
     }
 
+    /// A part of a head has come.
+    fn heading(&self) -> bool {
+        matches!(self.stage.get(), Stage::Head(_)) && !self.mute.get()
+    }
+
+    /// Something of a request has come that has not been answered.
+    fn under_way(&self) -> bool {
+        self.heading() || matches!(self.stage.get(), Stage::Body | Stage::Open)
+    }
+
     /// It has a request to answer, and takes the answer.
     pub fn at_work(&self) -> bool {
         self.open() && !self.stands_still()
@@ -249,9 +279,9 @@
         self.all.borrow().is_empty()
     }
 
-    /// Some have requests without an answer, or an answer that is on its way.
+    /// Some have requests that are coming or without an answer, or an answer that is on its way.
     pub fn busy(&self) -> bool {
-        self.all.borrow().iter().any(|c| c.open())
+        self.all.borrow().iter().any(|c| c.under_way())
     }
 
     /// Half of the room is taken: connections had better not stay behind their answers.
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -194,6 +194,8 @@
     endpoints: HashMap<BackendId, Rc<Endpoint>>,
     /// Backends taken out by hand, and when sends to them must end.
     out: HashMap<BackendId, Time>,
+    /// All must have their answers by then, as the process ends.
+    last: Time,
 }
 
 /// Drives the module.
@@ -253,6 +255,7 @@
                 running: HashMap::new(),
                 endpoints: HashMap::new(),
                 out: HashMap::new(),
+                last: Time::INFINITY,
             }),
         });
         tokio::task::spawn_local(engine.clone().run_timers());
@@ -338,10 +341,10 @@
         request.budget -= self.lag.get();
         let patience = request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
-        let until = if request.streamed { Time::INFINITY } else { now + patience };
+        let until = if request.streamed { Time::INFINITY } else { now + patience }.min(state.last);
         let payload = Rc::new(payload);
         state.open.insert(request.id, Open { txn, answer, payload, until, patience, attempts: 0 });
-        if !request.streamed {
+        if until.is_finite() {
             self.set_timer(&mut state, until, Due::Request(request.id));
         }
         state.told.push_back(Told::Event(Event::Request(request)));
@@ -353,11 +356,11 @@
     /// The body of a request that was streamed has come whole.
     pub fn received(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
+        let (now, last) = (self.clock.now(), state.last);
         let Some(open) = state.open.get_mut(&id) else {
             return;
         };
-        open.until = now + open.patience;
+        open.until = (now + open.patience).min(last);
         let (until, attempts) = (open.until, open.attempts);
         self.set_timer(&mut state, until, Due::Request(id));
         for attempt in 0..attempts {
@@ -367,6 +370,16 @@
         self.decide(state);
     }
 
+    /// The process ends: all requests, those to come too, have their answers by then.
+    pub fn end_by(&self, last: Instant) {
+        let mut state = self.state.borrow_mut();
+        let last = last.saturating_duration_since(self.clock.start).as_secs_f64();
+        state.last = last;
+        let late = state.open.iter_mut().filter(|(_, open)| open.until > last);
+        let late: Vec<_> = late.map(|(id, open)| (*id, open.until = last).0).collect();
+        late.into_iter().for_each(|id| self.set_timer(&mut state, last, Due::Request(id)));
+    }
+
     /// Another process takes requests of the same clients beside this one, or no longer does.
     pub fn beside(&self, beside: bool) {
         let mut state = self.state.borrow_mut();
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -41,7 +41,7 @@
 /// and each carries one more request at most. A close could cross a request, so that they stay open
 /// for use, but not so long that what comes last has no time left.
 const RELIEVED_LINGER: Duration = Duration::from_secs(1);
-/// So many steps without a request in hand, after that, and connections are no longer waited for.
+/// So many steps with nothing under way, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
 const STEP: Duration = Duration::from_millis(50);
 /// How long a connection without a request may take to end once it is to be closed.
@@ -132,7 +132,9 @@
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            self.stopping.set(Some(Instant::now()));
+            let now = Instant::now();
+            self.stopping.set(Some(now));
+            self.engine.end_by((now + self.notice() - SPARE).into_std());
             log!("dewpier: stopping");
             self.relieved.set(self.seat.as_ref().is_some_and(|seat| seat.relieved()));
             if !self.relieved.get() {
@@ -159,11 +161,18 @@
             }
         }
         self.closing.send_replace(true);
-        // A client that neither finishes its request nor goes away must not keep us until SIGKILL.
-        let mut idle = 0;
-        while !self.clients.is_empty() && idle < IDLE_STEPS {
-            self.clients.one_left(STEP).await;
-            idle = if self.clients.busy() { 0 } else { idle + 1 };
+        // What has begun to come is waited for as ever: it is owed an answer once it has come whole,
+        // and what never does is swept away. Who asks for nothing and stays must not keep us.
+        let ended = async {
+            let mut idle = 0;
+            while !self.clients.is_empty() && idle < IDLE_STEPS {
+                self.clients.one_left(STEP).await;
+                idle = if self.clients.busy() { 0 } else { idle + 1 };
+            }
+        };
+        tokio::select! {
+            () = ended => {}
+            () = self.sweep() => {}
         }
     }
 
@@ -260,7 +269,10 @@
                     {}
                     return;
                 }
-                _ = closing.wait_for(|closing| *closing) => {}
+                () = async {
+                    let _ = closing.wait_for(|closing| *closing).await;
+                    client.between_requests().await;
+                } => {}
             }
             connection.as_mut().graceful_shutdown();
             client.served(connection, &stream).await;
@@ -295,6 +307,7 @@
             client.opened();
         }
         if let Some(stopping) = self.stopping.get() {
+            // The module is told of the time that the engine keeps to.
             let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
             request.budget = request.budget.min(left.as_secs_f64());
         }
