--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -87,34 +87,41 @@
     listen: Option<String>,
     management: Option<String>,
     discovery: Option<String>,
-    seed: String,
+    seed: Option<String>,
+    #[serde(default)]
     limits: RawLimits,
     #[serde(default)]
     known: RawList,
     settings: RawSettings,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Default)]
+#[serde(default)]
 struct RawLimits {
-    sockets: usize,
-    #[serde(default = "most_memory_mb")]
-    memory_mb: f64,
+    sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
+/// The settings as they are written. Without classes nothing could be asked for; what else is
+/// absent has a default, and what is unknown is skipped.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct RawSettings {
+    #[serde(default)]
     caps: Caps,
     classes: Vec<RawClass>,
     #[serde(default)]
     costs: Costs,
+    #[serde(default)]
     me: usize,
-    n_instances: usize,
+    n_instances: Option<usize>,
     over_share_worth: Option<f64>,
     #[serde(default)]
     projects: Vec<Project>,
-    quantum: f64,
+    quantum: Option<f64>,
+    #[serde(default)]
     registry_mode: RegistryMode,
+    #[serde(default)]
     rules: Rules,
     #[serde(default)]
     stats: Stats,
@@ -126,19 +133,17 @@
     zones: Vec<String>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+/// What is not said to be allowed is not.
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
 struct Caps {
     cancel: bool,
-    connect_timeout: f64,
-    idle_close: f64,
-    max_attempts: usize,
+    connect_timeout: Option<f64>,
+    idle_close: Option<f64>,
+    max_attempts: Option<usize>,
     max_open: Option<usize>,
-    #[serde(default)]
     max_retry_after: f64,
-    #[serde(default)]
     probing: bool,
-    #[serde(default)]
     retry_after: bool,
     second_copies: bool,
 }
@@ -147,30 +152,38 @@
 #[serde(rename_all = "kebab-case")]
 struct RawClass {
     name: String,
-    on_time: f64,
-    hard_limit: f64,
+    on_time: Option<f64>,
+    hard_limit: Option<f64>,
     late_worth: Option<f64>,
     worth: Option<f64>,
+    #[serde(default)]
     effect: RawEffect,
-    group: Option<RawGroup>,
+    #[serde(default)]
+    group: RawGroup,
     window: Option<f64>,
     #[serde(default)]
     fifo_by_key: bool,
 }
 
-#[derive(Deserialize)]
+/// Where nothing is said, or nothing that is known here, a repeat is taken for harmful.
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "snake_case")]
 enum RawEffect {
     Free,
     Guarded,
+    #[default]
+    #[serde(other)]
     SingleShot,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+/// Likewise the narrowest.
+#[derive(Deserialize, Clone, Copy, Default)]
 #[serde(rename_all = "snake_case")]
 enum RawGroup {
     All,
     Zone,
+    #[default]
+    #[serde(other)]
     Cell,
 }
 
@@ -186,25 +199,26 @@
 #[serde(rename_all = "kebab-case")]
 struct Project {
     name: String,
-    quota_per_s: f64,
+    quota_per_s: Option<f64>,
 }
 
-#[derive(Deserialize, PartialEq)]
+#[derive(Deserialize, PartialEq, Default)]
 #[serde(rename_all = "snake_case")]
 enum RegistryMode {
+    #[default]
     Automatic,
     Subscribe,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
 struct Rules {
-    ask_within: f64,
-    cold: f64,
-    cold_share: f64,
-    drain_grace: f64,
-    fall_multiple: f64,
-    tip_after: f64,
+    ask_within: Option<f64>,
+    cold: Option<f64>,
+    cold_share: Option<f64>,
+    drain_grace: Option<f64>,
+    fall_multiple: Option<f64>,
+    tip_after: Option<f64>,
     settle_after_doubt: Option<f64>,
     release_within: Option<f64>,
 }
@@ -216,9 +230,14 @@
 }
 
 /// What is planned with where no limit is told.
-fn most_memory_mb() -> f64 {
-    192.0
-}
+const MEMORY_MB: f64 = 192.0;
+const SOCKETS: usize = 1024;
+/// Where nothing is said of connections to backends: a second is long for a machine that is near,
+/// and what is idle is given up before most would close it.
+const CONNECT_TIMEOUT: f64 = 1.0;
+const IDLE_CLOSE: f64 = 5.0;
+/// Where no grace is told: the one of the protocol's example.
+const DRAIN_GRACE: f64 = 1.0;
 
 fn bad(name: &str, expected: &'static str, got: impl ToString) -> ConfigError {
     ConfigError::Value { name: name.to_string(), expected, got: got.to_string() }
@@ -265,24 +284,28 @@
     }
 
     fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
-        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
-        let raw = file.settings;
+        let seed = file.seed.as_deref().unwrap_or("0");
+        let seed = u64::from_str_radix(seed, 16).map_err(|_| bad("seed", "hex digits", seed))?;
+        let (raw, plain) = (file.settings, Settings::default());
         let mut zones = raw.zones;
         let zone = discovery::zone_index(&mut zones, &raw.zone);
         let wire = WireSettings {
             classes: raw.classes.iter().map(|c| c.name.clone()).collect(),
             tenants: raw.projects.iter().map(|p| p.name.clone()).collect(),
             zones,
-            connect_timeout: span("caps.connect-timeout", raw.caps.connect_timeout)?,
-            idle_close: span("caps.idle-close", raw.caps.idle_close)?,
-            drain_grace: span("rules.drain-grace", raw.rules.drain_grace)?,
+            connect_timeout: span(
+                "caps.connect-timeout",
+                raw.caps.connect_timeout.unwrap_or(CONNECT_TIMEOUT),
+            )?,
+            idle_close: span("caps.idle-close", raw.caps.idle_close.unwrap_or(IDLE_CLOSE))?,
+            drain_grace: span("rules.drain-grace", raw.rules.drain_grace.unwrap_or(DRAIN_GRACE))?,
             max_open: raw.caps.max_open.unwrap_or(usize::MAX),
         };
         let settings = Settings {
             classes: raw.classes.into_iter().map(class).collect::<Result<_, _>>()?,
-            quotas: raw.projects.iter().map(|p| p.quota_per_s).collect(),
-            over_share_worth: raw.over_share_worth.unwrap_or(1.0),
-            instances: raw.n_instances,
+            quotas: raw.projects.iter().map(|p| p.quota_per_s.unwrap_or(f64::MAX)).collect(),
+            over_share_worth: raw.over_share_worth.unwrap_or(plain.over_share_worth),
+            instances: raw.n_instances.unwrap_or(plain.instances),
             me: raw.me,
             tier: raw.tier,
             zone,
@@ -291,20 +314,20 @@
             probe_for_reports: raw.stats.how == "on_probe" && raw.caps.probing,
             cancel: raw.caps.cancel,
             second_copies: raw.caps.second_copies,
-            max_attempts: raw.caps.max_attempts,
+            max_attempts: raw.caps.max_attempts.unwrap_or(plain.max_attempts),
             max_retry_after: if raw.caps.retry_after { raw.caps.max_retry_after } else { 0.0 },
             must_watch: raw.registry_mode == RegistryMode::Subscribe,
-            ask_within: raw.rules.ask_within,
-            cold_share: raw.rules.cold_share,
-            cold: raw.rules.cold,
-            fall_multiple: raw.rules.fall_multiple,
-            tip_after: raw.rules.tip_after,
+            ask_within: raw.rules.ask_within.unwrap_or(plain.ask_within),
+            cold_share: raw.rules.cold_share.unwrap_or(plain.cold_share),
+            cold: raw.rules.cold.unwrap_or(plain.cold),
+            fall_multiple: raw.rules.fall_multiple.unwrap_or(plain.fall_multiple),
+            tip_after: raw.rules.tip_after.unwrap_or(plain.tip_after),
             settle: raw.rules.settle_after_doubt.unwrap_or(0.0),
             release_within: raw.rules.release_within,
-            quantum: raw.quantum,
+            quantum: raw.quantum.unwrap_or(plain.quantum),
         };
-        let memory = (file.limits.memory_mb * f64::from(1 << 20)) as usize;
-        let limits = Limits { descriptors: file.limits.sockets, memory };
+        let memory = (file.limits.memory_mb.unwrap_or(MEMORY_MB) * f64::from(1 << 20)) as usize;
+        let limits = Limits { descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory };
         let management = None;
         Ok(Self { listen, management, discovery, seed, limits, known: file.known, settings, wire })
     }
@@ -315,22 +338,24 @@
         true => Ok(value),
         false => Err(bad(&format!("{} of class {}", name, raw.name), "a number not below 0", value)),
     };
-    let absent = |name: &str| bad(&format!("{} of class {}", name, raw.name), "a value", "none");
+    let plain = Class::default();
+    // Each of the two stands in for the other.
+    let deadline = raw.hard_limit.or(raw.on_time).unwrap_or(plain.deadline);
     Ok(Class {
-        aim: positive("on-time", raw.on_time)?,
-        deadline: positive("hard-limit", raw.hard_limit)?,
-        late_worth: raw.late_worth.unwrap_or(0.0),
-        worth: raw.worth.unwrap_or(1.0),
+        aim: positive("on-time", raw.on_time.unwrap_or(deadline))?,
+        deadline: positive("hard-limit", deadline)?,
+        late_worth: raw.late_worth.unwrap_or(plain.late_worth),
+        worth: raw.worth.unwrap_or(plain.worth),
         effect: match raw.effect {
             RawEffect::Free => Effect::Safe,
             RawEffect::SingleShot => Effect::Unsafe,
             RawEffect::Guarded => Effect::Keyed {
-                group: match raw.group.ok_or_else(|| absent("group"))? {
+                group: match raw.group {
                     RawGroup::All => Group::All,
                     RawGroup::Zone => Group::Zone,
                     RawGroup::Cell => Group::Cell,
                 },
-                window: positive("window", raw.window.ok_or_else(|| absent("window"))?)?,
+                window: positive("window", raw.window.unwrap_or(0.0))?,
             },
         },
         in_order: raw.fifo_by_key,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -353,55 +353,54 @@
         map.insert(path, value);
     }
     let text = |path: &str| map.get(path).copied().ok_or_else(|| WireError::MissingSetting(path.to_string()));
-    let num = |path: &str| positive(path, text(path)?);
     let num_or = |path: &str, or: f64| match map.get(path) {
         Some(value) => positive(path, value),
         None => Ok(or),
     };
-    let yes = |path: &str| match text(path)? {
-        "true" | "1" => Ok(true),
-        "false" | "0" => Ok(false),
-        other => Err(bad(path, "true or false", other)),
+    let whole_or = |path: &str, or: usize| map.get(path).map_or(Ok(or), |value| whole(path, value));
+    // What is not said is not so.
+    let yes = |path: &str| match map.get(path).copied() {
+        Some("true" | "1") => Ok(true),
+        Some("false" | "0") | None => Ok(false),
+        Some(other) => Err(bad(path, "true or false", other)),
     };
+    // As for the real proxy: what is absent has a default, and a repeat is harmful till told else.
+    let (plain, plain_class) = (Settings::default(), Class::default());
     let mut names = InstanceNames::default();
     let mut classes = Vec::new();
     for i in 0..whole::<usize>("classes.count", text("classes.count")?)? {
         let at = |key: &str| format!("classes.{i}.{key}");
-        let effect = match text(&at("effect"))? {
-            "free" => Effect::Safe,
-            "single_shot" => Effect::Unsafe,
-            "guarded" => Effect::Keyed {
-                group: match text(&at("group"))? {
-                    "all" => Group::All,
-                    "zone" => Group::Zone,
-                    "cell" => Group::Cell,
-                    other => return Err(bad(&at("group"), "all, zone or cell", other)),
+        let effect = match map.get(at("effect").as_str()).copied() {
+            Some("free") => Effect::Safe,
+            Some("guarded") => Effect::Keyed {
+                group: match map.get(at("group").as_str()).copied() {
+                    Some("all") => Group::All,
+                    Some("zone") => Group::Zone,
+                    _ => Group::Cell,
                 },
-                window: num(&at("window"))?,
+                window: num_or(&at("window"), 0.0)?,
             },
-            other => return Err(bad(&at("effect"), "free, guarded or single_shot", other)),
+            _ => Effect::Unsafe,
         };
+        let deadline = num_or(&at("hard-limit"), num_or(&at("on-time"), plain_class.deadline)?)?;
         classes.push(Class {
-            aim: num(&at("on-time"))?,
-            deadline: num(&at("hard-limit"))?,
-            late_worth: num_or(&at("late-worth"), 0.0)?,
-            worth: num_or(&at("worth"), 1.0)?,
+            aim: num_or(&at("on-time"), deadline)?,
+            deadline,
+            late_worth: num_or(&at("late-worth"), plain_class.late_worth)?,
+            worth: num_or(&at("worth"), plain_class.worth)?,
             effect,
-            in_order: map.contains_key(at("fifo-by-key").as_str()) && yes(&at("fifo-by-key"))?,
+            in_order: yes(&at("fifo-by-key"))?,
         });
         names.classes.push(text(&at("name"))?.to_string());
     }
     let mut quotas = Vec::new();
     if map.contains_key("projects.count") {
         for i in 0..whole::<usize>("projects.count", text("projects.count")?)? {
-            quotas.push(num(&format!("projects.{i}.quota-per-s"))?);
+            quotas.push(num_or(&format!("projects.{i}.quota-per-s"), f64::MAX)?);
             names.tenants.push(text(&format!("projects.{i}.name"))?.to_string());
         }
     }
-    let retry_after = match map.get("caps.retry-after") {
-        Some(_) if yes("caps.retry-after")? => num_or("caps.max-retry-after", 0.0)?,
-        _ => 0.0,
-    };
+    let retry_after = if yes("caps.retry-after")? { num_or("caps.max-retry-after", 0.0)? } else { 0.0 };
     if let Some(fields) = map.get("stats.fields") {
         names.report = fields.split(',').map(str::to_string).collect();
     }
@@ -409,38 +408,33 @@
         classes,
         quotas,
         over_share_worth: num_or("over-share-worth", 1.0)?,
-        instances: whole("n-instances", text("n-instances")?)?,
-        me: whole("me", text("me")?)?,
-        tier: match map.get("tier") {
-            Some(tier) => whole("tier", tier)?,
-            None => 0,
-        },
+        instances: whole_or("n-instances", plain.instances)?,
+        me: whole_or("me", plain.me)?,
+        tier: whole_or("tier", plain.tier)?,
         zone: zones.index(map.get("zone").copied().unwrap_or("")),
         cross_zone: num_or("costs.cross-zone", 0.0)?,
         dear_connections: num_or("costs.connection", 0.0)? + num_or("costs.handshake", 0.0)? > 0.0,
-        probe_for_reports: map.get("stats.how") == Some(&"on_probe")
-            && map.contains_key("caps.probing")
-            && yes("caps.probing")?,
+        probe_for_reports: map.get("stats.how") == Some(&"on_probe") && yes("caps.probing")?,
         cancel: yes("caps.cancel")?,
         second_copies: yes("caps.second-copies")?,
-        max_attempts: whole("caps.max-attempts", text("caps.max-attempts")?)?,
+        max_attempts: whole_or("caps.max-attempts", plain.max_attempts)?,
         max_retry_after: retry_after,
-        must_watch: match text("registry-mode")? {
-            "automatic" => false,
-            "subscribe" => true,
-            other => return Err(bad("registry-mode", "automatic or subscribe", other)),
+        must_watch: match map.get("registry-mode").copied() {
+            Some("automatic") | None => false,
+            Some("subscribe") => true,
+            Some(other) => return Err(bad("registry-mode", "automatic or subscribe", other)),
         },
-        ask_within: num("rules.ask-within")?,
-        cold_share: num("rules.cold-share")?,
-        cold: num("rules.cold")?,
-        fall_multiple: num("rules.fall-multiple")?,
-        tip_after: num("rules.tip-after")?,
+        ask_within: num_or("rules.ask-within", plain.ask_within)?,
+        cold_share: num_or("rules.cold-share", plain.cold_share)?,
+        cold: num_or("rules.cold", plain.cold)?,
+        fall_multiple: num_or("rules.fall-multiple", plain.fall_multiple)?,
+        tip_after: num_or("rules.tip-after", plain.tip_after)?,
         settle: num_or("rules.settle-after-doubt", 0.0)?,
         release_within: match map.contains_key("rules.release-within") {
-            true => Some(num("rules.release-within")?),
+            true => Some(num_or("rules.release-within", 0.0)?),
             false => None,
         },
-        quantum: num("quantum")?,
+        quantum: num_or("quantum", plain.quantum)?,
     };
     Ok((settings, names))
 }
