Ask again within a second and a half for a list whose watch broke, at any site

Seen in reading for what was fitted to one deployment: where lists have to be asked for, the first wait after a failed call was a tenth of `ask-within`, times 0.5 to 1.5 (`watch_wait`, src/logic.rs). With the 10 s of both given sites that is 1.5 s at the most; with 60 s it is up to 9 s, while what a silent watch missed counts as told 6 s after it fell silent, 2.3 s of which pass until that is noticed. Ruled out: where lists are pushed the network code asks again by itself within 1.3 s.

The wait now begins at a second at the most. Nothing changes at 10 s and below.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -86,6 +86,9 @@
 const SENDS_A_PROBE: usize = 3;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
 const COLD_MARGIN: f64 = 0.4;
+/// First wait before a failed call for the list is made again, at the most: what a silent watch
+/// missed counts as told 6 s after it fell silent, and until that is noticed 2 s pass.
+const WATCH_WAIT: Time = 1.0;
 /// The token of the timer that asks for the list; tokens of calls are above it.
 const LIST_TOKEN: u64 = 0;
 /// Kinds of timers of calls: a firing, the end of its time, its turn in a lane.
@@ -376,7 +379,7 @@
             service: 0.0,
             sends: 0,
             watch_asked: false,
-            watch_wait: settings.ask_within / 10.0,
+            watch_wait: WATCH_WAIT.min(settings.ask_within / 10.0),
             settings,
         }
     }
@@ -761,8 +764,7 @@
         if !long && self.may_send(slot).is_some() && self.rng.random::<f64>() < chance {
             self.send(slot, actions);
         }
-        let call = &self.calls[slot];
-        if !call.timer_set && !call.waits() {
+        if !self.calls[slot].timer_set && !self.calls[slot].waits() {
             self.finish_unserved(slot, actions);
         }
     }
@@ -961,9 +963,8 @@
         let Some(slot) = slot else {
             return orphan.into_iter().for_each(|key| self.advance(key, actions));
         };
-        if let Some(attempt) = self.calls[slot].attempts.get_mut(ended.attempt) {
-            attempt.outcome = Some(ended.outcome);
-        }
+        let attempt = self.calls[slot].attempts.get_mut(ended.attempt);
+        attempt.into_iter().for_each(|a| a.outcome = Some(ended.outcome));
         if ended.over {
             return self.finish(slot, Some(ended.attempt), actions);
         }
@@ -1118,7 +1119,7 @@
             }
             ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
-        self.watch_wait = self.settings.ask_within / 10.0;
+        self.watch_wait = WATCH_WAIT.min(self.settings.ask_within / 10.0);
         self.relist();
         self.forget();
     }
@@ -1205,8 +1206,7 @@
     fn subset_size(&mut self) -> usize {
         if self.sent.span > 0.5 * self.memory {
             let each = MEMBERS_PER_CALL[usize::from(self.settings.dear_connections)];
-            let busy = each * self.sent.per_second() * self.wait.mean;
-            self.grown = self.grown.max(busy as usize);
+            self.grown = self.grown.max((each * self.sent.per_second() * self.wait.mean) as usize);
         }
         self.least_subset().max(self.grown)
     }
