Ask for the whole list when a discovery's changes count from an earlier version

Seen: changes of a version below the one we have were taken in, and further ones asked for from there: a discovery that has begun to count anew left us with a list of two halves for good (`take`, src/proxy/discovery.rs). Such changes still hold, as what is written to us is told, and the whole list is asked for next, after a short wait so that a broken discovery isn't asked without end. An equal version and a whole list of an older one are taken as before.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -290,14 +290,13 @@
                 }
                 None => self.call("/api/targets", within, &mut peer).await,
             };
-            let good = answer.is_ok();
-            if !good && self.asked {
+            if answer.is_err() && self.asked {
                 // Over before the module is told: its next call begins a watch of its own.
                 *self.watch.borrow_mut() = None;
-                return self.take(answer);
+                self.take(answer);
+                return;
             }
-            self.take(answer);
-            if good {
+            if self.take(answer) {
                 (backoff, patience) = (BACKOFF[0], PATIENCE[0]);
             } else {
                 tokio::time::sleep(self.spread(backoff)).await;
@@ -310,22 +309,28 @@
         time.mul_f64(1.0 + SPREAD * (2.0 * self.rng.borrow_mut().random::<f64>() - 1.0))
     }
 
-    /// Takes in an answer; the last list is kept if there is none that makes sense.
-    fn take(&self, answer: Result<RawList, CallError>) {
+    /// Takes in an answer; the last list is kept if there is none that makes sense. Tells whether
+    /// it leaves us with a list that further changes can be asked for. Changes from before what we
+    /// have, or where we asked for the whole, come of a discovery that counts anew: what they tell
+    /// is told, and holds until the whole list comes, which is asked for next.
+    fn take(&self, answer: Result<RawList, CallError>) -> bool {
         match answer {
             Ok(list) => {
-                self.generation.set(Some(list.generation));
+                let follows = list.reset || self.generation.get().is_some_and(|had| list.generation >= had);
+                self.generation.set(follows.then_some(list.generation));
                 let listed = self.translate(list.instances);
                 let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
                 self.engine.news(news);
                 self.heard.send_replace(true);
                 self.names.borrow_mut().forget(|id| self.engine.knows(id));
+                follows
             }
             Err(error) => {
                 log!("discovery: {error}");
                 if self.asked {
                     self.engine.news(News::Refused);
                 }
+                false
             }
         }
     }
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -2,6 +2,7 @@
 //! loopback sockets.
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -466,3 +467,59 @@
 pub fn heard(ended: &Receiver<()>) {
     ended.recv_timeout(LONG).expect("the connection is ended");
 }
+
+/// A backend whose connections come up only once it accepts: there is room for one that waits, and
+/// that one has come.
+pub struct Late {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    _first: TcpStream,
+}
+
+impl Late {
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        Self { listener, address, _first: TcpStream::connect(address).unwrap() }
+    }
+
+    /// Someone is connecting to it.
+    pub fn called(&self) -> bool {
+        sockets_in(self.address.port(), SYN_SENT) > 0
+    }
+
+    /// Accepts all that come while someone is connecting, and returns what they write.
+    pub fn texts(&self) -> Vec<String> {
+        let mut texts = Vec::new();
+        self.listener.set_nonblocking(true).unwrap();
+        wait_for("no one connecting", || {
+            let called = self.called();
+            while let Ok((mut stream, _)) = self.listener.accept() {
+                let mut text = [0; 4096];
+                stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+                stream.set_nonblocking(false).unwrap();
+                let length = stream.read(&mut text).unwrap_or(0);
+                texts.extend(
+                    Some(String::from_utf8_lossy(&text[..length]).into_owned()).filter(|t| !t.is_empty()),
+                );
+            }
+            !called
+        });
+        texts
+    }
+}
+
+pub const SYN_SENT: &str = "02";
+pub const CLOSE_WAIT: &str = "08";
+
+/// Sockets in this state whose other side is at this port.
+pub fn sockets_in(port: u16, state: &str) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
+    let far = format!(":{port:04X}");
+    rows.filter(|row| row[2].ends_with(&far) && row[3] == state).count()
+}
--- a/tests/left.rs
+++ b/tests/left.rs
@@ -7,9 +7,9 @@
 use common::{Bench, entry, refused, safe, sends, with};
 use gannetproxy::*;
 use serde_json::{Value, json};
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
@@ -46,61 +46,6 @@
     }
 }
 
-/// A backend whose connections come up only once it accepts: there is room for one that waits, and
-/// that one has come.
-struct Late {
-    listener: TcpListener,
-    address: SocketAddr,
-    _first: TcpStream,
-}
-
-impl Late {
-    fn new() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        Self { listener, address, _first: TcpStream::connect(address).unwrap() }
-    }
-
-    /// Someone is connecting to it.
-    fn called(&self) -> bool {
-        sockets_in(self.address.port(), SYN_SENT) > 0
-    }
-
-    /// Accepts all that come while someone is connecting, and returns what they write.
-    fn texts(&self) -> Vec<String> {
-        let mut texts = Vec::new();
-        self.listener.set_nonblocking(true).unwrap();
-        wait_for("no one connecting", || {
-            let called = self.called();
-            while let Ok((mut stream, _)) = self.listener.accept() {
-                let mut text = [0; 4096];
-                stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
-                stream.set_nonblocking(false).unwrap();
-                let length = stream.read(&mut text).unwrap_or(0);
-                texts.extend(
-                    Some(String::from_utf8_lossy(&text[..length]).into_owned()).filter(|t| !t.is_empty()),
-                );
-            }
-            !called
-        });
-        texts
-    }
-}
-
-const SYN_SENT: &str = "02";
-const CLOSE_WAIT: &str = "08";
-
-/// Sockets in this state whose other side is at this port.
-fn sockets_in(port: u16, state: &str) -> usize {
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
-    let far = format!(":{port:04X}");
-    rows.filter(|row| row[2].ends_with(&far) && row[3] == state).count()
-}
-
 fn proxy(cancel: bool, known: &Value) -> Proxy {
     let mut settings = settings();
     settings["caps"]["cancel"] = json!(cancel);
