Take nothing for an answer that came before its request was out

Seen in a test that forces it: on a kept connection, a second answer of the backend that came after the connection was found clean, but before the last byte of the next request was written, was taken for that request's answer (`exchange`, src/proxy/backend.rs). A request would then be served with what was made for another.

The line knows which came first: on a kept connection, bytes that come before a held request is out end the connection, and the last byte is not written after them. The request has never run and goes over a new one. Bodies that pass through may be answered early, and new connections have no answer of another to give. The test sees from the backend's side whether it was ahead; without the mend it gets the wrong answer.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -76,6 +76,8 @@
     last: Rc<Cell<bool>>,
     /// Where that is to be counted.
     figures: RefCell<Option<Rc<Figures>>>,
+    /// What comes before all of it has gone out is not its answer.
+    in_turn: Cell<bool>,
 }
 
 impl Written {
@@ -86,6 +88,11 @@
         self.figures.replace(figures);
     }
 
+    /// What comes now can't be the answer.
+    fn too_early(&self) -> bool {
+        self.in_turn.get() && !self.whole.borrow().get()
+    }
+
     fn end(&self) {
         self.whole.borrow().set(true);
         self.figures.take().into_iter().for_each(|figures| figures.forwarded());
@@ -122,6 +129,10 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
+            // Here it is known which came first: the last byte is not written after this.
+            if self.written.too_early() {
+                return Poll::Ready(Err(io::Error::other("an answer ahead of its request")));
+            }
             self.heard.set(Some(Instant::now()));
         }
         read
@@ -227,9 +238,11 @@
 
     /// Sends a request and waits for the answer, which must come whole or grow too long to be held,
     /// and be nothing but that: one that stands still half way, or might be read in two ways, is
-    /// none. None if its body can't be sent any more.
+    /// none. None if its body can't be sent any more. On a connection that was `kept`, what comes
+    /// before the request is out belongs to the one before.
     async fn exchange(
         &mut self,
+        kept: bool,
         request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<Outgoing>>,
         whole: &Rc<Cell<bool>>,
         figures: Option<Rc<Figures>>,
@@ -239,6 +252,7 @@
         let written = self.written.clone();
         written.begin(whole, figures);
         let mut sent = request(&written.last)?;
+        written.in_turn.set(kept && matches!(sent.body(), Outgoing::Whole(_)));
         let begun_anew = heard.clone();
         // 1xx answers come ahead of the one that counts, perhaps long ahead.
         hyper::ext::on_informational(&mut sent, move |_| begun_anew.set(None));
@@ -545,7 +559,7 @@
         if !endpoint.may_send(clock) {
             return Done::without_answer(Outcome::NoConnection);
         }
-        match peer.exchange(&request, written, figures.clone()).await {
+        match peer.exchange(!new, &request, written, figures.clone()).await {
             Some(Ok((head, answered))) => break (peer, permit, head, answered),
             // One that was kept may have ended meanwhile; a second new one would end again.
             Some(Err(Spoilt::Unsent)) if !(new && again) => again = again || new,
--- a/tests/bad_backends.rs
+++ b/tests/bad_backends.rs
@@ -4,10 +4,11 @@
 
 use common::sockets::*;
 use serde_json::json;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
@@ -62,6 +63,44 @@
     }
 }
 
+#[test]
+fn what_comes_ahead_of_a_request_on_a_kept_connection_is_not_its_answer() {
+    // The backend answers twice, the second time as the next request begins to come, and sees
+    // whether all of that had come by then. It is held back for a moment: mostly it has not.
+    let (told, ahead) = channel();
+    let told = Mutex::new(told);
+    let backend = Played::raw(move |stream| {
+        if read(stream).is_none() {
+            return;
+        }
+        stream.get_mut().write_all(GOOD.as_bytes()).unwrap();
+        if stream.fill_buf().map_or(true, <[u8]>::is_empty) {
+            return;
+        }
+        let _ = stream.get_mut().write_all(GOOD.replace("hello", "wrong").as_bytes());
+        stream.get_ref().set_nonblocking(true).unwrap();
+        let mut come = Vec::new();
+        let _ = stream.read_to_end(&mut come); // all there is now
+        told.lock().unwrap().send(!come.ends_with(b"body")).unwrap();
+    });
+    let proxy = Proxy::before(&[&backend]);
+    let (mut kept, mut seen) = (false, 0);
+    for _ in 0..500 {
+        let reply = proxy.ask(&request("order", 9000));
+        // Over a connection that was kept, unless that was spoilt and went.
+        kept = !kept || ahead.recv_timeout(LONG).unwrap();
+        if kept {
+            assert_eq!((reply.status(), reply.body.as_slice()), (200, b"hello".as_slice()));
+            seen += 1;
+        }
+        if seen == 10 {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50)); // until the connection has settled
+    }
+    panic!("{seen} times ahead");
+}
+
 #[test]
 fn what_comes_ahead_of_an_answer_is_skipped() {
     // The answer may follow long after: it has not begun with them.
