Wait for the end of a crossed connection before its request's name counts as in use

Seen in a test that forces it: a client whose connection is reset sends its request again over another one; where the second is read before the end of the first, it got 400, as its X-Txn was in use (`reply`, src/proxy/server.rs). Ruled out: the engine's record, which is given back as soon as the end is read. The name is now waited for, 50 ms at the most; one that is in use for good is still answered 400. The test stops the process, has both come in that order, and fails each time without the mend.

--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -316,6 +316,11 @@
         self.figures.line(balancer.backends_listed(), balancer.backends_avoided())
     }
 
+    /// A request of this name has not been answered yet.
+    pub fn in_use(&self, txn: u64) -> bool {
+        self.state.borrow().in_use.contains(&txn)
+    }
+
     /// Takes in a request, named `txn` by its client, which will wait for `request.budget` seconds.
     /// The answer comes to the receiver in that time. None if the name is in use.
     pub fn request(
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -47,6 +47,11 @@
 /// How long a connection without a request may take to end once it is to be closed.
 const CLOSE_WITHIN: Duration = Duration::from_millis(200);
 
+/// A client whose connection broke sends its request again over another one, perhaps before the
+/// end of the first has been read here. For so long that is waited for; then its name is in use.
+const CROSSED_WITHIN: Duration = Duration::from_millis(50);
+const CROSSED_STEP: Duration = Duration::from_millis(5);
+
 type Answered = Response<Reply>;
 
 /// Answers clients.
@@ -311,6 +316,11 @@
             let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
             request.budget = request.budget.min(left.as_secs_f64());
         }
+        let begun = Instant::now();
+        while self.engine.in_use(txn) && begun.elapsed() < CROSSED_WITHIN {
+            tokio::time::sleep(CROSSED_STEP).await;
+        }
+        request.budget -= begun.elapsed().as_secs_f64();
         let answer = if full {
             Ok(Answer::Refused(None))
         } else {
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -5,6 +5,7 @@
 
 use common::sockets::*;
 use serde_json::json;
+use socket2::SockRef;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
@@ -202,6 +203,25 @@
     assert_eq!(backend.count(), 1);
 }
 
+#[test]
+fn a_request_sent_again_over_another_connection_is_taken_though_the_end_of_the_first_is_read_later() {
+    let (backend, _release) = Played::held("hello");
+    let proxy = Proxy::before(&[&backend]);
+    let text = request("order", 20_000);
+    let (mut first, mut second) = (proxy.connect(), proxy.connect());
+    assert_eq!(ask(&mut second, "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    first.get_mut().write_all(text.as_bytes()).unwrap();
+    wait_for("attempt", || backend.count() == 1);
+    // Both have come when the process goes on, and in this order.
+    proxy.signal("-STOP");
+    second.get_mut().write_all(text.as_bytes()).unwrap();
+    SockRef::from(first.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(first);
+    proxy.signal("-CONT");
+    assert_eq!(read(&mut second).expect("an answer").status(), 200);
+    assert_eq!(backend.count(), 2);
+}
+
 #[test]
 fn an_id_used_again_is_not_answered_by_what_is_still_out_of_the_first() {
     // The first answer is late, and attempts are not cancelled here.
