--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -31,6 +31,8 @@
 const MOST_LAG: Time = 0.1;
 /// Part of the grace of a drain after which a send that was decided before is not made.
 const GRACE_USED: f64 = 0.5;
+/// A task that has panicked begins anew after so long, lest one that always does takes the core.
+const AFTER_PANIC: Duration = Duration::from_millis(10);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -258,8 +260,9 @@
                 last: Time::INFINITY,
             }),
         });
-        tokio::task::spawn_local(engine.clone().run_timers());
-        tokio::task::spawn_local(engine.clone().sweep());
+        let (timers, sweep) = (engine.clone(), engine.clone());
+        tokio::task::spawn_local(kept_up(move || timers.clone().run_timers()));
+        tokio::task::spawn_local(kept_up(move || sweep.clone().sweep()));
         engine
     }
 
@@ -652,6 +655,15 @@
     }
 }
 
+/// Runs what all requests depend on, and begins it anew should it ever panic: what is owed then is
+/// lost for one event, and not for all that are to come.
+async fn kept_up<F: Future<Output = ()> + 'static>(task: impl Fn() -> F) {
+    while let Err(error) = tokio::task::spawn_local(task()).await {
+        log!("dewpier: {error}");
+        tokio::time::sleep(AFTER_PANIC).await;
+    }
+}
+
 /// Closes the connection that has been idle longest, if there is one.
 fn evict(endpoints: &HashMap<BackendId, Rc<Endpoint>>) -> bool {
     let idle = endpoints.values().filter(|e| e.idle_since().is_some());
@@ -671,3 +683,24 @@
         let _ = open.answer.send(answer); // if it has left, its guard tells
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::kept_up;
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    #[test]
+    fn what_panics_is_begun_anew() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+        let begun = Rc::new(Cell::new(0));
+        let count = begun.clone();
+        let task = move || {
+            count.set(count.get() + 1);
+            let nth = count.get();
+            async move { assert!(nth > 2, "the first two fail") }
+        };
+        tokio::task::LocalSet::new().block_on(&runtime, kept_up(task));
+        assert_eq!(begun.get(), 3);
+    }
+}
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -39,7 +39,7 @@
 const LINGER: f64 = 0.65;
 /// The same where another process takes the new connections: only those that clients have are left,
 /// and each carries one more request at most. A close could cross a request, so that they stay open
-/// for use, but not so long that what comes last has no time left.
+/// for use, but not so long that what comes last has no time left, nor longer than they would else.
 const RELIEVED_LINGER: Duration = Duration::from_secs(1);
 /// So many steps with nothing under way, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
@@ -162,7 +162,7 @@
             tokio::select! {
                 () = self.sweep() => {}
                 () = self.deserted() => {}
-                () = tokio::time::sleep(RELIEVED_LINGER) => {}
+                () = tokio::time::sleep(RELIEVED_LINGER.min(self.notice().mul_f64(LINGER))) => {}
             }
         }
         self.closing.send_replace(true);
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -31,6 +31,32 @@
     drop(crowd);
 }
 
+#[test]
+fn a_request_that_comes_as_its_idle_connection_is_chosen_to_go_is_answered() {
+    let backend = Played::good("hello");
+    let proxy = small(&backend);
+    // All but full of connections that may be closed, for they have been idle for 2 s.
+    let mut idle: Vec<_> = (0..10)
+        .map(|_| {
+            let mut stream = proxy.connect();
+            assert_eq!(ask(&mut stream, &request("look", 9000)).status(), 200);
+            stream
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(2200));
+    proxy.signal("-STOP");
+    // Newcomers first, so that room is made before the requests are read.
+    let crowd = mute(&proxy, 40);
+    for stream in &mut idle {
+        stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    }
+    proxy.signal("-CONT");
+    for stream in &mut idle {
+        assert_eq!(read(stream).expect("an answer").status(), 200);
+    }
+    drop(crowd);
+}
+
 #[test]
 fn while_room_is_short_connections_are_closed_behind_their_answers() {
     let backend = Played::good("hello");
