--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,90 @@
+//! Two ends in one beat: the process stands still while both come about, and goes on to find them.
+//! Whichever it takes for the first, each request has one answer, one outcome and one count.
+
+mod common;
+
+use common::sockets::*;
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+/// A request with so many milliseconds left, and what is to happen while the process stands still.
+fn play(left: u64, class: &str, meanwhile: impl FnOnce(&dyn Fn(), &mut Option<BufReader<TcpStream>>)) {
+    let (release, held) = channel::<()>();
+    let held = Mutex::new(held);
+    let (done, answered) = channel();
+    let done = Mutex::new(done);
+    let backend = Played::raw(move |stream| {
+        while read(stream).is_some() {
+            let _ = held.lock().unwrap().recv_timeout(LONG);
+            let _ = stream.get_mut().write_all(answer("200 OK", "hello").as_bytes());
+            let _ = done.lock().unwrap().send(());
+        }
+    });
+    let proxy = Proxy::managed(&[&backend]);
+    let mut stream = Some(proxy.connect());
+    stream.as_mut().unwrap().get_mut().write_all(request(class, left).as_bytes()).unwrap();
+    wait_for("attempt", || proxy.figures()["forwards"] == 1);
+    proxy.signal("-STOP");
+    let answers = || {
+        release.send(()).unwrap();
+        answered.recv_timeout(LONG).unwrap();
+    };
+    meanwhile(&answers, &mut stream);
+    proxy.signal("-CONT");
+    let status = stream.as_mut().map(|stream| read(stream).expect("an answer").status());
+    wait_for("end", || proxy.figures()["outstanding"] == 0);
+    let counted = proxy.figures()["results"][class].clone();
+    let counts: Vec<_> =
+        ["succeeded", "declined", "aborted"].map(|kind| counted[kind].as_u64().unwrap()).into();
+    match status {
+        Some(200) => assert_eq!(counts, [1, 0, 0]),
+        Some(429 | 503) => assert_eq!(counts, [0, 1, 0]),
+        Some(_) => assert_eq!(counts, [0, 0, 1]),
+        // A client that has left is counted once or not at all.
+        None => assert!(counts.iter().sum::<u64>() <= 1),
+    }
+    assert_eq!(proxy.figures()["forwards"], json!(1), "an unsafe request goes out once");
+    // Nothing more comes of it on its connection, and the proxy goes on.
+    drop(release);
+    if let Some(mut stream) = stream {
+        let mut ready = || ask(&mut stream, "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status();
+        assert_eq!(ready(), 200);
+    }
+    assert_eq!(proxy.ask(&request("look", 9000)).status(), 200);
+}
+
+#[test]
+fn an_answer_that_comes_as_the_time_of_its_request_ends() {
+    play(1000, "order", |answers, _| {
+        answers();
+        std::thread::sleep(Duration::from_millis(1200));
+    });
+    play(1000, "order", |answers, _| {
+        std::thread::sleep(Duration::from_millis(1200));
+        answers();
+    });
+}
+
+#[test]
+fn an_answer_that_comes_as_its_client_leaves() {
+    play(9000, "order", |answers, stream| {
+        answers();
+        *stream = None;
+    });
+    play(9000, "order", |answers, stream| {
+        *stream = None;
+        answers();
+    });
+}
+
+#[test]
+fn a_client_that_leaves_as_the_time_of_its_request_ends() {
+    play(1000, "order", |_, stream| {
+        *stream = None;
+        std::thread::sleep(Duration::from_millis(1200));
+    });
+}
