--- a/tests/bad_backends.rs
+++ b/tests/bad_backends.rs
@@ -63,6 +63,19 @@
     }
 }
 
+#[test]
+fn a_kept_connection_that_ends_under_a_request_may_hide_that_it_ran() {
+    let backend = Played::new(|before, _| match before {
+        0 => Play::Answer(GOOD.to_string()),
+        _ => Play::Close,
+    });
+    let proxy = Proxy::before(&[&backend]);
+    assert_eq!(proxy.ask(&request("order", 9000)).status(), 200);
+    std::thread::sleep(Duration::from_millis(100)); // until the connection has settled
+    assert_eq!(proxy.ask(&request("order", 9000)).status(), 502);
+    assert_eq!((backend.count(), backend.connections.load(Ordering::SeqCst)), (2, 1));
+}
+
 #[test]
 fn what_comes_ahead_of_a_request_on_a_kept_connection_is_not_its_answer() {
     // The backend answers twice, the second time as the next request begins to come, and sees
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -7,6 +7,8 @@
 use gannetproxy::*;
 use serde_json::json;
 use std::collections::BTreeSet;
+use std::io::Write;
+use std::time::Duration;
 
 fn maintain(bench: &mut Bench, id: u32, out: bool) -> Vec<Action> {
     bench.event(Event::Maintenance { backend: BackendId(id), out })
@@ -192,3 +194,24 @@
     assert!(proxy.call("maint-on s-0\n").starts_with("OK"));
     assert!(proxy.call("maint-off s-0\n").starts_with("OK"));
 }
+
+#[test]
+fn a_call_decided_before_a_ban_is_not_sent_after_its_grace() {
+    let backend = Late::new();
+    let mut settings = settings();
+    settings["caps"]["connect-timeout"] = json!(20.0);
+    let known = list(1, true, &[common::sockets::entry("s-0", backend.address, "SERVING")]);
+    let mut config = config_of(&settings, &known);
+    config["management"] = json!("127.0.0.1:0");
+    let proxy = Proxy::with(&config, quiet().address);
+    let mut stream = proxy.connect();
+    stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    wait_for("call", || backend.called());
+    assert!(proxy.call("maint-on s-0\n").starts_with("OK"));
+    // The grace is 1 s.
+    std::thread::sleep(Duration::from_millis(1100));
+    let texts = backend.texts();
+    assert!(texts.is_empty(), "{texts:?}");
+    assert_eq!(read(&mut stream).expect("an answer").status(), 503);
+    assert_eq!(proxy.figures()["forwards"], 0);
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -72,6 +72,33 @@
     assert_eq!(next.ask(&request("look", 9000)).status(), 200);
 }
 
+#[test]
+fn what_lies_in_the_old_process_at_its_last_look_is_answered() {
+    let backend = Played::good("hello");
+    let place = Place::new();
+    let config = config_of(&settings(), &known(&[&backend]));
+    let mut old = place.start(&config);
+    let next = place.start(&config);
+    wait_for("ready", || next.call("status\n").starts_with("OK"));
+    old.signal("-STOP");
+    // The system deals them out among the two.
+    let clients: Vec<_> = (0..30)
+        .map(|_| {
+            let mut stream = old.connect();
+            stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    old.signal("-TERM");
+    old.signal("-CONT");
+    for mut stream in clients {
+        assert_eq!(read(&mut stream).expect("an answer").status(), 200);
+    }
+    wait_for("exit", || old.child.try_wait().unwrap().is_some());
+    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    assert_eq!(backend.count(), 30);
+}
+
 #[test]
 fn bans_hold_in_both_processes_and_after_one_is_killed() {
     let backends = ["zero", "one", "two"].map(Played::good);
