--- /dev/null
+++ b/fleetlab/src/error.rs
@@ -0,0 +1,41 @@
+//! Why a command can't be run or did not end.
+
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// Why there is no report. Each is told in one line.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A file that can't be read or written.
+    #[error("{}: {error}", path.display())]
+    File {
+        /// Which.
+        path: PathBuf,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// An experiment file that is no TOML, or names what is not known.
+    #[error("{}: {message}", path.display())]
+    Experiment {
+        /// Which.
+        path: PathBuf,
+        /// What is wrong, and where.
+        message: String,
+    },
+    /// An argument that makes no sense.
+    #[error("{name}: expected {expected}, got {got}")]
+    Argument {
+        /// Which.
+        name: &'static str,
+        /// What it should have been.
+        expected: &'static str,
+        /// What it was.
+        got: String,
+    },
+    /// What the measurement needs is not there or does not work.
+    #[error("{0}")]
+    Failed(String),
+    /// The system refused something.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
--- /dev/null
+++ b/fleetlab/src/lib.rs
@@ -0,0 +1,13 @@
+//! Scale tests of the proxy. Each command measures one thing and returns a [`report::Report`];
+//! `main` prints it. Nothing here is part of what operators build.
+
+#![forbid(unsafe_code)]
+
+pub mod added;
+pub mod control;
+pub mod error;
+pub mod fleet;
+pub mod plan;
+pub mod report;
+pub mod slopes;
+pub mod stats;
--- /dev/null
+++ b/fleetlab/src/main.rs
@@ -0,0 +1,62 @@
+//! The command line of the scale tests.
+
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use fleetlab::error::Error;
+use fleetlab::report::Report;
+use fleetlab::{added, control, fleet, slopes};
+use std::io::{self, ErrorKind, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// Scale tests of the proxy: each command measures one thing, bounded in count and time.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    /// Also write the report as JSON to this file
+    #[arg(long, global = true, value_name = "FILE")]
+    json: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The module alone: processor time and state against the size
+    Slopes(slopes::Args),
+    /// Real proxies against a stand-in discovery: what keeping lists costs
+    Control(control::Args),
+    /// A hollow fleet on virtual time: the real module, thousands of times
+    Fleet(fleet::Args),
+    /// What the real proxy adds to a call
+    Added(added::Args),
+}
+
+fn run(cli: &Cli) -> Result<Report, Error> {
+    let report = match &cli.command {
+        Command::Slopes(args) => slopes::run(args),
+        Command::Control(args) => control::run(args),
+        Command::Fleet(args) => fleet::run(args),
+        Command::Added(args) => added::run(args),
+    }?;
+    if let Some(path) = &cli.json {
+        report.write(path)?;
+    }
+    Ok(report)
+}
+
+fn main() -> ExitCode {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr).init();
+    match run(&Cli::parse()).and_then(|report| Ok(writeln!(io::stdout(), "{report}")?)) {
+        Ok(()) => ExitCode::SUCCESS,
+        // Whoever reads has seen enough.
+        Err(Error::Io(error)) if error.kind() == ErrorKind::BrokenPipe => ExitCode::SUCCESS,
+        Err(error) => {
+            let _ = writeln!(io::stderr(), "fleetlab: {error}"); // nobody is left to tell
+            ExitCode::FAILURE
+        }
+    }
+}
