Keep a keyed repeat whose connection comes up late from going out after its window

Cause: `may_send` looked at the window when the repeat was decided; the attempt then waited for its connection, up to the connect time-out, and a second one after that, with no end but the request's. Ruled out: the group (all repeats went to the first one's cell) and an outcome told wrongly (each first attempt was a reset or a time-out, which may have run).

Change: a send carries until when it may be written whole. The engine ends the attempt then, and the connection itself looks at the time before the last byte, as a process that stood still finds all its timers due at once. The window is taken a quantum short. Stand-ins of a group are now sought in the list itself, which makes room for it in the module.

Measured: the new test in tests/crossings.rs and the checker of tests/rules.rs, which now counts the time that a send may still wait, pass; the suites of the module pass.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -310,6 +310,8 @@
         backend: BackendId,
         /// When to stop waiting, from now.
         timeout: Time,
+        /// Until when it may still be written whole, from now; after that it must never be.
+        write_within: Time,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -266,7 +266,7 @@
 }
 
 /// Where a call may be sent (again).
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug)]
 enum Scope {
     Anywhere,
     Zone(u32),
@@ -313,8 +313,6 @@
     vacant: Vec<usize>,
     /// Backends in service, by index.
     listed: Vec<usize>,
-    /// The same by zone and by cell, for repeats of keyed requests.
-    groups: HashMap<Scope, Vec<usize>>,
     subset: Vec<usize>,
     sent: Rate,
     /// Calls answered.
@@ -365,7 +363,6 @@
             maintained: HashMap::new(),
             vacant: Vec::new(),
             listed: Vec::new(),
-            groups: HashMap::new(),
             subset: Vec::new(),
             sent: Rate::new(now),
             served: Rate::new(now),
@@ -771,8 +768,8 @@
 
     // ---- Where it may go, and where it goes ----
 
-    /// May this call be sent (again), and where? Asked before every send.
-    fn may_send(&self, slot: Slot) -> Option<Scope> {
+    /// May this call be sent (again), where, and until when? Asked before every send.
+    fn may_send(&self, slot: Slot) -> Option<(Scope, Time)> {
         let call = &self.calls[slot];
         if call.attempts.len() >= self.settings.max_attempts || self.now >= call.until {
             return None;
@@ -781,26 +778,26 @@
             return None;
         }
         let Some(first) = call.attempts.iter().find(|a| a.may_have_run()) else {
-            return Some(Scope::Anywhere);
+            return Some((Scope::Anywhere, call.until));
         };
-        match self.settings.classes[call.class].effect {
-            Effect::Safe => Some(Scope::Anywhere),
-            Effect::Unsafe => None,
-            Effect::Keyed { window, .. } if self.now >= first.sent + window => None,
-            Effect::Keyed { group: Group::All, .. } => Some(Scope::Anywhere),
-            Effect::Keyed { group: Group::Zone, .. } => Some(Scope::Zone(first.zone)),
-            Effect::Keyed { group: Group::Cell, .. } => Some(Scope::Cell(first.cell)),
-        }
+        let (scope, window) = match self.settings.classes[call.class].effect {
+            Effect::Safe => return Some((Scope::Anywhere, call.until)),
+            Effect::Unsafe => return None,
+            Effect::Keyed { group: Group::All, window } => (Scope::Anywhere, window),
+            Effect::Keyed { group: Group::Zone, window } => (Scope::Zone(first.zone), window),
+            Effect::Keyed { group: Group::Cell, window } => (Scope::Cell(first.cell), window),
+        };
+        // A quantum less, as clocks are rounded.
+        let until = call.until.min(first.sent + window - self.settings.quantum);
+        (self.now < until).then_some((scope, until))
     }
 
     /// Sends a call, the first time or again, if it may be and a backend can be found.
     fn send(&mut self, slot: Slot, actions: &mut Vec<Action>) -> bool {
-        let Some(backend) = self.may_send(slot).and_then(|scope| self.place(slot, scope)) else {
-            return false;
-        };
-        let (now, until) = (self.now, self.calls[slot].until);
-        let coming = self.calls[slot].coming;
-        let b = &mut self.backends[backend];
+        let Some((scope, last)) = self.may_send(slot) else { return false };
+        let Some(backend) = self.place(slot, scope) else { return false };
+        let Call { until, coming, .. } = self.calls[slot];
+        let (now, b) = (self.now, &mut self.backends[backend]);
         if !coming {
             b.take_on(now);
         }
@@ -810,7 +807,12 @@
         let call = &mut self.calls[slot];
         call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None });
         self.turned_away -= usize::from(std::mem::take(&mut call.turned_away));
-        actions.push(Action::Send { id: call.id, backend: id, timeout: until - now });
+        actions.push(Action::Send {
+            id: call.id,
+            backend: id,
+            timeout: until - now,
+            write_within: last - now,
+        });
         self.sends += 1;
         let (turn, members) = (self.sends / SENDS_A_PROBE, self.subset.len());
         if self.settings.probe_for_reports && self.sends.is_multiple_of(SENDS_A_PROBE) && members > 0 {
@@ -838,10 +840,8 @@
         // must not all fall on the few warm ones that a subset happens to hold.
         let wanted = if pool.is_empty() { 2 * SUBSET } else { members };
         if pool.len() < wanted {
-            let mut wide = match scope {
-                Scope::Anywhere => self.listed.clone(),
-                _ => self.groups.get(&scope)?.clone(),
-            };
+            let holds = |b: &usize| scope.holds(&self.backends[*b].entry);
+            let mut wide: Vec<_> = self.listed.iter().copied().filter(holds).collect();
             wide.retain(|b| !tried.contains(b) && !self.subset.contains(b));
             while pool.len() < wanted
                 && let Some(i) = self.draw(wide.len())
@@ -1222,12 +1222,6 @@
     fn relist(&mut self) {
         let before: Vec<usize> = std::mem::take(&mut self.listed);
         self.listed = (0..self.backends.len()).filter(|b| self.in_service(*b)).collect();
-        self.groups.clear();
-        for &b in &self.listed {
-            let entry = &self.backends[b].entry;
-            self.groups.entry(Scope::Zone(entry.zone)).or_default().push(b);
-            self.groups.entry(Scope::Cell(entry.cell)).or_default().push(b);
-        }
         let (home, away): (Vec<usize>, Vec<usize>) = self.listed.iter().partition(|b| !self.away(**b));
         let size = self.subset_size();
         let mut mine = self.deal(home, self.least_subset(), size);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -79,11 +79,14 @@
     figures: RefCell<Option<Rc<Figures>>>,
     /// What comes before all of it has gone out is not its answer.
     in_turn: Cell<bool>,
+    /// Its last byte is not written after this.
+    by: Cell<Option<Instant>>,
 }
 
 impl Written {
-    fn begin(&self, whole: &Rc<Cell<bool>>, figures: Option<Rc<Figures>>) {
+    fn begin(&self, whole: &Rc<Cell<bool>>, by: Option<Instant>, figures: Option<Rc<Figures>>) {
         whole.set(false);
+        self.by.set(by);
         self.whole.replace(whole.clone());
         self.last.set(false);
         self.figures.replace(figures);
@@ -94,6 +97,11 @@
         self.in_turn.get() && !self.whole.borrow().get()
     }
 
+    /// It is too late for it to run.
+    fn expired(&self) -> bool {
+        self.by.get().is_some_and(|by| Instant::now() >= by)
+    }
+
     fn end(&self) {
         self.whole.borrow().set(true);
         self.figures.take().into_iter().for_each(|figures| figures.forwarded());
@@ -174,6 +182,10 @@
             if self.written.too_early() && self.come() {
                 return Poll::Ready(Err(io::Error::other("an answer ahead of its request")));
             }
+            // Here, as a process that stood still finds all its timers due at once, in any order.
+            if self.written.expired() {
+                return Poll::Ready(Err(io::Error::other("too late to be written")));
+            }
             ready!(self.poll_held(cx))?;
             self.written.end();
         }
@@ -256,12 +268,13 @@
         kept: bool,
         request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<Outgoing>>,
         whole: &Rc<Cell<bool>>,
+        by: Option<Instant>,
         figures: Option<Rc<Figures>>,
     ) -> Option<Result<(Parts, Answered), Spoilt>> {
         let heard = self.heard.clone();
         heard.set(None);
         let written = self.written.clone();
-        written.begin(whole, figures);
+        written.begin(whole, by, figures);
         let mut sent = request(&written.last)?;
         written.in_turn.set(kept && matches!(sent.body(), Outgoing::Whole(_)));
         let begun_anew = heard.clone();
@@ -525,17 +538,20 @@
 }
 
 /// Makes one attempt. `written` is set once all of the request has gone out: from then on a break
-/// may hide a request that runs, and is told as a reset. Dropped before, it never will.
+/// may hide a request that runs, and is told as a reset. Dropped before, it never will. Its answer
+/// is waited for until `until`, and its last byte not written after `last`.
 pub async fn attempt(
     endpoint: Rc<Endpoint>,
     payload: Rc<Payload>,
     clock: Clock,
     until: Time,
+    last: Time,
     written: Rc<Cell<bool>>,
     figures: Rc<Figures>,
 ) -> Done {
     let request = |last: &Rc<Cell<bool>>| payload.request(until - clock.now(), last);
-    exchange(&endpoint, &clock, &written, request, Some(figures)).await
+    let by = last.is_finite().then(|| clock.at(last));
+    exchange(&endpoint, &clock, &written, request, by, Some(figures)).await
 }
 
 /// Makes one probe of `path`.
@@ -549,7 +565,7 @@
     };
     let within = 4 * endpoint.connect_timeout;
     let written = Rc::default();
-    let probed = exchange(&endpoint, &clock, &written, request, None);
+    let probed = exchange(&endpoint, &clock, &written, request, None, None);
     tokio::time::timeout(within, probed).await.unwrap_or(Done::without_answer(Outcome::Timeout))
 }
 
@@ -558,6 +574,7 @@
     clock: &Clock,
     written: &Rc<Cell<bool>>,
     request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<Outgoing>>,
+    by: Option<Instant>,
     figures: Option<Rc<Figures>>,
 ) -> Done {
     let era = endpoint.era.get();
@@ -570,7 +587,7 @@
         if !endpoint.may_send(clock) {
             return Done::without_answer(Outcome::NoConnection);
         }
-        match peer.exchange(!new, &request, written, figures.clone()).await {
+        match peer.exchange(!new, &request, written, by, figures.clone()).await {
             Some(Ok((head, answered))) => break (peer, permit, head, answered),
             // One that was kept may have ended meanwhile; a second new one would end again.
             Some(Err(Spoilt::Unsent)) if !(new && again) => again = again || new,
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -60,7 +60,8 @@
         unix - self.unix
     }
 
-    fn at(&self, time: Time) -> tokio::time::Instant {
+    /// A time of this clock as the runtime has it.
+    pub fn at(&self, time: Time) -> tokio::time::Instant {
         (self.start + Duration::try_from_secs_f64(time).unwrap_or_default()).into()
     }
 }
@@ -133,6 +134,8 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Token(u64),
+    /// What has not been written whole by now must never be.
+    Unwritten(RequestId, usize),
     Attempt(RequestId, usize),
     Request(RequestId),
 }
@@ -514,7 +517,9 @@
 
     fn act(&self, state: &mut State, action: Action, now: Time) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(state, id, backend, timeout, now),
+            Action::Send { id, backend, timeout, write_within } => {
+                self.send(state, id, backend, timeout, write_within, now);
+            }
             Action::Cancel { id, attempt } => {
                 let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                 let outcome = if written { Outcome::Cancelled } else { Outcome::NeverSent };
@@ -538,7 +543,15 @@
         }
     }
 
-    fn send(&self, state: &mut State, id: RequestId, backend: BackendId, timeout: Time, now: Time) {
+    fn send(
+        &self,
+        state: &mut State,
+        id: RequestId,
+        backend: BackendId,
+        timeout: Time,
+        write_within: Time,
+        now: Time,
+    ) {
         let endpoint = state.endpoints.get(&backend).cloned();
         let most = self.max_attempts;
         let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
@@ -566,13 +579,17 @@
         let figures = self.figures.clone();
         // A body that is coming has its time once it has come.
         let wait = if until.is_finite() { until } else { now + open.patience };
-        let attempted = backend::attempt(endpoint, payload, clock, wait, written.clone(), figures);
+        let last = now + write_within;
+        let attempted = backend::attempt(endpoint, payload, clock, wait, last, written.clone(), figures);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
         });
         let task = task.abort_handle();
         state.running.insert((id, attempt), Running { backend, sent: now, written, task });
+        if last < until {
+            self.set_timer(state, last, Due::Unwritten(id, attempt));
+        }
         if until.is_finite() {
             self.set_timer(state, until, Due::Attempt(id, attempt));
         }
@@ -624,6 +641,11 @@
             late = late.max(now - at.0);
             match due {
                 Due::Token(token) => state.told.push_back(Told::Event(Event::Timer(token))),
+                Due::Unwritten(id, attempt) => {
+                    if state.running.get(&(id, attempt)).is_some_and(|r| !r.written.get()) {
+                        self.ended(&mut state, id, attempt, Done::without_answer(Outcome::NoConnection));
+                    }
+                }
                 Due::Attempt(id, attempt) => {
                     let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -443,7 +443,7 @@
 pub fn write_action(out: &mut String, action: &Action) {
     // Writing to a string cannot fail.
     let _ = match action {
-        Action::Send { id, backend, timeout } => {
+        Action::Send { id, backend, timeout, .. } => {
             writeln!(out, "PLACE {:016x} {:.6} {}", id.0, timeout, backend.0)
         }
         Action::Cancel { id, attempt } => writeln!(out, "REVOKE {:016x} {attempt}", id.0),
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -88,3 +88,39 @@
         std::thread::sleep(Duration::from_millis(1200));
     });
 }
+
+#[test]
+fn a_keyed_repeat_whose_connection_comes_up_after_its_window_is_never_written() {
+    // The first attempt breaks off, wherever it went; the repeat's connection is late.
+    let (late, breaking) = (Late::new(), Played::new(|_, _| Play::Close));
+    let mut settings = settings();
+    settings["caps"]["connect-timeout"] = json!(20.0);
+    settings["classes"][1]["window"] = json!(1.0);
+    let entries = [
+        common::sockets::entry("s-0", late.address, "SERVING"),
+        common::sockets::entry("s-1", breaking.address, "SERVING"),
+    ];
+    let mut crossed = 0;
+    // Which of the two members is the first is drawn; that it is the late one each time is next to
+    // impossible.
+    for _ in 0..20 {
+        let proxy = Proxy::start(&settings, &list(1, true, &entries), quiet().address);
+        let before = breaking.count();
+        let mut stream = proxy.connect();
+        // Its timer fires 0.6 s after it came, well inside the window, and it has 1.5 s in all.
+        stream.get_mut().write_all(request("save", 1500).as_bytes()).unwrap();
+        wait_for("attempt", || late.called());
+        if breaking.count() == before {
+            continue; // the late one was the first: it would be written in time
+        }
+        crossed += 1;
+        // The repeat is given up at the end of the window, with the request's time not over.
+        let start = std::time::Instant::now();
+        let status = read(&mut stream).expect("an answer").status();
+        assert_eq!(status, 503, "a repeat of it by its client does no harm");
+        assert!(start.elapsed() < Duration::from_millis(800), "{:?}", start.elapsed());
+        assert_eq!(late.texts(), Vec::<String>::new());
+        break;
+    }
+    assert_eq!(crossed, 1);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -91,15 +91,15 @@
             Action::Release(backend) => {
                 self.unclosed.remove(&backend.0);
             }
-            Action::Send { id, backend, timeout } => {
+            Action::Send { id, backend, timeout, write_within } => {
                 let Some(entry) = self.list.get(&backend.0).cloned() else {
                     return self.breach(format!("sent to unknown {backend:?}"));
                 };
                 if entry.status != Status::InService {
                     self.breach(format!("drain: sent to {backend:?}"));
                 }
-                if !timeout.is_finite() || *timeout <= 0.0 {
-                    self.breach(format!("time-out {timeout}"));
+                if !timeout.is_finite() || *timeout <= 0.0 || *write_within <= 0.0 || write_within > timeout {
+                    self.breach(format!("time-out {timeout}, to be written within {write_within}"));
                 }
                 let settings = self.settings.clone();
                 if let Some(what) = self.out_of_order(now, id.0) {
@@ -128,7 +128,8 @@
                                 Group::Zone => first.zone == entry.zone,
                                 Group::Cell => first.cell == entry.cell,
                             };
-                            if !inside || now > first.sent + window {
+                            // What waits for its connection must not go out later either.
+                            if !inside || now + write_within > first.sent + window {
                                 what.push("keyed call outside its group or window");
                             }
                         }
@@ -392,7 +393,7 @@
         check.breaches
     };
     let id = RequestId(1);
-    let send = |to| Action::Send { id, backend: BackendId(to), timeout: 0.5 };
+    let send = |to| Action::Send { id, backend: BackendId(to), timeout: 0.5, write_within: 0.5 };
     assert_eq!(plant(0, &[(0.0, send(1)), (0.5, Action::Refuse { id, retry_after: None })]).len(), 0);
     assert_eq!(plant(0, &[(0.0, send(1))]), ["1 lost"]);
     assert_eq!(plant(0, &[(1.5, Action::Fail { id })]), ["1 answered late"]);
@@ -411,7 +412,7 @@
         check.open.insert(id, Open { class: 1, key: Some(9), deadline: 9.0, tries: vec![], over: false });
     }
     check.action(0.0, &send(1));
-    let second = Action::Send { id: RequestId(2), backend: BackendId(1), timeout: 0.5 };
+    let second = Action::Send { id: RequestId(2), backend: BackendId(1), timeout: 0.5, write_within: 0.5 };
     assert_eq!(check.out_of_order(0.1, 2), Some("order: an earlier one is not over"));
     check.action(0.2, &Action::Fail { id });
     assert_eq!(check.out_of_order(0.2, 2), Some("order: an earlier one is not over"));
