fleetlab slopes: processor time and state of the module against what grows with the size

Drives the module on virtual time as a host does: requests at an even rate, answers, timers when they are due, outcomes of what it cancels. Cases of an axis are measured in turn, round by round, so that a busy machine is busy for all of them; lines go through the medians, with standard errors and the quartiles of each round's own line.

--- /dev/null
+++ b/fleetlab/tests/slopes.rs
@@ -0,0 +1,92 @@
+//! `fleetlab slopes`: a small run from end to end, and what it says to a plan that makes no sense.
+
+use fleetlab::report::{Report, Table, Value};
+use std::process::{Command, Output};
+
+const SMALL: &str = "rounds = 3\nrequests = 300\nchanges = 2\nlists = 1\nwarm_up = 2.0\n\
+    [axes]\nbackends = [17, 40, 90]\nsubset = []\ninstances = []\nclasses = []\n\
+    tenants = [0, 10, 20]\nopen = [6, 20]\nopen_alone = []\n";
+
+/// Runs it with an experiment file of this text; the report is written to a file of its own.
+fn slopes(plan: &str, arguments: &[&str]) -> (Output, Option<Report>) {
+    let folder = tempfile::tempdir().unwrap();
+    let (experiment, json) = (folder.path().join("plan.toml"), folder.path().join("report.json"));
+    std::fs::write(&experiment, plan).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fleetlab"));
+    command.arg("--json").arg(&json).args(["slopes", "--experiment"]).arg(&experiment).args(arguments);
+    let output = command.output().unwrap();
+    (output, std::fs::read(&json).ok().map(|text| serde_json::from_slice(&text).unwrap()))
+}
+
+/// A column of a table, by the beginning of its name.
+fn column<'a>(table: &'a Table, name: &str) -> Vec<&'a Value> {
+    let place = table.columns.iter().position(|c| c.starts_with(name)).unwrap();
+    table.rows.iter().map(|row| &row[place]).collect()
+}
+
+fn numbers(table: &Table, name: &str) -> Vec<f64> {
+    let number = |value: &&Value| match value {
+        Value::Number(n) => *n,
+        other => panic!("{name}: {other:?}"),
+    };
+    column(table, name).iter().map(number).collect()
+}
+
+#[test]
+fn each_axis_has_its_cases_and_lines_and_what_is_not_time_is_the_same_again() {
+    let [first, again] = [(), ()].map(|()| {
+        let (output, report) = slopes(SMALL, &["--seed", "7"]);
+        assert!(output.status.success(), "{output:?}");
+        report.unwrap()
+    });
+    assert_eq!(first.seed, 7);
+    let [lines, cases, spreads] = &first.tables[..] else { panic!("{} tables", first.tables.len()) };
+    assert_eq!((cases.rows.len(), spreads.rows.len()), (8, 8));
+    for name in ["call", "outcome", "firing, sends not", "all per call", "changed", "whole", "first"] {
+        assert!(numbers(cases, name).iter().all(|us| *us > 0.0), "{name}: {cases:?}");
+    }
+    // In calm service all is served, and as much is open as was asked for.
+    assert!(numbers(cases, "not served").iter().all(|n| *n == 0.0), "{cases:?}");
+    let wanted = [6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 20.0];
+    for (open, wanted) in numbers(cases, "open").iter().zip(wanted) {
+        assert!((open / wanted - 1.0).abs() < 0.2, "{open} open, not {wanted}");
+    }
+    for name in ["value", "idle state", "open", "members used"] {
+        assert_eq!(column(cases, name), column(&again.tables[1], name), "{name}");
+    }
+    // A listed backend is held at least as its entry; two cases make no line.
+    let axes = column(lines, "axis");
+    let (slopes, measures) = (numbers(lines, "slope"), column(lines, "measure"));
+    let idle = (0..axes.len()).filter(|i| *measures[*i] == Value::from("idle state, bytes"));
+    let idle: Vec<_> = idle.map(|i| (axes[i].to_string(), slopes[i])).collect();
+    assert_eq!(idle.iter().map(|i| i.0.as_str()).collect::<Vec<_>>(), ["backends listed", "tenants"]);
+    assert!(idle[0].1 > size_of::<gannetproxy::Entry>() as f64, "{idle:?}");
+    assert!(idle[1].1 >= size_of::<f64>() as f64, "{idle:?}");
+}
+
+#[test]
+fn a_run_ends_at_its_time_limit_and_says_so() {
+    let plan = format!("time_limit = 1\n{}", SMALL.replace("rounds = 3", "rounds = 1000"));
+    let (output, report) = slopes(&plan, &[]);
+    assert!(output.status.success(), "{output:?}");
+    let report = report.unwrap();
+    let told = |name: &str| report.notes.iter().any(|n| n.starts_with(name) && n.contains("time was up"));
+    assert!(told("open requests"), "{:?}", report.notes);
+}
+
+#[test]
+fn a_plan_that_makes_no_sense_is_told_in_one_line() {
+    let cases = [
+        ("rounds = 0", "rounds: expected 1 to 1000, got 0"),
+        ("warm_up = nan", "warm_up: expected 0 to 60 seconds, got NaN"),
+        ("[axes]\nbackends = [0]", "backends: expected 1 to 10000, got 0"),
+        ("[base]\nopen = 20000", "open: expected 1 to 10000, got 20000"),
+        ("[base]\nopne = 2", "line 2: unknown field `opne`"),
+    ];
+    for (plan, wanted) in cases {
+        let (output, report) = slopes(plan, &[]);
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(1), 1), "{said}");
+        assert!(said.contains(wanted) && report.is_none(), "{said}");
+    }
+}
