--- a/fleetlab/src/slopes.rs
+++ b/fleetlab/src/slopes.rs
@@ -322,6 +322,8 @@
     let columns: Vec<&str> =
         ["axis", "value"].into_iter().chain(MEASURES).chain(["open", "members used", "not served"]).collect();
     let mut medians = Table::new("Cases: medians over the rounds", &columns);
+    // On a machine that others use too, the least is what they have disturbed least.
+    let mut least = Table::new("Least over the rounds", &columns[..2 + MEASURES.len()]);
     let mut spreads =
         Table::new("Spread: between the quartiles over the rounds", &columns[..2 + MEASURES.len()]);
 
@@ -349,11 +351,13 @@
             let at = [Value::from(axis.name), Value::from(m.value)];
             let state = [Value::from(m.open), Value::from(m.members_used), Value::from(m.unserved)];
             medians.row(at.clone().into_iter().chain(figures.map(|f| Value::from(f[1]))).chain(state));
+            let lowest = m.rounds.each_ref().map(|r| r.iter().copied().fold(f64::NAN, f64::min));
+            least.row(at.clone().into_iter().chain(lowest.map(Value::from)));
             spreads.row(at.into_iter().chain(figures.map(|f| Value::from(f[2] - f[0]))));
         }
         add_lines(&mut lines, axis.name, &measured);
     }
-    report.tables = vec![lines, medians, spreads];
+    report.tables = vec![lines, medians, spreads, least];
     report.notes.extend([
         format!("Load of the machine: {load} at the start, {} at the end.", self::load()),
         "Times are processor time of the thread, from the system's clock for it, read round each event; \
@@ -374,12 +378,12 @@
 fn add_lines(lines: &mut Table, axis: &str, measured: &[Measured]) {
     for (i, name) in MEASURES.iter().enumerate() {
         let through = |y: &dyn Fn(&Measured) -> Option<f64>| {
+            // A case in which no such event came is left out.
             let point = |m: &Measured| Some((m.value as f64, y(m).filter(|y| y.is_finite())?));
-            let points: Option<Vec<_>> = measured.iter().map(point).collect();
-            points.and_then(|points| stats::line(&points))
+            stats::line(&measured.iter().filter_map(point).collect::<Vec<_>>())
         };
         let Some(line) = through(&|m| Some(quartiles(&m.rounds[i])[1])) else {
-            continue; // too few cases, or one of them had no such event
+            continue; // too few cases
         };
         let rounds = measured.iter().map(|m| m.rounds[i].len()).max().unwrap_or(0);
         let each: Vec<_> = (0..rounds).filter_map(|r| through(&|m| m.rounds[i].get(r).copied())).collect();
--- a/fleetlab/tests/slopes.rs
+++ b/fleetlab/tests/slopes.rs
@@ -40,8 +40,10 @@
         report.unwrap()
     });
     assert_eq!(first.seed, 7);
-    let [lines, cases, spreads] = &first.tables[..] else { panic!("{} tables", first.tables.len()) };
-    assert_eq!((cases.rows.len(), spreads.rows.len()), (8, 8));
+    let [lines, cases, spreads, least] = &first.tables[..] else { panic!("{} tables", first.tables.len()) };
+    assert_eq!([cases, spreads, least].map(|t| t.rows.len()), [8; 3]);
+    let (median, lowest) = (numbers(cases, "call"), numbers(least, "call"));
+    assert!(lowest.iter().zip(&median).all(|(l, m)| l <= m), "{least:?}");
     for name in ["call", "outcome", "firing, sends not", "all per call", "changed", "whole", "first"] {
         assert!(numbers(cases, name).iter().all(|us| *us > 0.0), "{name}: {cases:?}");
     }
