fleetlab slopes: count the bytes of a balancer as it gives them back at its end

One counting of the drop, in place of one round every event of a second balancer: half of the warming up is gone, and a case's state is that after its rounds.

--- a/fleetlab/src/slopes.rs
+++ b/fleetlab/src/slopes.rs
@@ -232,10 +232,10 @@
 /// Of these, how many are times.
 const TIMES: usize = 9;
 
-/// One case while it is measured.
+/// What was measured of one case.
+#[derive(Default)]
 struct Measured {
     value: usize,
-    host: Host,
     /// For each measure, its figure of each round; NaN where no such event came.
     rounds: [Vec<f64>; MEASURES.len()],
     open: f64,
@@ -243,27 +243,25 @@
     unserved: usize,
 }
 
-impl Measured {
+/// One case while it is measured.
+struct Running {
+    case: Case,
+    host: Host,
+    measured: Measured,
+}
+
+impl Running {
     fn new(value: usize, case: Case, plan: &Plan) -> Self {
-        let mut host = Host::new(case, plan.seed, false);
+        let mut host = Host::new(case, plan.seed);
         host.warm_up(plan.warm_up);
-        let rounds = Default::default();
-        let mut measured = Self { value, host, rounds, open: 0.0, members_used: 0, unserved: 0 };
-        // Bytes are the same each time, and counted apart, as the counting takes time.
-        let mut counted = Host::new(case, plan.seed, true);
-        let idle = counted.held();
-        counted.warm_up(plan.warm_up);
-        for (rounds, held) in measured.rounds[TIMES..].iter_mut().zip([idle, counted.held()]) {
-            rounds.extend(held.map(|bytes| bytes as f64));
-        }
-        measured
+        Self { case, host, measured: Measured { value, ..Measured::default() } }
     }
 
     fn round(&mut self, plan: &Plan) {
-        let host = &mut self.host;
+        let (host, measured) = (&mut self.host, &mut self.measured);
         let spent = host.serve(plan.requests);
-        (self.open, self.members_used) = (spent.open(), host.members_used());
-        self.unserved += spent.unserved;
+        (measured.open, measured.members_used) = (spent.open(), host.members_used());
+        measured.unserved += spent.unserved;
         let mean =
             |times: usize, of: &mut dyn FnMut() -> f64| (0..times).map(|_| of()).sum::<f64>() / times as f64;
         let figures: [f64; TIMES] = [
@@ -278,10 +276,19 @@
             mean(plan.lists, &mut || host.whole_list()),
             mean(plan.lists, &mut || host.first_list(plan.seed)),
         ];
-        for (rounds, figure) in self.rounds.iter_mut().zip(figures) {
+        for (rounds, figure) in measured.rounds.iter_mut().zip(figures) {
             rounds.push(figure);
         }
     }
+
+    /// Ends it, and tells what its state came to: of a balancer that only has its list, and of this.
+    fn end(mut self, plan: &Plan) -> Measured {
+        let idle = Host::new(self.case, plan.seed).state();
+        for (rounds, bytes) in self.measured.rounds[TIMES..].iter_mut().zip([idle, self.host.state()]) {
+            rounds.push(bytes);
+        }
+        self.measured
+    }
 }
 
 /// The quartiles of the samples that are numbers: first, median, third. NaN of none.
@@ -330,18 +337,19 @@
     let (begun, load) = (Instant::now(), load());
     let limit = Duration::from_secs(plan.time_limit);
     for axis in plan.axes() {
-        let mut measured: Vec<Measured> = Vec::new();
+        let mut running: Vec<Running> = Vec::new();
         for &(value, case) in &axis.cases {
             if begun.elapsed() < limit {
                 info!("{} at {value}", axis.name);
-                measured.push(Measured::new(value, case, &plan));
+                running.push(Running::new(value, case, &plan));
             }
         }
         let mut rounds = 0;
         while rounds < plan.rounds && begun.elapsed() < limit {
-            measured.iter_mut().for_each(|m| m.round(&plan));
+            running.iter_mut().for_each(|r| r.round(&plan));
             rounds += 1;
         }
+        let measured: Vec<Measured> = running.into_iter().map(|r| r.end(&plan)).collect();
         if measured.len() < axis.cases.len() || rounds < plan.rounds {
             let (name, cases) = (axis.name, measured.len());
             report.notes.push(format!("{name}: time was up after {rounds} rounds of {cases} cases"));
@@ -361,7 +369,8 @@
     report.notes.extend([
         format!("Load of the machine: {load} at the start, {} at the end.", self::load()),
         "Times are processor time of the thread, from the system's clock for it, read round each event; \
-         what reading it takes is taken off. A round's figure is the mean of its events."
+         what reading it takes is taken off. A round's figure is the mean of its events; \
+         where there is none, no such event came."
             .to_string(),
         "Bytes are those the module has asked the allocator for; what that adds is not in them. Those of \
          a state with open requests move by a doubling of a hash table from run to run."
--- a/fleetlab/src/slopes/host.rs
+++ b/fleetlab/src/slopes/host.rs
@@ -24,8 +24,6 @@
 /// Zones that the backends are in, and how many of them make a cell.
 const ZONES: u32 = 3;
 const CELL: u32 = 20;
-/// Room for the actions of one event, so that none is allocated while bytes are counted.
-const ROOM: usize = 4096;
 
 /// The size of one deployment, as one balancer sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,7 +49,7 @@
         self.open as f64 / (SLOW_ANSWER * slow + ANSWER * (1.0 - slow))
     }
 
-    /// All that the module's settings are called is named here.
+    /// What the module is told of it. No other place names the module's settings.
     fn settings(&self) -> Settings {
         let class = Class { aim: AIM, deadline: 2.0 * AIM, ..Class::default() };
         // Far beyond what comes: shares are counted, and none is used up.
@@ -97,8 +95,6 @@
 pub struct Spent {
     time: [f64; KINDS],
     count: [usize; KINDS],
-    /// Requests answered.
-    pub served: usize,
     /// Requests refused or failed.
     pub unserved: usize,
     /// Open requests, summed over the arrivals.
@@ -147,8 +143,8 @@
     Answer { id: RequestId, attempt: usize },
 }
 
-/// In nanoseconds, so that it can be ordered.
-fn instant(at: Time) -> u64 {
+/// A time as a whole number, so that it can be ordered.
+fn nanoseconds(at: Time) -> u64 {
     (at * 1e9) as u64
 }
 
@@ -170,26 +166,16 @@
     /// By number of the backend: sent to since the last stretch began.
     sent_to: Vec<bool>,
     clock_cost: f64,
-    /// Bytes that the balancer holds, where they are counted instead of the time.
-    held: Option<i64>,
 }
 
 impl Host {
-    /// A balancer that has just been given its list. `counted`: its bytes are counted, and nothing
-    /// is timed.
-    pub fn new(case: Case, seed: u64, counted: bool) -> Self {
-        let settings = case.settings();
-        let mut balancer = None;
-        // The settings are part of what it holds.
-        let allocated = allocation_counter::measure(|| {
-            balancer = Some(Balancer::new(0.0, seed, settings.clone()));
-        });
-        let own = size_of::<Balancer>() as i64 + allocated.bytes_current;
+    /// A balancer that has just been given its list.
+    pub fn new(case: Case, seed: u64) -> Self {
         let mut host = Self {
             case,
-            balancer: balancer.unwrap_or_else(|| Balancer::new(0.0, seed, settings)),
+            balancer: Balancer::new(0.0, seed, case.settings()),
             list: case.list(),
-            actions: Vec::with_capacity(ROOM),
+            actions: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             now: 0.0,
             next_id: 0,
@@ -198,15 +184,16 @@
             spent: Spent::default(),
             sent_to: vec![false; case.backends],
             clock_cost: clock_cost(),
-            held: counted.then_some(own),
         };
         host.whole_list();
         host
     }
 
-    /// Bytes that the balancer holds, where they are counted.
-    pub fn held(&self) -> Option<i64> {
-        self.held
+    /// Bytes that the balancer holds: itself, and what it gives back to the allocator at its end.
+    pub fn state(self) -> f64 {
+        let balancer = self.balancer;
+        let freed = allocation_counter::measure(|| drop(balancer)).bytes_current;
+        size_of::<Balancer>() as f64 - freed as f64
     }
 
     /// Backends sent to in the last stretch.
@@ -232,7 +219,7 @@
         for _ in 0..requests {
             let at = self.now + 1.0 / self.case.rate();
             while let Some(Reverse((due, _))) = self.due.peek()
-                && *due <= instant(at)
+                && *due <= nanoseconds(at)
                 && let Some(Reverse((due, what))) = self.due.pop()
             {
                 self.now = self.now.max(due as f64 * 1e-9);
@@ -277,16 +264,9 @@
     }
 
     fn handle(&mut self, event: Event<'_>) -> f64 {
-        let Some(held) = &mut self.held else {
-            let begun = thread_time();
-            self.balancer.handle(self.now, event, &mut self.actions);
-            return thread_time() - begun - self.clock_cost;
-        };
-        let allocated = allocation_counter::measure(|| {
-            self.balancer.handle(self.now, event, &mut self.actions);
-        });
-        *held += allocated.bytes_current;
-        0.0
+        let begun = thread_time();
+        self.balancer.handle(self.now, event, &mut self.actions);
+        thread_time() - begun - self.clock_cost
     }
 
     fn arrive(&mut self) {
@@ -328,7 +308,6 @@
                 };
                 let time = self.end(id, backend, attempt, sent, Outcome::Served);
                 self.spent.add(Kind::Outcome, time);
-                self.spent.served += 1;
                 self.act(Some(id));
                 self.open.remove(&id);
             }
@@ -359,14 +338,14 @@
                     let attempt = attempts.len() - 1;
                     let slow = attempt == 0 && id.0 % SLOW_ONE_IN as u64 == 0;
                     let at = self.now + if slow { SLOW_ANSWER } else { ANSWER };
-                    self.due.push(Reverse((instant(at), Due::Answer { id, attempt })));
+                    self.due.push(Reverse((nanoseconds(at), Due::Answer { id, attempt })));
                     if let Some(sent) = self.sent_to.get_mut(backend.0 as usize) {
                         *sent = true;
                     }
                 }
                 Action::Timer { at, token } => {
                     let id = about.unwrap_or_default();
-                    self.due.push(Reverse((instant(at), Due::Timer { id, token })));
+                    self.due.push(Reverse((nanoseconds(at), Due::Timer { id, token })));
                 }
                 Action::Cancel { id, attempt } => {
                     let sent = self.open.get(&id).and_then(|a| a.get(attempt));
