Wait until a client that has to go has gone before another one is taken in

Cause: the accept loop took in the next connection as soon as another one was chosen to be closed (`make_room` in `Server::accept`). Until its task has run, that one holds its descriptor: where all clients were idle and many new ones came at once, twice the clients' room was taken, and with it the descriptors that are kept for discovery.

Ruled out: too few descriptors of its own. With all room taken by clients the process held 36 of 64, of which 24 were clients'; `OWN_DESCRIPTORS` is 24. Connections to backends give their permits back with the socket.

Change: a newcomer waits in hand until fewer connections are there, whether or not one is being closed.

Measured: a process under `ulimit -n 64`, its room full of clients that had asked, then 100 that come in one moment as discovery returns: before, it logged "Too many open files" (seen with clients that had asked), now not; the list is had within 6 s and requests are served.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -311,14 +311,14 @@
         let _ = tokio::time::timeout(within, self.left.notified()).await;
     }
 
-    /// Makes room for one more. Tells whether there is room, or will be at once.
-    pub fn make_room(&self) -> bool {
-        self.shrink_to(self.most.get().saturating_sub(1))
+    /// Makes room for one more, as far as there are any that may go.
+    pub fn make_room(&self) {
+        self.shrink_to(self.most.get().saturating_sub(1));
     }
 
     /// Closes those that have been without a request longest: guards against those that stay for
-    /// good and keep others out. Tells whether no more than so many stay.
-    fn shrink_to(&self, most: usize) -> bool {
+    /// good and keep others out.
+    fn shrink_to(&self, most: usize) {
         let all = self.all.borrow();
         let staying = || all.iter().filter(|c| !c.ending.get());
         while staying().count() > most {
@@ -327,11 +327,10 @@
             let mute = closable().filter(|c| !c.asked.get() && c.heard.get().elapsed() >= MUTE_ENOUGH);
             let longest = idle.min_by_key(|c| c.since.get()).or_else(|| mute.min_by_key(|c| c.heard.get()));
             let Some(longest) = longest else {
-                return false;
+                return;
             };
             longest.close();
         }
-        true
     }
 
     /// Closes connections that have outstayed their time.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -228,10 +228,14 @@
                     continue;
                 }
             };
-            // Waits with one in hand: nobody has to go before another has come.
+            // Waits with one in hand: nobody has to go before another has come. Who has to go has a
+            // descriptor until then, and what is not for clients must stay free: discovery could
+            // not be called.
             self.in_hand.set(Some(stream));
-            while !self.clients.make_room() && self.clients.crowded() {
+            self.clients.make_room();
+            while self.clients.crowded() {
                 self.clients.one_left(STEP).await;
+                self.clients.make_room();
             }
             if let Some(stream) = self.in_hand.take() {
                 self.clone().serve(stream, self.clients.admit());
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -245,6 +245,8 @@
     path: PathBuf,
     pub address: SocketAddr,
     pub management: Option<SocketAddr>,
+    /// What it has logged since it listens.
+    pub log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Proxy {
@@ -272,8 +274,30 @@
             }
         };
         // Its log is read on, lest it block.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, path, address, management }
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let seen = lines.clone();
+        std::thread::spawn(move || {
+            log.lines().map_while(Result::ok).for_each(|line| seen.lock().unwrap().push(line));
+        });
+        Self { child, path, address, management, log: lines }
+    }
+
+    /// One that the system lets have so many descriptors, which is what it is told.
+    pub fn with_descriptors(config: &Value, discovery: SocketAddr, descriptors: usize) -> Self {
+        let mut config = config.clone();
+        config["limits"]["sockets"] = json!(descriptors);
+        let (told, path) = command(&config.to_string(), discovery);
+        let mut limited = Command::new("sh");
+        limited.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")]).arg(told.get_program());
+        for (name, value) in told.get_envs() {
+            limited.env(name, value.unwrap_or_default());
+        }
+        Self::run(limited, path)
+    }
+
+    /// How many descriptors it holds.
+    pub fn held(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
     /// One that knows these backends, with a second address.
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -6,7 +6,10 @@
 use serde_json::json;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
 
 /// A proxy with room for some twenty connections of clients.
 fn small(backend: &Played) -> Proxy {
@@ -101,3 +104,58 @@
     assert!(served > 0);
     drop(crowd);
 }
+
+/// A discovery that swallows all calls until it is told that it is up. Then it has the list.
+fn down_at_first(up: Arc<AtomicBool>, list: String) -> Played {
+    Played::new(move |_, message| match up.load(Ordering::SeqCst) {
+        true if !message.first.contains("since=2&") => Play::Answer(answer("200 OK", &list)),
+        _ => Play::Silence(channel().0),
+    })
+}
+
+/// Clients take all the room, having `asked` or never said a word. Then many more come in one moment,
+/// and so many callers of the second address, if there is one, just as discovery returns.
+fn crowd_at_the_return(asked: bool, callers: Option<usize>) {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let entries = [entry("s-0", old.address, "DRAINING"), entry("s-1", new.address, "SERVING")];
+    let up = Arc::new(AtomicBool::new(false));
+    let discovery = down_at_first(up.clone(), list(2, true, &entries).to_string());
+    let mut config = config_of(&settings(), &known(&[&old]));
+    if callers.is_some() {
+        config["management"] = json!("127.0.0.1:0");
+    }
+    let proxy = Proxy::with_descriptors(&config, discovery.address, 64);
+    let mut resting = mute(&proxy, 24);
+    for stream in resting.iter_mut().filter(|_| asked) {
+        let _ = stream.get_mut().write_all(request("look", 9000).as_bytes());
+        let _ = read(stream); // it may be refused, for want of room
+    }
+    std::thread::sleep(Duration::from_millis(2200)); // until they may be closed
+    proxy.signal("-STOP");
+    let crowd = mute(&proxy, 100);
+    let callers: Vec<_> = (0..callers.unwrap_or(0)).map(|_| proxy.connect_management()).collect();
+    up.store(true, Ordering::SeqCst);
+    let start = Instant::now();
+    proxy.signal("-CONT");
+    let had = |m: &Message| m.first.contains("since=2&");
+    wait_for("list", || discovery.requests.lock().unwrap().iter().any(had));
+    assert!(start.elapsed() < Duration::from_secs(6), "asked {asked}: {:?}", start.elapsed());
+    for _ in 0..3 {
+        assert_eq!(proxy.ask(&request("order", 9000)).body, b"new");
+    }
+    if proxy.management.is_some() {
+        assert!(proxy.call("status\n").starts_with("OK"));
+    }
+    let log = proxy.log.lock().unwrap().join("\n");
+    assert!(!log.contains("os error 24"), "asked {asked}: {log}");
+    drop((resting, crowd, callers));
+}
+
+#[test]
+fn clients_that_fill_all_descriptors_do_not_keep_out_discovery_as_it_returns() {
+    std::thread::scope(|scope| {
+        for asked in [false, true] {
+            scope.spawn(move || crowd_at_the_return(asked, None));
+        }
+    });
+}
