Hold callers of the second address to their descriptors when many come at once

Cause: `Management::admit` ended the oldest caller for each new one, but its descriptor is only free once its task has run. Some tens that came in one moment took the descriptors kept for discovery.

Change: a new caller is taken in once the oldest one has ended.

--- a/src/proxy/management.rs
+++ b/src/proxy/management.rs
@@ -88,7 +88,7 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.clone().admit(stream),
+                Ok((stream, _)) => self.clone().admit(stream).await,
                 Err(error) => {
                     log!("management: {error}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -98,19 +98,25 @@
     }
 
     /// Takes in a caller. One that has sent its call is answered in the same turn, so that those
-    /// that are still there say nothing, and the oldest of them may go for want of room.
-    fn admit(self: Rc<Self>, stream: TcpStream) {
-        let this = self.clone();
-        let mut callers = self.callers.borrow_mut();
-        callers.retain(|caller| !caller.is_finished());
-        if callers.len() >= MOST_CALLERS {
-            callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+    /// that are still there say nothing, and the oldest of them may go for want of room. It has its
+    /// descriptor until it has gone, and no more than these are set aside.
+    async fn admit(self: Rc<Self>, stream: TcpStream) {
+        while self.crowded() {
+            self.callers.borrow().front().into_iter().for_each(|oldest| oldest.abort());
+            tokio::task::yield_now().await;
         }
+        let this = self.clone();
         let caller = tokio::task::spawn_local(async move {
             // A caller that is gone needs no answer.
             let _ = this.serve(stream).await;
         });
-        callers.push_back(caller.abort_handle());
+        self.callers.borrow_mut().push_back(caller.abort_handle());
+    }
+
+    fn crowded(&self) -> bool {
+        let mut callers = self.callers.borrow_mut();
+        callers.retain(|caller| !caller.is_finished());
+        callers.len() >= MOST_CALLERS
     }
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -159,3 +159,12 @@
         }
     });
 }
+
+#[test]
+fn nor_do_callers_of_the_second_address_with_them() {
+    std::thread::scope(|scope| {
+        for asked in [false, true] {
+            scope.spawn(move || crowd_at_the_return(asked, Some(60)));
+        }
+    });
+}
