Answer all callers of the second address that come in one moment

Cause: `Management::admit` ended the oldest of 16 callers for a new one in the same turn in which they had been taken in, before they were read. Its comment held that who has sent a call is answered by then; where more than 16 come between two turns, those were reset with no answer.

Change: those already taken in have their turn before another one is.

--- a/src/proxy/management.rs
+++ b/src/proxy/management.rs
@@ -97,10 +97,11 @@
         }
     }
 
-    /// Takes in a caller. One that has sent its call is answered in the same turn, so that those
-    /// that are still there say nothing, and the oldest of them may go for want of room. It has its
+    /// Takes in a caller. Those that have sent their calls are answered first, so that those that
+    /// are still there say nothing, and the oldest of them may go for want of room. It has its
     /// descriptor until it has gone, and no more than these are set aside.
     async fn admit(self: Rc<Self>, stream: TcpStream) {
+        tokio::task::yield_now().await;
         while self.crowded() {
             self.callers.borrow().front().into_iter().for_each(|oldest| oldest.abort());
             tokio::task::yield_now().await;
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -4,7 +4,7 @@
 
 use common::sockets::*;
 use serde_json::json;
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -168,3 +168,22 @@
         }
     });
 }
+
+#[test]
+fn callers_of_the_second_address_that_come_in_one_moment_are_all_answered() {
+    let proxy = Proxy::managed(&[&Played::good("hello")]);
+    proxy.signal("-STOP");
+    let callers: Vec<_> = (0..50)
+        .map(|_| {
+            let mut stream = proxy.connect_management();
+            stream.get_mut().write_all(b"status\n").unwrap();
+            stream
+        })
+        .collect();
+    proxy.signal("-CONT");
+    for mut stream in callers {
+        let mut line = String::new();
+        stream.read_line(&mut line).unwrap();
+        assert_eq!(line, "OK ready\n");
+    }
+}
