Divide what a cold backend may get by what warm ones report that they serve

Cause: a balancer's part of a cold backend is what it sends its own members. Busy ones that happen to share a member add up, and the margin that covers them is lost where traffic is even.

Change: where answers carry the rate that backends serve (`rps`, `qps`), a balancer's part is the mean of the warm ones over the balancers that share a member, whatever it sends itself, and half of what would tip it over is planned with (0.4 before). Elsewhere it stays as it was with 0.35.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -234,6 +234,8 @@
 pub struct Report {
     /// How long a request takes it, waiting left out.
     pub service: Option<Time>,
+    /// The requests a second that it serves, whoever sends them.
+    pub rate: Option<f64>,
 }
 
 /// The end of an attempt.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -85,10 +85,12 @@
 /// Where only probes bring reports, one member is probed for each so many sends.
 const SENDS_A_PROBE: usize = 3;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
-const COLD_MARGIN: f64 = 0.4;
-/// Mean wait before a failed call for the list is made again, after the failure and after the call
-/// began: 6 s after a return all counts as told, also where two calls take 2 s to fail after it.
-const WATCH_WAIT: [Time; 2] = [0.25, 1.0];
+const COLD_MARGIN: f64 = 0.35;
+/// The same where backends report their rates, as traffic that is uneven takes nothing of it then.
+const REPORTED_MARGIN: f64 = 0.5;
+/// First wait before a failed call for the list is made again, at the most: what a silent watch
+/// missed counts as told 6 s after it fell silent, and until that is noticed 2 s pass.
+const WATCH_WAIT: Time = 1.0;
 /// The token of the timer that asks for the list; tokens of calls are above it.
 const LIST_TOKEN: u64 = 0;
 /// Kinds of timers of calls: a firing, the end of its time, its turn in a lane.
@@ -97,7 +99,7 @@
 const TURN: u64 = 2;
 
 /// Room for requests that grows with time, up to a bound.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     room: f64,
     at: Time,
@@ -159,7 +161,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Backend {
     entry: Entry,
     in_flight: usize,
@@ -203,7 +205,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Call {
     id: RequestId,
     class: usize,
@@ -245,7 +247,7 @@
 
 /// The requests of one key, where order is asked for. They run singly: the front one may be
 /// sent once no attempt of an ended one is out and the key has rested.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Lane {
     /// Requests without a final answer, in the order in which they came.
     queue: VecDeque<Slot>,
@@ -329,13 +331,14 @@
     beside: bool,
     /// Members that the calls in flight have called for so far.
     grown: usize,
-    /// Mean of the service times that backends report.
+    /// Mean of the service times that backends report,
     service: Time,
+    /// and of the requests a second that warm ones do.
+    reported: f64,
     /// Attempts sent so far.
     sends: usize,
     watch_asked: bool,
-    /// When the last call for the list that follows a failure begins.
-    watch_at: Time,
+    watch_wait: Time,
 }
 
 impl Balancer {
@@ -375,9 +378,10 @@
             beside: false,
             grown: 0,
             service: 0.0,
+            reported: 0.0,
             sends: 0,
             watch_asked: false,
-            watch_at: f64::NEG_INFINITY,
+            watch_wait: WATCH_WAIT.min(settings.ask_within / 10.0),
             settings,
         }
     }
@@ -460,18 +464,13 @@
             arrived: self.now,
             until,
             t1,
-            fired: 0,
-            timer_set: false,
-            attempts: Vec::new(),
             lane,
             held: waits || lane.is_some(),
             rank,
-            turned_away: false,
-            other: None,
             streamed: request.streamed,
             coming: request.streamed,
-            spent: false,
             patience,
+            ..Call::default()
         };
         let slot = self.calls.insert(call);
         self.by_id.insert(request.id, slot);
@@ -485,16 +484,13 @@
             let at = self.now + ENTRY_WAIT * patience;
             return actions.push(Action::Timer { at, token: token(slot, TURN) });
         }
-        let Some(key) = lane else {
-            return self.begin(slot, actions);
-        };
+        let Some(key) = lane else { return self.begin(slot, actions) };
         if self.lanes.len() >= self.most_lanes {
             let now = self.now;
             self.lanes.retain(|_, l| !l.queue.is_empty() || l.out > 0 || l.rests_until > now);
             self.most_lanes = 16.max(2 * self.lanes.len());
         }
-        let empty = || Lane { queue: VecDeque::new(), out: 0, rests_until: f64::NEG_INFINITY };
-        self.lanes.entry(key).or_insert_with(empty).queue.push_back(slot);
+        self.lanes.entry(key).or_default().queue.push_back(slot);
         self.advance(key, actions);
     }
 
@@ -648,9 +644,13 @@
     /// Calls in flight at each sound backend, if all balancers have as many as this one.
     fn each(&self) -> f64 {
         let sound = self.sound().count() as f64;
+        self.crowd() * self.sharing() / sound.max(1.0)
+    }
+
+    /// Balancers that have a backend as a member, if all have as many members as this one.
+    fn sharing(&self) -> f64 {
         let instances = self.settings.instances * (1 + usize::from(self.beside));
-        let sharing = (instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64;
-        self.crowd() * sharing.max(1.0) / sound.max(1.0)
+        ((instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64).max(1.0)
     }
 
     /// Calls in flight, those at stand-ins too, but for those at backends far slower than the best
@@ -778,9 +778,8 @@
         if call.spent || (call.streamed || !self.settings.second_copies) && call.waits() {
             return None;
         }
-        let Some(first) = call.attempts.iter().find(|a| a.may_have_run()) else {
-            return Some((Scope::Anywhere, call.until));
-        };
+        let ran = call.attempts.iter().find(|a| a.may_have_run());
+        let Some(first) = ran else { return Some((Scope::Anywhere, call.until)) };
         let (scope, window) = match self.settings.classes[call.class].effect {
             Effect::Safe => return Some((Scope::Anywhere, call.until)),
             Effect::Unsafe => return None,
@@ -858,9 +857,7 @@
         let mean = pool.iter().map(|b| self.load(*b)).sum::<f64>() / pool.len() as f64;
         pool.retain(|b| self.load(*b) <= mean * (1.0 + f64::EPSILON * 16.0));
         let one = pool.swap_remove(self.draw(pool.len())?);
-        let Some(two) = self.draw(pool.len()).map(|i| pool[i]) else {
-            return Some(one);
-        };
+        let Some(two) = self.draw(pool.len()).map(|i| pool[i]) else { return Some(one) };
         let (first, second) = if self.load(two) < self.load(one) { (two, one) } else { (one, two) };
         self.calls[slot].other = Some(second);
         Some(first)
@@ -896,10 +893,15 @@
             return false; // its budget is the members'
         }
         // All members that do likewise together send it the usual part of what is served (in an
-        // overload less than what is sent), times its capacity of the moment, times a margin.
+        // overload less than what is sent), times its capacity of the moment, times a margin. Where
+        // warm backends report what they serve, each balancer takes an even part of that: what a
+        // busy one sends its own members would be more than its part, and adds up.
         self.served.age(self.now, self.memory);
-        let rate = self.served.per_second() / self.subset.len().max(1) as f64;
-        let multiple = COLD_MARGIN * self.settings.fall_multiple;
+        let (rate, margin) = match self.reported > 0.0 {
+            true => (self.reported / self.sharing(), REPORTED_MARGIN),
+            false => (self.served.per_second() / self.subset.len().max(1) as f64, COLD_MARGIN),
+        };
+        let multiple = margin * self.settings.fall_multiple;
         let b = &mut self.backends[backend];
         let ramp = from + (1.0 - from) * ((self.now - started) / cold).clamp(0.0, 1.0);
         let allowed = rate * ramp * multiple;
@@ -1084,10 +1086,14 @@
         1.0 + (backend.slowness - 1.0) * (-age).exp()
     }
 
-    /// Takes in how long requests take a backend, as it reports.
+    /// Takes in how long requests take a backend and how many it serves, as it reports.
     fn take_report(&mut self, backend: BackendId, report: Option<Report>) {
-        let service = report.and_then(|r| r.service).filter(|s| *s > 0.0);
-        if let (Some(&backend), Some(service)) = (self.by_backend.get(&backend), service) {
+        let Some((&backend, report)) = self.by_backend.get(&backend).zip(report) else { return };
+        if let Some(rate) = report.rate.filter(|r| *r > 0.0 && self.cold_since(backend).is_none()) {
+            let mean = if self.reported > 0.0 { self.reported } else { rate };
+            self.reported = mean + NORMAL_WEIGHT * (rate - mean);
+        }
+        if let Some(service) = report.service.filter(|s| *s > 0.0) {
             let known = self.backends[backend].service.get_or_insert(service);
             *known += SERVICE_WEIGHT * (service - *known);
             let mean = if self.service > 0.0 { self.service } else { service };
@@ -1109,10 +1115,10 @@
     fn list(&mut self, update: ListUpdate<'_>, actions: &mut Vec<Action>) {
         match update {
             ListUpdate::Refused => {
-                // Asked again with a pause, and not all at once: what failed may be busy.
-                let part = 0.5 + self.rng.random::<f64>();
-                self.watch_at = (self.now + WATCH_WAIT[0] * part).max(self.watch_at + WATCH_WAIT[1] * part);
-                return actions.push(Action::Timer { at: self.watch_at, token: LIST_TOKEN });
+                // Asked again later and later, and not all at once: what failed may be busy.
+                let wait = self.watch_wait * (0.5 + self.rng.random::<f64>());
+                self.watch_wait = (2.0 * self.watch_wait).min(self.settings.ask_within);
+                return actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
             }
             ListUpdate::Full(entries) | ListUpdate::Remembered(entries) => {
                 self.backends.iter_mut().for_each(|b| b.entry.status = Status::Gone);
@@ -1120,6 +1126,7 @@
             }
             ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
+        self.watch_wait = WATCH_WAIT.min(self.settings.ask_within / 10.0);
         self.relist();
         self.forget();
     }
@@ -1176,14 +1183,12 @@
         let known = self.by_backend.get(&entry.id).copied().unwrap_or_else(|| {
             let new = Backend {
                 entry: entry.clone(),
-                in_flight: 0,
-                named: 0,
                 slowness: 1.0,
                 slowness_at: self.now,
                 answered_at: f64::NEG_INFINITY,
                 alive_at: self.now,
                 cold: fresh,
-                service: None,
+                ..Backend::default()
             };
             let place = self.vacant.pop().unwrap_or(self.backends.len());
             self.by_backend.insert(entry.id, place);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -622,6 +622,10 @@
 /// Reads a load report; what the decisions can't use is skipped.
 pub fn report(json: &[u8]) -> Option<Report> {
     let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(json).ok()?;
-    let service = fields.get("avg_ms").or(fields.get("latency_ms")).and_then(|v| v.as_f64());
-    Some(Report { service: service.filter(|ms| *ms >= 0.0).map(|ms| ms / 1000.0) })
+    let figure = |names: [&str; 2]| {
+        let value = names.iter().find_map(|name| fields.get(*name)?.as_f64());
+        value.filter(|v| *v >= 0.0)
+    };
+    let service = figure(["avg_ms", "latency_ms"]).map(|ms| ms / 1000.0);
+    Some(Report { service, rate: figure(["rps", "qps"]) })
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -875,7 +875,7 @@
             if let Action::Probe(backend) = action {
                 probes += 1;
                 let service = Some(0.02 * f64::from(backend.0 * backend.0));
-                let report = Some(Report { service });
+                let report = Some(Report { service, rate: None });
                 b.event(Event::Probed { backend: *backend, outcome: Outcome::Served, report });
             }
         }
