Hold the last byte of a request once more where the process stood still meanwhile

The last byte is held for 1 ms, and whatever else a request has waited for, the end of its client is taken in during that. But the hold is a timer: where the process stands still in it, or one turn of its event loop takes long, the byte goes out first. An interrupted wait of the runtime fires the timers that are due before it looks at the sockets, and a task that runs late in its turn knows only what was there as the turn began. The request was then sent on however long ago the client had left.

A look at the client's socket was considered instead; it doesn't see an end behind another request, and costs a call for each attempt.

Where the hold is over by more than 50 ms when its turn comes, it now begins once more (`poll_flush`, backend.rs). Once, so that a process that is always slow gets on: two standstills in a row, with the client's end in the second, are still not seen.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -68,6 +68,10 @@
 /// connections that the other side has given up without a word, or resets as it accepts them.
 const HELD: Duration = Duration::from_millis(1);
 
+/// Where it is held for so much longer, the process has stood still or been at something else, and
+/// what came meanwhile, such as the end of the client, has not been taken in: it is held once more.
+const HELD_UP: Duration = Duration::from_millis(50);
+
 /// How much of a request has gone out.
 #[derive(Default)]
 struct Written {
@@ -108,6 +112,8 @@
     held: Option<u8>,
     /// Until when it is held.
     wait: Pin<Box<Sleep>>,
+    /// It is held once more. Not again: a slow process must get on too.
+    once_more: bool,
 }
 
 impl Line {
@@ -163,6 +169,7 @@
             }
         }
         self.held = Some(*last);
+        self.once_more = false;
         self.wait.as_mut().reset(Instant::now() + HELD);
         Poll::Ready(Ok(data.len()))
     }
@@ -170,6 +177,11 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.held.is_some() {
             ready!(self.wait.as_mut().poll(cx));
+            if !self.once_more && self.wait.deadline().elapsed() > HELD_UP {
+                self.once_more = true;
+                self.wait.as_mut().reset(Instant::now() + HELD);
+                ready!(self.wait.as_mut().poll(cx));
+            }
             // The connection is done with if so: what has been read is not missed.
             if self.written.too_early() && self.come() {
                 return Poll::Ready(Err(io::Error::other("an answer ahead of its request")));
@@ -223,7 +235,8 @@
     let heard = Heard::default();
     let written = Rc::<Written>::default();
     let wait = Box::pin(tokio::time::sleep(Duration::ZERO));
-    let line = Line { stream, heard: heard.clone(), written: written.clone(), held: None, wait };
+    let (held, once_more) = (None, false);
+    let line = Line { stream, heard: heard.clone(), written: written.clone(), held, wait, once_more };
     // A head without end must not grow without bound.
     let builder = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(TokioIo::new(line));
     let (sender, io) = builder.await.map_err(io::Error::other)?;
--- a/tests/left.rs
+++ b/tests/left.rs
@@ -5,11 +5,18 @@
 
 use common::sockets::*;
 use common::{Bench, entry, refused, safe, sends, with};
+use gannetproxy::proxy::backend::{Endpoint, attempt};
+use gannetproxy::proxy::config::WireSettings;
+use gannetproxy::proxy::engine::{Clock, Payload, Sending};
+use gannetproxy::proxy::figures::Figures;
+use gannetproxy::proxy::limits::Budget;
 use gannetproxy::*;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
+use std::cell::Cell;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
@@ -575,6 +582,60 @@
     }
 }
 
+/// All that has come over a connection.
+fn come(stream: &mut TcpStream) -> String {
+    let mut text = [0; 4096];
+    stream.set_nonblocking(true).unwrap();
+    let length = stream.read(&mut text).unwrap_or(0);
+    String::from_utf8_lossy(&text[..length]).into_owned()
+}
+
+#[test]
+fn the_last_byte_that_is_held_does_not_go_out_right_after_a_standstill() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let payload = Payload {
+            method: "POST".parse().unwrap(),
+            uri: "/api".parse().unwrap(),
+            headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+            body: Sending::Whole("body".into()),
+        };
+        let written = Rc::new(Cell::new(false));
+        let figures = Figures::new(&WireSettings::default());
+        let endpoint = Rc::new(Endpoint::new(address, Budget::new(4), LONG, LONG));
+        let attempted =
+            attempt(endpoint, payload.into(), Clock::start(), 20.0, written.clone(), figures.clone());
+        let mut attempted = std::pin::pin!(attempted);
+        // It works on only where the test lets it.
+        let mut work = async || {
+            std::future::poll_fn(|cx| std::task::Poll::Ready(attempted.as_mut().poll(cx).is_ready())).await
+        };
+        let turn = || tokio::time::sleep(Duration::from_millis(5));
+        assert!(!work().await);
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut text = String::new();
+        while !text.ends_with("bod") {
+            turn().await;
+            assert!(!work().await);
+            text += &come(&mut stream);
+        }
+        // Its time is over, which the process gets to know long after.
+        turn().await;
+        std::thread::sleep(Duration::from_millis(200));
+        assert!(!work().await);
+        assert_eq!(come(&mut stream), "", "the end of its client may have come meanwhile");
+        assert!(!written.get());
+        // Where it has not, the request goes on its way, however slow the process may be.
+        turn().await;
+        std::thread::sleep(Duration::from_millis(200));
+        assert!(!work().await);
+        assert_eq!(come(&mut stream), "y");
+        assert!(written.get());
+    });
+}
+
 // ---- what the module decides ----
 
 /// Plays on after the client of request 1 has left, with all that could set it off.
