--- a/tests/left.rs
+++ b/tests/left.rs
@@ -606,7 +606,7 @@
         let figures = Figures::new(&WireSettings::default());
         let endpoint = Rc::new(Endpoint::new(address, Budget::new(4), LONG, LONG));
         let attempted =
-            attempt(endpoint, payload.into(), Clock::start(), 20.0, written.clone(), figures.clone());
+            attempt(endpoint, payload.into(), Clock::start(), 20.0, 20.0, written.clone(), figures.clone());
         let mut attempted = std::pin::pin!(attempted);
         // It works on only where the test lets it.
         let mut work = async || {
