--- a/src/logic.rs
+++ b/src/logic.rs
@@ -88,9 +88,9 @@
 const COLD_MARGIN: f64 = 0.35;
 /// The same where backends report their rates, as traffic that is uneven takes nothing of it then.
 const REPORTED_MARGIN: f64 = 0.5;
-/// First wait before a failed call for the list is made again, at the most: what a silent watch
-/// missed counts as told 6 s after it fell silent, and until that is noticed 2 s pass.
-const WATCH_WAIT: Time = 1.0;
+/// Mean wait before a failed call for the list is made again, after the failure and after the call
+/// began: 6 s after a return all counts as told, also where two calls take 2 s to fail after it.
+const WATCH_WAIT: [Time; 2] = [0.25, 1.0];
 /// The token of the timer that asks for the list; tokens of calls are above it.
 const LIST_TOKEN: u64 = 0;
 /// Kinds of timers of calls: a firing, the end of its time, its turn in a lane.
@@ -338,7 +338,8 @@
     /// Attempts sent so far.
     sends: usize,
     watch_asked: bool,
-    watch_wait: Time,
+    /// When the last call for the list that follows a failure begins.
+    watch_at: Time,
 }
 
 impl Balancer {
@@ -381,7 +382,7 @@
             reported: 0.0,
             sends: 0,
             watch_asked: false,
-            watch_wait: WATCH_WAIT.min(settings.ask_within / 10.0),
+            watch_at: f64::NEG_INFINITY,
             settings,
         }
     }
@@ -1115,10 +1116,10 @@
     fn list(&mut self, update: ListUpdate<'_>, actions: &mut Vec<Action>) {
         match update {
             ListUpdate::Refused => {
-                // Asked again later and later, and not all at once: what failed may be busy.
-                let wait = self.watch_wait * (0.5 + self.rng.random::<f64>());
-                self.watch_wait = (2.0 * self.watch_wait).min(self.settings.ask_within);
-                return actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
+                // Asked again with a pause, and not all at once: what failed may be busy.
+                let part = 0.5 + self.rng.random::<f64>();
+                self.watch_at = (self.now + WATCH_WAIT[0] * part).max(self.watch_at + WATCH_WAIT[1] * part);
+                return actions.push(Action::Timer { at: self.watch_at, token: LIST_TOKEN });
             }
             ListUpdate::Full(entries) | ListUpdate::Remembered(entries) => {
                 self.backends.iter_mut().for_each(|b| b.entry.status = Status::Gone);
@@ -1126,7 +1127,6 @@
             }
             ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
-        self.watch_wait = WATCH_WAIT.min(self.settings.ask_within / 10.0);
         self.relist();
         self.forget();
     }
--- a/tests/cold_backends.rs
+++ b/tests/cold_backends.rs
@@ -75,7 +75,7 @@
     after[..fleet.cold].iter_mut().for_each(|e| e.started = Some(STARTED));
     let begin = if fleet.fresh { STARTED } else { 0.0 };
     let end = STARTED + settings(fleet).cold;
-    let weight = |i: usize| if i % 5 == 0 { fleet.skew } else { 1.0 };
+    let weight = |i: usize| if i.is_multiple_of(5) { fleet.skew } else { 1.0 };
     let weights: f64 = (0..fleet.balancers).map(weight).sum();
     let mut balancers: Vec<_> = (0..fleet.balancers)
         .map(|me| {
