--- a/src/logic.rs
+++ b/src/logic.rs
@@ -399,6 +399,11 @@
         self.backends.iter().filter(|b| b.entry.status != Status::Gone).count()
     }
 
+    /// The members of its subset: what it sends to first.
+    pub fn members(&self) -> impl Iterator<Item = BackendId> {
+        self.subset.iter().map(|b| self.backends[*b].entry.id)
+    }
+
     /// Listed backends that get nothing or little now: those taken out by hand, and members far
     /// slower than the best one.
     pub fn backends_avoided(&self) -> usize {
