--- a/fleetlab/src/error.rs
+++ b/fleetlab/src/error.rs
@@ -1,5 +1,6 @@
 //! Why a command can't be run or did not end.
 
+use crate::fleet::checker::Rule;
 use std::path::PathBuf;
 use thiserror::Error;
 
@@ -32,6 +33,34 @@
         /// What it was.
         got: String,
     },
+    /// A number beyond its bounds.
+    #[error("{name}: expected {least} to {most}, got {got}")]
+    Range {
+        /// Which.
+        name: &'static str,
+        /// The least that is taken.
+        least: f64,
+        /// The most.
+        most: f64,
+        /// What it was.
+        got: f64,
+    },
+    /// A rule of the program that was broken in a hollow fleet.
+    #[error("broken rule: call {call} {rule}; seed {seed}, phase {phase}, machine {machine}, {at:.6} s")]
+    Rule {
+        /// Which.
+        rule: Rule,
+        /// The call, by its number at its proxy.
+        call: u64,
+        /// The seed of the run.
+        seed: u64,
+        /// What was played.
+        phase: String,
+        /// The machine of the proxy.
+        machine: usize,
+        /// When, in seconds of virtual time.
+        at: f64,
+    },
     /// What the measurement needs is not there or does not work.
     #[error("{0}")]
     Failed(String),
--- a/fleetlab/src/fleet.rs
+++ b/fleetlab/src/fleet.rs
@@ -12,6 +12,7 @@
 
 mod caller;
 mod changes;
+pub mod checker;
 mod cost;
 mod tables;
 mod together;
@@ -204,8 +205,12 @@
     }
 }
 
-/// Most calls that a run may play: about a day of the machine.
+/// Longest time that a plan may name, in seconds.
+const LONGEST: f64 = 3_600.0;
+/// Most calls that a run may play.
 const MOST_CALLS: f64 = 1e11;
+/// Most calls, over all phases, of the proxies that stand for one role: each takes half a kilobyte.
+const MOST_RECORDED: f64 = 2e6;
 
 impl Plan {
     fn read(args: &Args) -> Result<Self, Error> {
@@ -228,15 +233,12 @@
 
     /// Refuses what can't be played, or would not end.
     fn check(&self) -> Result<(), Error> {
-        let bad = |name, expected, got: String| Err(Error::Argument { name, expected, got });
-        let count = |name, value: usize, most: usize| match (1..=most).contains(&value) {
+        let bad = |name, expected, got: usize| Err(Error::Argument { name, expected, got: got.to_string() });
+        let within = |name, got: f64, least: f64, most: f64| match (least..=most).contains(&got) {
             true => Ok(()),
-            false => bad(name, "a whole number within bounds, 1 or more", value.to_string()),
-        };
-        let span = |name, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
-            true => Ok(()),
-            false => bad(name, "a number within bounds, not below 0", value.to_string()),
+            false => Err(Error::Range { name, least, most, got }),
         };
+        let count = |name, got: usize, most: usize| within(name, got as f64, 1.0, most as f64);
         count("services", self.services, 10_000)?;
         count("backends", self.backends, 100_000)?;
         count("depth", self.depth, self.services)?;
@@ -245,32 +247,29 @@
         count("regions", self.regions, self.zones)?;
         count("racks", self.racks, 10_000)?;
         if self.backends < 2 * self.services {
-            return bad("backends", "two for each service at the least", self.backends.to_string());
+            return bad("backends", "two for each service at the least", self.backends);
         }
         if !self.zones.is_multiple_of(self.regions) {
-            return bad("zones", "a multiple of the regions", self.zones.to_string());
-        }
-        if self.restarts + self.failures > self.backends {
-            return bad("restarts", "no more than backends, with the failures", self.restarts.to_string());
-        }
-        if self.samples > 1_000 {
-            return bad("samples", "1000 at the most", self.samples.to_string());
+            return bad("zones", "a multiple of the regions", self.zones);
         }
-        let fractions = [self.effects[0], self.effects[1], self.effects[0] + self.effects[1]];
-        fractions.into_iter().try_for_each(|part| span("effects", part, 0.0, 1.0))?;
-        span("skew", self.skew, 0.0, 5.0)?;
-        span("rate", self.rate, 1.0, 1e9)?;
-        span("rate_scale", self.rate_scale, 1e-6, 100.0)?;
-        span("budget", self.budget, 0.01, 60.0)?;
-        span("cross_zone", self.cross_zone, 0.0, 100.0)?;
-        span("cold_share", self.cold_share, 0.001, 1.0)?;
-        span("fall_multiple", self.fall_multiple, 0.001, 1e6)?;
-        span("tip_after", self.tip_after, 0.001, 600.0)?;
-        span("warm_up", self.warm_up, 1.0, 86_400.0)?;
-        span("window", self.window, 1.0, 86_400.0)?;
-        span("limit", self.limit, 1.0, 86_400.0)?;
+        within("restarts and failures", (self.restarts + self.failures) as f64, 0.0, self.backends as f64)?;
+        within("effects", self.effects[0], 0.0, 1.0)?;
+        within("effects", self.effects[1], 0.0, 1.0 - self.effects[0])?;
+        within("skew", self.skew, 0.0, 5.0)?;
+        within("rate", self.rate, 1.0, 1e9)?;
+        within("rate_scale", self.rate_scale, 1e-6, 100.0)?;
+        within("budget", self.budget, 0.01, 60.0)?;
+        within("cross_zone", self.cross_zone, 0.0, 100.0)?;
+        within("cold_share", self.cold_share, 0.001, 1.0)?;
+        within("fall_multiple", self.fall_multiple, 0.001, 1e6)?;
+        within("tip_after", self.tip_after, 0.001, 600.0)?;
+        within("warm_up", self.warm_up, 1.0, LONGEST)?;
+        within("window", self.window, 1.0, LONGEST)?;
+        within("limit", self.limit, 1.0, 86_400.0)?;
         let times = [
-            ("round_trips", self.round_trips.iter().copied().fold(0.0, f64::max)),
+            ("round_trips", self.round_trips[0]),
+            ("round_trips", self.round_trips[1]),
+            ("round_trips", self.round_trips[2]),
             ("drain", self.drain),
             ("restart", self.restart),
             ("outage", self.outage),
@@ -285,9 +284,10 @@
             ("idle_close", self.idle_close),
             ("cold", self.cold),
         ];
-        times.into_iter().try_for_each(|(name, value)| span(name, value, 0.0, 86_400.0))?;
+        times.into_iter().try_for_each(|(name, time)| within(name, time, 0.0, LONGEST))?;
         let calls = self.rate * self.rate_scale * (self.warm_up + self.window) * self.phases.len() as f64;
-        span("calls in all", calls, 0.0, MOST_CALLS)
+        within("calls in all", calls, 0.0, MOST_CALLS)?;
+        within("calls of samples", calls / self.backends as f64 * self.samples as f64, 0.0, MOST_RECORDED)
     }
 
     /// The part of its capacity that a backend has so long after its start.
--- a/fleetlab/src/fleet/caller.rs
+++ b/fleetlab/src/fleet/caller.rs
@@ -1,9 +1,10 @@
 //! One proxy of the hollow fleet, played on virtual time around the real module.
 
-use super::Plan;
 use super::changes::{Change, Events, Going};
+use super::checker::{Broken, Checker, Open, Rule};
 use super::cost::{Record, Recording};
 use super::world::{self, World};
+use super::{Phase, Plan};
 use crate::error::Error;
 use gannetproxy::{
     Action, BackendId, Balancer, Class, Effect, Ended, Entry, Event, Group, ListUpdate, Outcome, Request,
@@ -17,15 +18,13 @@
 
 /// Members are looked at this often, in seconds.
 pub const LOOK: Time = 1.0;
-/// Repeats of keyed calls are dropped within this, in seconds.
-const KEYED_WINDOW: Time = 5.0;
+/// The classes of calls, by what repeating one would do.
+const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Keyed { group: Group::All, window: 5.0 }, Effect::Unsafe];
 /// A backend that is to stop makes no calls of its own in its last so many seconds, as what would
 /// have come of them could not be told any more.
 const LAST_CALLS: Time = 1.0;
 /// The agent of discovery on a proxy's own machine answers within this, in seconds.
 const AGENT: Time = 0.005;
-/// How far a final answer may be over the caller's time, for rounding.
-const ROUNDING: Time = 1e-6;
 /// The real time is looked at after so many steps.
 const STEPS_A_LOOK: u32 = 4096;
 
@@ -113,8 +112,8 @@
     pub changes: Vec<Change>,
     /// For each of its backends, when discovery first has it to tell that it is not in service.
     pub out_from: Vec<Option<Time>>,
-    /// Stands for the phase in seeds.
-    pub phase: u64,
+    /// What is played.
+    pub phase: Phase,
     /// When the run is given up.
     pub give_up: Instant,
 }
@@ -123,9 +122,8 @@
 pub fn settings(plan: &Plan, world: &World, service: usize, me: usize) -> Settings {
     let callers = &world.services[service].callers;
     let caller = &world.machines[callers[me]];
-    let effects = [Effect::Safe, Effect::Keyed { group: Group::All, window: KEYED_WINDOW }, Effect::Unsafe];
     Settings {
-        classes: effects.map(|effect| Class { deadline: plan.budget, effect, ..Class::default() }).into(),
+        classes: EFFECTS.map(|effect| Class { deadline: plan.budget, effect, ..Class::default() }).into(),
         instances: callers.len(),
         me,
         tier: world.services[caller.service].layer,
@@ -207,17 +205,6 @@
     }
 }
 
-/// A request without its final answer.
-#[derive(Debug)]
-struct Open {
-    class: usize,
-    until: Time,
-    attempts: usize,
-    /// An attempt may have run.
-    may_have_run: bool,
-    counted: bool,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     backend: usize,
@@ -242,7 +229,7 @@
     steps: BinaryHeap<Reverse<Step>>,
     order: u64,
     requests: u64,
-    open: HashMap<RequestId, Open>,
+    checker: Checker,
     running: HashMap<(RequestId, usize), Running>,
     /// The list as this proxy has it.
     list: Vec<Entry>,
@@ -262,7 +249,7 @@
     let service = &scene.world.services[scene.service];
     let machine = service.callers[me];
     let count = service.machines.len();
-    let stream = world::seed(&[scene.plan.seed, 2, scene.phase, machine as u64]);
+    let stream = world::seed(&[scene.plan.seed, 2, scene.phase as u64, machine as u64]);
     let list: Vec<Entry> = service.machines.clone().map(|m| scene.world.entry(m)).collect();
     let settings = settings(scene.plan, scene.world, scene.service, me);
     let mut caller = Caller {
@@ -279,7 +266,7 @@
         steps: BinaryHeap::new(),
         order: 0,
         requests: 0,
-        open: HashMap::new(),
+        checker: Checker::default(),
         running: HashMap::new(),
         list,
         told_out: vec![None; count],
@@ -402,20 +389,18 @@
                 _ => {} // of a process that is gone
             }
         }
-        match self.open.iter().map(|(id, open)| (open.until, id.0)).min_by(|a, b| a.0.total_cmp(&b.0)) {
-            Some((until, id)) => {
-                self.now = until;
-                Err(self.broken(&format!("call {id} never had a final answer")))
-            }
-            None => Ok(()),
-        }
+        self.checker.end().map_err(|broken| self.broken(broken))
     }
 
-    fn broken(&self, what: &str) -> Error {
-        Error::Failed(format!(
-            "broken rule: {what}; seed {}, phase {}, machine {}, {:.6} s",
-            self.scene.plan.seed, self.scene.phase, self.machine, self.now
-        ))
+    fn broken(&self, broken: Broken) -> Error {
+        Error::Rule {
+            rule: broken.rule,
+            call: broken.call.0,
+            seed: self.scene.plan.seed,
+            phase: self.scene.phase.name(),
+            machine: self.machine,
+            at: self.now,
+        }
     }
 
     fn counted(&self) -> bool {
@@ -444,9 +429,7 @@
         self.requests += 1;
         let id = RequestId(self.requests);
         let counted = self.counted();
-        let until = self.now + plan.budget;
-        let open = Open { class, until, attempts: 0, may_have_run: false, counted };
-        self.open.insert(id, open);
+        self.checker.begun(id, EFFECTS[class], self.now + plan.budget, counted);
         self.played.counts.calls += u64::from(counted);
         let request = Request { id, class, budget: plan.budget, ..Request::default() };
         self.tell(Event::Request(request))?;
@@ -491,13 +474,13 @@
             Action::Send { id, backend, timeout } => self.send(id, backend, timeout),
             Action::Cancel { id, attempt } => self.ended(id, attempt, Outcome::Cancelled),
             Action::Refuse { id, .. } => {
-                let open = self.close(id, "refused")?;
+                let open = self.close(id)?;
                 self.played.counts.refused += u64::from(open.counted);
                 self.played.counts.nobody += u64::from(open.counted && open.attempts == 0);
                 Ok(())
             }
             Action::Fail { id } => {
-                let open = self.close(id, "failed")?;
+                let open = self.close(id)?;
                 self.played.counts.failed += u64::from(open.counted);
                 Ok(())
             }
@@ -515,32 +498,16 @@
         }
     }
 
-    /// A final answer: the first, and in time.
-    fn close(&mut self, id: RequestId, how: &str) -> Result<Open, Error> {
-        match self.open.remove(&id) {
-            None => Err(self.broken(&format!("call {} {how} after its final answer", id.0))),
-            Some(open) if self.now > open.until + ROUNDING => {
-                Err(self.broken(&format!("call {} {how} too late", id.0)))
-            }
-            Some(open) => Ok(open),
-        }
+    fn close(&mut self, id: RequestId) -> Result<Open, Error> {
+        self.checker.answered(id, self.now).map_err(|broken| self.broken(broken))
     }
 
     fn send(&mut self, id: RequestId, to: BackendId, timeout: Time) -> Result<(), Error> {
         let backend = (to.0 as usize).wrapping_sub(self.first);
         if backend >= self.list.len() {
-            return Err(self.broken(&format!("call {} sent to {}, which is in no list", id.0, to.0)));
+            return Err(self.broken(Broken { rule: Rule::Unlisted, call: id }));
         }
-        let Some(open) = self.open.get_mut(&id) else {
-            return Err(self.broken(&format!("call {} sent after its final answer", id.0)));
-        };
-        if open.class == 2 && open.may_have_run {
-            return Err(self.broken(&format!("unsafe call {} sent again", id.0)));
-        }
-        let attempt = open.attempts;
-        open.attempts += 1;
-        // Until its outcome tells otherwise.
-        open.may_have_run = true;
+        let attempt = self.checker.sent(id).map_err(|broken| self.broken(broken))?;
         let (outcome, at, gone) = self.attempt(backend, timeout);
         self.running.insert((id, attempt), Running { backend, sent: self.now });
         self.put(at, Due::Attempt(id, attempt, outcome));
@@ -610,15 +577,12 @@
         match outcome {
             Outcome::Served => {
                 self.answered[backend] = self.now;
-                if self.open.contains_key(&id) {
-                    let open = self.close(id, "served")?;
+                if self.checker.is_open(id) {
+                    let open = self.close(id)?;
                     self.played.counts.served += u64::from(open.counted);
                 }
             }
-            // The one attempt that an unsafe call has out never ran.
-            Outcome::NoConnection => {
-                self.open.get_mut(&id).into_iter().for_each(|open| open.may_have_run = false);
-            }
+            Outcome::NoConnection => self.checker.never_ran(id),
             _ => {}
         }
         self.tell(Event::Outcome(Ended {
@@ -627,7 +591,7 @@
             attempt,
             outcome,
             took: self.now - sent,
-            over: !self.open.contains_key(&id),
+            over: !self.checker.is_open(id),
             report: None,
         }))
     }
@@ -695,9 +659,7 @@
 
     /// Its machine goes, and all that it had open.
     fn stop(&mut self) {
-        let lost = self.open.values().filter(|open| open.counted).count();
-        self.played.counts.lost += lost as u64;
-        self.open.clear();
+        self.played.counts.lost += self.checker.lose() as u64;
         self.running.clear();
         self.answered.fill(f64::NEG_INFINITY);
         (self.up, self.listed) = (false, false);
--- a/fleetlab/src/fleet/tables.rs
+++ b/fleetlab/src/fleet/tables.rs
@@ -7,6 +7,9 @@
 use crate::report::{Report, Table, Value};
 use clap::ValueEnum;
 
+/// Services that are shown singly for a phase.
+const MOST_SHOWN: usize = 3;
+
 /// The services whose callers are looked at more closely.
 #[derive(Debug)]
 pub struct Roles {
@@ -69,7 +72,14 @@
 
 /// Adds all tables of what was played.
 pub fn tell(report: &mut Report, plan: &Plan, world: &World, roles: &Roles, played: &[(Phase, Phased)]) {
-    let tables = [calls(played), known(played), alone(plan, played), cold(played)];
+    let tables = [
+        what(world, played),
+        calls(played),
+        known(played),
+        alone(plan, played),
+        most_alone(plan, world, played),
+        cold(played),
+    ];
     report.tables.extend(tables);
     report.tables.push(by_role(plan, world, roles, played));
 }
@@ -85,6 +95,22 @@
     Value::from(if of > 0.0 { 100.0 * part / of } else { 0.0 })
 }
 
+fn what(world: &World, played: &[(Phase, Phased)]) -> Table {
+    let columns = ["phase", "services played", "proxies played", "machines restarted", "machines lost"];
+    let mut table = Table::new("What was played", &columns);
+    for (phase, phased) in played {
+        let proxies = phased.services.iter().map(|s| world.services[s.service].callers.len());
+        table.row([
+            Value::from(phase.name()),
+            Value::from(phased.services.len()),
+            Value::from(proxies.sum::<usize>()),
+            Value::from(phased.out[0]),
+            Value::from(phased.out[1]),
+        ]);
+    }
+    table
+}
+
 fn calls(played: &[(Phase, Phased)]) -> Table {
     let columns = [
         "phase",
@@ -170,7 +196,7 @@
                 .iter()
                 .fold([0, 0], |[all, alone], s| [all + s.looks[look][0], alone + s.looks[look][1]])
         };
-        let start = (plan.warm_up / LOOK).floor() as usize;
+        let start = first_look(plan);
         let worst = (start..looks).max_by_key(|look| (at(*look)[1], usize::MAX - look)).unwrap_or(0);
         let end = looks.saturating_sub(1);
         let pair = |look: usize| {
@@ -189,6 +215,31 @@
     table
 }
 
+/// The last look before anything happens.
+fn first_look(plan: &Plan) -> usize {
+    (plan.warm_up / LOOK).floor() as usize
+}
+
+fn most_alone(plan: &Plan, world: &World, played: &[(Phase, Phased)]) -> Table {
+    let columns = ["phase", "service", "backends in service", "in nobody's subset", "callers"];
+    let mut table = Table::new("Services with most such backends, at the start", &columns);
+    for (phase, phased) in played {
+        let alone = |s: &&Called| s.looks[first_look(plan)][1];
+        let mut services: Vec<&Called> = phased.services.iter().filter(|s| alone(s) > 0).collect();
+        services.sort_by_key(|s| (usize::MAX - alone(s), s.service));
+        for s in services.iter().take(MOST_SHOWN) {
+            table.row([
+                Value::from(phase.name()),
+                Value::from(s.service),
+                Value::from(s.looks[first_look(plan)][0]),
+                Value::from(alone(s)),
+                Value::from(world.services[s.service].callers.len()),
+            ]);
+        }
+    }
+    table
+}
+
 fn cold(played: &[(Phase, Phased)]) -> Table {
     let columns = [
         "phase",
@@ -287,6 +338,9 @@
             day / plan.window,
             plan.cut
         ),
+        "region: discovery is outside, and goes on listing what is cut off; the cut region hears nothing of \
+         it until it is back"
+            .to_string(),
         "messages are those with entries; empty answers of the watch are not among them. Discovery is \
          modelled: its processor time is not measured, and the delay of news is drawn"
             .to_string(),
--- a/fleetlab/src/fleet/together.rs
+++ b/fleetlab/src/fleet/together.rs
@@ -1,7 +1,7 @@
 //! A phase played by all proxies, and what they did put together, service by service.
 
 use super::caller::{self, Counts, LOOK, Played, Scene};
-use super::changes::Events;
+use super::changes::{Events, Going};
 use super::cost::Recording;
 use super::tables::Roles;
 use super::world::World;
@@ -19,6 +19,8 @@
 pub struct Phased {
     /// By service, the busiest first.
     pub services: Vec<Called>,
+    /// Machines that were restarted, and that vanished.
+    pub out: [usize; 2],
 }
 
 /// What became of a service, as its callers saw it.
@@ -71,13 +73,14 @@
         let first_out =
             |m| changes.iter().find(|c| c.machine == m && c.entry.status != Status::InService).map(|c| c.at);
         let out_from = machines.map(first_out).collect();
-        let phase = phase as u64;
         let scene =
             Scene { plan, world, events: &events, service: *service, changes, out_from, phase, give_up };
         play_service(&scene, roles)
     };
     let services = order.par_iter().with_max_len(1).map(of).collect::<Result<_, _>>()?;
-    Ok(Phased { services })
+    let out = [Going::Restart, Going::Vanish]
+        .map(|going| events.outages.iter().flatten().filter(|o| o.going == going).count());
+    Ok(Phased { services, out })
 }
 
 fn play_service(scene: &Scene<'_>, roles: &Roles) -> Result<Called, Error> {
