Tell calls that no backend was in reach of, and count a backend once it can be known

What is just back is in nobody's subset as nobody has heard of it; it now counts after the time in which news count as told. The look at the start is the last one before anything happens. Calls that went unserved while no backend in service was in reach (a cut) are counted apart.

--- a/fleetlab/src/fleet/changes.rs
+++ b/fleetlab/src/fleet/changes.rs
@@ -168,6 +168,11 @@
         changes
     }
 
+    /// A machine's backend is in service at a time.
+    pub fn in_service(&self, machine: usize, at: Time) -> bool {
+        self.outages[machine].is_none_or(|o| !(o.drain..o.up).contains(&at))
+    }
+
     /// The ways between two zones are cut at a time.
     pub fn cut_between(&self, one: usize, two: usize, at: Time, world: &World) -> bool {
         self.cut.is_some_and(|cut| {
--- a/fleetlab/src/fleet/tables.rs
+++ b/fleetlab/src/fleet/tables.rs
@@ -119,6 +119,7 @@
         "refused",
         "failed",
         "found nobody",
+        "unserved, none in reach",
         "lost with own machine",
         "attempts a call",
         "to what is gone",
@@ -137,6 +138,7 @@
             Value::from(c.refused as f64),
             Value::from(c.failed as f64),
             Value::from(c.nobody as f64),
+            Value::from(c.beyond as f64),
             Value::from(c.lost as f64),
             Value::from(c.attempts as f64 / all),
             Value::from(c.to_gone as f64),
@@ -187,7 +189,8 @@
         "for 10 s on end",
         "services with such",
     ];
-    let mut table = Table::new("Backends in service that are in nobody's subset", &columns);
+    let mut table =
+        Table::new("Backends in service, and known by now, that are in nobody's subset", &columns);
     for (phase, phased) in played {
         let looks = phased.services.iter().map(|s| s.looks.len()).min().unwrap_or(0);
         let at = |look: usize| {
@@ -217,7 +220,7 @@
 
 /// The last look before anything happens.
 fn first_look(plan: &Plan) -> usize {
-    (plan.warm_up / LOOK).floor() as usize
+    ((plan.warm_up / LOOK).ceil() as usize).saturating_sub(1)
 }
 
 fn most_alone(plan: &Plan, world: &World, played: &[(Phase, Phased)]) -> Table {
--- a/fleetlab/src/fleet/together.rs
+++ b/fleetlab/src/fleet/together.rs
@@ -33,7 +33,7 @@
     /// For each change, the time until half, 99 in 100 and all of the callers knew that were up
     /// all the while, in seconds.
     pub known: Vec<[f32; 3]>,
-    /// At each look: backends in service, and those of them in nobody's subset.
+    /// At each look: backends in service, but for those just back, and those of them in nobody's subset.
     pub looks: Vec<[usize; 2]>,
     /// Backends that were in service and in nobody's subset for ten looks on end.
     pub long_alone: usize,
@@ -120,8 +120,8 @@
     (!heard.is_empty()).then(|| [part(0.5), part(0.99), part(1.0)])
 }
 
-/// At each look the backends in service and those of them that are in nobody's subset; and the
-/// number of backends that were so for long.
+/// At each look the backends in service, once they count as told, and those of them that are in
+/// nobody's subset; and the number of backends that were so for long.
 fn alone(scene: &Scene<'_>, played: &[Played]) -> (Vec<[usize; 2]>, usize) {
     let machines = scene.world.services[scene.service].machines.clone();
     let count = machines.len();
@@ -137,8 +137,10 @@
         let at = look as f64 * LOOK;
         let mut seen = [0, 0];
         for (backend, machine) in machines.clone().enumerate() {
-            let outage = scene.events.outages[machine];
-            let in_service = outage.is_none_or(|o| !(o.drain..o.up).contains(&at));
+            // One that is just back can't be known yet.
+            let back = scene.events.outages[machine].map_or(f64::INFINITY, |o| o.up);
+            let known = !(back..back + scene.plan.deemed_told).contains(&at);
+            let in_service = scene.events.in_service(machine, at) && known;
             let alone = in_service && !held[backend];
             seen[0] += usize::from(in_service);
             seen[1] += usize::from(alone);
