--- a/fleetlab/src/fleet/caller.rs
+++ b/fleetlab/src/fleet/caller.rs
@@ -474,7 +474,7 @@
 
     fn act(&mut self, action: Action) -> Result<(), Error> {
         match action {
-            Action::Send { id, backend, timeout } => self.send(id, backend, timeout),
+            Action::Send { id, backend, timeout, .. } => self.send(id, backend, timeout),
             Action::Cancel { id, attempt } => self.ended(id, attempt, Outcome::Cancelled),
             Action::Refuse { id, .. } => self.unserved(id, true),
             Action::Fail { id } => self.unserved(id, false),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -969,9 +969,7 @@
                 lane.rests_until = self.now + self.settings.settle + self.settings.quantum;
             }
         }
-        let Some(slot) = slot else {
-            return orphan.into_iter().for_each(|key| self.advance(key, actions));
-        };
+        let Some(slot) = slot else { return orphan.into_iter().for_each(|key| self.advance(key, actions)) };
         let attempt = self.calls[slot].attempts.get_mut(ended.attempt);
         attempt.into_iter().for_each(|a| a.outcome = Some(ended.outcome));
         if ended.over {
@@ -1029,9 +1027,8 @@
             self.queue.retain(|s| *s != slot);
         }
         self.turned_away -= usize::from(call.turned_away);
-        let Some((key, lane)) = call.lane.and_then(|key| Some((key, self.lanes.get_mut(&key)?))) else {
-            return;
-        };
+        let lane = call.lane.and_then(|key| Some((key, self.lanes.get_mut(&key)?)));
+        let Some((key, lane)) = lane else { return };
         lane.queue.retain(|s| *s != slot);
         for i in (0..call.attempts.len()).filter(|i| call.attempts[*i].outcome.is_none()) {
             lane.out += 1;
