fleetlab control: real proxies against a stand-in discovery, what keeping lists costs

Starts the proxy's program as processes, each in a private folder, against a discovery of our own that speaks the protocol's list and watch and has an address for each proxy, so that calls and bytes are counted apart. For each size of the list and number of proxies: calls, bytes, processor time, resident memory and descriptors at rest, at the fleet's own rate and at change rates past it, each beside its budget; the time until a change is in force at 50%, 99% and all; and what a discovery that refused, was silent or slow gets from all at its return.

In force is seen from outside, at the proxy's next call: it names the version that it has taken in (`since=`). That is finer than asking management for figures, and costs the proxy nothing. Processor time is of the scheduler's counts in nanoseconds, as the ticks of `stat` are as long as a second's whole budget. Processes, threads and folders end by ownership; Ctrl-C and SIGTERM end a run through the same path.

--- a/fleetlab/src/error.rs
+++ b/fleetlab/src/error.rs
@@ -35,6 +35,9 @@
     /// What the measurement needs is not there or does not work.
     #[error("{0}")]
     Failed(String),
+    /// Ctrl-C or SIGTERM; what was started has been stopped.
+    #[error("ended by a signal: no report")]
+    Interrupted,
     /// The system refused something.
     #[error(transparent)]
     Io(#[from] std::io::Error),
--- a/fleetlab/src/lib.rs
+++ b/fleetlab/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod added;
 pub mod control;
+pub mod discovery;
 pub mod error;
 pub mod fleet;
 pub mod plan;
+pub mod process;
 pub mod report;
 pub mod slopes;
 pub mod stats;
