--- a/fleetlab/src/lib.rs
+++ b/fleetlab/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod added;
 pub mod control;
 pub mod discovery;
+pub mod draw;
 pub mod error;
 pub mod fleet;
 pub mod plan;
 pub mod process;
 pub mod report;
+pub mod serve;
 pub mod slopes;
 pub mod stats;
