--- a/fleetlab/src/lib.rs
+++ b/fleetlab/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod added;
+pub mod backend;
 pub mod control;
 pub mod discovery;
 pub mod draw;
