--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,9 +87,9 @@
 const SENDS_A_PROBE: usize = 3;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
 const COLD_MARGIN: f64 = 0.4;
-/// First wait before a failed call for the list is made again, at the most: what a silent watch
-/// missed counts as told 6 s after it fell silent, and until that is noticed 2 s pass.
-const WATCH_WAIT: Time = 1.0;
+/// Mean wait before a failed call for the list is made again, after the failure and after the call
+/// began: 6 s after a return all counts as told, also where two calls take 2 s to fail after it.
+const WATCH_WAIT: [Time; 2] = [0.25, 1.0];
 /// The token of the timer that asks for the list; tokens of calls are above it.
 const LIST_TOKEN: u64 = 0;
 /// Kinds of timers of calls: a firing, the end of its time, its turn in a lane.
@@ -350,7 +350,8 @@
     /// Attempts sent so far.
     sends: usize,
     watch_asked: bool,
-    watch_wait: Time,
+    /// When the last call for the list that follows a failure begins.
+    watch_at: Time,
 }
 
 impl Balancer {
@@ -363,6 +364,7 @@
             most_lanes: 16,
             sent: Rate { at: now, ..Rate::default() },
             served: Rate { at: now, ..Rate::default() },
+            watch_at: f64::NEG_INFINITY,
             ..Self::default()
         };
         balancer.adopt(&settings);
@@ -396,7 +398,6 @@
         // Never zero, whatever the settings hold: rates are counts over this.
         let least = new.quantum.max(f64::EPSILON);
         self.memory = RATE_MEMORY * T1_REACH * new.classes.iter().map(|c| c.aim).fold(least, f64::max);
-        self.watch_wait = WATCH_WAIT.min(new.ask_within / 10.0);
         // Members stay, unless the backends are dealt out to others now.
         let dealt = |s: &Settings| (s.instances, s.me, s.tier, s.zone, s.cross_zone > 0.0);
         if dealt(&old) != dealt(&new) {
@@ -1115,10 +1116,10 @@
     fn list(&mut self, update: ListUpdate<'_>, actions: &mut Vec<Action>) {
         match update {
             ListUpdate::Refused => {
-                // Asked again later and later, and not all at once: what failed may be busy.
-                let wait = self.watch_wait * (0.5 + self.rng.0.random::<f64>());
-                self.watch_wait = (2.0 * self.watch_wait).min(self.settings.ask_within);
-                return actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
+                // Asked again with a pause, and not all at once: what failed may be busy.
+                let part = 0.5 + self.rng.0.random::<f64>();
+                self.watch_at = (self.now + WATCH_WAIT[0] * part).max(self.watch_at + WATCH_WAIT[1] * part);
+                return actions.push(Action::Timer { at: self.watch_at, token: LIST_TOKEN });
             }
             ListUpdate::Full(entries) | ListUpdate::Remembered(entries) => {
                 self.backends.iter_mut().for_each(|b| b.entry.status = Status::Gone);
@@ -1126,7 +1127,6 @@
             }
             ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
-        self.watch_wait = WATCH_WAIT.min(self.settings.ask_within / 10.0);
         self.relist();
         self.forget();
     }
