Force, wait by wait, the leaving of a client whose request has yet to be sent on

The term is that no attempt, first or further, begins later than 0.1 s after its client has left, for everything that a request or a repeat can wait for. Tested so far: a connection that comes up late, the timer after a backend has turned a request away, a body that nobody takes in. Now the other waits have tests: the end of the client and what the request waits for (a timer that falls due, the answer ahead of it, room for its connection, SIGTERM) come about while the process stands still, where it matters in both orders.

--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -332,6 +332,16 @@
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
+
+    /// Lets `meanwhile` happen while the process stands still. It has stopped when that begins.
+    pub fn stands_still<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        wait_for("standstill", || state().rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T')));
+        let happened = meanwhile();
+        self.signal("-CONT");
+        happened
+    }
 }
 
 impl Drop for Proxy {
@@ -473,18 +483,37 @@
 pub struct Late {
     listener: TcpListener,
     pub address: SocketAddr,
-    _first: TcpStream,
+    first: Option<TcpStream>,
 }
 
 impl Late {
     #[allow(clippy::new_without_default)]
     pub fn new() -> Self {
+        let mut late = Self::not_yet();
+        late.fill();
+        late
+    }
+
+    /// One whose connections come up until it is filled.
+    pub fn not_yet() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(0).unwrap();
         let listener = TcpListener::from(socket);
         let address = listener.local_addr().unwrap();
-        Self { listener, address, _first: TcpStream::connect(address).unwrap() }
+        Self { listener, address, first: None }
+    }
+
+    /// From now on they don't.
+    pub fn fill(&mut self) {
+        self.first = Some(TcpStream::connect(self.address).unwrap());
+    }
+
+    /// The next connection that has come up.
+    pub fn accept(&self) -> BufReader<TcpStream> {
+        let (stream, _) = self.listener.accept().unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        BufReader::new(stream)
     }
 
     /// Someone is connecting to it.
@@ -513,13 +542,23 @@
     }
 }
 
+pub const ESTABLISHED: &str = "01";
 pub const SYN_SENT: &str = "02";
 pub const CLOSE_WAIT: &str = "08";
 
 /// Sockets in this state whose other side is at this port.
 pub fn sockets_in(port: u16, state: &str) -> usize {
+    sockets_by(2, port, state)
+}
+
+/// Sockets in this state at this port.
+pub fn sockets_at(port: u16, state: &str) -> usize {
+    sockets_by(1, port, state)
+}
+
+fn sockets_by(column: usize, port: u16, state: &str) -> usize {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
     let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
-    let far = format!(":{port:04X}");
-    rows.filter(|row| row[2].ends_with(&far) && row[3] == state).count()
+    let end = format!(":{port:04X}");
+    rows.filter(|row| row[column].ends_with(&end) && row[3] == state).count()
 }
