Take settings, limits and discovery over on SIGHUP, whole or not at all

Design: the file is read and checked whole, then all of it comes into force in one turn without a wait, or none of it. The engine alone holds the settings in force (`Terms`); server, sockets, figures and the watch take them from there. A request keeps those that it came with, also its bound of attempts. One whose body was still coming is checked again from its headers just before it goes to the module, so that no place in an older list of classes or tenants reaches that. Zones keep their numbers by their names. A planned stop goes by the longest deadline that an open request came with, settled once with SIGTERM.

`version` in `settings`, if there, orders the files: a lower one, a lost one, or the same with other settings is refused. Errors name the field by its path (serde_path_to_error, run only once something is wrong). Two classes or tenants of one name, `me` beyond `n-instances`, negative figures, a file beyond 16 MiB or that is no plain one are refused here; a start takes what it took.

`known` is skipped in a file that is read again.

Ruled out: places of classes that only grow (they keep what every change leaves behind); a copy of the settings in each part (two of them could differ between two turns).

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use gannetproxy::proxy::limits::Caps;
 use gannetproxy::proxy::maintenance::{Book, Maintenance};
 use gannetproxy::proxy::management::{self, MOST_CALLERS, Management};
+use gannetproxy::proxy::reload::Reload;
 use gannetproxy::proxy::seat::Seat;
 use gannetproxy::proxy::server::{self, Server};
 use std::path::Path;
@@ -41,9 +42,9 @@
 
 async fn run() -> Result<(), StartError> {
     // The handlers come first: a signal that finds none ends the program.
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
-    let config = Config::from_env(Wins::Environment)?;
+    let mut config = Config::from_env(Wins::Environment)?;
     let management = match config.management {
         Some(address) => Some(management::bind(address).await?),
         None => None,
@@ -60,16 +61,14 @@
     let successor = seat.as_ref().is_some_and(|seat| seat.shared());
     let managed = management.is_some();
     let kept = if managed { MOST_CALLERS + 1 } else { 0 };
-    let caps_of =
-        move |shared: bool| Caps::new(if shared { config.limits.half() } else { config.limits }, kept);
-    let caps = caps_of(successor);
-    let figures = Figures::new(&config.wire);
-    let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, caps.backends, figures);
-    let (at, known, wire) = (config.discovery, config.known, &config.wire);
-    let discovery =
-        Discovery::start(at, config.seed, known, wire, &config.settings, engine.clone(), book.clone());
+    let caps = Caps::new(config.limits.part(successor), kept);
+    let terms = Rc::new(std::mem::take(&mut config.terms));
+    let figures = Figures::new(&terms.wire);
+    let engine = Engine::start(terms.clone(), config.seed, caps.backends, figures);
+    let (at, known) = (config.discovery, std::mem::take(&mut config.known));
+    let discovery = Discovery::start(at, config.seed, known, &terms, engine.clone(), book.clone());
     let maintenance = book.map(|book| Maintenance::start(book, discovery.clone(), engine.clone()));
-    let server = Server::new(engine.clone(), config.settings, config.wire, caps, seat.clone());
+    let server = Server::new(engine.clone(), caps, seat.clone());
     if let Some((listener, maintenance)) = management.zip(maintenance) {
         tokio::task::spawn_local(Management::new(server.clone(), maintenance).run(listener));
     }
@@ -79,13 +78,11 @@
     }
     let listener = server::bind(config.listen, managed)?;
     log!("dewpier: listening on {}", listener.local_addr()?);
+    let reload = Rc::new(Reload::new(&config, kept, server.clone(), engine, discovery, seat.clone()));
+    let signals = reload.clone();
     let reloading = async move {
-        while reload.recv().await.is_some() {
-            // What can't be used changes nothing.
-            match Config::from_env(Wins::File) {
-                Ok(config) => discovery.move_to(config.discovery),
-                Err(error) => log!("dewpier: not reloaded: {error}"),
-            }
+        while hangup.recv().await.is_some() {
+            signals.signalled();
         }
         std::future::pending().await
     };
@@ -93,13 +90,10 @@
         // Without it the other process takes this one for absent, and goes on taking connections.
         let told = seat.listening();
         told.unwrap_or_else(|error| log!("dewpier: {}: {error}", place.display()));
-        let server = server.clone();
         tokio::task::spawn_local(async move {
             loop {
                 tokio::time::sleep(LOOK).await;
-                let shared = seat.shared();
-                server.keep_to(caps_of(shared));
-                engine.beside(shared);
+                reload.look();
             }
         });
     }
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -379,8 +379,8 @@
     /// Goes up when its connections are no longer to be kept.
     era: Cell<u64>,
     budget: Rc<Budget>,
-    connect_timeout: Duration,
-    reuse_within: Duration,
+    connect_timeout: Cell<Duration>,
+    reuse_within: Cell<Duration>,
 }
 
 impl Endpoint {
@@ -394,11 +394,17 @@
             gone: Cell::new(false),
             era: Cell::new(0),
             budget,
-            connect_timeout,
-            reuse_within: idle.mul_f64(REUSE_WITHIN),
+            connect_timeout: Cell::new(connect_timeout),
+            reuse_within: Cell::new(idle.mul_f64(REUSE_WITHIN)),
         }
     }
 
+    /// From now on these are the time to connect in, and that after which it closes what is idle.
+    pub fn keep_to(&self, connect_timeout: Duration, idle: Duration) {
+        self.connect_timeout.set(connect_timeout);
+        self.reuse_within.set(idle.mul_f64(REUSE_WITHIN));
+    }
+
     /// What the list now says: where it is and, if it drains or is gone, when sends must end.
     pub fn update(&self, address: SocketAddr, last_send: Option<Time>) {
         if self.address.replace(address) != address || last_send.is_some() {
@@ -436,7 +442,7 @@
     pub fn sweep(&self) {
         let fresh = |idle: Idle| {
             let Idle { peer, permit, since } = idle;
-            let peer = peer.checked().filter(|_| since.elapsed() < self.reuse_within)?;
+            let peer = peer.checked().filter(|_| since.elapsed() < self.reuse_within.get())?;
             Some(Idle { peer, permit, since })
         };
         let swept = self.idle.take().into_iter().filter_map(fresh).collect();
@@ -469,14 +475,14 @@
             let Some(Idle { peer, permit, since }) = settled.map(|i| idle.remove(i)) else {
                 break;
             };
-            if since.elapsed() < self.reuse_within
+            if since.elapsed() < self.reuse_within.get()
                 && let Some(peer) = peer.checked()
             {
                 return Some((peer, permit, false));
             }
         }
         let permit = self.budget.take(1)?;
-        let peer = connect(self.address.get(), self.connect_timeout).await.ok()?;
+        let peer = connect(self.address.get(), self.connect_timeout.get()).await.ok()?;
         Some((peer, permit, true))
     }
 }
@@ -563,7 +569,7 @@
         request.headers_mut().insert("host", HeaderValue::from_static("backend"));
         Some(request)
     };
-    let within = 4 * endpoint.connect_timeout;
+    let within = 4 * endpoint.connect_timeout.get();
     let written = Rc::default();
     let probed = exchange(&endpoint, &clock, &written, request, None, None);
     tokio::time::timeout(within, probed).await.unwrap_or(Done::without_answer(Outcome::Timeout))
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,9 +1,14 @@
-//! What a proxy is told at its start: environment and JSON, turned into the module's settings.
+//! What a proxy is told, at its start and whenever it changes: environment and JSON, turned into the
+//! module's settings.
 
 use super::discovery::{self, RawList};
 use super::limits::Limits;
 use crate::{Class, Effect, Group, Settings, Tenant, Time};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::collections::HashSet;
+use std::fs::File;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -20,23 +25,25 @@
         /// The file.
         path: String,
         /// What the system said.
-        error: std::io::Error,
+        error: io::Error,
     },
     /// JSON that is malformed or lacks a value.
-    #[error("{path}: {error}")]
+    #[error("{path}: {field}: {error}")]
     Json {
         /// The file.
         path: String,
+        /// The field, by its path in the file.
+        field: String,
         /// What is wrong, and where.
         error: serde_json::Error,
     },
     /// A value that makes no sense.
     #[error("{name}: expected {expected}, got '{got}'")]
     Value {
-        /// Its name.
+        /// Its name, by its path in the file.
         name: String,
         /// What it should have been.
-        expected: &'static str,
+        expected: String,
         /// What it was.
         got: String,
     },
@@ -55,23 +62,56 @@
     pub seed: u64,
     /// What the process may hold and use.
     pub limits: Limits,
-    /// The list of backends as last had.
+    /// The list of backends as last had; none where the file is read again.
     pub known: RawList,
+    /// The settings.
+    pub terms: Terms,
+}
+
+/// The settings, as one: they change whole or not at all.
+#[derive(Debug, Default, PartialEq)]
+pub struct Terms {
     /// What the module is told.
     pub settings: Settings,
-    /// What only the proxy needs of the settings.
+    /// What only the proxy needs.
     pub wire: WireSettings,
 }
 
+impl Terms {
+    /// The longest deadline of all classes.
+    pub fn longest(&self) -> Time {
+        self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max)
+    }
+
+    /// May these follow upon `old` ones? Files can come late or again: the order is theirs to tell,
+    /// by their versions, where they have any.
+    pub fn follow(&self, old: &Self) -> Result<(), ConfigError> {
+        let Some(had) = old.wire.version else {
+            return Ok(());
+        };
+        let expected = match self.wire.version {
+            Some(version) if version > had || version == had && self == old => return Ok(()),
+            Some(version) if version == had => format!("more than {had}, as other settings differ from it"),
+            _ => format!("{had} or more, which is in force"),
+        };
+        let got = self.wire.version.map_or("none".to_string(), |version| version.to_string());
+        Err(bad("settings.version", expected, got))
+    }
+}
+
 /// The part of the settings that sockets need and decisions don't.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq)]
 pub struct WireSettings {
+    /// Goes up with each change, where whoever writes the file numbers them.
+    pub version: Option<u64>,
     /// Class names, in the order of the settings.
     pub classes: Vec<String>,
     /// Tenant names, in the order of the settings.
     pub tenants: Vec<String>,
-    /// Zone names; an entry's zone is the place of its name here.
+    /// Zone names; at the start, an entry's zone is the place of its name here.
     pub zones: Vec<String>,
+    /// The name of the zone this proxy is in.
+    pub zone: String,
     /// A connection not up by then never comes up.
     pub connect_timeout: Duration,
     /// Backends close idle connections after this.
@@ -83,16 +123,21 @@
 }
 
 #[derive(Deserialize)]
-struct File {
+struct RawConfig {
     listen: Option<String>,
     management: Option<String>,
     discovery: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: RawLimits,
+    settings: RawSettings,
+}
+
+/// By far the longest part of a file, and of no use but at a start.
+#[derive(Deserialize)]
+struct RawKnown {
     #[serde(default)]
     known: RawList,
-    settings: RawSettings,
 }
 
 #[derive(Deserialize, Default)]
@@ -127,6 +172,9 @@
     stats: Stats,
     #[serde(default)]
     tier: usize,
+    /// What is no version says nothing at a start, and is an error later.
+    #[serde(default)]
+    version: serde_json::Value,
     #[serde(default)]
     zone: String,
     #[serde(default)]
@@ -239,8 +287,11 @@
 /// Where no grace is told: the one of the protocol's example.
 const DRAIN_GRACE: f64 = 1.0;
 
-fn bad(name: &str, expected: &'static str, got: impl ToString) -> ConfigError {
-    ConfigError::Value { name: name.to_string(), expected, got: got.to_string() }
+/// Longest file that is taken over while requests wait.
+const MOST_BYTES: u64 = 16 << 20;
+
+fn bad(name: impl ToString, expected: impl ToString, got: impl ToString) -> ConfigError {
+    ConfigError::Value { name: name.to_string(), expected: expected.to_string(), got: got.to_string() }
 }
 
 /// A span of time that fits a `Duration`.
@@ -248,6 +299,13 @@
     Duration::try_from_secs_f64(seconds).map_err(|_| bad(name, "seconds, not below 0", seconds))
 }
 
+fn not_negative(name: impl Fn() -> String, value: f64) -> Result<f64, ConfigError> {
+    match value.is_finite() && value >= 0.0 {
+        true => Ok(value),
+        false => Err(bad(name(), "a number not below 0", value)),
+    }
+}
+
 /// Which word on where discovery is holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wins {
@@ -257,16 +315,58 @@
     File,
 }
 
+fn variable(name: &'static str) -> Result<String, ConfigError> {
+    std::env::var(name).map_err(|_| ConfigError::Unset(name))
+}
+
+/// The text of the file. One that is read while requests wait must be a plain one, which never keeps
+/// its reader waiting, of a bounded length.
+fn text(path: &str, wins: Wins) -> Result<String, ConfigError> {
+    let unread = |error| ConfigError::Read { path: path.to_string(), error };
+    if wins == Wins::Environment {
+        return std::fs::read_to_string(path).map_err(unread);
+    }
+    if !std::fs::metadata(path).map_err(unread)?.is_file() {
+        return Err(bad(path, "a plain file", "something else"));
+    }
+    let mut text = String::new();
+    let file = File::open(path).map_err(unread)?;
+    let length = file.take(MOST_BYTES + 1).read_to_string(&mut text).map_err(unread)?;
+    match length as u64 <= MOST_BYTES {
+        true => Ok(text),
+        false => Err(bad(path, format!("at most {MOST_BYTES} bytes"), "more")),
+    }
+}
+
+fn parse<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, ConfigError> {
+    // To keep track of where it is takes longer: that is done when something is wrong.
+    if let Ok(parsed) = serde_json::from_str(text) {
+        return Ok(parsed);
+    }
+    let wrong = |field: String, error| {
+        let field = if field == "." { "the whole".to_string() } else { field };
+        ConfigError::Json { path: path.to_string(), field, error }
+    };
+    let mut json = serde_json::Deserializer::from_str(text);
+    let parsed = serde_path_to_error::deserialize(&mut json);
+    let parsed = parsed.map_err(|error| wrong(error.path().to_string(), error.into_inner()))?;
+    json.end().map_err(|error| wrong("the whole".to_string(), error))?;
+    Ok(parsed)
+}
+
 impl Config {
-    /// Reads the environment and the file that it names.
+    /// Reads the environment and the file that it names. Where the file's word holds, it comes while
+    /// requests are served, and is held to more than at a start.
     pub fn from_env(wins: Wins) -> Result<Self, ConfigError> {
-        let var = |name: &'static str| std::env::var(name).map_err(|_| ConfigError::Unset(name));
-        let path = var("RELAY_CONFIG")?;
-        let text = std::fs::read_to_string(&path)
-            .map_err(|error| ConfigError::Read { path: path.clone(), error })?;
-        let file: File = serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })?;
+        let path = variable("RELAY_CONFIG")?;
+        let text = text(&path, wins)?;
+        let file: RawConfig = parse(&path, &text)?;
+        let known = match wins {
+            Wins::Environment => parse::<RawKnown>(&path, &text)?.known,
+            Wins::File => file.check().map(|()| RawList::default())?,
+        };
         let address = |name: &'static str, in_file: &Option<String>| {
-            let text = var(name).or_else(|unset| in_file.clone().ok_or(unset))?;
+            let text = variable(name).or_else(|unset| in_file.clone().ok_or(unset))?;
             text.parse::<SocketAddr>().map_err(|_| bad(name, "address:port", text))
         };
         let listen = address("RELAY_LISTEN", &file.listen)?;
@@ -280,29 +380,31 @@
         let management = std::env::var("RELAY_MANAGEMENT").ok().filter(named);
         let management = management.or_else(|| file.management.clone().filter(named));
         let parsed = management.map(|m| m.parse().map_err(|_| bad("management", "address:port", m)));
-        Ok(Self { management: parsed.transpose()?, ..Self::from_file(file, listen, discovery)? })
+        Ok(Self { management: parsed.transpose()?, known, ..Self::from_file(file, listen, discovery)? })
     }
 
-    fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
+    fn from_file(file: RawConfig, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
         let seed = file.seed.as_deref().unwrap_or("0");
         let seed = u64::from_str_radix(seed, 16).map_err(|_| bad("seed", "hex digits", seed))?;
         let (raw, plain) = (file.settings, Settings::default());
         let mut zones = raw.zones;
         let zone = discovery::zone_index(&mut zones, &raw.zone);
         let wire = WireSettings {
+            version: raw.version.as_u64(),
             classes: raw.classes.iter().map(|c| c.name.clone()).collect(),
             tenants: raw.projects.iter().map(|p| p.name.clone()).collect(),
             zones,
+            zone: raw.zone,
             connect_timeout: span(
-                "caps.connect-timeout",
+                "settings.caps.connect-timeout",
                 raw.caps.connect_timeout.unwrap_or(CONNECT_TIMEOUT),
             )?,
-            idle_close: span("caps.idle-close", raw.caps.idle_close.unwrap_or(IDLE_CLOSE))?,
-            drain_grace: span("rules.drain-grace", raw.rules.drain_grace.unwrap_or(DRAIN_GRACE))?,
+            idle_close: span("settings.caps.idle-close", raw.caps.idle_close.unwrap_or(IDLE_CLOSE))?,
+            drain_grace: span("settings.rules.drain-grace", raw.rules.drain_grace.unwrap_or(DRAIN_GRACE))?,
             max_open: raw.caps.max_open.unwrap_or(usize::MAX),
         };
         let settings = Settings {
-            classes: raw.classes.into_iter().map(class).collect::<Result<_, _>>()?,
+            classes: raw.classes.into_iter().enumerate().map(class).collect::<Result<_, _>>()?,
             tenants: raw.projects.into_iter().map(tenant).collect(),
             over_share_worth: raw.over_share_worth.unwrap_or(plain.over_share_worth),
             instances: raw.n_instances.unwrap_or(plain.instances),
@@ -328,8 +430,67 @@
         };
         let memory = (file.limits.memory_mb.unwrap_or(MEMORY_MB) * f64::from(1 << 20)) as usize;
         let limits = Limits { descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory };
-        let management = None;
-        Ok(Self { listen, management, discovery, seed, limits, known: file.known, settings, wire })
+        let (management, known) = (None, RawList::default());
+        let terms = Terms { settings, wire };
+        Ok(Self { listen, management, discovery, seed, limits, known, terms })
+    }
+}
+
+/// Names that two have can't tell them apart.
+fn differ<'a>(list: &str, names: impl Iterator<Item = &'a String>) -> Result<(), ConfigError> {
+    let mut seen = HashSet::new();
+    match names.enumerate().find(|(_, name)| !seen.insert(*name)) {
+        None => Ok(()),
+        Some((i, name)) => Err(bad(format!("settings.{list}[{i}].name"), "a name of its own", name)),
+    }
+}
+
+impl RawConfig {
+    /// What holds of one that is taken over while requests are served. A start takes more, as it has
+    /// nothing better to go by.
+    fn check(&self) -> Result<(), ConfigError> {
+        let settings = &self.settings;
+        let RawSettings { caps, costs, rules, .. } = settings;
+        if !settings.version.is_null() && !settings.version.is_u64() {
+            return Err(bad("settings.version", "a whole number", &settings.version));
+        }
+        differ("classes", settings.classes.iter().map(|c| &c.name))?;
+        differ("projects", settings.projects.iter().map(|p| &p.name))?;
+        let instances = settings.n_instances.unwrap_or(Settings::default().instances);
+        if settings.me >= instances {
+            return Err(bad("settings.me", format!("less than n-instances, {instances}"), settings.me));
+        }
+        let figures = [
+            ("limits.memory_mb", self.limits.memory_mb),
+            ("settings.over-share-worth", settings.over_share_worth),
+            ("settings.quantum", settings.quantum),
+            ("settings.caps.max-retry-after", Some(caps.max_retry_after)),
+            ("settings.costs.connection", Some(costs.connection)),
+            ("settings.costs.cross-zone", Some(costs.cross_zone)),
+            ("settings.costs.handshake", Some(costs.handshake)),
+            ("settings.rules.ask-within", rules.ask_within),
+            ("settings.rules.cold", rules.cold),
+            ("settings.rules.cold-share", rules.cold_share),
+            ("settings.rules.fall-multiple", rules.fall_multiple),
+            ("settings.rules.tip-after", rules.tip_after),
+            ("settings.rules.settle-after-doubt", rules.settle_after_doubt),
+            ("settings.rules.release-within", rules.release_within),
+        ];
+        for (name, value) in figures {
+            not_negative(|| name.to_string(), value.unwrap_or(0.0))?;
+        }
+        for (i, class) in settings.classes.iter().enumerate() {
+            let figures =
+                [("late-worth", class.late_worth), ("worth", class.worth), ("window", class.window)];
+            for (name, value) in figures {
+                not_negative(|| format!("settings.classes[{i}].{name}"), value.unwrap_or(0.0))?;
+            }
+        }
+        for (i, project) in settings.projects.iter().enumerate() {
+            let name = || format!("settings.projects[{i}].quota-per-s");
+            not_negative(name, project.quota_per_s.unwrap_or(0.0))?;
+        }
+        Ok(())
     }
 }
 
@@ -337,18 +498,15 @@
     Tenant { name: raw.name, quota: raw.quota_per_s.unwrap_or(f64::MAX) }
 }
 
-fn class(raw: RawClass) -> Result<Class, ConfigError> {
-    let positive = |name: &str, value: Time| match value.is_finite() && value >= 0.0 {
-        true => Ok(value),
-        false => Err(bad(&format!("{} of class {}", name, raw.name), "a number not below 0", value)),
-    };
+fn class((i, raw): (usize, RawClass)) -> Result<Class, ConfigError> {
+    let time = |name: &str, value: Time| not_negative(|| format!("settings.classes[{i}].{name}"), value);
     let plain = Class::default();
     // Each of the two stands in for the other.
     let deadline = raw.hard_limit.or(raw.on_time).unwrap_or(plain.deadline);
     Ok(Class {
         name: raw.name.clone(),
-        aim: positive("on-time", raw.on_time.unwrap_or(deadline))?,
-        deadline: positive("hard-limit", deadline)?,
+        aim: time("on-time", raw.on_time.unwrap_or(deadline))?,
+        deadline: time("hard-limit", deadline)?,
         late_worth: raw.late_worth.unwrap_or(plain.late_worth),
         worth: raw.worth.unwrap_or(plain.worth),
         effect: match raw.effect {
@@ -360,7 +518,7 @@
                     RawGroup::Zone => Group::Zone,
                     RawGroup::Cell => Group::Cell,
                 },
-                window: positive("window", raw.window.unwrap_or(0.0))?,
+                window: time("window", raw.window.unwrap_or(0.0))?,
             },
         },
         in_order: raw.fifo_by_key,
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the watch and fetch calls, and lists in the module's terms.
 
 use super::backend::{self, Peer};
-use super::config::WireSettings;
+use super::config::Terms;
 use super::engine::{Clock, Engine};
 use super::maintenance::Book;
 use super::stream::Outgoing;
@@ -199,32 +199,29 @@
     /// Goes up when the address changes: what the old one still says is not taken in.
     era: Cell<u64>,
     rng: RefCell<SmallRng>,
-    /// How long a call waits for news, as a rule and after a failure: a discovery that has fallen
-    /// silent shows after that.
-    waits: [Duration; 2],
+    /// Without asking for so long, nothing counts as told: no call waits longer for news.
+    ask_within: Cell<Duration>,
     /// The last call of the watch failed.
     failed: Cell<bool>,
     /// The module says when to call again after a failure.
-    asked: bool,
+    asked: Cell<bool>,
     /// Where the names of all that are ever listed are kept, if they are.
     book: Option<Rc<Book>>,
     heard: watch::Sender<bool>,
 }
 
 impl Discovery {
-    /// Hands the known list to the engine, and starts the watch where no one has to ask for it.
-    /// The `seed` spreads its calls among those of other proxies.
+    /// Hands the known list to the engine, and starts the watch where no one has to ask for it. Zones
+    /// are numbered as in these settings. The `seed` spreads its calls among those of other proxies.
     pub fn start(
         address: SocketAddr,
         seed: u64,
         known: RawList,
-        wire: &WireSettings,
-        settings: &Settings,
+        terms: &Terms,
         engine: Rc<Engine>,
         book: Option<Rc<Book>>,
     ) -> Rc<Self> {
-        let ask_within = Duration::try_from_secs_f64(settings.ask_within).unwrap_or(Duration::MAX);
-        let zones = wire.zones.clone();
+        let zones = terms.wire.zones.clone();
         let names = Translation { zones, ids: HashMap::new(), taken: HashSet::new() };
         let discovery = Rc::new(Self {
             address: Cell::new(address),
@@ -233,22 +230,45 @@
             watch: RefCell::default(),
             era: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
-            waits: MOST_WATCH.map(|most| most.min(ask_within)),
+            ask_within: Cell::default(),
             failed: Cell::new(false),
-            asked: settings.must_watch,
+            asked: Cell::default(),
             book,
             heard: watch::Sender::new(false),
             engine,
         });
+        discovery.keep_to(&terms.settings);
         discovery.engine.set_discovery(&discovery);
         let listed = discovery.translate(known.instances);
         discovery.engine.news(News::Remembered(listed));
-        if !settings.must_watch {
+        if !terms.settings.must_watch {
             discovery.watch(true);
         }
         discovery
     }
 
+    /// Goes by these settings, which have changed. A watch that is on goes on; one is begun if none
+    /// is: nobody may have to ask now, or sooner than the module would.
+    pub fn settle(self: &Rc<Self>, settings: &Settings) {
+        self.keep_to(settings);
+        self.watch(true);
+    }
+
+    fn keep_to(&self, settings: &Settings) {
+        self.ask_within.set(Duration::try_from_secs_f64(settings.ask_within).unwrap_or(Duration::MAX));
+        self.asked.set(settings.must_watch);
+    }
+
+    /// The number of a zone by its name, which it keeps.
+    pub fn zone(&self, name: &str) -> u32 {
+        zone_index(&mut self.names.borrow_mut().zones, name)
+    }
+
+    /// Where it is asked.
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
     /// The number of a backend by its name.
     pub fn backend(&self, name: &str) -> BackendId {
         self.names.borrow_mut().id(name)
@@ -310,7 +330,8 @@
         loop {
             let begun = Instant::now();
             let failed = usize::from(self.failed.get());
-            let (wait, within) = (self.waits[failed], self.spread(PATIENCE[failed]));
+            let (wait, within) =
+                (MOST_WATCH[failed].min(self.ask_within.get()), self.spread(PATIENCE[failed]));
             let answer = match self.generation.get() {
                 Some(since) => {
                     let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
@@ -319,7 +340,7 @@
                 None => self.call("/api/targets", within, &mut peer).await,
             };
             self.failed.set(answer.is_err());
-            if answer.is_err() && self.asked {
+            if answer.is_err() && self.asked.get() {
                 // Over before the module is told: its next call begins a watch of its own.
                 *self.watch.borrow_mut() = None;
                 self.take(answer);
@@ -357,7 +378,7 @@
             }
             Err(error) => {
                 log!("discovery: {error}");
-                if self.asked {
+                if self.asked.get() {
                     self.engine.news(News::Refused);
                 }
                 false
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -3,7 +3,7 @@
 //! request gets exactly one final answer.
 
 use super::backend::{self, Done, Endpoint, Served};
-use super::config::WireSettings;
+use super::config::Terms;
 use super::discovery::{Discovery, Listed, News};
 use super::figures::Figures;
 use super::limits::Budget;
@@ -11,7 +11,7 @@
 use crate::log;
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
-    Settings, Status, Time,
+    Status, Time,
 };
 use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
@@ -162,6 +162,7 @@
 enum Told {
     Event(Event<'static>),
     List(News),
+    Settings(Rc<Terms>),
 }
 
 struct Open {
@@ -174,6 +175,8 @@
     /// How long it is waited for once that has come.
     patience: Time,
     attempts: usize,
+    /// The settings that it came with, by which it ends.
+    terms: Rc<Terms>,
 }
 
 struct Running {
@@ -215,24 +218,15 @@
     discovery: RefCell<Weak<Discovery>>,
     budget: Rc<Budget>,
     figures: Rc<Figures>,
-    connect_timeout: Duration,
-    idle_close: Duration,
-    drain_grace: Time,
-    max_open: usize,
-    max_attempts: usize,
-    probe_path: &'static str,
+    /// The settings in force. All that goes by settings takes them from here, so that they change
+    /// for all of it at once.
+    terms: RefCell<Rc<Terms>>,
 }
 
 impl Engine {
     /// An engine with a module of its own, and its timers running. At most `connections` to
     /// backends are open at once.
-    pub fn start(
-        settings: Settings,
-        wire: &WireSettings,
-        seed: u64,
-        connections: usize,
-        figures: Rc<Figures>,
-    ) -> Rc<Self> {
+    pub fn start(terms: Rc<Terms>, seed: u64, connections: usize, figures: Rc<Figures>) -> Rc<Self> {
         let clock = Clock::start();
         let engine = Rc::new_cyclic(|this| Self {
             this: this.clone(),
@@ -243,14 +237,8 @@
             discovery: RefCell::default(),
             budget: Budget::new(connections),
             figures,
-            connect_timeout: wire.connect_timeout,
-            idle_close: wire.idle_close,
-            drain_grace: wire.drain_grace.as_secs_f64(),
-            max_open: wire.max_open,
-            max_attempts: settings.max_attempts,
-            probe_path: if settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
             state: RefCell::new(State {
-                balancer: Balancer::new(clock.now(), seed, settings),
+                balancer: Balancer::new(clock.now(), seed, terms.settings.clone()),
                 told: VecDeque::new(),
                 timers: BinaryHeap::new(),
                 timers_set: 0,
@@ -262,6 +250,7 @@
                 out: HashMap::new(),
                 last: Time::INFINITY,
             }),
+            terms: RefCell::new(terms),
         });
         let (timers, sweep) = (engine.clone(), engine.clone());
         tokio::task::spawn_local(kept_up(move || timers.clone().run_timers()));
@@ -274,6 +263,34 @@
         &self.clock
     }
 
+    /// The settings in force.
+    pub fn terms(&self) -> Rc<Terms> {
+        self.terms.borrow().clone()
+    }
+
+    /// From now on these settings are in force, here, in the module and in the figures. Requests that
+    /// are open end by those that they came with, and connections stay.
+    pub fn settle(&self, terms: Terms) {
+        let terms = Rc::new(terms);
+        let mut state = self.state.borrow_mut();
+        self.terms.replace(terms.clone());
+        self.figures.changed(&terms.wire);
+        state.endpoints.values().for_each(|e| e.keep_to(terms.wire.connect_timeout, terms.wire.idle_close));
+        state.told.push_back(Told::Settings(terms));
+        self.decide(state);
+    }
+
+    /// The longest deadline of all settings that open requests came with, or one to come may.
+    pub fn longest(&self) -> Time {
+        let state = self.state.borrow();
+        state.open.values().map(|open| open.terms.longest()).fold(self.terms.borrow().longest(), Time::max)
+    }
+
+    /// The time after news of a drain, or a ban, in which what was decided before may be sent.
+    fn grace(&self) -> Time {
+        GRACE_USED * self.terms.borrow().wire.drain_grace.as_secs_f64()
+    }
+
     /// Whom to ask for the list.
     pub fn set_discovery(&self, discovery: &Rc<Discovery>) {
         *self.discovery.borrow_mut() = Rc::downgrade(discovery);
@@ -288,7 +305,7 @@
     /// A backend is taken out by hand, or may serve again.
     pub fn maintain(&self, backend: BackendId, out: bool) {
         let mut state = self.state.borrow_mut();
-        let last_send = self.clock.now() + GRACE_USED * self.drain_grace;
+        let last_send = self.clock.now() + self.grace();
         match out {
             true => drop(state.out.entry(backend).or_insert(last_send)),
             false => drop(state.out.remove(&backend)),
@@ -342,7 +359,8 @@
         }
         state.requests += 1;
         request.id = RequestId(state.requests);
-        if state.open.len() >= self.max_open {
+        let terms = self.terms();
+        if state.open.len() >= terms.wire.max_open {
             let _ = answer.send(Answer::Refused(None)); // the receiver is still here
             return Some((request.id, receiver));
         }
@@ -354,7 +372,7 @@
         request.budget -= ANSWER_WAY;
         let until = if request.streamed { Time::INFINITY } else { now + patience }.min(state.last);
         let payload = Rc::new(payload);
-        state.open.insert(request.id, Open { txn, answer, payload, until, patience, attempts: 0 });
+        state.open.insert(request.id, Open { txn, answer, payload, until, patience, attempts: 0, terms });
         if until.is_finite() {
             self.set_timer(&mut state, until, Due::Request(request.id));
         }
@@ -410,19 +428,18 @@
     /// News of the list.
     pub fn news(&self, news: News) {
         let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
+        let last_send = self.clock.now() + self.grace();
         let listed: &[Listed] = match &news {
             News::Full(list) | News::Remembered(list) => {
                 let gone = |id: &BackendId| !list.iter().any(|l| l.entry.id == *id);
                 for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
-                    endpoint.end(now + GRACE_USED * self.drain_grace);
+                    endpoint.end(last_send);
                 }
                 list
             }
             News::Changes(list) => list,
             News::Refused => &[],
         };
-        let last_send = now + GRACE_USED * self.drain_grace;
         for Listed { entry, address } in listed {
             if entry.status == Status::Gone {
                 state.endpoints.get(&entry.id).into_iter().for_each(|e| e.end(last_send));
@@ -431,8 +448,8 @@
             let drained = (entry.status != Status::InService).then_some(last_send);
             let out = state.out.get(&entry.id).copied();
             let new = || {
-                let budget = self.budget.clone();
-                let new = Endpoint::new(*address, budget, self.connect_timeout, self.idle_close);
+                let (budget, terms) = (self.budget.clone(), self.terms.borrow());
+                let new = Endpoint::new(*address, budget, terms.wire.connect_timeout, terms.wire.idle_close);
                 new.take_out(out);
                 Rc::new(new)
             };
@@ -489,6 +506,9 @@
             let entries = |list: Vec<Listed>| list.into_iter().map(|l| l.entry).collect::<Vec<Entry>>();
             match told {
                 Told::Event(event) => state.balancer.handle(now, event, &mut actions),
+                Told::Settings(terms) => {
+                    state.balancer.handle(now, Event::Settings(&terms.settings), &mut actions);
+                }
                 Told::List(news) => {
                     let list;
                     let update = match news {
@@ -553,8 +573,8 @@
         now: Time,
     ) {
         let endpoint = state.endpoints.get(&backend).cloned();
-        let most = self.max_attempts;
-        let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
+        let may = |open: &&mut Open| open.attempts < open.terms.settings.max_attempts;
+        let open = state.open.get_mut(&id).filter(may);
         let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
             let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
             return state.told.push_back(Told::Event(Event::Outcome(Ended {
@@ -597,7 +617,9 @@
 
     fn probe(&self, state: &State, backend: BackendId) {
         if let (Some(endpoint), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
-            let probed = backend::probe(endpoint.clone(), self.probe_path, self.clock);
+            let reports = self.terms.borrow().settings.probe_for_reports;
+            let path = if reports { "/-/load" } else { "/-/healthy" };
+            let probed = backend::probe(endpoint.clone(), path, self.clock);
             tokio::task::spawn_local(async move {
                 let done = probed.await;
                 let body = done.served.as_ref().and_then(|s| backend::report(s.whole()?));
--- a/src/proxy/limits.rs
+++ b/src/proxy/limits.rs
@@ -27,9 +27,10 @@
 }
 
 impl Limits {
-    /// The part of one of two processes that have these together.
-    pub fn half(self) -> Self {
-        Self { descriptors: self.descriptors / 2, memory: self.memory / 2 }
+    /// What one process has of these: half, where they are `shared` with another one.
+    pub fn part(self, shared: bool) -> Self {
+        let parts = 1 + usize::from(shared);
+        Self { descriptors: self.descriptors / parts, memory: self.memory / parts }
     }
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod maintenance;
 pub mod management;
+pub mod reload;
 pub mod request;
 pub mod seat;
 pub mod server;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -1,15 +1,16 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
 use super::clients::Head;
-use super::config::WireSettings;
+use super::config::Terms;
 use super::engine::{Payload, Sending};
 use super::limits::{Budget, MOST_BODY, MOST_HELD, Permit};
 use super::stream::{Cut, Source};
-use crate::{Effect, Request, RequestId, Settings, Time};
+use crate::{Effect, Request, RequestId, Time};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName};
 use hyper::header::{TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use std::rc::Rc;
 use thiserror::Error;
@@ -46,8 +47,8 @@
     /// The bodies of other requests take all the room.
     #[error("too much at once, try again")]
     NoRoom {
-        /// The request's class.
-        class: usize,
+        /// The name of the request's class.
+        class: String,
     },
 }
 
@@ -68,17 +69,43 @@
 /// A request that can be sent on.
 pub struct Asked {
     /// What the module is told; the engine gives it an id of its own.
-    pub request: Request,
+    request: Request,
     /// The id that the client gave it.
     pub txn: u64,
-    /// What is sent on.
-    pub payload: Payload,
-    /// The room that its body takes.
-    pub room: Permit,
+    head: Parts,
+    body: Sending,
+    /// By which it was checked.
+    terms: Rc<Terms>,
+    room: Permit,
     /// Its body, if it is still coming.
     pub coming: Option<Rc<Source>>,
 }
 
+impl Asked {
+    /// The name of its class.
+    pub fn class(&self) -> &str {
+        &self.terms.wire.classes[self.request.class]
+    }
+
+    /// Checks it again if these settings are others than those by which it was read: they may have
+    /// changed while its body came, and the module knows classes and tenants by these alone.
+    pub fn keep_to(&mut self, terms: Rc<Terms>) -> Result<(), Unfit> {
+        if !Rc::ptr_eq(&terms, &self.terms) {
+            let (_, request) = check(&self.head.method, &self.head.headers, &terms)?;
+            self.request = Request { streamed: self.request.streamed, ..request };
+            self.terms = terms;
+        }
+        Ok(())
+    }
+
+    /// What the module is told, what is sent on, and the room that its body takes.
+    pub fn into_parts(self) -> (Request, Payload, Permit) {
+        let Parts { method, uri, headers, .. } = self.head;
+        let payload = Payload { method, uri, headers: onward(headers), body: self.body };
+        (self.request, payload, self.room)
+    }
+}
+
 impl From<Cut> for Unfit {
     fn from(cut: Cut) -> Self {
         match cut {
@@ -94,8 +121,7 @@
 pub async fn read(
     request: hyper::Request<Incoming>,
     head_read: Head,
-    settings: &Settings,
-    wire: &WireSettings,
+    terms: Rc<Terms>,
     bodies: &Rc<Budget>,
 ) -> Result<Asked, Unfit> {
     let (head, body) = request.into_parts();
@@ -109,9 +135,11 @@
     if !head.uri.path().starts_with('/') || head.uri.authority().is_some() {
         return Err(Unfit::Target);
     }
-    let (txn, mut request) = check(&head.method, &head.headers, settings, wire)?;
+    let (txn, mut request) = check(&head.method, &head.headers, &terms)?;
     let held = length.and_then(|l| usize::try_from(l).ok()).unwrap_or(MOST_HELD).min(MOST_HELD);
-    let room = bodies.take(held).ok_or(Unfit::NoRoom { class: request.class })?;
+    let room = bodies
+        .take(held)
+        .ok_or_else(|| Unfit::NoRoom { class: terms.wire.classes[request.class].clone() })?;
     let source = Source::new(body, head_read.within);
     let (body, coming) = match length {
         Some(0) => (Sending::Whole(Bytes::new()), None),
@@ -121,8 +149,7 @@
         },
     };
     request.streamed = coming.is_some();
-    let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body };
-    Ok(Asked { request, txn, payload, room, coming })
+    Ok(Asked { request, txn, head, body, terms, room, coming })
 }
 
 /// The one value of a header; which of two is meant can't be known.
@@ -137,12 +164,8 @@
 }
 
 /// The client's id and what the module is told of a request.
-fn check(
-    method: &Method,
-    headers: &HeaderMap,
-    settings: &Settings,
-    wire: &WireSettings,
-) -> Result<(u64, Request), Unfit> {
+fn check(method: &Method, headers: &HeaderMap, terms: &Terms) -> Result<(u64, Request), Unfit> {
+    let Terms { settings, wire } = terms;
     let unfit = |name, expected| Unfit::Header { name, expected };
     single(headers, "host")?;
     let hex = |id: &&str| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit());
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,14 +1,13 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
 use super::clients::{self, Client, Clients, Place, Socket};
-use super::config::WireSettings;
 use super::engine::{Answer, Engine};
 use super::limits::{Budget, Caps, MOST_HEAD};
-use super::request::{self, Asked, Unfit};
+use super::request::{self, Unfit};
 use super::seat::Seat;
 use super::stream::{Content, Reply};
+use crate::RequestId;
 use crate::log;
-use crate::{RequestId, Settings, Time};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -57,12 +56,10 @@
 /// Answers clients.
 pub struct Server {
     engine: Rc<Engine>,
-    settings: Settings,
-    wire: WireSettings,
     /// It takes connections.
     listening: Cell<bool>,
-    /// When SIGTERM came, if it has.
-    stopping: Cell<Option<Instant>>,
+    /// The planned stop, if SIGTERM has come.
+    stop: Cell<Option<Stop>>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     /// The place beside another process, if there may be one.
@@ -76,6 +73,15 @@
     bodies: Rc<Budget>,
 }
 
+/// A planned stop.
+#[derive(Clone, Copy)]
+struct Stop {
+    /// All answers are out by then.
+    last: Instant,
+    /// From SIGTERM to SIGKILL.
+    notice: Duration,
+}
+
 /// Tells the engine that the client has left, if it is dropped before the answer.
 struct Leaving<'a>(&'a Engine, RequestId);
 
@@ -93,19 +99,11 @@
 
 impl Server {
     /// A server that keeps to these caps.
-    pub fn new(
-        engine: Rc<Engine>,
-        settings: Settings,
-        wire: WireSettings,
-        caps: Caps,
-        seat: Option<Rc<Seat>>,
-    ) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine>, caps: Caps, seat: Option<Rc<Seat>>) -> Rc<Self> {
         Rc::new(Self {
             engine,
-            settings,
-            wire,
             listening: Cell::new(false),
-            stopping: Cell::new(None),
+            stop: Cell::new(None),
             closing: watch::Sender::new(false),
             seat,
             relieved: Cell::new(false),
@@ -117,7 +115,7 @@
 
     /// It takes requests, and has backends to send them to.
     pub fn ready(&self) -> bool {
-        self.engine.listed() && self.listening.get() && self.stopping.get().is_none()
+        self.engine.listed() && self.listening.get() && self.stop.get().is_none()
     }
 
     /// What it has counted, as a line of JSON.
@@ -125,10 +123,14 @@
         self.engine.figures_line()
     }
 
-    /// From SIGTERM to SIGKILL.
-    fn notice(&self) -> Duration {
-        let longest = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
-        Duration::try_from_secs_f64(longest).map_or(LONGEST, |longest| longest.min(LONGEST)) + MORE
+    /// SIGTERM has come. What the settings say of the time that is left is settled with that.
+    fn begin_stop(&self) -> Stop {
+        let longest = Duration::try_from_secs_f64(self.engine.longest());
+        let notice = longest.map_or(LONGEST, |longest| longest.min(LONGEST)) + MORE;
+        let stop = Stop { last: Instant::now() + notice - SPARE, notice };
+        self.stop.set(Some(stop));
+        self.engine.end_by(stop.last.into_std());
+        stop
     }
 
     /// Serves until `stop`, then goes on for a while, answers all that was taken, and returns.
@@ -137,13 +139,11 @@
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            let now = Instant::now();
-            self.stopping.set(Some(now));
-            self.engine.end_by((now + self.notice() - SPARE).into_std());
+            let stop = self.begin_stop();
             log!("dewpier: stopping");
             self.relieved.set(self.seat.as_ref().is_some_and(|seat| seat.relieved()));
             if !self.relieved.get() {
-                tokio::time::sleep(self.notice().mul_f64(LINGER)).await;
+                tokio::time::sleep(stop.notice.mul_f64(LINGER)).await;
             }
         };
         tokio::select! {
@@ -158,11 +158,11 @@
         if let Err(error) = self.take_rest(listener) {
             log!("accept: {error}");
         }
-        if self.relieved.get() {
+        if let Some(stop) = self.stop.get().filter(|_| self.relieved.get()) {
             tokio::select! {
                 () = self.sweep() => {}
                 () = self.deserted() => {}
-                () = tokio::time::sleep(RELIEVED_LINGER.min(self.notice().mul_f64(LINGER))) => {}
+                () = tokio::time::sleep(RELIEVED_LINGER.min(stop.notice.mul_f64(LINGER))) => {}
             }
         }
         self.closing.send_replace(true);
@@ -299,32 +299,37 @@
             };
         }
         let refusal = |unfit: &Unfit| plain(unfit.status(), &format!("{unfit}\n"));
-        let asked = match request::read(request, head, &self.settings, &self.wire, &self.bodies).await {
+        let mut asked = match request::read(request, head, self.engine.terms(), &self.bodies).await {
             Ok(asked) => asked,
             Err(unfit) => {
-                if let Unfit::NoRoom { class } = unfit {
-                    self.engine.figures().taken(class).ended(unfit.status());
+                if let Unfit::NoRoom { class } = &unfit {
+                    self.engine.figures().of(class).taken().ended(unfit.status());
                 }
                 return refusal(&unfit);
             }
         };
-        let Asked { mut request, txn, payload, room: _room, coming } = asked;
-        let class = request.class;
+        let tally = self.engine.figures().of(asked.class());
+        let (txn, coming) = (asked.txn, asked.coming.clone());
         // One that is coming has not been taken yet.
-        let mut taken = coming.is_none().then(|| self.engine.figures().taken(class));
+        let mut taken = coming.is_none().then(|| tally.taken());
         if coming.is_none() {
             client.opened();
         }
-        if let Some(stopping) = self.stopping.get() {
-            // The module is told of the time that the engine keeps to.
-            let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
-            request.budget = request.budget.min(left.as_secs_f64());
-        }
         let begun = Instant::now();
         while self.engine.in_use(txn) && begun.elapsed() < CROSSED_WITHIN {
             tokio::time::sleep(CROSSED_STEP).await;
         }
+        // From here to the engine nothing is waited for: these are the settings that the module has.
+        if let Err(unfit) = asked.keep_to(self.engine.terms()) {
+            return refusal(&unfit);
+        }
+        let (mut request, payload, _room) = asked.into_parts();
         request.budget -= begun.elapsed().as_secs_f64();
+        if let Some(stop) = self.stop.get() {
+            // The module is told of the time that the engine keeps to.
+            let left = stop.last.saturating_duration_since(Instant::now());
+            request.budget = request.budget.min(left.as_secs_f64());
+        }
         let answer = if full {
             Ok(Answer::Refused(None))
         } else {
@@ -347,7 +352,7 @@
                     if coming.is_some() {
                         self.engine.received(id);
                         client.opened();
-                        taken = Some(self.engine.figures().taken(class));
+                        taken = Some(tally.taken());
                     }
                     answer.await
                 }
@@ -379,7 +384,7 @@
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         };
         let status = reply.status();
-        let taken = taken.unwrap_or_else(|| self.engine.figures().taken(class));
+        let taken = taken.unwrap_or_else(|| tally.taken());
         reply.body_mut().counts(taken, status);
         reply
     }
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -5,7 +5,7 @@
 
 use common::sockets::{LONG, NEXT, Play, Played, heard};
 use common::{Bench, entry, refused, safe, sends};
-use gannetproxy::proxy::config::WireSettings;
+use gannetproxy::proxy::config::{Terms, WireSettings};
 use gannetproxy::proxy::discovery::{Listed, News};
 use gannetproxy::proxy::engine::{Engine, Payload, Sending};
 use gannetproxy::proxy::figures::Figures;
@@ -32,7 +32,8 @@
             max_open: 10,
             ..WireSettings::default()
         };
-        let engine = Engine::start(safe(), &wire, 1, 10, Figures::new(&wire));
+        let figures = Figures::new(&wire);
+        let engine = Engine::start(Terms { settings: safe(), wire }.into(), 1, 10, figures);
         engine.news(News::Full(vec![listed(1, silent.address)]));
         let payload = Payload {
             method: hyper::Method::GET,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -27,7 +27,7 @@
         bench.served(id, 0.05);
     }
     // Its first repeat comes soon after the 0.05 s that it takes; one of an unknown class much later.
-    let mut first_repeat = |bench: &mut Bench, id, class| {
+    let first_repeat = |bench: &mut Bench, id, class| {
         let begun = bench.now;
         bench.event(Event::Request(of_class(id, class)));
         let seen = bench.run_to(begun + 1.5);
@@ -80,7 +80,7 @@
     let mut settings = Settings { tier: 0, tenants: vec![tenant("x", 1.0), tenant("y", 1.0)], ..safe() };
     settings.over_share_worth = 0.5;
     let mut bench = Bench::new(settings.clone(), &[entry(1), entry(2)]);
-    let mut ask = |bench: &mut Bench, id, tenant| {
+    let ask = |bench: &mut Bench, id, tenant| {
         bench.event(Event::Request(Request { tenant: Some(tenant), ..of_class(id, 0) }))
     };
     assert_eq!(sends(&ask(&mut bench, 1, 0)).len(), 1);
