Have two processes of an upgrade agree on their settings, whichever of them gets the signal

Cause: SIGHUP may reach only one of the two, and it may be killed before it has read the file.

Design: each writes a digest of the file that it goes by, and the version, beside its seat. On the beat that it has (100 ms) the other one compares, and where they differ reads the file itself, the same way as on SIGHUP, once for each file that it finds there. Who is left when the other one has gone looks as well: a signal may have died with it. What the other says is a hint only, and counts while its seat is locked, so that nothing left behind misleads.

The words lie in a file of their own: programs of before compare the seat's to one word, and would take a new process for absent.

Ruled out: sending the settings themselves (the file is needed for a start anyway); the file watched without a signal (one that is being written would be read at every step).

Tests: seen to fail with the words left out, and with no look when the other has gone. That a bad file is read once is checked by three beats' wait.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use gannetproxy::log;
-use gannetproxy::proxy::config::{Config, ConfigError, Wins};
+use gannetproxy::proxy::config::{self, Config, ConfigError, Wins};
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
 use gannetproxy::proxy::figures::Figures;
@@ -44,6 +44,7 @@
     // The handlers come first: a signal that finds none ends the program.
     let mut hangup = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
+    let stamp = config::stamp();
     let mut config = Config::from_env(Wins::Environment)?;
     let management = match config.management {
         Some(address) => Some(management::bind(address).await?),
@@ -78,7 +79,7 @@
     }
     let listener = server::bind(config.listen, managed)?;
     log!("dewpier: listening on {}", listener.local_addr()?);
-    let reload = Rc::new(Reload::new(&config, kept, server.clone(), engine, discovery, seat.clone()));
+    let reload = Rc::new(Reload::new(&config, stamp, kept, server.clone(), engine, discovery, seat.clone()));
     let signals = reload.clone();
     let reloading = async move {
         while hangup.recv().await.is_some() {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -8,8 +8,10 @@
 use serde::de::DeserializeOwned;
 use std::collections::HashSet;
 use std::fs::File;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::unix::fs::MetadataExt;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -49,6 +51,9 @@
     },
 }
 
+/// What tells a file from the one that was there before: its number, size and time of change.
+pub type Stamp = (u64, u64, i64, i64);
+
 /// Everything that a proxy is told.
 #[derive(Debug)]
 pub struct Config {
@@ -66,6 +71,8 @@
     pub known: RawList,
     /// The settings.
     pub terms: Terms,
+    /// Of the file's text: the same in all processes that have read the same.
+    pub digest: u64,
 }
 
 /// The settings, as one: they change whole or not at all.
@@ -319,6 +326,12 @@
     std::env::var(name).map_err(|_| ConfigError::Unset(name))
 }
 
+/// The stamp of the file that is there now, if one is.
+pub fn stamp() -> Option<Stamp> {
+    let m = std::fs::metadata(variable("RELAY_CONFIG").ok()?).ok()?;
+    Some((m.ino(), m.size(), m.mtime(), m.mtime_nsec()))
+}
+
 /// The text of the file. One that is read while requests wait must be a plain one, which never keeps
 /// its reader waiting, of a bounded length.
 fn text(path: &str, wins: Wins) -> Result<String, ConfigError> {
@@ -365,6 +378,8 @@
             Wins::Environment => parse::<RawKnown>(&path, &text)?.known,
             Wins::File => file.check().map(|()| RawList::default())?,
         };
+        let mut digest = DefaultHasher::new();
+        text.hash(&mut digest);
         let address = |name: &'static str, in_file: &Option<String>| {
             let text = variable(name).or_else(|unset| in_file.clone().ok_or(unset))?;
             text.parse::<SocketAddr>().map_err(|_| bad(name, "address:port", text))
@@ -380,7 +395,8 @@
         let management = std::env::var("RELAY_MANAGEMENT").ok().filter(named);
         let management = management.or_else(|| file.management.clone().filter(named));
         let parsed = management.map(|m| m.parse().map_err(|_| bad("management", "address:port", m)));
-        Ok(Self { management: parsed.transpose()?, known, ..Self::from_file(file, listen, discovery)? })
+        let (management, digest) = (parsed.transpose()?, digest.finish());
+        Ok(Self { management, known, digest, ..Self::from_file(file, listen, discovery)? })
     }
 
     fn from_file(file: RawConfig, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
@@ -430,9 +446,9 @@
         };
         let memory = (file.limits.memory_mb.unwrap_or(MEMORY_MB) * f64::from(1 << 20)) as usize;
         let limits = Limits { descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory };
-        let (management, known) = (None, RawList::default());
+        let (management, known, digest) = (None, RawList::default(), 0);
         let terms = Terms { settings, wire };
-        Ok(Self { listen, management, discovery, seed, limits, known, terms })
+        Ok(Self { listen, management, discovery, seed, limits, known, terms, digest })
     }
 }
 
--- a/src/proxy/seat.rs
+++ b/src/proxy/seat.rs
@@ -1,7 +1,8 @@
 //! Two processes on one address, while one replaces the other: who else is there.
 //!
 //! Each holds the lock of a file of its own. The system lets go of it however the process ends, so
-//! that what a killed one leaves behind misleads nobody.
+//! that what a killed one leaves behind misleads nobody. What a process says of its settings lies
+//! beside that, and counts while the lock is held.
 
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Write};
@@ -17,7 +18,7 @@
 /// This process's place beside the other one's.
 pub struct Seat {
     /// None where both were taken: a third process does without.
-    mine: Option<File>,
+    mine: Option<(File, PathBuf)>,
     others: Vec<PathBuf>,
 }
 
@@ -35,7 +36,9 @@
                 match file.try_lock() {
                     Ok(()) => {
                         file.set_len(0)?;
-                        return Ok(Self { mine: Some(file), others: vec![seats[1 - i].clone()] });
+                        std::fs::write(told(seat), "")?;
+                        let mine = Some((file, told(seat)));
+                        return Ok(Self { mine, others: vec![seats[1 - i].clone()] });
                     }
                     Err(TryLockError::WouldBlock) => {}
                     Err(TryLockError::Error(error)) => return Err(error),
@@ -48,10 +51,20 @@
 
     /// Tells the other process that this one takes connections.
     pub fn listening(&self) -> io::Result<()> {
-        let Some(mut mine) = self.mine.as_ref() else {
-            return Ok(());
-        };
-        mine.write_all(LISTENING.as_bytes())
+        self.mine.as_ref().map_or(Ok(()), |(file, _)| (&*file).write_all(LISTENING.as_bytes()))
+    }
+
+    /// Tells the other process what this one goes by.
+    pub fn tell(&self, edition: &str) -> io::Result<()> {
+        self.mine.as_ref().map_or(Ok(()), |(_, path)| std::fs::write(path, edition))
+    }
+
+    /// Another process is there, and has told that it goes by something else. It may have told half
+    /// of it so far: that differs too.
+    pub fn differs(&self, edition: &str) -> bool {
+        let other = |text: String| !text.is_empty() && text != edition;
+        let differs = |seat: &&PathBuf| std::fs::read_to_string(told(seat)).is_ok_and(other);
+        self.others.iter().filter(differs).any(|seat| taken(seat))
     }
 
     /// Another process is there. What can't be told counts as none.
@@ -66,6 +79,12 @@
     }
 }
 
+/// Where the process in a seat tells what it goes by. Not in the seat's own file, which programs of
+/// before compare to a word.
+fn told(seat: &Path) -> PathBuf {
+    seat.with_added_extension("settings")
+}
+
 fn taken(seat: &Path) -> bool {
     open(seat).is_ok_and(|file| matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
 }
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -446,6 +446,13 @@
         self.command(config, discovery).0.stderr(Stdio::null()).spawn().unwrap()
     }
 
+    /// A process that goes by the same file as another one.
+    pub fn start_beside(&self, other: &Proxy) -> Proxy {
+        let (mut command, _) = self.command(&Value::Null, quiet().address);
+        command.env("RELAY_CONFIG", &other.path);
+        Proxy::run(command, other.path.clone())
+    }
+
     fn command(&self, config: &Value, discovery: SocketAddr) -> (Command, PathBuf) {
         let (mut command, path) = command(&config.to_string(), discovery);
         command.env("RELAY_LISTEN", self.listen.to_string()).env("TMPDIR", &self.folder);
