--- a/fleetlab/src/slopes/host.rs
+++ b/fleetlab/src/slopes/host.rs
@@ -4,7 +4,7 @@
 
 use gannetproxy::{
     Action, BackendId, Balancer, Class, Ended, Entry, Event, ListUpdate, Outcome, Request, RequestId,
-    Settings, Status, Time,
+    Settings, Status, Tenant, Time,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -51,12 +51,13 @@
 
     /// What the module is told of it. No other place names the module's settings.
     fn settings(&self) -> Settings {
-        let class = Class { aim: AIM, deadline: 2.0 * AIM, ..Class::default() };
+        let class =
+            |i: usize| Class { name: i.to_string(), aim: AIM, deadline: 2.0 * AIM, ..Class::default() };
         // Far beyond what comes: shares are counted, and none is used up.
         let quota = 10.0 * self.rate() * self.instances as f64;
         Settings {
-            classes: vec![class; self.classes],
-            quotas: vec![quota; self.tenants],
+            classes: (0..self.classes).map(class).collect(),
+            tenants: (0..self.tenants).map(|i| Tenant { name: i.to_string(), quota }).collect(),
             instances: self.instances,
             me: self.instances / 2,
             tier: self.tier,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use slotmap::{DefaultKey as Slot, Key, KeyData, SlotMap};
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Least chance of a repeat, as in the paper: what it needs to get past lost messages.
 const P_MIN: f64 = 0.1;
@@ -122,10 +123,6 @@
 }
 
 impl Rate {
-    fn new(now: Time) -> Self {
-        Self { count: 0.0, span: 0.0, at: now }
-    }
-
     fn age(&mut self, now: Time, memory: Time) {
         let keep = (-(now - self.at).max(0.0) / memory).exp();
         self.count *= keep;
@@ -208,7 +205,12 @@
 #[derive(Debug, Default)]
 struct Call {
     id: RequestId,
+    /// As they were when it came: it ends by them.
+    settings: Arc<Settings>,
+    /// The place of its class there,
     class: usize,
+    /// and in what is learnt.
+    known: usize,
     tenant: Option<usize>,
     arrived: Time,
     /// When its final answer is due at the latest.
@@ -240,6 +242,10 @@
 }
 
 impl Call {
+    fn terms(&self) -> &Class {
+        &self.settings.classes[self.class]
+    }
+
     fn waits(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
@@ -285,11 +291,21 @@
     }
 }
 
-/// The decisions of one balancer.
+/// Where all random draws come from.
 #[derive(Debug)]
+struct Draws(SmallRng);
+
+impl Default for Draws {
+    fn default() -> Self {
+        Self(SmallRng::seed_from_u64(0))
+    }
+}
+
+/// The decisions of one balancer.
+#[derive(Debug, Default)]
 pub struct Balancer {
-    settings: Settings,
-    rng: SmallRng,
+    settings: Arc<Settings>,
+    rng: Draws,
     now: Time,
     calls: SlotMap<Slot, Call>,
     by_id: HashMap<RequestId, Slot>,
@@ -345,46 +361,53 @@
 impl Balancer {
     /// A balancer that starts at `now`. Same seed, settings and events, same actions.
     pub fn new(now: Time, seed: u64, settings: Settings) -> Self {
-        // Never zero, whatever the settings hold: rates are counts over this.
-        let least = settings.quantum.max(f64::EPSILON);
-        let share = |rate: f64| (rate, Bucket { room: (rate * SHARE_BURST).max(1.0), at: now });
-        let longest = settings.classes.iter().map(|c| c.aim).fold(least, f64::max);
-        Self {
-            rng: SmallRng::seed_from_u64(seed),
+        let mut balancer = Self {
+            rng: Draws(SmallRng::seed_from_u64(seed)),
             now,
-            calls: SlotMap::new(),
-            by_id: HashMap::new(),
-            queue: Vec::new(),
-            held: 0,
-            coming: 0,
-            turned_away: 0,
-            excess: 0.0,
             excess_at: now,
-            lanes: HashMap::new(),
             most_lanes: 16,
-            orphans: HashMap::new(),
-            backends: Vec::new(),
-            by_backend: HashMap::new(),
-            maintained: HashMap::new(),
-            vacant: Vec::new(),
-            listed: Vec::new(),
-            subset: Vec::new(),
-            sent: Rate::new(now),
-            served: Rate::new(now),
-            wait: Normal::default(),
-            normal: vec![Normal::default(); settings.classes.len()],
-            arrivals: vec![[Rate::new(now); 2]; settings.classes.len()],
-            shares: settings.quotas.iter().map(|q| q / settings.instances.max(1) as f64).map(share).collect(),
-            memory: RATE_MEMORY * T1_REACH * longest,
-            beside: false,
-            grown: 0,
-            service: 0.0,
-            reported: 0.0,
-            sends: 0,
-            watch_asked: false,
+            sent: Rate { at: now, ..Rate::default() },
+            served: Rate { at: now, ..Rate::default() },
             watch_at: f64::NEG_INFINITY,
-            settings,
+            ..Self::default()
+        };
+        balancer.adopt(&settings);
+        balancer
+    }
+
+    /// Goes by these settings, whole and at once. What was learnt of a class or a tenant stays with
+    /// its name, and calls end by the settings that they came with.
+    fn adopt(&mut self, settings: &Settings) {
+        let old = std::mem::replace(&mut self.settings, Arc::new(settings.clone()));
+        let (new, now) = (self.settings.clone(), self.now);
+        let class = |name: &String| new.classes.iter().position(|c| c.name == *name);
+        let tenant = |name: &String| new.tenants.iter().position(|t| t.name == *name);
+        for call in self.calls.values_mut() {
+            call.known = class(&call.terms().name).unwrap_or(new.classes.len());
+            call.tenant = call.tenant.and_then(|t| tenant(&old.tenants[t].name));
+        }
+        let had = |c: &Class| old.classes.iter().position(|o| o.name == c.name);
+        let normal = new.classes.iter().map(|c| had(c).map_or(Normal::default(), |i| self.normal[i]));
+        // The last is for calls of classes that are no more.
+        self.normal = normal.chain([Normal::default()]).collect();
+        let arrivals = |c| had(c).map_or([Rate { at: now, ..Rate::default() }; 2], |i| self.arrivals[i]);
+        self.arrivals = new.classes.iter().map(arrivals).collect();
+        let share = |t: &Tenant| {
+            let rate = t.quota / new.instances.max(1) as f64;
+            let fresh = Bucket { room: (rate * SHARE_BURST).max(1.0), at: now };
+            let had = old.tenants.iter().position(|o| o.name == t.name);
+            (rate, had.map_or(fresh, |i| self.shares[i].1))
+        };
+        self.shares = new.tenants.iter().map(share).collect();
+        // Never zero, whatever the settings hold: rates are counts over this.
+        let least = new.quantum.max(f64::EPSILON);
+        self.memory = RATE_MEMORY * T1_REACH * new.classes.iter().map(|c| c.aim).fold(least, f64::max);
+        // Members stay, unless the backends are dealt out to others now.
+        let dealt = |s: &Settings| (s.instances, s.me, s.tier, s.zone, s.cross_zone > 0.0);
+        if dealt(&old) != dealt(&new) {
+            self.subset.clear();
         }
+        self.relist();
     }
 
     /// Requests without a final answer.
@@ -420,7 +443,7 @@
         if self.settings.must_watch && !self.watch_asked {
             // Balancers often start together: they ask for the list one after another.
             self.watch_asked = true;
-            let wait = self.rng.random::<f64>() * 0.5 * self.settings.ask_within;
+            let wait = self.rng.0.random::<f64>() * 0.5 * self.settings.ask_within;
             actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
         }
         match event {
@@ -438,6 +461,7 @@
             Event::Maintenance { backend, out } => self.maintain(backend, out, actions),
             Event::Beside(beside) => self.beside = beside,
             Event::List(update) => self.list(update, actions),
+            Event::Settings(settings) => self.adopt(settings),
         }
         self.let_in(actions);
     }
@@ -465,7 +489,9 @@
         let until = if request.streamed { Time::INFINITY } else { self.now + patience };
         let call = Call {
             id: request.id,
+            settings: self.settings.clone(),
             class: request.class,
+            known: request.class,
             tenant: request.tenant,
             arrived: self.now,
             until,
@@ -518,9 +544,7 @@
 
     /// The body of a call has come: its backend has it to do from now on, and its time runs.
     fn received(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(slot) = self.by_id.get(&id).copied().filter(|slot| self.calls[*slot].coming) else {
-            return;
-        };
+        let Some(slot) = self.by_id.get(&id).copied().filter(|slot| self.calls[*slot].coming) else { return };
         self.count_coming(slot);
         let call = &mut self.calls[slot];
         call.coming = false;
@@ -542,12 +566,8 @@
     /// while an earlier one is unfinished or has an attempt without its outcome, whoever ended
     /// it, and while the key rests after an attempt that may still be running.
     fn advance(&mut self, key: u64, actions: &mut Vec<Action>) {
-        let Some((lane, &slot)) = self.lanes.get(&key).and_then(|l| Some((l, l.queue.front()?))) else {
-            return;
-        };
-        if lane.out > 0 || !self.calls[slot].held {
-            return;
-        }
+        let next = self.lanes.get(&key).and_then(|l| Some((l, *l.queue.front()?)));
+        let Some((lane, slot)) = next.filter(|(l, s)| l.out == 0 && self.calls[*s].held) else { return };
         if self.now < lane.rests_until {
             let at = lane.rests_until;
             return actions.push(Action::Timer { at, token: token(slot, TURN) });
@@ -558,9 +578,8 @@
     /// Begins a call that was held.
     fn take_turn(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         self.held -= 1;
-        let (now, class) = (self.now, self.calls[slot].class);
-        let call = &self.calls[slot];
-        let left = if call.coming { call.patience } else { call.until - now };
+        let Call { known: class, coming, patience, until, .. } = self.calls[slot];
+        let (now, left) = (self.now, if coming { patience } else { until - self.now });
         let t1 = self.t1(class, left);
         let call = &mut self.calls[slot];
         (call.held, call.arrived, call.t1) = (false, now, t1);
@@ -598,17 +617,15 @@
         };
         let mine = value(class, over);
         let (mut below, mut same, mut all) = (0.0, 0.0, 0.0);
-        for (c, pair) in self.arrivals.iter().enumerate() {
-            for (o, rate) in pair.iter().enumerate() {
-                let mut rate = *rate;
-                rate.age(self.now, self.memory);
-                let rate = rate.per_second();
-                all += rate;
-                below += if value(c, o == 1) < mine { rate } else { 0.0 };
-                same += if value(c, o == 1) == mine { rate } else { 0.0 };
-            }
+        for (i, rate) in self.arrivals.iter().flatten().enumerate() {
+            let (mut rate, value) = (*rate, value(i / 2, i % 2 == 1));
+            rate.age(self.now, self.memory);
+            let rate = rate.per_second();
+            all += rate;
+            below += if value < mine { rate } else { 0.0 };
+            same += if value == mine { rate } else { 0.0 };
         }
-        (below + same * self.rng.random::<f64>()) / all.max(f64::MIN_POSITIVE)
+        (below + same * self.rng.0.random::<f64>()) / all.max(f64::MIN_POSITIVE)
     }
 
     /// Begins calls that wait at the entry, the best first, as far as the pressure lets them in.
@@ -638,8 +655,7 @@
         let usual = self.sent.per_second() * self.wait.mean;
         let beyond = (self.crowd() - usual) / usual.max(1.0).sqrt().max(USUAL_SPREAD * usual);
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
-        self.excess = beyond + (self.excess - beyond) * keep;
-        self.excess_at = self.now;
+        (self.excess, self.excess_at) = (beyond + (self.excess - beyond) * keep, self.now);
         let chance = (CHANCE[0] - NARROWING * (self.excess - CALM_EXCESS)).clamp(CHANCE[1], CHANCE[0]);
         if self.each() <= FEW {
             return 0.0;
@@ -720,11 +736,10 @@
     /// Sets the timer for the next firing: T1, then 2 T1, 4 T1 ... after the one before.
     fn set_timer(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         let token = token(slot, FIRING);
-        let most = self.settings.max_attempts;
-        let spread = 1.0 + T1_SPREAD * (2.0 * self.rng.random::<f64>() - 1.0);
+        let spread = 1.0 + T1_SPREAD * (2.0 * self.rng.0.random::<f64>() - 1.0);
         let call = &mut self.calls[slot];
         let at = call.arrived + call.t1 * spread * (2f64.powi(call.fired + 1) - 1.0);
-        call.timer_set = at < call.until && call.attempts.len() < most;
+        call.timer_set = at < call.until && call.attempts.len() < call.settings.max_attempts;
         if call.timer_set {
             actions.push(Action::Timer { at, token });
         }
@@ -732,18 +747,14 @@
 
     fn timer(&mut self, token: u64, actions: &mut Vec<Action>) {
         let (kind, slot) = ((token - 1) & 3, Slot::from(KeyData::from_ffi((token - 1) >> 2)));
-        if !self.calls.contains_key(slot) {
-            return; // of a call that has ended
-        }
-        if let (TURN, Some(key)) = (kind, self.calls[slot].lane) {
+        let Some(call) = self.calls.get(slot) else { return }; // it has ended
+        if let (TURN, Some(key)) = (kind, call.lane) {
             return self.advance(key, actions);
         }
         if kind == TURN {
             // The pressure has lasted: refused at once, and before any work was done.
             if self.calls[slot].held {
-                let (id, t1) = (self.calls[slot].id, self.calls[slot].t1);
-                actions.push(Action::Refuse { id, retry_after: self.retry_after(t1) });
-                self.finish(slot, None, actions);
+                self.finish_unserved(slot, actions);
             }
             return;
         }
@@ -765,7 +776,7 @@
         let unreached = self.calls[slot].attempts.iter().all(|a| a.outcome == Some(Outcome::NoConnection));
         let pressure = if unreached { 0.0 } else { self.pressure() };
         let chance = (self.repeat_chance(self.calls[slot].t1) * (1.0 - pressure)).max(P_MIN);
-        if !long && self.may_send(slot).is_some() && self.rng.random::<f64>() < chance {
+        if !long && self.may_send(slot).is_some() && self.rng.0.random::<f64>() < chance {
             self.send(slot, actions);
         }
         if !self.calls[slot].timer_set && !self.calls[slot].waits() {
@@ -778,15 +789,15 @@
     /// May this call be sent (again), where, and until when? Asked before every send.
     fn may_send(&self, slot: Slot) -> Option<(Scope, Time)> {
         let call = &self.calls[slot];
-        if call.attempts.len() >= self.settings.max_attempts || self.now >= call.until {
+        if call.attempts.len() >= call.settings.max_attempts || self.now >= call.until {
             return None;
         }
-        if call.spent || (call.streamed || !self.settings.second_copies) && call.waits() {
+        if call.spent || (call.streamed || !call.settings.second_copies) && call.waits() {
             return None;
         }
         let ran = call.attempts.iter().find(|a| a.may_have_run());
         let Some(first) = ran else { return Some((Scope::Anywhere, call.until)) };
-        let (scope, window) = match self.settings.classes[call.class].effect {
+        let (scope, window) = match call.terms().effect {
             Effect::Safe => return Some((Scope::Anywhere, call.until)),
             Effect::Unsafe => return None,
             Effect::Keyed { group: Group::All, window } => (Scope::Anywhere, window),
@@ -846,9 +857,9 @@
         // must not all fall on the few warm ones that a subset happens to hold.
         let wanted = if pool.is_empty() { 2 * SUBSET } else { members };
         if pool.len() < wanted {
-            let holds = |b: &usize| scope.holds(&self.backends[*b].entry);
-            let mut wide: Vec<_> = self.listed.iter().copied().filter(holds).collect();
-            wide.retain(|b| !tried.contains(b) && !self.subset.contains(b));
+            let held = |b: &&usize| scope.holds(&self.backends[**b].entry) && !tried.contains(b);
+            let mut wide: Vec<_> = self.listed.iter().filter(held).copied().collect();
+            wide.retain(|b| !self.subset.contains(b));
             while pool.len() < wanted
                 && let Some(i) = self.draw(wide.len())
             {
@@ -870,7 +881,7 @@
     }
 
     fn draw(&mut self, len: usize) -> Option<usize> {
-        (len > 0).then(|| self.rng.random_range(0..len))
+        (len > 0).then(|| self.rng.0.random_range(0..len))
     }
 
     /// Own calls in flight, this one included, and those of others that it has reported, per
@@ -888,14 +899,9 @@
 
     /// In service, and, while it is cold, within this balancer's part of what it can take.
     fn usable(&mut self, backend: usize) -> bool {
-        if !self.in_service(backend) {
-            return false;
-        }
         let (from, cold) = (self.settings.cold_share, self.settings.cold);
-        let Some(started) = self.cold_since(backend) else {
-            return true;
-        };
-        if !self.subset.contains(&backend) {
+        let Some(started) = self.cold_since(backend) else { return self.in_service(backend) };
+        if !self.in_service(backend) || !self.subset.contains(&backend) {
             return false; // its budget is the members'
         }
         // All members that do likewise together send it the usual part of what is served (in an
@@ -914,7 +920,7 @@
         // What was saved must not come at once from many balancers: parts of a request are drawn
         // lots for and then gone, not kept until they make a whole.
         let part = b.cold.fill(self.now, allowed, allowed * self.settings.tip_after);
-        b.cold.room = if part >= 1.0 { part } else { f64::from(self.rng.random::<f64>() < part) };
+        b.cold.room = if part >= 1.0 { part } else { f64::from(self.rng.0.random::<f64>() < part) };
         b.cold.room >= 1.0
     }
 
@@ -939,7 +945,7 @@
             self.take_report(ended.backend, ended.report);
             self.release_if_draining(backend, actions);
             if let Some(slot) = slot {
-                let class = self.calls[slot].class;
+                let class = self.calls[slot].known;
                 match ended.outcome {
                     Served => {
                         self.backends[backend].answered_at = self.now;
@@ -948,7 +954,7 @@
                         if !streamed {
                             self.learn(backend, class, ended.took, false);
                             let calm = self.pressure() <= 0.0;
-                            let took = ended.took.min(NORMAL_REACH * self.settings.classes[class].aim);
+                            let took = ended.took.min(NORMAL_REACH * self.calls[slot].terms().aim);
                             self.normal[class].add(took, calm);
                             self.wait.add(took, calm);
                         }
@@ -992,7 +998,7 @@
     /// harmless, else a failure.
     fn finish_unserved(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         let call = &self.calls[slot];
-        let harmless = match self.settings.classes[call.class].effect {
+        let harmless = match call.terms().effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             _ => !call.attempts.iter().any(Attempt::may_have_run),
         };
@@ -1010,15 +1016,13 @@
         if self.calls.get(slot).is_some_and(|call| call.coming) {
             self.count_coming(slot);
         }
-        let Some(call) = self.calls.remove(slot) else {
-            return;
-        };
+        let Some(call) = self.calls.remove(slot) else { return };
         self.by_id.remove(&call.id);
         for (i, attempt) in call.attempts.iter().enumerate() {
             self.backends[attempt.backend].named -= 1;
             if attempt.outcome.is_none() && keep != Some(i) {
                 let (id, attempt) = (call.id, i);
-                let cancel = self.settings.cancel.then_some(Action::Cancel { id, attempt });
+                let cancel = call.settings.cancel.then_some(Action::Cancel { id, attempt });
                 actions.push(cancel.unwrap_or(Action::Withdraw { id, attempt }));
             }
         }
@@ -1051,8 +1055,7 @@
         let weight = if fast { FAST_FAILURE_WEIGHT } else { HEALTH_WEIGHT };
         let known = self.seen(&self.backends[backend]);
         let b = &mut self.backends[backend];
-        b.slowness = known + weight * (sample.min(FAILED_SLOWNESS) - known);
-        b.slowness_at = self.now;
+        (b.slowness, b.slowness_at) = (known + weight * (sample.min(FAILED_SLOWNESS) - known), self.now);
     }
 
     /// Learns from the attempts of a call that are still out, where their backends have answered
@@ -1064,7 +1067,7 @@
             if outcome.is_none() && self.backends[backend].answered_at > sent {
                 alive = true;
             } else if outcome.is_none() {
-                self.learn(backend, self.calls[slot].class, self.now - sent, failed);
+                self.learn(backend, self.calls[slot].known, self.now - sent, failed);
             }
         }
         alive
@@ -1119,7 +1122,7 @@
         match update {
             ListUpdate::Refused => {
                 // Asked again with a pause, and not all at once: what failed may be busy.
-                let part = 0.5 + self.rng.random::<f64>();
+                let part = 0.5 + self.rng.0.random::<f64>();
                 self.watch_at = (self.now + WATCH_WAIT[0] * part).max(self.watch_at + WATCH_WAIT[1] * part);
                 return actions.push(Action::Timer { at: self.watch_at, token: LIST_TOKEN });
             }
@@ -1238,8 +1241,7 @@
         let back: Vec<_> = self.listed.iter().copied().filter(|b| was(b) && !mine.contains(b)).collect();
         mine.extend(back);
         let size = mine.len();
-        let listed = &self.listed;
-        self.subset.retain(|b| listed.binary_search(b).is_ok());
+        self.subset.retain(|b| self.listed.binary_search(b).is_ok());
         for &b in &mine {
             let new = before.binary_search(&b).is_err();
             if !self.subset.contains(&b) && (new || self.subset.len() < size) {
@@ -1259,9 +1261,11 @@
         let base = least.min(count);
         let subsets = count.div_ceil(base.max(1)).max(1);
         let (round, place) = (self.settings.me / subsets, self.settings.me % subsets);
-        // Those of the last round are fewer, and spread as evenly.
-        let in_round = subsets.min(self.settings.instances.saturating_sub(round * subsets)).max(1);
-        let start = place * count / in_round;
+        // The places of a round are taken in the order of van der Corput: however few the last one
+        // has, they are spread, and one more balancer moves none of the others.
+        let bits = usize::BITS - subsets.next_power_of_two().trailing_zeros();
+        let order = (0..subsets.next_power_of_two()).map(|i| i.reverse_bits().checked_shr(bits).unwrap_or(0));
+        let start = order.filter(|p| *p < subsets).nth(place).unwrap_or(0) * count / subsets;
         from.sort_by_cached_key(|b| (mix(self.backends[*b].entry.id, round as u64), *b));
         (0..size.max(base).min(count)).map(|i| from[(start + i) % count]).collect()
     }
