--- a/fleetlab/src/backend.rs
+++ b/fleetlab/src/backend.rs
@@ -27,8 +27,9 @@
             }
         }
         buffer.drain(..head.body);
-        stream.write_all(if head.named { ANSWER } else { UNNAMED }).await?;
+        // First: whoever has read an answer finds it counted.
         answered.fetch_add(1, Ordering::Relaxed);
+        stream.write_all(if head.named { ANSWER } else { UNNAMED }).await?;
     }
     Ok(())
 }
