fleetlab control: roll out changed settings to real proxies and time until in force

Then once each with a torn file or an older version first, which must be refused and leave the old one in force; with discovery silent; and with a tenth of the proxies killed and started again. One that is not at the last version within 14 s, or refuses what it must not, ends the run with an error. The lists are not measured in such a run: what settings cost would be lost among what they do.

--- a/fleetlab/src/control.rs
+++ b/fleetlab/src/control.rs
@@ -9,6 +9,7 @@
 use crate::plan;
 use crate::process::{self, Machine, Proxy, Start, Stop, Usage, Use, addresses, budget};
 use crate::report::{Report, Table, Value};
+use crate::rollout;
 use clap::ValueEnum;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -46,6 +47,9 @@
     /// The proxy's program, if it is not beside this one
     #[arg(long, value_name = "FILE")]
     pub program: Option<PathBuf>,
+    /// Changes of settings
+    #[command(flatten)]
+    pub settings: rollout::Args,
 }
 
 /// How discovery is away, and what it knows at its return.
@@ -101,6 +105,8 @@
     /// Sizes that are also run where the list must be asked for, with the least number of proxies
     /// that is not 1.
     pub subscribe: Vec<usize>,
+    /// Changes of settings, of proxies that keep the first of the lists.
+    pub settings: rollout::Plan,
 }
 
 impl Default for Plan {
@@ -114,6 +120,7 @@
             absences: vec![Absence::RefusingWhole, Absence::Silent],
             away: 3.0,
             subscribe: vec![870],
+            settings: rollout::Plan::default(),
         }
     }
 }
@@ -140,16 +147,21 @@
         args.proxies.iter().for_each(|proxies| plan.proxies.clone_from(proxies));
         args.rates.iter().for_each(|rates| plan.rates.clone_from(rates));
         args.absences.iter().for_each(|absences| plan.absences.clone_from(absences));
+        plan.settings.take(&args.settings);
         plan.check()?;
         Ok(plan)
     }
 
     fn check(&self) -> Result<(), Error> {
+        self.settings.check()?;
         let bad = |name, expected, got: String| Err(Error::Argument { name, expected, got });
         let sizes = self.listed.iter().chain(&self.subscribe);
         if let Some(got) = sizes.clone().find(|n| !(2..=20_000).contains(*n)) {
             return bad("listed", "2 to 20,000", got.to_string());
         }
+        if self.settings.changes > 0 && self.listed.is_empty() {
+            return bad("listed", "one at least, for changes of settings", "none".to_string());
+        }
         if let Some(got) = self.proxies.iter().find(|n| !(1..=300).contains(*n)) {
             return bad("proxies", "1 to 300", got.to_string());
         }
@@ -617,6 +629,13 @@
     let several = plan.proxies.iter().copied().filter(|n| *n > 1).min().unwrap_or(1);
     let automatic = plan.listed.iter().flat_map(|l| plan.proxies.iter().map(|p| (*l, *p, false)));
     let subscribed = plan.subscribe.iter().map(|listed| (*listed, several, true));
+    let (own, proxies) = (&plan.settings, plan.settings.proxies);
+    if let Some(&listed) = plan.listed.first().filter(|_| own.changes > 0) {
+        let mut group = Group::start(&plan, &stop, &program, listed, proxies, false)?;
+        rollout::run(own, &stop, &mut group.proxies, &group.discovery, &mut report)?;
+        report.notes.push(load_since(load)?);
+        return Ok(report);
+    }
     for (listed, proxies, subscribe) in automatic.chain(subscribed) {
         tracing::info!("{listed} listed, {proxies} proxies, subscribe: {subscribe}");
         let mut group = Group::start(&plan, &stop, &program, listed, proxies, subscribe)?;
@@ -631,9 +650,11 @@
         "A window has at least {FEWEST} changes. Where the fleet has fewer, its rows' calls, bytes and core are \
          those at rest and its part of what these changes added; their times are as measured."
     ));
-    report.notes.push(format!(
-        "Load of the machine (1 min): {load:.1} at the start, {:.1} at the end.",
-        Machine::now()?.load
-    ));
+    report.notes.push(load_since(load)?);
     Ok(report)
 }
+
+fn load_since(start: f64) -> Result<String, Error> {
+    let end = Machine::now()?.load;
+    Ok(format!("Load of the machine (1 min): {start:.1} at the start, {end:.1} at the end."))
+}
--- a/fleetlab/src/lib.rs
+++ b/fleetlab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod plan;
 pub mod process;
 pub mod report;
+pub mod rollout;
 pub mod serve;
 pub mod slopes;
 pub mod stats;
--- a/fleetlab/src/process.rs
+++ b/fleetlab/src/process.rs
@@ -5,6 +5,7 @@
 use crate::error::Error;
 use procfs::process::Process;
 use procfs::{CpuPressure, Current, LoadAverage};
+use rustix::process::{Pid, Signal, kill_process};
 use serde::Serialize;
 use serde_json::{Value, json};
 use std::fs::File;
@@ -258,6 +259,7 @@
 
 /// A proxy that runs. Dropping it ends the process and takes its folder away.
 pub struct Proxy {
+    command: Command,
     child: Child,
     process: Process,
     folder: TempDir,
@@ -282,7 +284,8 @@
             serde_json::to_vec(&config).map_err(|error| Error::Failed(format!("configuration: {error}")))?;
         std::fs::write(&path, text).map_err(|error| Error::File { path: path.clone(), error })?;
         let (listen, management) = (start.listen, start.management);
-        let mut child = Command::new(start.program)
+        let mut command = Command::new(start.program);
+        command
             .env("RELAY_NAME", format!("n{}", start.number))
             .env("RELAY_CONFIG", &path)
             .env("RELAY_LISTEN", listen.to_string())
@@ -291,16 +294,33 @@
             .env("TMPDIR", folder.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(File::create(folder.path().join("log"))?)
-            .spawn()
-            .map_err(|error| Error::File { path: start.program.to_path_buf(), error })?;
-        let process = i32::try_from(child.id()).ok().and_then(|id| Process::new(id).ok());
-        let Some(process) = process else {
-            let _ = child.kill(); // it is gone if that fails
-            let _ = child.wait();
-            return Err(Error::Failed(format!("proxy {}: not in procfs", start.number)));
-        };
-        Ok(Self { child, process, folder, listen, management })
+            .stderr(File::create(folder.path().join("log"))?);
+        let (child, process) = launch(&mut command)?;
+        Ok(Self { command, child, process, folder, listen, management })
+    }
+
+    /// Its configuration file.
+    pub fn config(&self) -> PathBuf {
+        self.folder.path().join("config.json")
+    }
+
+    /// Has it read that file again, by SIGHUP.
+    pub fn reload(&self) -> Result<(), Error> {
+        // Its end has not been waited for, so the id is still its own.
+        Ok(kill_process(Pid::from_child(&self.child), Signal::HUP).map_err(std::io::Error::from)?)
+    }
+
+    /// Ends it by SIGKILL. What it has written stays.
+    pub fn kill(&mut self) -> Result<(), Error> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Starts a killed one as it was started first, without a wait until it is ready.
+    pub fn start_again(&mut self) -> Result<(), Error> {
+        (self.child, self.process) = launch(&mut self.command)?;
+        Ok(())
     }
 
     /// Returns once it is ready.
@@ -346,6 +366,18 @@
     }
 }
 
+fn launch(command: &mut Command) -> Result<(Child, Process), Error> {
+    let path = PathBuf::from(command.get_program());
+    let mut child = command.spawn().map_err(|error| Error::File { path, error })?;
+    let process = i32::try_from(child.id()).ok().and_then(|id| Process::new(id).ok());
+    let Some(process) = process else {
+        let _ = child.kill(); // it is gone if that fails
+        let _ = child.wait();
+        return Err(Error::Failed(format!("process {}: not in procfs", child.id())));
+    };
+    Ok((child, process))
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill(); // it has ended by itself if that fails
--- a/fleetlab/tests/common/mod.rs
+++ b/fleetlab/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 /// The proxy's program beside this package's own, built if it is absent: that of another package is
 /// not built for these tests by itself.
-fn proxy_program() -> PathBuf {
+pub fn proxy_program() -> PathBuf {
     let program = Path::new(env!("CARGO_BIN_EXE_fleetlab")).with_file_name("dewpier");
     if !program.is_file() {
         let folder = program.parent().unwrap();
