--- a/fleetlab/src/slopes.rs
+++ b/fleetlab/src/slopes.rs
@@ -215,7 +215,7 @@
 }
 
 /// What is measured of each case, with its unit: times first.
-const MEASURES: [&str; 11] = [
+const MEASURES: [&str; 12] = [
     "call, us",
     "outcome, us",
     "firing, sends, us",
@@ -225,12 +225,13 @@
     "changed entry, us",
     "whole list, us",
     "first list, us",
+    "new settings, us",
     "idle state, bytes",
     "state, bytes",
 ];
 
 /// Of these, how many are times.
-const TIMES: usize = 9;
+const TIMES: usize = 10;
 
 /// What was measured of one case.
 #[derive(Default)]
@@ -275,6 +276,8 @@
             mean(plan.changes.next_multiple_of(2), &mut || host.change()),
             mean(plan.lists, &mut || host.whole_list()),
             mean(plan.lists, &mut || host.first_list(plan.seed)),
+            // In pairs too: one balancer more, and one less.
+            mean(plan.lists.next_multiple_of(2), &mut || host.settings()),
         ];
         for (rounds, figure) in measured.rounds.iter_mut().zip(figures) {
             rounds.push(figure);
--- a/fleetlab/src/slopes/host.rs
+++ b/fleetlab/src/slopes/host.rs
@@ -166,6 +166,8 @@
     spent: Spent,
     /// By number of the backend: sent to since the last stretch began.
     sent_to: Vec<bool>,
+    /// Its settings tell of one balancer more than the case does.
+    one_more: bool,
     clock_cost: f64,
 }
 
@@ -184,6 +186,7 @@
             due: BinaryHeap::new(),
             spent: Spent::default(),
             sent_to: vec![false; case.backends],
+            one_more: false,
             clock_cost: clock_cost(),
         };
         host.whole_list();
@@ -264,6 +267,17 @@
         1e6 * (time - self.clock_cost)
     }
 
+    /// Processor time of settings that tell of one balancer more, or by turns again of as many as
+    /// there were, in microseconds.
+    pub fn settings(&mut self) -> f64 {
+        self.one_more = !self.one_more;
+        let mut settings = self.case.settings();
+        settings.instances += usize::from(self.one_more);
+        let time = self.handle(Event::Settings(&settings));
+        self.act(None);
+        1e6 * time
+    }
+
     fn handle(&mut self, event: Event<'_>) -> f64 {
         let begun = thread_time();
         self.balancer.handle(self.now, event, &mut self.actions);
--- a/fleetlab/tests/slopes.rs
+++ b/fleetlab/tests/slopes.rs
@@ -44,7 +44,9 @@
     assert_eq!([cases, spreads, least].map(|t| t.rows.len()), [8; 3]);
     let (median, lowest) = (numbers(cases, "call"), numbers(least, "call"));
     assert!(lowest.iter().zip(&median).all(|(l, m)| l <= m), "{least:?}");
-    for name in ["call", "outcome", "firing, sends not", "all per call", "changed", "whole", "first"] {
+    for name in
+        ["call", "outcome", "firing, sends not", "all per call", "changed", "whole", "first", "new settings"]
+    {
         assert!(numbers(cases, name).iter().all(|us| *us > 0.0), "{name}: {cases:?}");
     }
     // In calm service all is served, and as much is open as was asked for.
