Share the experiment file and the seed among fleetlab's commands

Four commands declared the same two arguments and read the plan alike: they are one piece now, `plan::Source`. Checked: the help of all four is the same to the letter, clippy, the whole suite.

--- a/fleetlab/src/added.rs
+++ b/fleetlab/src/added.rs
@@ -26,12 +26,9 @@
 /// Arguments of `fleetlab added`.
 #[derive(clap::Args, Debug)]
 pub struct Args {
-    /// Experiment file (TOML): the plan; arguments given beside it go before it
-    #[arg(long, value_name = "FILE")]
-    pub experiment: Option<PathBuf>,
-    /// Seed of all random draws
-    #[arg(long)]
-    pub seed: Option<u64>,
+    /// Where the plan comes from
+    #[command(flatten)]
+    pub source: plan::Source,
     /// A small plan, of less than half a minute
     #[arg(long, conflicts_with = "experiment")]
     pub quick: bool,
@@ -84,8 +81,8 @@
 impl Plan {
     fn read(args: &Args) -> Result<Self, Error> {
         let quick = || Self { listed: vec![870], seconds: 5.0, ..Self::default() };
-        let mut plan = if args.quick { quick() } else { plan::read(args.experiment.as_deref())? };
-        plan.seed = args.seed.unwrap_or(plan.seed);
+        let mut plan = if args.quick { quick() } else { args.source.read()? };
+        plan.seed = args.source.seed.unwrap_or(plan.seed);
         plan.seconds = args.seconds.unwrap_or(plan.seconds);
         args.listed.iter().for_each(|listed| plan.listed.clone_from(listed));
         args.rates.iter().for_each(|rates| plan.rates.clone_from(rates));
--- a/fleetlab/src/control.rs
+++ b/fleetlab/src/control.rs
@@ -20,12 +20,9 @@
 /// Arguments of `fleetlab control`.
 #[derive(clap::Args, Debug)]
 pub struct Args {
-    /// Experiment file (TOML): the plan; arguments given beside it go before it
-    #[arg(long, value_name = "FILE")]
-    pub experiment: Option<PathBuf>,
-    /// Seed of all random draws
-    #[arg(long)]
-    pub seed: Option<u64>,
+    /// Where the plan comes from
+    #[command(flatten)]
+    pub source: plan::Source,
     /// A small plan, of less than half a minute
     #[arg(long, conflicts_with = "experiment")]
     pub quick: bool,
@@ -140,8 +137,8 @@
     }
 
     fn read(args: &Args) -> Result<Self, Error> {
-        let mut plan = if args.quick { Self::quick() } else { plan::read(args.experiment.as_deref())? };
-        plan.seed = args.seed.unwrap_or(plan.seed);
+        let mut plan = if args.quick { Self::quick() } else { args.source.read()? };
+        plan.seed = args.source.seed.unwrap_or(plan.seed);
         plan.window = args.window.unwrap_or(plan.window);
         args.listed.iter().for_each(|listed| plan.listed.clone_from(listed));
         args.proxies.iter().for_each(|proxies| plan.proxies.clone_from(proxies));
--- a/fleetlab/src/fleet.rs
+++ b/fleetlab/src/fleet.rs
@@ -23,7 +23,6 @@
 use crate::report::Report;
 use clap::ValueEnum;
 use serde::{Deserialize, Serialize};
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use world::World;
 
@@ -46,12 +45,9 @@
 /// Arguments of `fleetlab fleet`.
 #[derive(clap::Args, Clone, Debug, Default)]
 pub struct Args {
-    /// Experiment file (TOML): the plan; arguments given beside it go before it
-    #[arg(long, value_name = "FILE")]
-    pub experiment: Option<PathBuf>,
-    /// Seed of all random draws
-    #[arg(long)]
-    pub seed: Option<u64>,
+    /// Where the plan comes from
+    #[command(flatten)]
+    pub source: plan::Source,
     /// What happens; may be given several times [default: each in turn]
     #[arg(long = "phase", value_name = "PHASE")]
     pub phases: Vec<Phase>,
@@ -214,11 +210,11 @@
 
 impl Plan {
     fn read(args: &Args) -> Result<Self, Error> {
-        let mut plan: Self = plan::read(args.experiment.as_deref())?;
+        let mut plan: Self = args.source.read()?;
         if !args.phases.is_empty() {
             plan.phases.clone_from(&args.phases);
         }
-        plan.seed = args.seed.unwrap_or(plan.seed);
+        plan.seed = args.source.seed.unwrap_or(plan.seed);
         plan.backends = args.backends.unwrap_or(plan.backends);
         plan.services = args.services.unwrap_or(plan.services);
         plan.rate_scale = args.rate_scale.unwrap_or(plan.rate_scale);
--- a/fleetlab/src/plan.rs
+++ b/fleetlab/src/plan.rs
@@ -2,14 +2,29 @@
 
 use crate::error::Error;
 use serde::de::DeserializeOwned;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-/// Reads the plan of a command from a TOML file; without one it is the default. Names that the plan
-/// does not know are an error: a misspelt one would silently measure something else.
-pub fn read<P: DeserializeOwned + Default>(path: Option<&Path>) -> Result<P, Error> {
-    let Some(path) = path else {
-        return Ok(P::default());
-    };
+/// Arguments of every command: where its plan comes from.
+#[derive(clap::Args, Clone, Debug, Default)]
+pub struct Source {
+    /// Experiment file (TOML): the plan; arguments given beside it go before it
+    #[arg(long, value_name = "FILE")]
+    pub experiment: Option<PathBuf>,
+    /// Seed of all random draws
+    #[arg(long)]
+    pub seed: Option<u64>,
+}
+
+impl Source {
+    /// Reads the plan of a command from the experiment file; without one it is the default.
+    pub fn read<P: DeserializeOwned + Default>(&self) -> Result<P, Error> {
+        self.experiment.as_deref().map_or_else(|| Ok(P::default()), read)
+    }
+}
+
+/// Names that the plan does not know are an error: a misspelt one would silently measure something
+/// else.
+fn read<P: DeserializeOwned>(path: &Path) -> Result<P, Error> {
     let text =
         std::fs::read_to_string(path).map_err(|error| Error::File { path: path.to_path_buf(), error })?;
     toml::from_str(&text).map_err(|error| {
--- a/fleetlab/src/slopes.rs
+++ b/fleetlab/src/slopes.rs
@@ -14,19 +14,15 @@
 use procfs::{Current, LoadAverage};
 use serde::{Deserialize, Serialize};
 use std::ops::RangeInclusive;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use tracing::info;
 
 /// Arguments of `fleetlab slopes`.
 #[derive(clap::Args, Debug)]
 pub struct Args {
-    /// Experiment file (TOML): the plan; arguments given beside it go before it
-    #[arg(long, value_name = "FILE")]
-    pub experiment: Option<PathBuf>,
-    /// Seed of all random draws
-    #[arg(long)]
-    pub seed: Option<u64>,
+    /// Where the plan comes from
+    #[command(flatten)]
+    pub source: plan::Source,
     /// Few rounds and short ones, to see that it runs: its figures are rough
     #[arg(long)]
     pub quick: bool,
@@ -304,11 +300,11 @@
 
 /// Runs it.
 pub fn run(args: &Args) -> Result<Report, Error> {
-    let mut plan: Plan = plan::read(args.experiment.as_deref())?;
+    let mut plan: Plan = args.source.read()?;
     if args.quick {
         plan = Plan { rounds: 3, requests: 200, changes: 4, lists: 2, ..plan };
     }
-    plan.seed = args.seed.unwrap_or(plan.seed);
+    plan.seed = args.source.seed.unwrap_or(plan.seed);
     plan.rounds = args.rounds.unwrap_or(plan.rounds);
     plan.base.tier = args.tier.unwrap_or(plan.base.tier);
     plan.check()?;
--- a/fleetlab/tests/fleet.rs
+++ b/fleetlab/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 use fleetlab::fleet::checker::{Broken, Checker, Rule};
 use fleetlab::fleet::{Args, Phase, run};
+use fleetlab::plan::Source;
 use fleetlab::report::{Report, Value};
 use gannetproxy::{Effect, RequestId};
 use std::io::Write;
@@ -15,7 +16,13 @@
                 cut = 20.0\nsamples = 1\nrate_scale = 0.002\nracks = 3\n";
     write!(file, "{text}{lines}").unwrap();
     let experiment = Some(file.path().to_path_buf());
-    run(&Args { experiment, phases: phases.to_vec(), restarts: Some(restarts), ..Args::default() }).unwrap()
+    run(&Args {
+        source: Source { experiment, seed: None },
+        phases: phases.to_vec(),
+        restarts: Some(restarts),
+        ..Args::default()
+    })
+    .unwrap()
 }
 
 /// The figure of a table, by the beginnings of the names of the three.
