Take what discovery goes by from the settings in force, and ask in one place if an attempt is out

Discovery kept copies of two settings that its engine has; they were to be kept in step on each change. Four places looked up in their own way whether an attempt had been written whole. Stand-ins are filtered the way that members are.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -857,8 +857,8 @@
         // must not all fall on the few warm ones that a subset happens to hold.
         let wanted = if pool.is_empty() { 2 * SUBSET } else { members };
         if pool.len() < wanted {
-            let held = |b: &&usize| scope.holds(&self.backends[**b].entry) && !tried.contains(b);
-            let mut wide: Vec<_> = self.listed.iter().filter(held).copied().collect();
+            let mut wide = self.listed.clone();
+            wide.retain(|b| scope.holds(&self.backends[*b].entry) && !tried.contains(b));
             wide.retain(|b| !self.subset.contains(b));
             while pool.len() < wanted
                 && let Some(i) = self.draw(wide.len())
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -6,7 +6,7 @@
 use super::maintenance::Book;
 use super::stream::Outgoing;
 use crate::log;
-use crate::{BackendId, Entry, Settings, Status};
+use crate::{BackendId, Entry, Status};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use rand::rngs::SmallRng;
@@ -199,12 +199,8 @@
     /// Goes up when the address changes: what the old one still says is not taken in.
     era: Cell<u64>,
     rng: RefCell<SmallRng>,
-    /// Without asking for so long, nothing counts as told: no call waits longer for news.
-    ask_within: Cell<Duration>,
     /// The last call of the watch failed.
     failed: Cell<bool>,
-    /// The module says when to call again after a failure.
-    asked: Cell<bool>,
     /// Where the names of all that are ever listed are kept, if they are.
     book: Option<Rc<Book>>,
     heard: watch::Sender<bool>,
@@ -230,14 +226,11 @@
             watch: RefCell::default(),
             era: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
-            ask_within: Cell::default(),
             failed: Cell::new(false),
-            asked: Cell::default(),
             book,
             heard: watch::Sender::new(false),
             engine,
         });
-        discovery.keep_to(&terms.settings);
         discovery.engine.set_discovery(&discovery);
         let listed = discovery.translate(known.instances);
         discovery.engine.news(News::Remembered(listed));
@@ -249,14 +242,18 @@
 
     /// Goes by these settings, which have changed. A watch that is on goes on; one is begun if none
     /// is: nobody may have to ask now, or sooner than the module would.
-    pub fn settle(self: &Rc<Self>, settings: &Settings) {
-        self.keep_to(settings);
+    pub fn settle(self: &Rc<Self>) {
         self.watch(true);
     }
 
-    fn keep_to(&self, settings: &Settings) {
-        self.ask_within.set(Duration::try_from_secs_f64(settings.ask_within).unwrap_or(Duration::MAX));
-        self.asked.set(settings.must_watch);
+    /// The module says when to call again after a failure.
+    fn asked(&self) -> bool {
+        self.engine.terms().settings.must_watch
+    }
+
+    /// Without asking for so long, nothing counts as told: no call waits longer for news.
+    fn ask_within(&self) -> Duration {
+        Duration::try_from_secs_f64(self.engine.terms().settings.ask_within).unwrap_or(Duration::MAX)
     }
 
     /// The number of a zone by its name, which it keeps.
@@ -330,8 +327,7 @@
         loop {
             let begun = Instant::now();
             let failed = usize::from(self.failed.get());
-            let (wait, within) =
-                (MOST_WATCH[failed].min(self.ask_within.get()), self.spread(PATIENCE[failed]));
+            let (wait, within) = (MOST_WATCH[failed].min(self.ask_within()), self.spread(PATIENCE[failed]));
             let answer = match self.generation.get() {
                 Some(since) => {
                     let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
@@ -340,7 +336,7 @@
                 None => self.call("/api/targets", within, &mut peer).await,
             };
             self.failed.set(answer.is_err());
-            if answer.is_err() && self.asked.get() {
+            if answer.is_err() && self.asked() {
                 // Over before the module is told: its next call begins a watch of its own.
                 *self.watch.borrow_mut() = None;
                 self.take(answer);
@@ -378,7 +374,7 @@
             }
             Err(error) => {
                 log!("discovery: {error}");
-                if self.asked.get() {
+                if self.asked() {
                     self.engine.news(News::Refused);
                 }
                 false
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -206,6 +206,13 @@
     last: Time,
 }
 
+impl State {
+    /// An attempt that is out has been written whole; None of one that has ended.
+    fn written(&self, id: RequestId, attempt: usize) -> Option<bool> {
+        self.running.get(&(id, attempt)).map(|running| running.written.get())
+    }
+}
+
 /// Drives the module.
 pub struct Engine {
     this: Weak<Engine>,
@@ -541,12 +548,12 @@
                 self.send(state, id, backend, timeout, write_within, now);
             }
             Action::Cancel { id, attempt } => {
-                let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
+                let written = state.written(id, attempt) == Some(true);
                 let outcome = if written { Outcome::Cancelled } else { Outcome::NeverSent };
                 self.ended(state, id, attempt, Done::without_answer(outcome));
             }
             Action::Withdraw { id, attempt } => {
-                if state.running.get(&(id, attempt)).is_some_and(|r| !r.written.get()) {
+                if state.written(id, attempt) == Some(false) {
                     self.ended(state, id, attempt, Done::without_answer(Outcome::NeverSent));
                 }
             }
@@ -664,12 +671,12 @@
             match due {
                 Due::Token(token) => state.told.push_back(Told::Event(Event::Timer(token))),
                 Due::Unwritten(id, attempt) => {
-                    if state.running.get(&(id, attempt)).is_some_and(|r| !r.written.get()) {
+                    if state.written(id, attempt) == Some(false) {
                         self.ended(&mut state, id, attempt, Done::without_answer(Outcome::NoConnection));
                     }
                 }
                 Due::Attempt(id, attempt) => {
-                    let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
+                    let written = state.written(id, attempt) == Some(true);
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
                     self.ended(&mut state, id, attempt, Done::without_answer(outcome));
                 }
--- a/src/proxy/reload.rs
+++ b/src/proxy/reload.rs
@@ -114,7 +114,7 @@
         let settled = terms != *old;
         if settled {
             self.engine.settle(terms);
-            self.discovery.settle(&self.engine.terms().settings);
+            self.discovery.settle();
             log!("dewpier: new settings in force{}", version(&self.engine.terms()));
         }
         let limited = self.limits.replace(config.limits) != config.limits;
