--- a/fleetlab/src/added.rs
+++ b/fleet-bench/src/added.rs
@@ -23,7 +23,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// Arguments of `fleetlab added`.
+/// Arguments of `fleet-bench added`.
 #[derive(clap::Args, Debug)]
 pub struct Args {
     /// Where the plan comes from
--- a/fleetlab/src/control.rs
+++ b/fleet-bench/src/control.rs
@@ -17,7 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// Arguments of `fleetlab control`.
+/// Arguments of `fleet-bench control`.
 #[derive(clap::Args, Debug)]
 pub struct Args {
     /// Where the plan comes from
--- a/fleetlab/src/fleet.rs
+++ b/fleet-bench/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A hollow fleet on virtual time: the real module, thousands of times, in one process.
 //!
-//! Each proxy is a [`gannetproxy::Balancer`] beside one machine of a service, and calls one lower
+//! Each proxy is a [`balancer_proxy::Balancer`] beside one machine of a service, and calls one lower
 //! service, as the program's proxies have one list each. Backends, network and discovery are
 //! modelled: plain service times without queues, drawn delays of news. As nothing that a proxy
 //! sends changes how a backend answers, the proxies are played one by one, in parallel, and what
@@ -42,7 +42,7 @@
     Half,
 }
 
-/// Arguments of `fleetlab fleet`.
+/// Arguments of `fleet-bench fleet`.
 #[derive(clap::Args, Clone, Debug, Default)]
 pub struct Args {
     /// Where the plan comes from
--- a/fleetlab/src/fleet/caller.rs
+++ b/fleet-bench/src/fleet/caller.rs
@@ -6,9 +6,9 @@
 use super::world::{self, World};
 use super::{Phase, Plan};
 use crate::error::Error;
-use gannetproxy::{
-    Action, BackendId, Balancer, Class, Effect, Ended, Entry, Event, Group, ListUpdate, Outcome, Request,
-    RequestId, Settings, Status, Time,
+use balancer_proxy::{
+    Action, BackendId, Balancer, Effect, EndedAttempt, Endpoint, EndpointUpdate, Event, IdempotencyGroup,
+    Outcome, Request, RequestClass, RequestId, Settings, Status, Time,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -19,7 +19,8 @@
 /// Members are looked at this often, in seconds.
 pub const LOOK: Time = 1.0;
 /// The classes of calls, by what repeating one would do.
-const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Keyed { group: Group::All, window: 5.0 }, Effect::Unsafe];
+const EFFECTS: [Effect; 3] =
+    [Effect::Safe, Effect::Idempotent { group: IdempotencyGroup::All, window: 5.0 }, Effect::Unsafe];
 /// A backend that is to stop makes no calls of its own in its last so many seconds, as what would
 /// have come of them could not be told any more.
 const LAST_CALLS: Time = 1.0;
@@ -126,33 +127,35 @@
     let callers = &world.services[service].callers;
     let caller = &world.machines[callers[me]];
     Settings {
-        classes: EFFECTS.map(|effect| Class { deadline: plan.budget, effect, ..Class::default() }).into(),
-        instances: callers.len(),
-        me,
+        classes: EFFECTS
+            .map(|effect| RequestClass { deadline: plan.budget, effect, ..RequestClass::default() })
+            .into(),
+        instance_count: callers.len(),
+        instance_index: me,
         tier: world.services[caller.service].layer,
         zone: caller.zone as u32,
-        cross_zone: plan.cross_zone,
-        cold_share: plan.cold_share,
-        cold: plan.cold,
-        fall_multiple: plan.fall_multiple,
-        tip_after: plan.tip_after,
+        cross_zone_cost: plan.cross_zone,
+        slow_start_initial_capacity: plan.cold_share,
+        slow_start_duration: plan.cold,
+        slow_start_overload_multiple: plan.fall_multiple,
+        slow_start_overload_window: plan.tip_after,
         ..Settings::default()
     }
 }
 
 /// Bytes of a message of the list with these entries, as discovery writes them.
-pub fn message_bytes(entries: &[Entry], reset: bool) -> usize {
+pub fn message_bytes(entries: &[Endpoint], reset: bool) -> usize {
     let head = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 1234\r\n\r\n\
          {{\"generation\":123456,\"reset\":{reset},\"instances\":[]}}"
     );
-    let line = |e: &Entry| {
+    let line = |e: &Endpoint| {
         let lifecycle = match e.status {
             Status::InService => "SERVING",
             Status::Draining => "DRAINING",
-            Status::Gone => "DELETED",
+            Status::Removed => "DELETED",
         };
-        let started = if e.started.is_some() { "1790000000000" } else { "0" };
+        let started = if e.started_at.is_some() { "1790000000000" } else { "0" };
         format!(
             "{{\"instanceId\":\"s-{:08x}\",\"hostPort\":\"10.100.100.100:7070\",\"zone\":\"{}\",\
              \"machineType\":\"m2\",\"cell\":{},\"lifecycle\":\"{lifecycle}\",\"weight\":1.0,\
@@ -235,7 +238,7 @@
     checker: Checker,
     running: HashMap<(RequestId, usize), Running>,
     /// The list as this proxy has it.
-    list: Vec<Entry>,
+    list: Vec<Endpoint>,
     /// Since when it has been told that a backend is not in service.
     told_out: Vec<Option<Time>>,
     /// When a backend last answered: a connection to it is kept for a while.
@@ -253,7 +256,7 @@
     let machine = service.callers[me];
     let count = service.machines.len();
     let stream = world::seed(&[scene.plan.seed, 2, scene.phase as u64, machine as u64]);
-    let list: Vec<Entry> = service.machines.clone().map(|m| scene.world.entry(m)).collect();
+    let list: Vec<Endpoint> = service.machines.clone().map(|m| scene.world.entry(m)).collect();
     let settings = settings(scene.plan, scene.world, scene.service, me);
     let mut caller = Caller {
         scene,
@@ -304,7 +307,7 @@
         }
         news.into_iter().for_each(|(at, upto)| self.put(at, Due::News(upto)));
         let list = self.list.clone();
-        self.tell_list(true, ListUpdate::Full(&list))?;
+        self.tell_list(true, EndpointUpdate::Full(&list))?;
         self.next_call();
         Ok(())
     }
@@ -434,7 +437,7 @@
         let counted = self.counted();
         self.checker.begun(id, EFFECTS[class], self.now + plan.budget, counted);
         self.played.counts.calls += u64::from(counted);
-        let request = Request { id, class, budget: plan.budget, ..Request::default() };
+        let request = Request { id, class, timeout: plan.budget, ..Request::default() };
         self.tell(Event::Request(request))?;
         self.next_call();
         Ok(())
@@ -457,8 +460,8 @@
         done
     }
 
-    fn tell_list(&mut self, reset: bool, update: ListUpdate<'_>) -> Result<(), Error> {
-        if let ListUpdate::Changes(entries) | ListUpdate::Full(entries) = update {
+    fn tell_list(&mut self, reset: bool, update: EndpointUpdate<'_>) -> Result<(), Error> {
+        if let EndpointUpdate::Changes(entries) | EndpointUpdate::Full(entries) = update {
             let bytes = message_bytes(entries, reset);
             if self.counted() && self.now <= self.scene.plan.end() {
                 self.played.counts.updates += 1;
@@ -469,25 +472,25 @@
         if let Some(recording) = &mut self.played.recording {
             recording.records.push(Record::list(self.now, update));
         }
-        self.handle(Event::List(update))
+        self.handle(Event::Endpoints(update))
     }
 
     fn act(&mut self, action: Action) -> Result<(), Error> {
         match action {
             Action::Send { id, backend, timeout, .. } => self.send(id, backend, timeout),
             Action::Cancel { id, attempt } => self.ended(id, attempt, Outcome::Cancelled),
-            Action::Refuse { id, .. } => self.unserved(id, true),
+            Action::Reject { id, .. } => self.unserved(id, true),
             Action::Fail { id } => self.unserved(id, false),
-            Action::Timer { at, token } => {
+            Action::SetTimer { at, token } => {
                 self.put(at, Due::Timer(token));
                 Ok(())
             }
             // Sends are written at once, and lists pushed; there are no connections to close.
             Action::Withdraw { .. }
-            | Action::Probe(_)
-            | Action::Release(_)
-            | Action::Watch(_)
-            | Action::Fetch
+            | Action::HealthCheck(_)
+            | Action::CloseIdleConnections(_)
+            | Action::WatchEndpoints(_)
+            | Action::FetchEndpoints
             | Action::Log(_) => Ok(()),
         }
     }
@@ -560,7 +563,7 @@
             Some((Going::Restart, down)) => (Outcome::Reset, down + 0.5 * round_trip),
             Some((Going::Vanish, _)) => (Outcome::Timeout, last),
             None if cut => (Outcome::Timeout, last),
-            None => (Outcome::Served, end),
+            None => (Outcome::Success, end),
         };
         if at >= last { (Outcome::Timeout, last, false) } else { (outcome, at, false) }
     }
@@ -593,7 +596,7 @@
             return Ok(()); // ended otherwise before
         };
         match outcome {
-            Outcome::Served => {
+            Outcome::Success => {
                 self.answered[backend] = self.now;
                 if self.checker.is_open(id) {
                     let open = self.close(id)?;
@@ -603,13 +606,13 @@
             Outcome::NoConnection => self.checker.never_ran(id),
             _ => {}
         }
-        self.tell(Event::Outcome(Ended {
+        self.tell(Event::AttemptEnded(EndedAttempt {
             id,
             backend: BackendId((self.first + backend) as u32),
             attempt,
             outcome,
-            took: self.now - sent,
-            over: !self.checker.is_open(id),
+            duration: self.now - sent,
+            request_finished: !self.checker.is_open(id),
             report: None,
         }))
     }
@@ -635,14 +638,14 @@
         for (i, change) in (self.had..upto).zip(changes) {
             self.played.heard[i] = Some((self.now - change.since) as f32);
         }
-        let entries: Vec<Entry> = changes.iter().map(|c| c.entry.clone()).collect();
+        let entries: Vec<Endpoint> = changes.iter().map(|c| c.entry.clone()).collect();
         self.take(upto);
         // After a long silence the whole list is the shorter answer.
         if entries.len() > self.list.len() {
             let list = self.listed_now();
-            return self.tell_list(true, ListUpdate::Full(&list));
+            return self.tell_list(true, EndpointUpdate::Full(&list));
         }
-        self.tell_list(false, ListUpdate::Changes(&entries))
+        self.tell_list(false, EndpointUpdate::Changes(&entries))
     }
 
     /// Takes changes into the list as this proxy has it.
@@ -657,8 +660,8 @@
         self.had = self.had.max(upto);
     }
 
-    fn listed_now(&self) -> Vec<Entry> {
-        self.list.iter().filter(|e| e.status != Status::Gone).cloned().collect()
+    fn listed_now(&self) -> Vec<Endpoint> {
+        self.list.iter().filter(|e| e.status != Status::Removed).cloned().collect()
     }
 
     fn look(&mut self, look: u32) {
@@ -695,7 +698,7 @@
         self.balancer = Balancer::new(self.now, seed, settings);
         self.up = true;
         let list = self.listed_now();
-        self.tell_list(true, ListUpdate::Remembered(&list))?;
+        self.tell_list(true, EndpointUpdate::Cached(&list))?;
         let zone = world.machines[self.machine].zone;
         let answer = if self.agent() { AGENT } else { self.delay(zone) };
         let apart = events.cut.filter(|cut| world.region(zone) == cut.region && !self.agent());
@@ -713,6 +716,6 @@
             self.take(self.scene.changes.partition_point(|c| c.at <= now).max(self.had));
         }
         let list = self.listed_now();
-        self.tell_list(true, ListUpdate::Full(&list))
+        self.tell_list(true, EndpointUpdate::Full(&list))
     }
 }
--- a/fleetlab/src/fleet/changes.rs
+++ b/fleet-bench/src/fleet/changes.rs
@@ -2,7 +2,7 @@
 
 use super::world::{self, World};
 use super::{Phase, Plan};
-use gannetproxy::{Entry, Status, Time};
+use balancer_proxy::{Endpoint, Status, Time};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -52,7 +52,7 @@
     /// The machine that it is about.
     pub machine: usize,
     /// The line of the list.
-    pub entry: Entry,
+    pub entry: Endpoint,
 }
 
 /// All that happens in a phase.
@@ -151,14 +151,14 @@
                 // Discovery is where the cut region is not.
                 let cut = self.cut.filter(|c| world.region(zone) == c.region);
                 let at = cut.filter(|c| (c.from..c.to).contains(&since)).map_or(since, |c| c.to);
-                let entry = Entry { status, started, ..world.entry(machine) };
+                let entry = Endpoint { status, started_at: started, ..world.entry(machine) };
                 changes.push(Change { since, at, machine, entry });
             };
             if outage.going == Going::Restart {
                 tell(outage.drain, Status::Draining, None);
             }
             if outage.noticed < outage.up {
-                tell(outage.noticed, Status::Gone, None);
+                tell(outage.noticed, Status::Removed, None);
             }
             tell(outage.up, Status::InService, Some(outage.up));
         }
--- a/fleetlab/src/fleet/checker.rs
+++ b/fleet-bench/src/fleet/checker.rs
@@ -1,6 +1,6 @@
 //! Always on: one final answer for each call, in time, and no unsafe call twice.
 
-use gannetproxy::{Effect, RequestId, Time};
+use balancer_proxy::{Effect, RequestId, Time};
 use std::collections::HashMap;
 use thiserror::Error;
 
--- a/fleetlab/src/fleet/cost.rs
+++ b/fleet-bench/src/fleet/cost.rs
@@ -8,7 +8,7 @@
 use super::{Phase, Plan};
 use crate::error::Error;
 use crate::report::{Table, Value};
-use gannetproxy::{Balancer, Entry, Event, ListUpdate, Settings, Time};
+use balancer_proxy::{Balancer, Endpoint, EndpointUpdate, Event, Settings, Time};
 use rustix::time::{ClockId, clock_gettime};
 
 /// Balancers of a role that are held at once to measure their memory.
@@ -22,23 +22,23 @@
     /// An event without a list.
     Event(Time, Event<'static>),
     /// Changes of the list.
-    Changes(Time, Vec<Entry>),
+    Changes(Time, Vec<Endpoint>),
     /// The whole list.
-    Full(Time, Vec<Entry>),
+    Full(Time, Vec<Endpoint>),
     /// The list as known before a start.
-    Remembered(Time, Vec<Entry>),
+    Remembered(Time, Vec<Endpoint>),
     /// The process is a new one, of this seed.
     Start(Time, u64),
 }
 
 impl Record {
     /// News of the list.
-    pub fn list(now: Time, update: ListUpdate<'_>) -> Self {
+    pub fn list(now: Time, update: EndpointUpdate<'_>) -> Self {
         match update {
-            ListUpdate::Changes(list) => Self::Changes(now, list.to_vec()),
-            ListUpdate::Full(list) => Self::Full(now, list.to_vec()),
-            ListUpdate::Remembered(list) => Self::Remembered(now, list.to_vec()),
-            ListUpdate::Refused => Self::Event(now, Event::List(ListUpdate::Refused)),
+            EndpointUpdate::Changes(list) => Self::Changes(now, list.to_vec()),
+            EndpointUpdate::Full(list) => Self::Full(now, list.to_vec()),
+            EndpointUpdate::Cached(list) => Self::Remembered(now, list.to_vec()),
+            EndpointUpdate::Failed => Self::Event(now, Event::Endpoints(EndpointUpdate::Failed)),
         }
     }
 }
@@ -91,9 +91,9 @@
                 balancer = Balancer::new(*at, *seed, recording.settings.clone());
                 continue;
             }
-            Record::Changes(at, list) => (*at, ListUpdate::Changes(list)),
-            Record::Full(at, list) => (*at, ListUpdate::Full(list)),
-            Record::Remembered(at, list) => (*at, ListUpdate::Remembered(list)),
+            Record::Changes(at, list) => (*at, EndpointUpdate::Changes(list)),
+            Record::Full(at, list) => (*at, EndpointUpdate::Full(list)),
+            Record::Remembered(at, list) => (*at, EndpointUpdate::Cached(list)),
             Record::Event(at, event) => {
                 let began = thread_time();
                 balancer.handle(*at, *event, &mut actions);
@@ -115,7 +115,7 @@
             }
         };
         let began = thread_time();
-        balancer.handle(at, Event::List(update), &mut actions);
+        balancer.handle(at, Event::Endpoints(update), &mut actions);
         actions.clear();
         if at >= from {
             let took = thread_time() - began;
@@ -178,12 +178,12 @@
         let Some(of) = world.services.get(service) else {
             continue;
         };
-        let list: Vec<Entry> = of.machines.clone().map(|m| world.entry(m)).collect();
+        let list: Vec<Endpoint> = of.machines.clone().map(|m| world.entry(m)).collect();
         let before = resident()?;
         for i in 0..HELD {
             let settings = settings(plan, world, service, i % of.callers.len());
             let mut balancer = Balancer::new(0.0, i as u64, settings);
-            balancer.handle(0.0, Event::List(ListUpdate::Full(&list)), &mut Vec::new());
+            balancer.handle(0.0, Event::Endpoints(EndpointUpdate::Full(&list)), &mut Vec::new());
             held.push(balancer);
         }
         let grown = resident()?.saturating_sub(before);
--- a/fleetlab/src/fleet/together.rs
+++ b/fleet-bench/src/fleet/together.rs
@@ -7,7 +7,7 @@
 use super::world::World;
 use super::{Phase, Plan};
 use crate::error::Error;
-use gannetproxy::{Status, Time};
+use balancer_proxy::{Status, Time};
 use rayon::prelude::*;
 use std::time::Instant;
 
--- a/fleetlab/src/fleet/world.rs
+++ b/fleet-bench/src/fleet/world.rs
@@ -1,7 +1,7 @@
 //! The fleet as it stands: services of uneven size, the machines of their backends, who calls whom.
 
 use super::Plan;
-use gannetproxy::{BackendId, Entry, Status, Time};
+use balancer_proxy::{BackendId, Endpoint, Status, Time};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -186,10 +186,10 @@
     }
 
     /// The line of the list of a machine's backend, in service since long ago.
-    pub fn entry(&self, machine: usize) -> Entry {
+    pub fn entry(&self, machine: usize) -> Endpoint {
         let zone = self.machines[machine].zone as u32;
         let id = BackendId(machine as u32);
-        Entry { id, cell: zone, zone, weight: 1.0, status: Status::InService, started: None }
+        Endpoint { id, cell: zone, zone, weight: 1.0, status: Status::InService, started_at: None }
     }
 }
 
--- a/fleetlab/src/main.rs
+++ b/fleet-bench/src/main.rs
@@ -3,9 +3,9 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use fleetlab::error::Error;
-use fleetlab::report::Report;
-use fleetlab::{added, control, fleet, slopes};
+use fleet_bench::error::Error;
+use fleet_bench::report::Report;
+use fleet_bench::{added, control, fleet, slopes};
 use std::io::{self, ErrorKind, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -55,7 +55,7 @@
         // Whoever reads has seen enough.
         Err(Error::Io(error)) if error.kind() == ErrorKind::BrokenPipe => ExitCode::SUCCESS,
         Err(error) => {
-            let _ = writeln!(io::stderr(), "fleetlab: {error}"); // nobody is left to tell
+            let _ = writeln!(io::stderr(), "fleet-bench: {error}"); // nobody is left to tell
             ExitCode::FAILURE
         }
     }
--- a/fleetlab/src/process.rs
+++ b/fleet-bench/src/process.rs
@@ -70,7 +70,7 @@
 pub fn program(named: Option<&Path>) -> Result<PathBuf, Error> {
     let path = match named {
         Some(path) => path.to_path_buf(),
-        None => std::env::current_exe()?.with_file_name("dewpier"),
+        None => std::env::current_exe()?.with_file_name("balancer-proxy"),
     };
     match path.is_file() {
         true => Ok(path),
@@ -271,7 +271,7 @@
 impl Proxy {
     /// Starts one, without a wait until it is ready.
     pub fn spawn(start: &Start<'_>) -> Result<Self, Error> {
-        let folder = TempDir::with_prefix("fleetlab-")?;
+        let folder = TempDir::with_prefix("fleet-bench-")?;
         let path = folder.path().join("config.json");
         let config = Config {
             name: format!("n{}", start.number),
--- a/fleetlab/src/slopes.rs
+++ b/fleet-bench/src/slopes.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 use tracing::info;
 
-/// Arguments of `fleetlab slopes`.
+/// Arguments of `fleet-bench slopes`.
 #[derive(clap::Args, Debug)]
 pub struct Args {
     /// Where the plan comes from
--- a/fleetlab/src/slopes/host.rs
+++ b/fleet-bench/src/slopes/host.rs
@@ -2,9 +2,9 @@
 //! come when they are due, and what the balancer cancels is reported back to it. Each event's
 //! processor time is taken by itself.
 
-use gannetproxy::{
-    Action, BackendId, Balancer, Class, Ended, Entry, Event, ListUpdate, Outcome, Request, RequestId,
-    Settings, Status, Tenant, Time,
+use balancer_proxy::{
+    Action, BackendId, Balancer, EndedAttempt, Endpoint, EndpointUpdate, Event, Outcome, Request,
+    RequestClass, RequestId, Settings, Status, Tenant, Time,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -51,22 +51,29 @@
 
     /// What the module is told of it. No other place names the module's settings.
     fn settings(&self) -> Settings {
-        let class =
-            |i: usize| Class { name: i.to_string(), aim: AIM, deadline: 2.0 * AIM, ..Class::default() };
+        let class = |i: usize| RequestClass {
+            name: i.to_string(),
+            latency_objective: AIM,
+            deadline: 2.0 * AIM,
+            ..RequestClass::default()
+        };
         // Far beyond what comes: shares are counted, and none is used up.
         let quota = 10.0 * self.rate() * self.instances as f64;
         Settings {
             classes: (0..self.classes).map(class).collect(),
-            tenants: (0..self.tenants).map(|i| Tenant { name: i.to_string(), quota }).collect(),
-            instances: self.instances,
-            me: self.instances / 2,
+            tenants: (0..self.tenants)
+                .map(|i| Tenant { name: i.to_string(), quota_per_second: quota })
+                .collect(),
+            instance_count: self.instances,
+            instance_index: self.instances / 2,
             tier: self.tier,
             ..Settings::default()
         }
     }
 
-    fn list(&self) -> Vec<Entry> {
-        let entry = |i: u32| Entry { id: BackendId(i), cell: i / CELL, zone: i % ZONES, ..Entry::default() };
+    fn list(&self) -> Vec<Endpoint> {
+        let entry =
+            |i: u32| Endpoint { id: BackendId(i), cell: i / CELL, zone: i % ZONES, ..Endpoint::default() };
         (0..self.backends as u32).map(entry).collect()
     }
 }
@@ -156,7 +163,7 @@
 pub struct Host {
     case: Case,
     balancer: Balancer,
-    list: Vec<Entry>,
+    list: Vec<Endpoint>,
     actions: Vec<Action>,
     rng: SmallRng,
     now: Time,
@@ -242,7 +249,7 @@
         let entry = &mut self.list[place];
         entry.status = if changed.is_some() { Status::InService } else { Status::Draining };
         let entry = [entry.clone()];
-        let time = self.handle(Event::List(ListUpdate::Changes(&entry)));
+        let time = self.handle(Event::Endpoints(EndpointUpdate::Changes(&entry)));
         self.act(None);
         self.go_on(2);
         1e6 * time
@@ -251,7 +258,7 @@
     /// Processor time of a whole list that says nothing new, in microseconds.
     pub fn whole_list(&mut self) -> f64 {
         let list = std::mem::take(&mut self.list);
-        let time = self.handle(Event::List(ListUpdate::Full(&list)));
+        let time = self.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
         self.list = list;
         self.act(None);
         1e6 * time
@@ -261,7 +268,7 @@
     pub fn first_list(&mut self, seed: u64) -> f64 {
         let mut balancer = Balancer::new(0.0, seed, self.case.settings());
         let begun = thread_time();
-        balancer.handle(0.0, Event::List(ListUpdate::Full(&self.list)), &mut self.actions);
+        balancer.handle(0.0, Event::Endpoints(EndpointUpdate::Full(&self.list)), &mut self.actions);
         let time = thread_time() - begun;
         self.actions.clear();
         1e6 * (time - self.clock_cost)
@@ -272,7 +279,7 @@
     pub fn settings(&mut self) -> f64 {
         self.one_more = !self.one_more;
         let mut settings = self.case.settings();
-        settings.instances += usize::from(self.one_more);
+        settings.instance_count += usize::from(self.one_more);
         let time = self.handle(Event::Settings(&settings));
         self.act(None);
         1e6 * time
@@ -292,7 +299,7 @@
             id,
             class: self.rng.random_range(0..self.case.classes),
             tenant: (tenants > 0).then(|| self.rng.random_range(0..tenants)),
-            budget: 2.0 * AIM,
+            timeout: 2.0 * AIM,
             ..Request::default()
         };
         self.open.insert(id, Attempts::new());
@@ -321,7 +328,7 @@
                 let Some(&(backend, sent)) = self.open.get(&id).and_then(|a| a.get(attempt)) else {
                     return; // cancelled when the other was answered
                 };
-                let time = self.end(id, backend, attempt, sent, Outcome::Served);
+                let time = self.end(id, backend, attempt, sent, Outcome::Success);
                 self.spent.add(Kind::Outcome, time);
                 self.act(Some(id));
                 self.open.remove(&id);
@@ -338,7 +345,15 @@
         outcome: Outcome,
     ) -> f64 {
         let took = self.now - sent;
-        self.handle(Event::Outcome(Ended { id, backend, attempt, outcome, took, over: true, report: None }))
+        self.handle(Event::AttemptEnded(EndedAttempt {
+            id,
+            backend,
+            attempt,
+            outcome,
+            duration: took,
+            request_finished: true,
+            report: None,
+        }))
     }
 
     /// Does what the balancer wants done; `about` is the request whose event it was.
@@ -358,7 +373,7 @@
                         *sent = true;
                     }
                 }
-                Action::Timer { at, token } => {
+                Action::SetTimer { at, token } => {
                     let id = about.unwrap_or_default();
                     self.due.push(Reverse((nanoseconds(at), Due::Timer { id, token })));
                 }
@@ -366,7 +381,7 @@
                     let sent = self.open.get(&id).and_then(|a| a.get(attempt));
                     cancelled.extend(sent.map(|sent| (id, attempt, *sent)));
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Reject { id, .. } | Action::Fail { id } => {
                     self.spent.unserved += 1;
                     ended.push(id);
                 }
--- a/fleetlab/tests/added.rs
+++ b/fleet-bench/tests/added.rs
@@ -1,11 +1,11 @@
-//! A whole small run of `fleetlab added`, and what it is made of.
+//! A whole small run of `fleet-bench added`, and what it is made of.
 
 mod common;
 
-use common::{assert_nothing_left, fleetlab, table};
-use fleetlab::added::verdict;
-use fleetlab::backend::Backends;
-use fleetlab::draw::arrivals;
+use common::{assert_nothing_left, fleet_bench, table};
+use fleet_bench::added::verdict;
+use fleet_bench::backend::Backends;
+use fleet_bench::draw::arrivals;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::Value;
@@ -19,7 +19,7 @@
     let small =
         ["added", "--listed", "17", "--rates", "60", "--changes", "0,5", "--seconds", "0.5", "--seed"];
     let output =
-        fleetlab(folder.path(), &[&small[..], &[seed]].concat()).arg("--json").arg(json.path()).output();
+        fleet_bench(folder.path(), &[&small[..], &[seed]].concat()).arg("--json").arg(json.path()).output();
     let output = output.unwrap();
     let said = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(output.status.success(), "{said}{}", String::from_utf8_lossy(&output.stderr));
@@ -104,7 +104,7 @@
     ];
     for (arguments, wanted) in cases {
         let output =
-            Command::new(env!("CARGO_BIN_EXE_fleetlab")).arg("added").args(arguments).output().unwrap();
+            Command::new(env!("CARGO_BIN_EXE_fleet-bench")).arg("added").args(arguments).output().unwrap();
         let said = String::from_utf8(output.stderr).unwrap();
         assert!(said.contains(wanted) && said.lines().count() == 1, "{said}");
         assert_eq!(output.status.code(), Some(1));
--- a/fleetlab/tests/command_line.rs
+++ b/fleet-bench/tests/command_line.rs
@@ -1,11 +1,11 @@
 //! What the program says to bad arguments and files: one clear line, and no zero.
 
-use fleetlab::report::{Report, Table, Value};
-use fleetlab::stats;
+use fleet_bench::report::{Report, Table, Value};
+use fleet_bench::stats;
 use std::process::{Command, Output};
 
-fn fleetlab(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_fleetlab")).args(arguments).output().unwrap()
+fn fleet_bench(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_fleet-bench")).args(arguments).output().unwrap()
 }
 
 #[test]
@@ -25,7 +25,7 @@
     ];
     for command in ["slopes", "control", "fleet", "added"] {
         for (file, wanted) in &cases {
-            let output = fleetlab(&[command, "--experiment", file]);
+            let output = fleet_bench(&[command, "--experiment", file]);
             let said = String::from_utf8(output.stderr).unwrap();
             assert_eq!(output.status.code(), Some(1), "{command}: {said}");
             assert_eq!(said.lines().count(), 1, "{command}: {said}");
@@ -33,7 +33,7 @@
             assert!(output.stdout.is_empty());
         }
     }
-    assert_eq!(fleetlab(&["slopes", "--sede", "1"]).status.code(), Some(2));
+    assert_eq!(fleet_bench(&["slopes", "--sede", "1"]).status.code(), Some(2));
 }
 
 #[test]
--- a/fleetlab/tests/common/mod.rs
+++ b/fleet-bench/tests/common/mod.rs
@@ -7,11 +7,11 @@
 /// The proxy's program beside this package's own, built if it is absent: that of another package is
 /// not built for these tests by itself.
 pub fn proxy_program() -> PathBuf {
-    let program = Path::new(env!("CARGO_BIN_EXE_fleetlab")).with_file_name("dewpier");
+    let program = Path::new(env!("CARGO_BIN_EXE_fleet-bench")).with_file_name("balancer-proxy");
     if !program.is_file() {
         let folder = program.parent().unwrap();
         let mut build = Command::new(env!("CARGO"));
-        build.args(["build", "--locked", "--bin", "dewpier", "--manifest-path"]);
+        build.args(["build", "--locked", "--bin", "balancer-proxy", "--manifest-path"]);
         build.arg(concat!(env!("CARGO_MANIFEST_DIR"), "/../Cargo.toml"));
         build.arg("--target-dir").arg(folder.parent().unwrap());
         if folder.ends_with("release") {
@@ -23,8 +23,8 @@
 }
 
 /// A command that starts proxies, whose folders are to be in this one.
-pub fn fleetlab(folder: &Path, arguments: &[&str]) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_fleetlab"));
+pub fn fleet_bench(folder: &Path, arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fleet-bench"));
     command.args(arguments).arg("--program").arg(proxy_program()).env("TMPDIR", folder);
     command
 }
--- a/fleetlab/tests/control.rs
+++ b/fleet-bench/tests/control.rs
@@ -1,9 +1,9 @@
-//! The stand-in discovery against the protocol, and a whole small run of `fleetlab control`.
+//! The stand-in discovery against the protocol, and a whole small run of `fleet-bench control`.
 
 mod common;
 
-use common::{assert_nothing_left, fleetlab, processes_of, table};
-use fleetlab::discovery::{Change, Discovery, Mode, instances};
+use common::{assert_nothing_left, fleet_bench, processes_of, table};
+use fleet_bench::discovery::{Change, Discovery, Mode, instances};
 use serde_json::Value;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -142,7 +142,7 @@
     let folder = tempfile::tempdir().unwrap();
     let json = tempfile::NamedTempFile::new().unwrap();
     let small = ["control", "--quick", "--listed", "17", "--proxies", "2", "--window", "0.5"];
-    let output = fleetlab(folder.path(), &small).arg("--json").arg(json.path()).output().unwrap();
+    let output = fleet_bench(folder.path(), &small).arg("--json").arg(json.path()).output().unwrap();
     let said = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(output.status.success(), "{said}{}", String::from_utf8_lossy(&output.stderr));
     let report = serde_json::from_slice(&std::fs::read(json.path()).unwrap()).unwrap();
@@ -166,7 +166,7 @@
 #[test]
 fn a_signal_ends_a_run_and_all_that_it_started() {
     let folder = tempfile::tempdir().unwrap();
-    let mut run = fleetlab(folder.path(), &["control", "--quick", "--window", "300"]);
+    let mut run = fleet_bench(folder.path(), &["control", "--quick", "--window", "300"]);
     let mut run = run.stderr(Stdio::piped()).spawn().unwrap();
     let begun = Instant::now();
     while processes_of(folder.path()) < 5 {
@@ -177,7 +177,7 @@
     assert_eq!(run.wait().unwrap().code(), Some(1));
     let mut said = String::new();
     run.stderr.take().unwrap().read_to_string(&mut said).unwrap();
-    assert_eq!(said, "fleetlab: ended by a signal: no report\n");
+    assert_eq!(said, "fleet-bench: ended by a signal: no report\n");
     assert_nothing_left(folder.path());
 }
 
@@ -191,13 +191,13 @@
     ];
     for (arguments, wanted) in cases {
         let output =
-            Command::new(env!("CARGO_BIN_EXE_fleetlab")).arg("control").args(arguments).output().unwrap();
+            Command::new(env!("CARGO_BIN_EXE_fleet-bench")).arg("control").args(arguments).output().unwrap();
         let said = String::from_utf8(output.stderr).unwrap();
         assert!(said.contains(wanted) && said.lines().count() == 1, "{said}");
         assert_eq!(output.status.code(), Some(1));
     }
     let output =
-        Command::new(env!("CARGO_BIN_EXE_fleetlab")).args(["control", "--program", "/absent"]).output();
+        Command::new(env!("CARGO_BIN_EXE_fleet-bench")).args(["control", "--program", "/absent"]).output();
     let said = String::from_utf8(output.unwrap().stderr).unwrap();
     assert!(said.contains("/absent: no such program"), "{said}");
 }
--- a/fleetlab/tests/fleet.rs
+++ b/fleet-bench/tests/fleet.rs
@@ -1,10 +1,10 @@
 //! The hollow fleet, small: what it shows is what was played, whatever the number of threads.
 
-use fleetlab::fleet::checker::{Broken, Checker, Rule};
-use fleetlab::fleet::{Args, Phase, run};
-use fleetlab::plan::Source;
-use fleetlab::report::{Report, Value};
-use gannetproxy::{Effect, RequestId};
+use balancer_proxy::{Effect, RequestId};
+use fleet_bench::fleet::checker::{Broken, Checker, Rule};
+use fleet_bench::fleet::{Args, Phase, run};
+use fleet_bench::plan::Source;
+use fleet_bench::report::{Report, Value};
 use std::io::Write;
 use std::process::Command;
 
@@ -134,7 +134,7 @@
         (&["--limit", "1", "--phase", "ordinary"], "given up after 1 s"),
     ];
     for (arguments, wanted) in cases {
-        let output = Command::new(env!("CARGO_BIN_EXE_fleetlab")).arg("fleet").args(arguments).output();
+        let output = Command::new(env!("CARGO_BIN_EXE_fleet-bench")).arg("fleet").args(arguments).output();
         let output = output.unwrap();
         let said = String::from_utf8(output.stderr).unwrap();
         assert_eq!(output.status.code(), Some(1), "{said}");
--- a/fleetlab/tests/rollout.rs
+++ b/fleet-bench/tests/rollout.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{assert_nothing_left, fleetlab, proxy_program, table};
+use common::{assert_nothing_left, fleet_bench, proxy_program, table};
 use std::fs::Permissions;
 use std::os::unix::fs::PermissionsExt;
 use std::process::Command;
@@ -12,7 +12,7 @@
     let folder = tempfile::tempdir().unwrap();
     let json = tempfile::NamedTempFile::new().unwrap();
     let small = ["control", "--settings-changes", "4", "--settings-proxies", "3", "--settings-pace", "4"];
-    let output = fleetlab(folder.path(), &small).arg("--json").arg(json.path()).output().unwrap();
+    let output = fleet_bench(folder.path(), &small).arg("--json").arg(json.path()).output().unwrap();
     let said = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(output.status.success(), "{said}{}", String::from_utf8_lossy(&output.stderr));
     let report = serde_json::from_slice(&std::fs::read(json.path()).unwrap()).unwrap();
@@ -57,11 +57,14 @@
     );
     std::fs::write(&deaf, script).unwrap();
     std::fs::set_permissions(&deaf, Permissions::from_mode(0o755)).unwrap();
-    let mut run = Command::new(env!("CARGO_BIN_EXE_fleetlab"));
+    let mut run = Command::new(env!("CARGO_BIN_EXE_fleet-bench"));
     run.args(["control", "--settings-changes", "1", "--settings-proxies", "2", "--program"]).arg(&deaf);
     let output = run.env("TMPDIR", folder.path()).output().unwrap();
     let said = String::from_utf8(output.stderr).unwrap();
-    assert!(said.starts_with("fleetlab: 2 of 2 proxies not at settings version 1 within 14 s; "), "{said}");
+    assert!(
+        said.starts_with("fleet-bench: 2 of 2 proxies not at settings version 1 within 14 s; "),
+        "{said}"
+    );
     assert_eq!((said.lines().count(), output.status.code()), (1, Some(1)), "{said}");
     std::fs::remove_file(&deaf).unwrap();
     assert_nothing_left(folder.path());
@@ -75,9 +78,9 @@
         (["--settings-pace", "0"], "settings-pace: expected 0.1 to 100, got 0"),
     ];
     for (arguments, wanted) in cases {
-        let mut run = Command::new(env!("CARGO_BIN_EXE_fleetlab"));
+        let mut run = Command::new(env!("CARGO_BIN_EXE_fleet-bench"));
         let output = run.arg("control").args(arguments).output().unwrap();
-        assert_eq!(String::from_utf8(output.stderr).unwrap(), format!("fleetlab: {wanted}\n"));
+        assert_eq!(String::from_utf8(output.stderr).unwrap(), format!("fleet-bench: {wanted}\n"));
         assert_eq!(output.status.code(), Some(1));
     }
 }
--- a/fleetlab/tests/slopes.rs
+++ b/fleet-bench/tests/slopes.rs
@@ -1,6 +1,6 @@
-//! `fleetlab slopes`: a small run from end to end, and what it says to a plan that makes no sense.
+//! `fleet-bench slopes`: a small run from end to end, and what it says to a plan that makes no sense.
 
-use fleetlab::report::{Report, Table, Value};
+use fleet_bench::report::{Report, Table, Value};
 use std::process::{Command, Output};
 
 const SMALL: &str = "rounds = 3\nrequests = 300\nchanges = 2\nlists = 1\nwarm_up = 2.0\n\
@@ -12,7 +12,7 @@
     let folder = tempfile::tempdir().unwrap();
     let (experiment, json) = (folder.path().join("plan.toml"), folder.path().join("report.json"));
     std::fs::write(&experiment, plan).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_fleetlab"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fleet-bench"));
     command.arg("--json").arg(&json).args(["slopes", "--experiment"]).arg(&experiment).args(arguments);
     let output = command.output().unwrap();
     (output, std::fs::read(&json).ok().map(|text| serde_json::from_slice(&text).unwrap()))
@@ -64,7 +64,7 @@
     let idle = (0..axes.len()).filter(|i| *measures[*i] == Value::from("idle state, bytes"));
     let idle: Vec<_> = idle.map(|i| (axes[i].to_string(), slopes[i])).collect();
     assert_eq!(idle.iter().map(|i| i.0.as_str()).collect::<Vec<_>>(), ["backends listed", "tenants"]);
-    assert!(idle[0].1 > size_of::<gannetproxy::Entry>() as f64, "{idle:?}");
+    assert!(idle[0].1 > size_of::<balancer_proxy::Endpoint>() as f64, "{idle:?}");
     assert!(idle[1].1 >= size_of::<f64>() as f64, "{idle:?}");
 }
 
--- a/src/bin/gannetproxy-simhost.rs
+++ b/src/bin/simulator-adapter.rs
@@ -3,8 +3,8 @@
 
 #![forbid(unsafe_code)]
 
-use gannetproxy::wire::{self, InstanceNames, LISTS, Line, Names, UpdateKind, WireError};
-use gannetproxy::{Balancer, Entry, Event, ListUpdate, Time};
+use balancer_proxy::wire::{self, InstanceNames, LISTS, Line, Names, UpdateKind, WireError};
+use balancer_proxy::{Balancer, Endpoint, EndpointUpdate, Event, Time};
 use std::any::Any;
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
@@ -22,7 +22,7 @@
     instances: Vec<Instance>,
     by_name: HashMap<String, usize>,
     zones: Names,
-    lists: [Vec<Entry>; LISTS],
+    lists: [Vec<Endpoint>; LISTS],
     filling: Option<(usize, usize)>,
     selected: Option<usize>,
     now: Time,
@@ -83,11 +83,11 @@
                 let list = std::mem::take(&mut self.lists[page]);
                 let done = self.event(
                     text,
-                    Event::List(match kind {
-                        UpdateKind::Changes => ListUpdate::Changes(&list),
-                        UpdateKind::All => ListUpdate::Full(&list),
-                        UpdateKind::Remembered => ListUpdate::Remembered(&list),
-                        UpdateKind::Refused => ListUpdate::Refused,
+                    Event::Endpoints(match kind {
+                        UpdateKind::Changes => EndpointUpdate::Changes(&list),
+                        UpdateKind::All => EndpointUpdate::Full(&list),
+                        UpdateKind::Remembered => EndpointUpdate::Cached(&list),
+                        UpdateKind::Refused => EndpointUpdate::Failed,
                     }),
                 );
                 self.lists[page] = list;
@@ -173,7 +173,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("gannetproxy-simhost: {message}");
+            eprintln!("simulator-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,7 +13,7 @@
 
 /// Which backends drop repeats of each other's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Group {
+pub enum IdempotencyGroup {
     /// All of them.
     All,
     /// Those of one zone.
@@ -28,9 +28,9 @@
     /// Nothing: it may be repeated at will.
     Safe,
     /// Dropped by the group that has seen it, for `window` seconds from the first send.
-    Keyed {
+    Idempotent {
         /// The backends that know of each other's requests.
-        group: Group,
+        group: IdempotencyGroup,
         /// How long they remember.
         window: Time,
     },
@@ -40,33 +40,33 @@
 
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Class {
+pub struct RequestClass {
     /// Its name: what is learnt of it stays with that when settings change.
     pub name: String,
     /// Answers within this span are worth all.
-    pub aim: Time,
+    pub latency_objective: Time,
     /// The whole patience of a client, over all its tries.
     pub deadline: Time,
     /// The part of the worth that an answer between aim and deadline has.
-    pub late_worth: f64,
+    pub late_priority_weight: f64,
     /// What a timely answer is worth.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// May it run again.
     pub effect: Effect,
     /// Requests of such classes with one key run singly, in the order in which they came.
-    pub in_order: bool,
+    pub ordered_by_key: bool,
 }
 
-impl Default for Class {
+impl Default for RequestClass {
     fn default() -> Self {
         Self {
             name: String::new(),
-            aim: 0.5,
+            latency_objective: 0.5,
             deadline: 1.0,
-            late_worth: 0.0,
-            worth: 1.0,
+            late_priority_weight: 0.0,
+            priority_weight: 1.0,
             effect: Effect::Safe,
-            in_order: false,
+            ordered_by_key: false,
         }
     }
 }
@@ -77,56 +77,56 @@
     /// Its name: what it has used of its share stays with that when settings change.
     pub name: String,
     /// The requests a second within its share, over all balancers.
-    pub quota: f64,
+    pub quota_per_second: f64,
 }
 
 /// What a balancer is told at its start, and whenever it changes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The classes; requests name them by index.
-    pub classes: Vec<Class>,
+    pub classes: Vec<RequestClass>,
     /// The tenants; requests name them by index.
     pub tenants: Vec<Tenant>,
     /// Worth of a request beyond its tenant's share, as a part of the class worth.
-    pub over_share_worth: f64,
+    pub over_quota_weight: f64,
     /// Number of balancers like this one.
-    pub instances: usize,
+    pub instance_count: usize,
     /// Number of this one among them.
-    pub me: usize,
+    pub instance_index: usize,
     /// How many tiers lie between the clients and this balancer; 0 is the entry.
     pub tier: usize,
-    /// The zone this balancer is in, as [`Entry::zone`] numbers them.
+    /// The zone this balancer is in, as [`Endpoint::zone`] numbers them.
     pub zone: u32,
     /// What each attempt that crosses zones costs, in parts of the worth of an average request.
-    pub cross_zone: f64,
+    pub cross_zone_cost: f64,
     /// Open or new connections have a price.
-    pub dear_connections: bool,
+    pub connections_have_cost: bool,
     /// Load reports come with the results of probes only, and probes are allowed.
-    pub probe_for_reports: bool,
+    pub health_checks_for_load_reports: bool,
     /// Attempts may be cancelled.
-    pub cancel: bool,
+    pub cancellation_allowed: bool,
     /// A request may have two attempts out at once.
-    pub second_copies: bool,
+    pub hedging_allowed: bool,
     /// Attempts that a request may have.
     pub max_attempts: usize,
-    /// Clients are told how long to stay away, up to this; 0 where they don't listen.
+    /// ClientConnections are told how long to stay away, up to this; 0 where they don't listen.
     pub max_retry_after: Time,
     /// The list must be asked for.
-    pub must_watch: bool,
+    pub must_poll_endpoints: bool,
     /// Without asking for so long, a balancer counts as told what was listed then.
-    pub ask_within: Time,
+    pub endpoint_poll_limit: Time,
     /// A started backend has at least this part of its capacity,
-    pub cold_share: f64,
+    pub slow_start_initial_capacity: f64,
     /// and all of it after this span.
-    pub cold: Time,
+    pub slow_start_duration: Time,
     /// Sent more than this multiple of its capacity of the moment,
-    pub fall_multiple: f64,
+    pub slow_start_overload_multiple: f64,
     /// for this span, a cold backend falls over.
-    pub tip_after: Time,
+    pub slow_start_overload_window: Time,
     /// A key rests so long after an attempt that may still be running.
-    pub settle: Time,
+    pub key_rest_duration: Time,
     /// Idle connections to a draining backend must be closed within this, where it is stated.
-    pub release_within: Option<Time>,
+    pub idle_close_limit: Option<Time>,
     /// Least span between two calls of [`crate::Balancer::handle`] at different times.
     pub quantum: Time,
 }
@@ -136,26 +136,26 @@
         Self {
             classes: Vec::new(),
             tenants: Vec::new(),
-            over_share_worth: 1.0,
-            instances: 1,
-            me: 0,
+            over_quota_weight: 1.0,
+            instance_count: 1,
+            instance_index: 0,
             tier: 0,
             zone: 0,
-            cross_zone: 0.0,
-            dear_connections: false,
-            probe_for_reports: false,
-            cancel: true,
-            second_copies: true,
+            cross_zone_cost: 0.0,
+            connections_have_cost: false,
+            health_checks_for_load_reports: false,
+            cancellation_allowed: true,
+            hedging_allowed: true,
             max_attempts: 4,
             max_retry_after: 0.0,
-            must_watch: false,
-            ask_within: 10.0,
-            cold_share: 0.1,
-            cold: 10.0,
-            fall_multiple: 3.0,
-            tip_after: 1.0,
-            settle: 0.0,
-            release_within: None,
+            must_poll_endpoints: false,
+            endpoint_poll_limit: 10.0,
+            slow_start_initial_capacity: 0.1,
+            slow_start_duration: 10.0,
+            slow_start_overload_multiple: 3.0,
+            slow_start_overload_window: 1.0,
+            key_rest_duration: 0.0,
+            idle_close_limit: None,
             quantum: 0.001,
         }
     }
@@ -170,12 +170,12 @@
     /// Completes what it has; nothing new may be sent to it.
     Draining,
     /// Gone.
-    Gone,
+    Removed,
 }
 
 /// One line of the list of backends.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
+pub struct Endpoint {
     /// Which backend.
     pub id: BackendId,
     /// Its cell.
@@ -187,26 +187,26 @@
     /// Its state.
     pub status: Status,
     /// When it started, where that is not long past.
-    pub started: Option<Time>,
+    pub started_at: Option<Time>,
 }
 
-impl Default for Entry {
+impl Default for Endpoint {
     fn default() -> Self {
-        Self { id: BackendId(0), cell: 0, zone: 0, weight: 1.0, status: Status::InService, started: None }
+        Self { id: BackendId(0), cell: 0, zone: 0, weight: 1.0, status: Status::InService, started_at: None }
     }
 }
 
-/// News of the list of backends.
+/// WatchEvent of the list of backends.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ListUpdate<'a> {
+pub enum EndpointUpdate<'a> {
     /// Entries that changed.
-    Changes(&'a [Entry]),
+    Changes(&'a [Endpoint]),
     /// The whole list: what is absent is gone.
-    Full(&'a [Entry]),
+    Full(&'a [Endpoint]),
     /// The whole list as it was known before a restart.
-    Remembered(&'a [Entry]),
+    Cached(&'a [Endpoint]),
     /// A call for the list failed, or the watch broke.
-    Refused,
+    Failed,
 }
 
 /// A request that has come in.
@@ -221,21 +221,21 @@
     /// What it is about; orders the requests of classes that ask for it.
     pub key: Option<u64>,
     /// Time until the caller gives this try up. Where its body is still coming, from its end on.
-    pub budget: Time,
+    pub timeout: Time,
     /// Its body is still coming, and passes through: it can't go to two backends, nor to another
     /// one after [`Event::Spent`].
-    pub streamed: bool,
+    pub streaming_body: bool,
 }
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// Answered.
-    Served,
+    Success,
     /// The backend answered with an error; it may have run.
     Error,
     /// Turned away unseen.
-    Full,
+    Rejected,
     /// No answer in time; it may have run.
     Timeout,
     /// No connection.
@@ -245,21 +245,21 @@
     /// Cancelled; it may have run.
     Cancelled,
     /// Never sent.
-    NeverSent,
+    NotSent,
 }
 
 /// What a backend said of its load. It is late and noisy; what is not reported is absent.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
+pub struct LoadReport {
     /// How long a request takes it, waiting left out.
-    pub service: Option<Time>,
+    pub service_time: Option<Time>,
     /// The requests a second that it serves, whoever sends them.
-    pub rate: Option<f64>,
+    pub requests_per_second: Option<f64>,
 }
 
 /// The end of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ended {
+pub struct EndedAttempt {
     /// The request.
     pub id: RequestId,
     /// Where the attempt went.
@@ -269,11 +269,11 @@
     /// How it ended.
     pub outcome: Outcome,
     /// Time since it was sent.
-    pub took: Time,
+    pub duration: Time,
     /// The request has its final answer.
-    pub over: bool,
+    pub request_finished: bool,
     /// The load report that came along.
-    pub report: Option<Report>,
+    pub report: Option<LoadReport>,
 }
 
 /// What happens to a balancer.
@@ -282,30 +282,30 @@
     /// A request came in; it needs exactly one final answer.
     Request(Request),
     /// The body of a streamed request has come whole: its time begins.
-    Received(RequestId),
+    BodyReceived(RequestId),
     /// So much of the body of a streamed request has passed on that it can't be sent again.
-    Spent(RequestId),
+    BodyConsumed(RequestId),
     /// A streamed answer has begun: the attempt is the caller's now.
-    Started {
+    ResponseStarted {
         /// The request.
         id: RequestId,
         /// The attempt.
         attempt: usize,
     },
     /// An attempt ended.
-    Outcome(Ended),
+    AttemptEnded(EndedAttempt),
     /// The caller has left: nothing is owed any more.
-    ClientLeft(RequestId),
+    ClientDisconnected(RequestId),
     /// A timer set with [`Action::Timer`] is due.
     Timer(u64),
     /// A probe ended.
-    Probed {
+    HealthCheckEnded {
         /// The backend probed.
         backend: BackendId,
         /// How it ended.
         outcome: Outcome,
         /// The load report that came along.
-        report: Option<Report>,
+        report: Option<LoadReport>,
     },
     /// A backend is taken out by hand, or may serve again, restarted since.
     Maintenance {
@@ -315,9 +315,9 @@
         out: bool,
     },
     /// Another process takes requests of the same clients beside this one, or no longer does.
-    Beside(bool),
-    /// News of the list.
-    List(ListUpdate<'a>),
+    SecondProcess(bool),
+    /// WatchEvent of the list.
+    Endpoints(EndpointUpdate<'a>),
     /// New settings, in force from now on. Requests to come name classes and tenants by them; those
     /// that are open end by the ones that they came with.
     Settings(&'a Settings),
@@ -352,7 +352,7 @@
         attempt: usize,
     },
     /// Final answer: not done, and harmless to try again.
-    Refuse {
+    Reject {
         /// The request.
         id: RequestId,
         /// How long to stay away, if said.
@@ -364,20 +364,20 @@
         id: RequestId,
     },
     /// Hand back `token` at time `at` or soon after.
-    Timer {
+    SetTimer {
         /// When.
         at: Time,
         /// What to hand back.
         token: u64,
     },
     /// See whether a backend answers.
-    Probe(BackendId),
+    HealthCheck(BackendId),
     /// Close the idle connections to a backend.
-    Release(BackendId),
+    CloseIdleConnections(BackendId),
     /// Ask to be told of changes to the list, or no longer.
-    Watch(bool),
+    WatchEndpoints(bool),
     /// Ask for the whole list once.
-    Fetch,
+    FetchEndpoints,
     /// A line for the operator's log.
     Log(String),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod interface;
 mod logic;
+mod primitives;
 pub mod proxy;
 pub mod wire;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,12 +1,14 @@
 //! Every decision of the balancer. The types it speaks in are in `interface.rs`.
 //!
-//! The mechanism is that of Hong, Huang and Yan, "Controlling Retransmission Rate For
+//! The mechanism is that of Hong, Huang and Yan, "Controlling Retransmission DecayingRate For
 //! Mitigating SIP Overload": a call that is unanswered or failed when one of its doubling
 //! timers fires is sent once more with probability p, and p falls as the number of unanswered
 //! calls rises from one to three T1-worths of the average send rate. By Little's law that
 //! number over that rate is the mean wait, so p compares the mean wait with T1.
 
 use crate::interface::*;
+use crate::primitives::decaying_rate::DecayingRate;
+use crate::primitives::token_bucket::TokenBucket;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slotmap::{DefaultKey as Slot, Key, KeyData, SlotMap};
@@ -99,47 +101,6 @@
 const LAST: u64 = 1;
 const TURN: u64 = 2;
 
-/// Room for requests that grows with time, up to a bound.
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    room: f64,
-    at: Time,
-}
-
-impl Bucket {
-    fn fill(&mut self, now: Time, rate: f64, most: f64) -> f64 {
-        self.room = (self.room + rate * (now - self.at).max(0.0)).min(most);
-        self.at = now;
-        self.room
-    }
-}
-
-/// A count that forgets, over the time that it covers: at first the plain mean rate.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    count: f64,
-    span: Time,
-    at: Time,
-}
-
-impl Rate {
-    fn age(&mut self, now: Time, memory: Time) {
-        let keep = (-(now - self.at).max(0.0) / memory).exp();
-        self.count *= keep;
-        self.span = self.span * keep + memory * (1.0 - keep);
-        self.at = now;
-    }
-
-    fn add(&mut self, now: Time, memory: Time) {
-        self.age(now, memory);
-        self.count += 1.0;
-    }
-
-    fn per_second(&self) -> f64 {
-        if self.span > 0.0 { self.count / self.span } else { 0.0 }
-    }
-}
-
 /// Mean and mean deviation of the answer times of a class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Normal {
@@ -160,7 +121,7 @@
 
 #[derive(Debug, Default)]
 struct Backend {
-    entry: Entry,
+    entry: Endpoint,
     in_flight: usize,
     /// Attempts of calls without a final answer that name it.
     named: usize,
@@ -171,7 +132,7 @@
     /// When it last showed that it works, or was given a call while it had none.
     alive_at: Time,
     /// What may be sent to it while it is cold, in requests.
-    cold: Bucket,
+    cold: TokenBucket,
     /// How long a request takes it, by its reports.
     service: Option<Time>,
 }
@@ -198,7 +159,7 @@
 impl Attempt {
     fn may_have_run(&self) -> bool {
         use Outcome::*;
-        !matches!(self.outcome, Some(Full | NoConnection | NeverSent))
+        !matches!(self.outcome, Some(Rejected | NoConnection | NotSent))
     }
 }
 
@@ -242,7 +203,7 @@
 }
 
 impl Call {
-    fn terms(&self) -> &Class {
+    fn terms(&self) -> &RequestClass {
         &self.settings.classes[self.class]
     }
 
@@ -282,7 +243,7 @@
 }
 
 impl Scope {
-    fn holds(self, entry: &Entry) -> bool {
+    fn holds(self, entry: &Endpoint) -> bool {
         match self {
             Scope::Anywhere => true,
             Scope::Zone(zone) => entry.zone == zone,
@@ -332,16 +293,16 @@
     /// Backends in service, by index.
     listed: Vec<usize>,
     subset: Vec<usize>,
-    sent: Rate,
+    sent: DecayingRate,
     /// Calls answered.
-    served: Rate,
+    served: DecayingRate,
     normal: Vec<Normal>,
     /// The same over all classes.
     wait: Normal,
     /// Arrivals by class, within and over the share of their tenants.
-    arrivals: Vec<[Rate; 2]>,
+    arrivals: Vec<[DecayingRate; 2]>,
     /// This balancer's part of each tenant's quota, and what is left of it.
-    shares: Vec<(f64, Bucket)>,
+    shares: Vec<(f64, TokenBucket)>,
     memory: Time,
     /// Another process is at work beside this one: there are twice as many for the time.
     beside: bool,
@@ -366,8 +327,8 @@
             now,
             excess_at: now,
             most_lanes: 16,
-            sent: Rate { at: now, ..Rate::default() },
-            served: Rate { at: now, ..Rate::default() },
+            sent: DecayingRate::starting_at(now),
+            served: DecayingRate::starting_at(now),
             watch_at: f64::NEG_INFINITY,
             ..Self::default()
         };
@@ -386,24 +347,26 @@
             call.known = class(&call.terms().name).unwrap_or(new.classes.len());
             call.tenant = call.tenant.and_then(|t| tenant(&old.tenants[t].name));
         }
-        let had = |c: &Class| old.classes.iter().position(|o| o.name == c.name);
+        let had = |c: &RequestClass| old.classes.iter().position(|o| o.name == c.name);
         let normal = new.classes.iter().map(|c| had(c).map_or(Normal::default(), |i| self.normal[i]));
         // The last is for calls of classes that are no more.
         self.normal = normal.chain([Normal::default()]).collect();
-        let arrivals = |c| had(c).map_or([Rate { at: now, ..Rate::default() }; 2], |i| self.arrivals[i]);
+        let arrivals = |c| had(c).map_or([DecayingRate::starting_at(now); 2], |i| self.arrivals[i]);
         self.arrivals = new.classes.iter().map(arrivals).collect();
         let share = |t: &Tenant| {
-            let rate = t.quota / new.instances.max(1) as f64;
-            let fresh = Bucket { room: (rate * SHARE_BURST).max(1.0), at: now };
+            let rate = t.quota_per_second / new.instance_count.max(1) as f64;
+            let fresh = TokenBucket { tokens: (rate * SHARE_BURST).max(1.0), at: now };
             let had = old.tenants.iter().position(|o| o.name == t.name);
             (rate, had.map_or(fresh, |i| self.shares[i].1))
         };
         self.shares = new.tenants.iter().map(share).collect();
         // Never zero, whatever the settings hold: rates are counts over this.
         let least = new.quantum.max(f64::EPSILON);
-        self.memory = RATE_MEMORY * T1_REACH * new.classes.iter().map(|c| c.aim).fold(least, f64::max);
+        self.memory =
+            RATE_MEMORY * T1_REACH * new.classes.iter().map(|c| c.latency_objective).fold(least, f64::max);
         // Members stay, unless the backends are dealt out to others now.
-        let dealt = |s: &Settings| (s.instances, s.me, s.tier, s.zone, s.cross_zone > 0.0);
+        let dealt =
+            |s: &Settings| (s.instance_count, s.instance_index, s.tier, s.zone, s.cross_zone_cost > 0.0);
         if dealt(&old) != dealt(&new) {
             self.subset.clear();
         }
@@ -422,7 +385,7 @@
 
     /// Backends in the list.
     pub fn backends_listed(&self) -> usize {
-        self.backends.iter().filter(|b| b.entry.status != Status::Gone).count()
+        self.backends.iter().filter(|b| b.entry.status != Status::Removed).count()
     }
 
     /// The members of its subset: what it sends to first.
@@ -433,34 +396,34 @@
     /// Listed backends that get nothing or little now: those taken out by hand, and members far
     /// slower than the best one.
     pub fn backends_avoided(&self) -> usize {
-        let listed = self.backends.iter().filter(|b| b.entry.status != Status::Gone);
+        let listed = self.backends.iter().filter(|b| b.entry.status != Status::Removed);
         listed.filter(|b| self.is_out(b.entry.id)).count() + self.subset.len() - self.sound().count()
     }
 
     /// Decides what to do about `event`, which happens at `now`.
     pub fn handle(&mut self, now: Time, event: Event<'_>, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if self.settings.must_watch && !self.watch_asked {
+        if self.settings.must_poll_endpoints && !self.watch_asked {
             // Balancers often start together: they ask for the list one after another.
             self.watch_asked = true;
-            let wait = self.rng.0.random::<f64>() * 0.5 * self.settings.ask_within;
-            actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
+            let wait = self.rng.0.random::<f64>() * 0.5 * self.settings.endpoint_poll_limit;
+            actions.push(Action::SetTimer { at: self.now + wait, token: LIST_TOKEN });
         }
         match event {
             Event::Request(request) => self.arrive(request, actions),
-            Event::Received(id) => self.received(id, actions),
-            Event::Spent(id) => {
+            Event::BodyReceived(id) => self.received(id, actions),
+            Event::BodyConsumed(id) => {
                 self.by_id.get(&id).into_iter().for_each(|slot| self.calls[*slot].spent = true);
             }
-            Event::Started { id, attempt } => self.end(id, Some(attempt), actions),
-            Event::Outcome(ended) => self.ended(ended, actions),
-            Event::ClientLeft(id) => self.end(id, None, actions),
-            Event::Timer(LIST_TOKEN) => actions.push(Action::Watch(true)),
+            Event::ResponseStarted { id, attempt } => self.end(id, Some(attempt), actions),
+            Event::AttemptEnded(ended) => self.ended(ended, actions),
+            Event::ClientDisconnected(id) => self.end(id, None, actions),
+            Event::Timer(LIST_TOKEN) => actions.push(Action::WatchEndpoints(true)),
             Event::Timer(token) => self.timer(token, actions),
-            Event::Probed { backend, report, .. } => self.take_report(backend, report),
+            Event::HealthCheckEnded { backend, report, .. } => self.take_report(backend, report),
             Event::Maintenance { backend, out } => self.maintain(backend, out, actions),
-            Event::Beside(beside) => self.beside = beside,
-            Event::List(update) => self.list(update, actions),
+            Event::SecondProcess(beside) => self.beside = beside,
+            Event::Endpoints(update) => self.list(update, actions),
             Event::Settings(settings) => self.adopt(settings),
         }
         self.let_in(actions);
@@ -472,11 +435,11 @@
         let class = &self.settings.classes[request.class];
         // The answer must be out before the client gives up, and timers come once a quantum.
         // Where a late answer is worth nothing, waiting for one only keeps backends busy.
-        let mut patience = request.budget - 2.0 * self.settings.quantum;
-        if class.late_worth <= 0.0 {
-            patience = patience.min(class.aim);
+        let mut patience = request.timeout - 2.0 * self.settings.quantum;
+        if class.late_priority_weight <= 0.0 {
+            patience = patience.min(class.latency_objective);
         }
-        let lane = request.key.filter(|_| class.in_order);
+        let lane = request.key.filter(|_| class.ordered_by_key);
         let over = self.count_arrival(request.class, request.tenant);
         let t1 = self.t1(request.class, patience);
         let ahead = lane.and_then(|key| self.lanes.get(&key)).map_or(0, |lane| lane.queue.len());
@@ -484,9 +447,9 @@
         let rank = self.rank(request.class, over);
         let waits = !self.admits(rank);
         if patience <= needed || waits && lane.is_some() {
-            return actions.push(Action::Refuse { id: request.id, retry_after: self.retry_after(t1) });
+            return actions.push(Action::Reject { id: request.id, retry_after: self.retry_after(t1) });
         }
-        let until = if request.streamed { Time::INFINITY } else { self.now + patience };
+        let until = if request.streaming_body { Time::INFINITY } else { self.now + patience };
         let call = Call {
             id: request.id,
             settings: self.settings.clone(),
@@ -499,22 +462,22 @@
             lane,
             held: waits || lane.is_some(),
             rank,
-            streamed: request.streamed,
-            coming: request.streamed,
+            streamed: request.streaming_body,
+            coming: request.streaming_body,
             patience,
             ..Call::default()
         };
         let slot = self.calls.insert(call);
         self.by_id.insert(request.id, slot);
-        if !request.streamed {
-            actions.push(Action::Timer { at: until, token: token(slot, LAST) });
+        if !request.streaming_body {
+            actions.push(Action::SetTimer { at: until, token: token(slot, LAST) });
         }
         self.held += usize::from(self.calls[slot].held);
         if waits {
             let place = self.queue.partition_point(|s| self.calls[*s].rank < rank);
             self.queue.insert(place, slot);
             let at = self.now + ENTRY_WAIT * patience;
-            return actions.push(Action::Timer { at, token: token(slot, TURN) });
+            return actions.push(Action::SetTimer { at, token: token(slot, TURN) });
         }
         let Some(key) = lane else { return self.begin(slot, actions) };
         if self.lanes.len() >= self.most_lanes {
@@ -529,9 +492,9 @@
     fn begin(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         self.coming += usize::from(self.calls[slot].coming);
         self.set_timer(slot, actions);
-        self.sent.add(self.now, self.memory);
+        self.sent.record(self.now, self.memory);
         if let Some((_, left)) = self.calls[slot].tenant.and_then(|t| self.shares.get_mut(t)) {
-            left.room = (left.room - 1.0).max(0.0);
+            left.tokens = (left.tokens - 1.0).max(0.0);
         }
         let grown = self.grown;
         if self.subset_size() > grown && self.grown > grown {
@@ -549,7 +512,7 @@
         let call = &mut self.calls[slot];
         call.coming = false;
         call.until = self.now + call.patience;
-        actions.push(Action::Timer { at: call.until, token: token(slot, LAST) });
+        actions.push(Action::SetTimer { at: call.until, token: token(slot, LAST) });
     }
 
     /// A backend that only takes in a body is not at work on it, and can't answer: its calls in
@@ -570,7 +533,7 @@
         let Some((lane, slot)) = next.filter(|(l, s)| l.out == 0 && self.calls[*s].held) else { return };
         if self.now < lane.rests_until {
             let at = lane.rests_until;
-            return actions.push(Action::Timer { at, token: token(slot, TURN) });
+            return actions.push(Action::SetTimer { at, token: token(slot, TURN) });
         }
         self.take_turn(slot, actions);
     }
@@ -596,8 +559,8 @@
         let now = self.now;
         let share = tenant.and_then(|t| self.shares.get_mut(t));
         let over =
-            share.is_some_and(|(rate, room)| room.fill(now, *rate, (*rate * SHARE_BURST).max(1.0)) < 1.0);
-        self.arrivals[class][usize::from(over)].add(self.now, self.memory);
+            share.is_some_and(|(rate, room)| room.refill(now, *rate, (*rate * SHARE_BURST).max(1.0)) < 1.0);
+        self.arrivals[class][usize::from(over)].record(self.now, self.memory);
         over
     }
 
@@ -611,15 +574,15 @@
     /// worth the same draw lots.
     fn rank(&mut self, class: usize, over: bool) -> f64 {
         let value = |class: usize, over: bool| {
-            let share = if over { self.settings.over_share_worth } else { 1.0 };
+            let share = if over { self.settings.over_quota_weight } else { 1.0 };
             let work = self.normal[class].mean.max(self.settings.quantum);
-            share * self.settings.classes[class].worth / work
+            share * self.settings.classes[class].priority_weight / work
         };
         let mine = value(class, over);
         let (mut below, mut same, mut all) = (0.0, 0.0, 0.0);
         for (i, rate) in self.arrivals.iter().flatten().enumerate() {
             let (mut rate, value) = (*rate, value(i / 2, i % 2 == 1));
-            rate.age(self.now, self.memory);
+            rate.decay(self.now, self.memory);
             let rate = rate.per_second();
             all += rate;
             below += if value < mine { rate } else { 0.0 };
@@ -651,7 +614,7 @@
     /// normal answer time explain: 0 within chance, 1 far outside it. An excess seen once may be
     /// chance, one that lasts is not: what passes as chance narrows with its mean over a while.
     fn pressure(&mut self) -> f64 {
-        self.sent.age(self.now, self.memory);
+        self.sent.decay(self.now, self.memory);
         let usual = self.sent.per_second() * self.wait.mean;
         let beyond = (self.crowd() - usual) / usual.max(1.0).sqrt().max(USUAL_SPREAD * usual);
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
@@ -671,7 +634,7 @@
 
     /// Balancers that have a backend as a member, if all have as many members as this one.
     fn sharing(&self) -> f64 {
-        let instances = self.settings.instances * (1 + usize::from(self.beside));
+        let instances = self.settings.instance_count * (1 + usize::from(self.beside));
         ((instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64).max(1.0)
     }
 
@@ -710,8 +673,8 @@
     fn cold_since(&self, backend: usize) -> Option<Time> {
         let entry = &self.backends[backend].entry;
         let back = self.maintained.get(&entry.id).filter(|m| !m.out).map(|m| m.at);
-        let started = entry.started.into_iter().chain(back).reduce(Time::max);
-        started.filter(|s| self.now < s + self.settings.cold)
+        let started = entry.started_at.into_iter().chain(back).reduce(Time::max);
+        started.filter(|s| self.now < s + self.settings.slow_start_duration)
     }
 
     /// T1 lies above the normal answer time and leaves room for a repeat in the time left.
@@ -725,7 +688,7 @@
 
     /// The paper's p, from the calls unanswered here and the average rate of original sends.
     fn repeat_chance(&mut self, t1: Time) -> f64 {
-        self.sent.age(self.now, self.memory);
+        self.sent.decay(self.now, self.memory);
         let unanswered = self.unanswered() as f64;
         let min = (self.sent.per_second() * t1).max(FLOOR);
         let max = ALPHA * min;
@@ -741,7 +704,7 @@
         let at = call.arrived + call.t1 * spread * (2f64.powi(call.fired + 1) - 1.0);
         call.timer_set = at < call.until && call.attempts.len() < call.settings.max_attempts;
         if call.timer_set {
-            actions.push(Action::Timer { at, token });
+            actions.push(Action::SetTimer { at, token });
         }
     }
 
@@ -792,7 +755,7 @@
         if call.attempts.len() >= call.settings.max_attempts || self.now >= call.until {
             return None;
         }
-        if call.spent || (call.streamed || !call.settings.second_copies) && call.waits() {
+        if call.spent || (call.streamed || !call.settings.hedging_allowed) && call.waits() {
             return None;
         }
         let ran = call.attempts.iter().find(|a| a.may_have_run());
@@ -800,9 +763,9 @@
         let (scope, window) = match call.terms().effect {
             Effect::Safe => return Some((Scope::Anywhere, call.until)),
             Effect::Unsafe => return None,
-            Effect::Keyed { group: Group::All, window } => (Scope::Anywhere, window),
-            Effect::Keyed { group: Group::Zone, window } => (Scope::Zone(first.zone), window),
-            Effect::Keyed { group: Group::Cell, window } => (Scope::Cell(first.cell), window),
+            Effect::Idempotent { group: IdempotencyGroup::All, window } => (Scope::Anywhere, window),
+            Effect::Idempotent { group: IdempotencyGroup::Zone, window } => (Scope::Zone(first.zone), window),
+            Effect::Idempotent { group: IdempotencyGroup::Cell, window } => (Scope::Cell(first.cell), window),
         };
         // A quantum less, as clocks are rounded.
         let until = call.until.min(first.sent + window - self.settings.quantum);
@@ -819,7 +782,7 @@
             b.take_on(now);
         }
         b.named += 1;
-        b.cold.room -= 1.0;
+        b.cold.tokens -= 1.0;
         let (cell, zone, id) = (b.entry.cell, b.entry.zone, b.entry.id);
         let call = &mut self.calls[slot];
         call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None });
@@ -832,8 +795,11 @@
         });
         self.sends += 1;
         let (turn, members) = (self.sends / SENDS_A_PROBE, self.subset.len());
-        if self.settings.probe_for_reports && self.sends.is_multiple_of(SENDS_A_PROBE) && members > 0 {
-            actions.push(Action::Probe(self.backends[self.subset[turn % members]].entry.id));
+        if self.settings.health_checks_for_load_reports
+            && self.sends.is_multiple_of(SENDS_A_PROBE)
+            && members > 0
+        {
+            actions.push(Action::HealthCheck(self.backends[self.subset[turn % members]].entry.id));
         }
         true
     }
@@ -889,7 +855,7 @@
     /// failures seen there count as load.
     fn load(&self, backend: usize) -> f64 {
         let b = &self.backends[backend];
-        let away = if self.away(backend) { 1.0 + AWAY_LOAD * self.settings.cross_zone } else { 1.0 };
+        let away = if self.away(backend) { 1.0 + AWAY_LOAD * self.settings.cross_zone_cost } else { 1.0 };
         let slow = match (b.service, self.service) {
             (Some(own), mean) if mean > 0.0 => own / mean,
             _ => 1.0,
@@ -899,7 +865,7 @@
 
     /// In service, and, while it is cold, within this balancer's part of what it can take.
     fn usable(&mut self, backend: usize) -> bool {
-        let (from, cold) = (self.settings.cold_share, self.settings.cold);
+        let (from, cold) = (self.settings.slow_start_initial_capacity, self.settings.slow_start_duration);
         let Some(started) = self.cold_since(backend) else { return self.in_service(backend) };
         if !self.in_service(backend) || !self.subset.contains(&backend) {
             return false; // its budget is the members'
@@ -908,20 +874,20 @@
         // overload less than what is sent), times its capacity of the moment, times a margin. Where
         // warm backends report what they serve, each balancer takes an even part of that: what a
         // busy one sends its own members would be more than its part, and adds up.
-        self.served.age(self.now, self.memory);
+        self.served.decay(self.now, self.memory);
         let (rate, margin) = match self.reported > 0.0 {
             true => (self.reported / self.sharing(), REPORTED_MARGIN),
             false => (self.served.per_second() / self.subset.len().max(1) as f64, COLD_MARGIN),
         };
-        let multiple = margin * self.settings.fall_multiple;
+        let multiple = margin * self.settings.slow_start_overload_multiple;
         let b = &mut self.backends[backend];
         let ramp = from + (1.0 - from) * ((self.now - started) / cold).clamp(0.0, 1.0);
         let allowed = rate * ramp * multiple;
         // What was saved must not come at once from many balancers: parts of a request are drawn
         // lots for and then gone, not kept until they make a whole.
-        let part = b.cold.fill(self.now, allowed, allowed * self.settings.tip_after);
-        b.cold.room = if part >= 1.0 { part } else { f64::from(self.rng.0.random::<f64>() < part) };
-        b.cold.room >= 1.0
+        let part = b.cold.refill(self.now, allowed, allowed * self.settings.slow_start_overload_window);
+        b.cold.tokens = if part >= 1.0 { part } else { f64::from(self.rng.0.random::<f64>() < part) };
+        b.cold.tokens >= 1.0
     }
 
     // ---- It ends ----
@@ -931,7 +897,7 @@
         self.by_id.get(&id).copied().into_iter().for_each(|slot| self.finish(slot, keep, actions));
     }
 
-    fn ended(&mut self, ended: Ended, actions: &mut Vec<Action>) {
+    fn ended(&mut self, ended: EndedAttempt, actions: &mut Vec<Action>) {
         use Outcome::*;
         let slot = self.by_id.get(&ended.id).copied();
         if let Some(&backend) = self.by_backend.get(&ended.backend) {
@@ -939,7 +905,7 @@
             let (coming, streamed) = slot.map_or((false, false), of);
             let b = &mut self.backends[backend];
             b.in_flight = b.in_flight.saturating_sub(usize::from(!coming));
-            if matches!(ended.outcome, Served | Error | Full | Reset) {
+            if matches!(ended.outcome, Success | Error | Rejected | Reset) {
                 b.alive_at = self.now;
             }
             self.take_report(ended.backend, ended.report);
@@ -947,21 +913,22 @@
             if let Some(slot) = slot {
                 let class = self.calls[slot].known;
                 match ended.outcome {
-                    Served => {
+                    Success => {
                         self.backends[backend].answered_at = self.now;
-                        self.served.add(self.now, self.memory);
+                        self.served.record(self.now, self.memory);
                         // How long a body took says nothing of its backend.
                         if !streamed {
-                            self.learn(backend, class, ended.took, false);
+                            self.learn(backend, class, ended.duration, false);
                             let calm = self.pressure() <= 0.0;
-                            let took = ended.took.min(NORMAL_REACH * self.calls[slot].terms().aim);
+                            let took =
+                                ended.duration.min(NORMAL_REACH * self.calls[slot].terms().latency_objective);
                             self.normal[class].add(took, calm);
                             self.wait.add(took, calm);
                         }
                     }
-                    Cancelled | NeverSent => {}
+                    Cancelled | NotSent => {}
                     _ if coming => {}
-                    _ => self.learn(backend, class, ended.took, true),
+                    _ => self.learn(backend, class, ended.duration, true),
                 }
             }
         }
@@ -972,19 +939,19 @@
             lane.out -= usize::from(orphan.is_some());
             if matches!(ended.outcome, Timeout | Reset | Cancelled) {
                 // A quantum more, as clocks are rounded.
-                lane.rests_until = self.now + self.settings.settle + self.settings.quantum;
+                lane.rests_until = self.now + self.settings.key_rest_duration + self.settings.quantum;
             }
         }
         let Some(slot) = slot else { return orphan.into_iter().for_each(|key| self.advance(key, actions)) };
         let attempt = self.calls[slot].attempts.get_mut(ended.attempt);
         attempt.into_iter().for_each(|a| a.outcome = Some(ended.outcome));
-        if ended.over {
+        if ended.request_finished {
             return self.finish(slot, Some(ended.attempt), actions);
         }
         if self.calls[slot].waits() {
             return; // a copy may still answer
         }
-        if matches!(ended.outcome, Full | NoConnection) {
+        if matches!(ended.outcome, Rejected | NoConnection) {
             self.turned_away += 1;
             self.calls[slot].turned_away = true;
         }
@@ -999,12 +966,12 @@
     fn finish_unserved(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         let call = &self.calls[slot];
         let harmless = match call.terms().effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Safe | Effect::Idempotent { group: IdempotencyGroup::All, .. } => true,
             _ => !call.attempts.iter().any(Attempt::may_have_run),
         };
         let id = call.id;
         actions.push(match harmless {
-            true => Action::Refuse { id, retry_after: self.retry_after(call.t1) },
+            true => Action::Reject { id, retry_after: self.retry_after(call.t1) },
             false => Action::Fail { id },
         });
         self.finish(slot, None, actions);
@@ -1022,7 +989,7 @@
             self.backends[attempt.backend].named -= 1;
             if attempt.outcome.is_none() && keep != Some(i) {
                 let (id, attempt) = (call.id, i);
-                let cancel = call.settings.cancel.then_some(Action::Cancel { id, attempt });
+                let cancel = call.settings.cancellation_allowed.then_some(Action::Cancel { id, attempt });
                 actions.push(cancel.unwrap_or(Action::Withdraw { id, attempt }));
             }
         }
@@ -1093,13 +1060,15 @@
     }
 
     /// Takes in how long requests take a backend and how many it serves, as it reports.
-    fn take_report(&mut self, backend: BackendId, report: Option<Report>) {
+    fn take_report(&mut self, backend: BackendId, report: Option<LoadReport>) {
         let Some((&backend, report)) = self.by_backend.get(&backend).zip(report) else { return };
-        if let Some(rate) = report.rate.filter(|r| *r > 0.0 && self.cold_since(backend).is_none()) {
+        if let Some(rate) =
+            report.requests_per_second.filter(|r| *r > 0.0 && self.cold_since(backend).is_none())
+        {
             let mean = if self.reported > 0.0 { self.reported } else { rate };
             self.reported = mean + NORMAL_WEIGHT * (rate - mean);
         }
-        if let Some(service) = report.service.filter(|s| *s > 0.0) {
+        if let Some(service) = report.service_time.filter(|s| *s > 0.0) {
             let known = self.backends[backend].service.get_or_insert(service);
             *known += SERVICE_WEIGHT * (service - *known);
             let mean = if self.service > 0.0 { self.service } else { service };
@@ -1113,24 +1082,24 @@
     /// there, as what was out at the notice leaves a connection behind.
     fn release_if_draining(&self, backend: usize, actions: &mut Vec<Action>) {
         let entry = &self.backends[backend].entry;
-        if self.settings.release_within.is_some() && entry.status == Status::Draining {
-            actions.push(Action::Release(entry.id));
+        if self.settings.idle_close_limit.is_some() && entry.status == Status::Draining {
+            actions.push(Action::CloseIdleConnections(entry.id));
         }
     }
 
-    fn list(&mut self, update: ListUpdate<'_>, actions: &mut Vec<Action>) {
+    fn list(&mut self, update: EndpointUpdate<'_>, actions: &mut Vec<Action>) {
         match update {
-            ListUpdate::Refused => {
-                // Asked again with a pause, and not all at once: what failed may be busy.
+            EndpointUpdate::Failed => {
+                // Polled again with a pause, and not all at once: what failed may be busy.
                 let part = 0.5 + self.rng.0.random::<f64>();
                 self.watch_at = (self.now + WATCH_WAIT[0] * part).max(self.watch_at + WATCH_WAIT[1] * part);
-                return actions.push(Action::Timer { at: self.watch_at, token: LIST_TOKEN });
+                return actions.push(Action::SetTimer { at: self.watch_at, token: LIST_TOKEN });
             }
-            ListUpdate::Full(entries) | ListUpdate::Remembered(entries) => {
-                self.backends.iter_mut().for_each(|b| b.entry.status = Status::Gone);
+            EndpointUpdate::Full(entries) | EndpointUpdate::Cached(entries) => {
+                self.backends.iter_mut().for_each(|b| b.entry.status = Status::Removed);
                 entries.iter().for_each(|e| self.take_in(e, actions));
             }
-            ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
+            EndpointUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
         self.relist();
         self.forget();
@@ -1151,7 +1120,7 @@
     /// one, unless the list shows a start since it went.
     fn maintain(&mut self, id: BackendId, out: bool, actions: &mut Vec<Action>) {
         let now = self.now;
-        self.maintained.retain(|_, m| m.out || now < m.at + self.settings.cold);
+        self.maintained.retain(|_, m| m.out || now < m.at + self.settings.slow_start_duration);
         if self.is_out(id) == out {
             return;
         }
@@ -1160,12 +1129,12 @@
             let late = now - HEALTH_MEMORY * self.memory;
             let used = |b| self.subset.contains(&b) || self.backends[b].alive_at > late;
             self.maintained.insert(id, Maintained { out, at: now, used: place.is_some_and(used) });
-            actions.push(Action::Release(id));
+            actions.push(Action::CloseIdleConnections(id));
         } else if let Some(m) = self.maintained.get_mut(&id) {
-            let started = place.and_then(|b| self.backends[b].entry.started);
+            let started = place.and_then(|b| self.backends[b].entry.started_at);
             (m.out, m.at) = (false, if started.is_some_and(|s| s >= m.at) { f64::NEG_INFINITY } else { now });
             if let Some(b) = place.map(|b| &mut self.backends[b]) {
-                (b.slowness, b.slowness_at, b.cold) = (1.0, now, Bucket { room: 0.0, at: now });
+                (b.slowness, b.slowness_at, b.cold) = (1.0, now, TokenBucket { tokens: 0.0, at: now });
             }
         }
         self.relist();
@@ -1175,7 +1144,7 @@
     /// by ever new ones, keeping them would grow without end.
     fn forget(&mut self) {
         for (i, b) in self.backends.iter().enumerate() {
-            let unnamed = b.entry.status == Status::Gone && b.in_flight == 0 && b.named == 0;
+            let unnamed = b.entry.status == Status::Removed && b.in_flight == 0 && b.named == 0;
             if unnamed && self.by_backend.get(&b.entry.id) == Some(&i) {
                 self.by_backend.remove(&b.entry.id);
                 self.vacant.push(i);
@@ -1183,8 +1152,8 @@
         }
     }
 
-    fn take_in(&mut self, entry: &Entry, actions: &mut Vec<Action>) {
-        let fresh = Bucket { room: 0.0, at: self.now };
+    fn take_in(&mut self, entry: &Endpoint, actions: &mut Vec<Action>) {
+        let fresh = TokenBucket { tokens: 0.0, at: self.now };
         let known = self.by_backend.get(&entry.id).copied().unwrap_or_else(|| {
             let new = Backend {
                 entry: entry.clone(),
@@ -1204,7 +1173,7 @@
             place
         });
         let b = &mut self.backends[known];
-        if b.entry.started != entry.started {
+        if b.entry.started_at != entry.started_at {
             (b.slowness, b.slowness_at, b.cold) = (1.0, self.now, fresh);
         }
         b.entry = entry.clone();
@@ -1215,7 +1184,7 @@
     /// that has more calls in flight, by Little's law.
     fn subset_size(&mut self) -> usize {
         if self.sent.span > 0.5 * self.memory {
-            let each = MEMBERS_PER_CALL[usize::from(self.settings.dear_connections)];
+            let each = MEMBERS_PER_CALL[usize::from(self.settings.connections_have_cost)];
             self.grown = self.grown.max((each * self.sent.per_second() * self.wait.mean) as usize);
         }
         self.least_subset().max(self.grown)
@@ -1224,7 +1193,7 @@
     /// Members without which some backends would be in no subset, and two to choose from.
     fn least_subset(&self) -> usize {
         let least = if self.settings.tier == 0 { ENTRY_SUBSET } else { SUBSET };
-        least.max(self.listed.len().div_ceil(self.settings.instances.max(1)))
+        least.max(self.listed.len().div_ceil(self.settings.instance_count.max(1)))
     }
 
     /// Draws the subset, keeping the members that are still in service. Where crossing zones is
@@ -1260,7 +1229,7 @@
         let count = from.len();
         let base = least.min(count);
         let subsets = count.div_ceil(base.max(1)).max(1);
-        let (round, place) = (self.settings.me / subsets, self.settings.me % subsets);
+        let (round, place) = (self.settings.instance_index / subsets, self.settings.instance_index % subsets);
         // The places of a round are taken in the order of van der Corput: however few the last one
         // has, they are spread, and one more balancer moves none of the others.
         let bits = usize::BITS - subsets.next_power_of_two().trailing_zeros();
@@ -1272,7 +1241,7 @@
 
     /// A call to it would cross zones, and that is priced.
     fn away(&self, backend: usize) -> bool {
-        self.settings.cross_zone > 0.0 && self.backends[backend].entry.zone != self.settings.zone
+        self.settings.cross_zone_cost > 0.0 && self.backends[backend].entry.zone != self.settings.zone
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,17 +2,18 @@
 
 #![forbid(unsafe_code)]
 
-use gannetproxy::log;
-use gannetproxy::proxy::config::{self, Config, ConfigError, Wins};
-use gannetproxy::proxy::discovery::Discovery;
-use gannetproxy::proxy::engine::Engine;
-use gannetproxy::proxy::figures::Figures;
-use gannetproxy::proxy::limits::Caps;
-use gannetproxy::proxy::maintenance::{Book, Maintenance};
-use gannetproxy::proxy::management::{self, MOST_CALLERS, Management};
-use gannetproxy::proxy::reload::Reload;
-use gannetproxy::proxy::seat::Seat;
-use gannetproxy::proxy::server::{self, Server};
+use balancer_proxy::log;
+use balancer_proxy::proxy::control::config::{self, AddressSource, Config, ConfigError};
+use balancer_proxy::proxy::control::discovery::Discovery;
+use balancer_proxy::proxy::control::instance_lock::InstanceLock;
+use balancer_proxy::proxy::control::maintenance::Maintenance;
+use balancer_proxy::proxy::control::maintenance_store::MaintenanceStore;
+use balancer_proxy::proxy::control::management::{self, MAX_MANAGEMENT_CONNECTIONS, Management};
+use balancer_proxy::proxy::control::reload::Reload;
+use balancer_proxy::proxy::downstream::server::{self, Server};
+use balancer_proxy::proxy::engine::Engine;
+use balancer_proxy::proxy::limits::Capacities;
+use balancer_proxy::proxy::metrics::Metrics;
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -35,66 +36,68 @@
 const LOOK: Duration = Duration::from_millis(100);
 
 /// This process's place beside another one. Without it the proxy serves as if it were alone.
-async fn take_seat(place: &Path) -> Option<Rc<Seat>> {
-    let seat = Seat::take(place).await;
-    seat.inspect_err(|error| log!("dewpier: {}: {error}", place.display())).ok().map(Rc::new)
+async fn take_seat(place: &Path) -> Option<Rc<InstanceLock>> {
+    let seat = InstanceLock::acquire(place).await;
+    seat.inspect_err(|error| log!("balancer-proxy: {}: {error}", place.display())).ok().map(Rc::new)
 }
 
 async fn run() -> Result<(), StartError> {
     // The handlers come first: a signal that finds none ends the program.
     let mut hangup = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
-    let stamp = config::stamp();
-    let mut config = Config::from_env(Wins::Environment)?;
+    let stamp = config::file_stamp();
+    let mut config = Config::from_env(AddressSource::Environment)?;
     let management = match config.management {
         Some(address) => Some(management::bind(address).await?),
         None => None,
     };
     if let Some(listener) = &management {
-        log!("dewpier: management on {}", listener.local_addr()?);
+        log!("balancer-proxy: management on {}", listener.local_addr()?);
     }
     // What two processes share, where one may be replaced by another.
     let place = std::env::temp_dir().join(format!("dewpier-{}", config.listen));
     let (seat, book) = match management {
-        Some(_) => (take_seat(&place).await, Some(Book::open(&place))),
+        Some(_) => (take_seat(&place).await, Some(MaintenanceStore::open(&place))),
         None => (None, None),
     };
-    let successor = seat.as_ref().is_some_and(|seat| seat.shared());
+    let successor = seat.as_ref().is_some_and(|seat| seat.is_shared());
     let managed = management.is_some();
-    let kept = if managed { MOST_CALLERS + 1 } else { 0 };
-    let caps = Caps::new(config.limits.part(successor), kept);
-    let terms = Rc::new(std::mem::take(&mut config.terms));
-    let figures = Figures::new(&terms.wire);
+    let kept = if managed { MAX_MANAGEMENT_CONNECTIONS + 1 } else { 0 };
+    let caps = Capacities::new(config.limits.share(successor), kept);
+    let terms = Rc::new(std::mem::take(&mut config.snapshot));
+    let figures = Metrics::new(&terms.proxy);
     let engine = Engine::start(terms.clone(), config.seed, caps.backends, figures);
-    let (at, known) = (config.discovery, std::mem::take(&mut config.known));
-    let discovery = Discovery::start(at, config.seed, known, &terms, engine.clone(), book.clone());
+    let (at, known) = (config.discovery, std::mem::take(&mut config.cached_endpoints));
+    let discovery = Discovery::new(at, config.seed, &terms, engine.clone(), book.clone());
+    engine.set_discovery(&discovery);
+    discovery.start(known);
     let maintenance = book.map(|book| Maintenance::start(book, discovery.clone(), engine.clone()));
     let server = Server::new(engine.clone(), caps, seat.clone());
     if let Some((listener, maintenance)) = management.zip(maintenance) {
         tokio::task::spawn_local(Management::new(server.clone(), maintenance).run(listener));
     }
     if successor {
-        discovery.fetch();
-        let _ = tokio::time::timeout(LIST_WITHIN, discovery.heard()).await; // else the known list holds
+        discovery.fetch_once();
+        let _ = tokio::time::timeout(LIST_WITHIN, discovery.answered()).await; // else the known list holds
     }
     let listener = server::bind(config.listen, managed)?;
-    log!("dewpier: listening on {}", listener.local_addr()?);
+    log!("balancer-proxy: listening on {}", listener.local_addr()?);
     let reload = Rc::new(Reload::new(&config, stamp, kept, server.clone(), engine, discovery, seat.clone()));
     let signals = reload.clone();
     let reloading = async move {
         while hangup.recv().await.is_some() {
-            signals.signalled();
+            signals.on_signal();
         }
         std::future::pending().await
     };
     if let Some(seat) = seat {
         // Without it the other process takes this one for absent, and goes on taking connections.
-        let told = seat.listening();
-        told.unwrap_or_else(|error| log!("dewpier: {}: {error}", place.display()));
+        let told = seat.announce_listening();
+        told.unwrap_or_else(|error| log!("balancer-proxy: {}: {error}", place.display()));
         tokio::task::spawn_local(async move {
             loop {
                 tokio::time::sleep(LOOK).await;
-                reload.look();
+                reload.check_other_process();
             }
         });
     }
@@ -102,7 +105,7 @@
         () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
         () = reloading => {}
     }
-    log!("dewpier: stopped");
+    log!("balancer-proxy: stopped");
     Ok(())
 }
 
@@ -112,7 +115,7 @@
     match ran.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log!("dewpier: {error}");
+            log!("balancer-proxy: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/proxy/config.rs
+++ b/src/proxy/control/config.rs
@@ -1,9 +1,10 @@
 //! What a proxy is told, at its start and whenever it changes: environment and JSON, turned into the
 //! module's settings.
 
-use super::discovery::{self, RawList};
-use super::limits::Limits;
-use crate::{Class, Effect, Group, Settings, Tenant, Time};
+use super::endpoint_list::{RawEndpointList, zone_index};
+use crate::proxy::limits::ProcessLimits;
+use crate::proxy::settings::{ProxySettings, SettingsSnapshot};
+use crate::{Effect, IdempotencyGroup, RequestClass, Settings, Tenant, Time};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::collections::HashSet;
@@ -52,7 +53,7 @@
 }
 
 /// What tells a file from the one that was there before: its number, size and time of change.
-pub type Stamp = (u64, u64, i64, i64);
+pub type FileStamp = (u64, u64, i64, i64);
 
 /// Everything that a proxy is told.
 #[derive(Debug)]
@@ -66,69 +67,32 @@
     /// For the module's random numbers.
     pub seed: u64,
     /// What the process may hold and use.
-    pub limits: Limits,
+    pub limits: ProcessLimits,
     /// The list of backends as last had; none where the file is read again.
-    pub known: RawList,
+    pub cached_endpoints: RawEndpointList,
     /// The settings.
-    pub terms: Terms,
+    pub snapshot: SettingsSnapshot,
     /// Of the file's text: the same in all processes that have read the same.
     pub digest: u64,
 }
 
-/// The settings, as one: they change whole or not at all.
-#[derive(Debug, Default, PartialEq)]
-pub struct Terms {
-    /// What the module is told.
-    pub settings: Settings,
-    /// What only the proxy needs.
-    pub wire: WireSettings,
-}
-
-impl Terms {
-    /// The longest deadline of all classes.
-    pub fn longest(&self) -> Time {
-        self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max)
-    }
-
+impl SettingsSnapshot {
     /// May these follow upon `old` ones? Files can come late or again: the order is theirs to tell,
     /// by their versions, where they have any.
-    pub fn follow(&self, old: &Self) -> Result<(), ConfigError> {
-        let Some(had) = old.wire.version else {
+    pub fn check_follows(&self, old: &Self) -> Result<(), ConfigError> {
+        let Some(had) = old.proxy.version else {
             return Ok(());
         };
-        let expected = match self.wire.version {
+        let expected = match self.proxy.version {
             Some(version) if version > had || version == had && self == old => return Ok(()),
             Some(version) if version == had => format!("more than {had}, as other settings differ from it"),
             _ => format!("{had} or more, which is in force"),
         };
-        let got = self.wire.version.map_or("none".to_string(), |version| version.to_string());
+        let got = self.proxy.version.map_or("none".to_string(), |version| version.to_string());
         Err(bad("settings.version", expected, got))
     }
 }
 
-/// The part of the settings that sockets need and decisions don't.
-#[derive(Debug, Default, PartialEq)]
-pub struct WireSettings {
-    /// Goes up with each change, where whoever writes the file numbers them.
-    pub version: Option<u64>,
-    /// Class names, in the order of the settings.
-    pub classes: Vec<String>,
-    /// Tenant names, in the order of the settings.
-    pub tenants: Vec<String>,
-    /// Zone names; at the start, an entry's zone is the place of its name here.
-    pub zones: Vec<String>,
-    /// The name of the zone this proxy is in.
-    pub zone: String,
-    /// A connection not up by then never comes up.
-    pub connect_timeout: Duration,
-    /// Backends close idle connections after this.
-    pub idle_close: Duration,
-    /// Nothing new to a backend this long after the news that it drains or is gone.
-    pub drain_grace: Duration,
-    /// Requests that may be open at once.
-    pub max_open: usize,
-}
-
 #[derive(Deserialize)]
 struct RawConfig {
     listen: Option<String>,
@@ -144,7 +108,7 @@
 #[derive(Deserialize)]
 struct RawKnown {
     #[serde(default)]
-    known: RawList,
+    known: RawEndpointList,
 }
 
 #[derive(Deserialize, Default)]
@@ -315,7 +279,7 @@
 
 /// Which word on where discovery is holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wins {
+pub enum AddressSource {
     /// The environment's, as at the start.
     Environment,
     /// The file's: it may have been replaced since, and the environment cannot.
@@ -327,16 +291,16 @@
 }
 
 /// The stamp of the file that is there now, if one is.
-pub fn stamp() -> Option<Stamp> {
+pub fn file_stamp() -> Option<FileStamp> {
     let m = std::fs::metadata(variable("RELAY_CONFIG").ok()?).ok()?;
     Some((m.ino(), m.size(), m.mtime(), m.mtime_nsec()))
 }
 
 /// The text of the file. One that is read while requests wait must be a plain one, which never keeps
 /// its reader waiting, of a bounded length.
-fn text(path: &str, wins: Wins) -> Result<String, ConfigError> {
+fn text(path: &str, wins: AddressSource) -> Result<String, ConfigError> {
     let unread = |error| ConfigError::Read { path: path.to_string(), error };
-    if wins == Wins::Environment {
+    if wins == AddressSource::Environment {
         return std::fs::read_to_string(path).map_err(unread);
     }
     if !std::fs::metadata(path).map_err(unread)?.is_file() {
@@ -370,13 +334,13 @@
 impl Config {
     /// Reads the environment and the file that it names. Where the file's word holds, it comes while
     /// requests are served, and is held to more than at a start.
-    pub fn from_env(wins: Wins) -> Result<Self, ConfigError> {
+    pub fn from_env(wins: AddressSource) -> Result<Self, ConfigError> {
         let path = variable("RELAY_CONFIG")?;
         let text = text(&path, wins)?;
         let file: RawConfig = parse(&path, &text)?;
         let known = match wins {
-            Wins::Environment => parse::<RawKnown>(&path, &text)?.known,
-            Wins::File => file.check().map(|()| RawList::default())?,
+            AddressSource::Environment => parse::<RawKnown>(&path, &text)?.known,
+            AddressSource::File => file.check().map(|()| RawEndpointList::default())?,
         };
         let mut digest = DefaultHasher::new();
         text.hash(&mut digest);
@@ -386,7 +350,7 @@
         };
         let listen = address("RELAY_LISTEN", &file.listen)?;
         let discovery = match (wins, &file.discovery) {
-            (Wins::File, Some(text)) => {
+            (AddressSource::File, Some(text)) => {
                 text.parse().map_err(|_| bad("discovery", "address:port", text.as_str()))?
             }
             _ => address("RELAY_DISCOVERY", &file.discovery)?,
@@ -396,7 +360,7 @@
         let management = management.or_else(|| file.management.clone().filter(named));
         let parsed = management.map(|m| m.parse().map_err(|_| bad("management", "address:port", m)));
         let (management, digest) = (parsed.transpose()?, digest.finish());
-        Ok(Self { management, known, digest, ..Self::from_file(file, listen, discovery)? })
+        Ok(Self { management, cached_endpoints: known, digest, ..Self::from_file(file, listen, discovery)? })
     }
 
     fn from_file(file: RawConfig, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
@@ -404,8 +368,8 @@
         let seed = u64::from_str_radix(seed, 16).map_err(|_| bad("seed", "hex digits", seed))?;
         let (raw, plain) = (file.settings, Settings::default());
         let mut zones = raw.zones;
-        let zone = discovery::zone_index(&mut zones, &raw.zone);
-        let wire = WireSettings {
+        let zone = zone_index(&mut zones, &raw.zone);
+        let wire = ProxySettings {
             version: raw.version.as_u64(),
             classes: raw.classes.iter().map(|c| c.name.clone()).collect(),
             tenants: raw.projects.iter().map(|p| p.name.clone()).collect(),
@@ -422,33 +386,45 @@
         let settings = Settings {
             classes: raw.classes.into_iter().enumerate().map(class).collect::<Result<_, _>>()?,
             tenants: raw.projects.into_iter().map(tenant).collect(),
-            over_share_worth: raw.over_share_worth.unwrap_or(plain.over_share_worth),
-            instances: raw.n_instances.unwrap_or(plain.instances),
-            me: raw.me,
+            over_quota_weight: raw.over_share_worth.unwrap_or(plain.over_quota_weight),
+            instance_count: raw.n_instances.unwrap_or(plain.instance_count),
+            instance_index: raw.me,
             tier: raw.tier,
             zone,
-            cross_zone: raw.costs.cross_zone,
-            dear_connections: raw.costs.connection + raw.costs.handshake > 0.0,
-            probe_for_reports: raw.stats.how == "on_probe" && raw.caps.probing,
-            cancel: raw.caps.cancel,
-            second_copies: raw.caps.second_copies,
+            cross_zone_cost: raw.costs.cross_zone,
+            connections_have_cost: raw.costs.connection + raw.costs.handshake > 0.0,
+            health_checks_for_load_reports: raw.stats.how == "on_probe" && raw.caps.probing,
+            cancellation_allowed: raw.caps.cancel,
+            hedging_allowed: raw.caps.second_copies,
             max_attempts: raw.caps.max_attempts.unwrap_or(plain.max_attempts),
             max_retry_after: if raw.caps.retry_after { raw.caps.max_retry_after } else { 0.0 },
-            must_watch: raw.registry_mode == RegistryMode::Subscribe,
-            ask_within: raw.rules.ask_within.unwrap_or(plain.ask_within),
-            cold_share: raw.rules.cold_share.unwrap_or(plain.cold_share),
-            cold: raw.rules.cold.unwrap_or(plain.cold),
-            fall_multiple: raw.rules.fall_multiple.unwrap_or(plain.fall_multiple),
-            tip_after: raw.rules.tip_after.unwrap_or(plain.tip_after),
-            settle: raw.rules.settle_after_doubt.unwrap_or(0.0),
-            release_within: raw.rules.release_within,
+            must_poll_endpoints: raw.registry_mode == RegistryMode::Subscribe,
+            endpoint_poll_limit: raw.rules.ask_within.unwrap_or(plain.endpoint_poll_limit),
+            slow_start_initial_capacity: raw.rules.cold_share.unwrap_or(plain.slow_start_initial_capacity),
+            slow_start_duration: raw.rules.cold.unwrap_or(plain.slow_start_duration),
+            slow_start_overload_multiple: raw
+                .rules
+                .fall_multiple
+                .unwrap_or(plain.slow_start_overload_multiple),
+            slow_start_overload_window: raw.rules.tip_after.unwrap_or(plain.slow_start_overload_window),
+            key_rest_duration: raw.rules.settle_after_doubt.unwrap_or(0.0),
+            idle_close_limit: raw.rules.release_within,
             quantum: raw.quantum.unwrap_or(plain.quantum),
         };
         let memory = (file.limits.memory_mb.unwrap_or(MEMORY_MB) * f64::from(1 << 20)) as usize;
-        let limits = Limits { descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory };
-        let (management, known, digest) = (None, RawList::default(), 0);
-        let terms = Terms { settings, wire };
-        Ok(Self { listen, management, discovery, seed, limits, known, terms, digest })
+        let limits = ProcessLimits { descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory };
+        let (management, known, digest) = (None, RawEndpointList::default(), 0);
+        let terms = SettingsSnapshot { settings, proxy: wire };
+        Ok(Self {
+            listen,
+            management,
+            discovery,
+            seed,
+            limits,
+            cached_endpoints: known,
+            snapshot: terms,
+            digest,
+        })
     }
 }
 
@@ -472,7 +448,7 @@
         }
         differ("classes", settings.classes.iter().map(|c| &c.name))?;
         differ("projects", settings.projects.iter().map(|p| &p.name))?;
-        let instances = settings.n_instances.unwrap_or(Settings::default().instances);
+        let instances = settings.n_instances.unwrap_or(Settings::default().instance_count);
         if settings.me >= instances {
             return Err(bad("settings.me", format!("less than n-instances, {instances}"), settings.me));
         }
@@ -511,32 +487,32 @@
 }
 
 fn tenant(raw: Project) -> Tenant {
-    Tenant { name: raw.name, quota: raw.quota_per_s.unwrap_or(f64::MAX) }
+    Tenant { name: raw.name, quota_per_second: raw.quota_per_s.unwrap_or(f64::MAX) }
 }
 
-fn class((i, raw): (usize, RawClass)) -> Result<Class, ConfigError> {
+fn class((i, raw): (usize, RawClass)) -> Result<RequestClass, ConfigError> {
     let time = |name: &str, value: Time| not_negative(|| format!("settings.classes[{i}].{name}"), value);
-    let plain = Class::default();
+    let plain = RequestClass::default();
     // Each of the two stands in for the other.
     let deadline = raw.hard_limit.or(raw.on_time).unwrap_or(plain.deadline);
-    Ok(Class {
+    Ok(RequestClass {
         name: raw.name.clone(),
-        aim: time("on-time", raw.on_time.unwrap_or(deadline))?,
+        latency_objective: time("on-time", raw.on_time.unwrap_or(deadline))?,
         deadline: time("hard-limit", deadline)?,
-        late_worth: raw.late_worth.unwrap_or(plain.late_worth),
-        worth: raw.worth.unwrap_or(plain.worth),
+        late_priority_weight: raw.late_worth.unwrap_or(plain.late_priority_weight),
+        priority_weight: raw.worth.unwrap_or(plain.priority_weight),
         effect: match raw.effect {
             RawEffect::Free => Effect::Safe,
             RawEffect::SingleShot => Effect::Unsafe,
-            RawEffect::Guarded => Effect::Keyed {
+            RawEffect::Guarded => Effect::Idempotent {
                 group: match raw.group {
-                    RawGroup::All => Group::All,
-                    RawGroup::Zone => Group::Zone,
-                    RawGroup::Cell => Group::Cell,
+                    RawGroup::All => IdempotencyGroup::All,
+                    RawGroup::Zone => IdempotencyGroup::Zone,
+                    RawGroup::Cell => IdempotencyGroup::Cell,
                 },
                 window: time("window", raw.window.unwrap_or(0.0))?,
             },
         },
-        in_order: raw.fifo_by_key,
+        ordered_by_key: raw.fifo_by_key,
     })
 }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/control/discovery.rs
@@ -1,19 +1,19 @@
 //! Discovery: the watch and fetch calls, and lists in the module's terms.
 
-use super::backend::{self, Peer};
-use super::config::Terms;
-use super::engine::{Clock, Engine};
-use super::maintenance::Book;
-use super::stream::Outgoing;
+use super::endpoint_list::{EndpointNames, RawEndpoint, RawEndpointList, zone_index};
+use super::maintenance_store::MaintenanceStore;
+use crate::BackendId;
 use crate::log;
-use crate::{BackendId, Entry, Status};
+use crate::proxy::clock::Clock;
+use crate::proxy::settings::SettingsSnapshot;
+use crate::proxy::upstream::connection::{Connection, connect};
+use crate::proxy::upstream::request_body::AttemptBody;
+use crate::proxy::watch_event::{ListedEndpoint, WatchEvent};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,59 +57,6 @@
 /// Largest list taken in.
 const MOST_BYTES: usize = 4 << 20;
 
-/// A list as discovery writes it.
-#[derive(Debug, Default, Deserialize)]
-pub struct RawList {
-    generation: u64,
-    reset: bool,
-    instances: Vec<RawEntry>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawEntry {
-    instance_id: String,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    cell: u32,
-    lifecycle: Lifecycle,
-    weight: Option<f64>,
-    #[serde(default)]
-    started_at_ms: f64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum Lifecycle {
-    Serving,
-    Draining,
-    Deleted,
-}
-
-/// News of the list, as the engine hands it to the module.
-#[derive(Debug)]
-pub enum News {
-    /// Entries that changed.
-    Changes(Vec<Listed>),
-    /// All entries.
-    Full(Vec<Listed>),
-    /// All entries, as last had before the start.
-    Remembered(Vec<Listed>),
-    /// A call failed.
-    Refused,
-}
-
-/// A backend of a list, and where it listens.
-#[derive(Debug)]
-pub struct Listed {
-    /// The module's part.
-    pub entry: Entry,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 #[derive(Debug, Error)]
 enum CallError {
     #[error("no answer in time")]
@@ -128,71 +75,23 @@
     Json(#[from] serde_json::Error),
 }
 
-/// The number of a zone, added if it is new.
-pub fn zone_index(zones: &mut Vec<String>, name: &str) -> u32 {
-    let known = zones.iter().position(|z| z == name);
-    known.unwrap_or_else(|| {
-        zones.push(name.to_string());
-        zones.len() - 1
-    }) as u32
-}
-
-/// Names of discovery in the module's terms.
-#[derive(Debug)]
-struct Translation {
-    zones: Vec<String>,
-    ids: HashMap<String, BackendId>,
-    taken: HashSet<BackendId>,
+/// Whoever is told of watch events, and answers what discovery has to know for its calls.
+pub trait WatchListener {
+    /// WatchEvent of the list.
+    fn on_watch_event(&self, news: WatchEvent);
+    /// The settings in force.
+    fn settings(&self) -> Rc<SettingsSnapshot>;
+    /// The clock that watch events are timed by.
+    fn clock(&self) -> &Clock;
+    /// The backend is still referred to, so that its id must not be forgotten.
+    fn is_referenced(&self, backend: BackendId) -> bool;
 }
 
-impl Translation {
-    /// A number for a backend's name, the same at every proxy: they share out the backends by it.
-    fn id(&mut self, name: &str) -> BackendId {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
-        }
-        let hash = name.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        let mut id = BackendId(hash);
-        while self.taken.contains(&id) {
-            id = BackendId(id.0.wrapping_add(1));
-        }
-        self.taken.insert(id);
-        self.ids.insert(name.to_string(), id);
-        id
-    }
-
-    /// Forgets the names of backends that are not known any more; one that comes back gets the
-    /// number that it had, by its name.
-    fn forget(&mut self, known: impl Fn(BackendId) -> bool) {
-        self.ids.retain(|_, id| known(*id));
-        self.taken.retain(|id| known(*id));
-    }
-
-    fn list(&mut self, raw: Vec<RawEntry>, clock: &Clock) -> Vec<Listed> {
-        let listed = |raw: RawEntry| Listed {
-            entry: Entry {
-                id: self.id(&raw.instance_id),
-                cell: raw.cell,
-                zone: zone_index(&mut self.zones, &raw.zone),
-                weight: raw.weight.filter(|w| w.is_finite() && *w >= 0.0).unwrap_or(1.0),
-                status: match raw.lifecycle {
-                    Lifecycle::Serving => Status::InService,
-                    Lifecycle::Draining => Status::Draining,
-                    Lifecycle::Deleted => Status::Gone,
-                },
-                started: (raw.started_at_ms > 0.0).then(|| clock.of_unix(raw.started_at_ms / 1000.0)),
-            },
-            address: raw.host_port,
-        };
-        raw.into_iter().map(listed).collect()
-    }
-}
-
-/// Keeps the engine's list fresh.
+/// Keeps the list of its listener fresh.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    engine: Rc<Engine>,
-    names: RefCell<Translation>,
+    listener: Rc<dyn WatchListener>,
+    names: RefCell<EndpointNames>,
     /// The version of the list that was last had from this address, if any was.
     generation: Cell<Option<u64>>,
     watch: RefCell<Option<AbortHandle>>,
@@ -202,62 +101,63 @@
     /// The last call of the watch failed.
     failed: Cell<bool>,
     /// Where the names of all that are ever listed are kept, if they are.
-    book: Option<Rc<Book>>,
+    book: Option<Rc<MaintenanceStore>>,
     heard: watch::Sender<bool>,
 }
 
 impl Discovery {
-    /// Hands the known list to the engine, and starts the watch where no one has to ask for it. Zones
-    /// are numbered as in these settings. The `seed` spreads its calls among those of other proxies.
-    pub fn start(
+    /// One that asks at `address`. Zones are numbered as in these settings. The `seed` spreads its
+    /// calls among those of other proxies.
+    pub fn new(
         address: SocketAddr,
         seed: u64,
-        known: RawList,
-        terms: &Terms,
-        engine: Rc<Engine>,
-        book: Option<Rc<Book>>,
+        terms: &SettingsSnapshot,
+        listener: Rc<dyn WatchListener>,
+        book: Option<Rc<MaintenanceStore>>,
     ) -> Rc<Self> {
-        let zones = terms.wire.zones.clone();
-        let names = Translation { zones, ids: HashMap::new(), taken: HashSet::new() };
-        let discovery = Rc::new(Self {
+        Rc::new(Self {
             address: Cell::new(address),
-            names: RefCell::new(names),
-            generation: Cell::new(Some(known.generation)),
+            names: RefCell::new(EndpointNames::new(terms.proxy.zones.clone())),
+            generation: Cell::new(None),
             watch: RefCell::default(),
             era: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             failed: Cell::new(false),
             book,
             heard: watch::Sender::new(false),
-            engine,
-        });
-        discovery.engine.set_discovery(&discovery);
-        let listed = discovery.translate(known.instances);
-        discovery.engine.news(News::Remembered(listed));
-        if !terms.settings.must_watch {
-            discovery.watch(true);
+            listener,
+        })
+    }
+
+    /// Hands the known list to the listener, and starts the watch where no one has to ask for it.
+    pub fn start(self: &Rc<Self>, known: RawEndpointList) {
+        self.generation.set(Some(known.generation));
+        let listed = self.translate(known.instances);
+        self.listener.on_watch_event(WatchEvent::Cached(listed));
+        if !self.polls() {
+            self.set_watching(true);
         }
-        discovery
     }
 
     /// Goes by these settings, which have changed. A watch that is on goes on; one is begun if none
     /// is: nobody may have to ask now, or sooner than the module would.
-    pub fn settle(self: &Rc<Self>) {
-        self.watch(true);
+    pub fn settings_changed(self: &Rc<Self>) {
+        self.set_watching(true);
     }
 
     /// The module says when to call again after a failure.
-    fn asked(&self) -> bool {
-        self.engine.terms().settings.must_watch
+    fn polls(&self) -> bool {
+        self.listener.settings().settings.must_poll_endpoints
     }
 
     /// Without asking for so long, nothing counts as told: no call waits longer for news.
-    fn ask_within(&self) -> Duration {
-        Duration::try_from_secs_f64(self.engine.terms().settings.ask_within).unwrap_or(Duration::MAX)
+    fn poll_limit(&self) -> Duration {
+        Duration::try_from_secs_f64(self.listener.settings().settings.endpoint_poll_limit)
+            .unwrap_or(Duration::MAX)
     }
 
     /// The number of a zone by its name, which it keeps.
-    pub fn zone(&self, name: &str) -> u32 {
+    pub fn zone_index(&self, name: &str) -> u32 {
         zone_index(&mut self.names.borrow_mut().zones, name)
     }
 
@@ -267,37 +167,37 @@
     }
 
     /// The number of a backend by its name.
-    pub fn backend(&self, name: &str) -> BackendId {
+    pub fn backend_id(&self, name: &str) -> BackendId {
         self.names.borrow_mut().id(name)
     }
 
     /// Returns once it has answered.
-    pub async fn heard(&self) {
+    pub async fn answered(&self) {
         // The sender is here, so that the wait can't fail.
         let _ = self.heard.subscribe().wait_for(|heard| *heard).await;
     }
 
-    fn translate(&self, raw: Vec<RawEntry>) -> Vec<Listed> {
+    fn translate(&self, raw: Vec<RawEndpoint>) -> Vec<ListedEndpoint> {
         if let Some(book) = &self.book {
-            book.listed(raw.iter().map(|entry| entry.instance_id.as_str()));
+            book.record_listed(raw.iter().map(|entry| entry.instance_id.as_str()));
         }
-        self.names.borrow_mut().list(raw, self.engine.clock())
+        self.names.borrow_mut().list(raw, self.listener.clock())
     }
 
     /// Goes over to the discovery at `address`. Its versions are its own, so that the whole list
     /// is asked for at once; until it comes, the last one holds.
-    pub fn move_to(self: &Rc<Self>, address: SocketAddr) {
+    pub fn change_address(self: &Rc<Self>, address: SocketAddr) {
         log!("discovery: now at {address}");
-        self.watch(false);
+        self.set_watching(false);
         self.address.set(address);
         self.generation.set(None);
         self.failed.set(false);
         self.era.set(self.era.get() + 1);
-        self.watch(true);
+        self.set_watching(true);
     }
 
     /// Begins a watch, if none is on, or ends it.
-    pub fn watch(self: &Rc<Self>, on: bool) {
+    pub fn set_watching(self: &Rc<Self>, on: bool) {
         let mut watch = self.watch.borrow_mut();
         if !on {
             watch.take().into_iter().for_each(|w| w.abort());
@@ -307,13 +207,13 @@
     }
 
     /// Asks for the whole list once.
-    pub fn fetch(self: &Rc<Self>) {
+    pub fn fetch_once(self: &Rc<Self>) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
             let era = this.era.get();
             let answer = this.call("/api/targets", this.spread(PATIENCE[1]), &mut None).await;
             if this.era.get() == era {
-                this.take(answer);
+                this.accept(answer);
             }
         });
     }
@@ -327,7 +227,7 @@
         loop {
             let begun = Instant::now();
             let failed = usize::from(self.failed.get());
-            let (wait, within) = (MOST_WATCH[failed].min(self.ask_within()), self.spread(PATIENCE[failed]));
+            let (wait, within) = (MOST_WATCH[failed].min(self.poll_limit()), self.spread(PATIENCE[failed]));
             let answer = match self.generation.get() {
                 Some(since) => {
                     let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
@@ -336,13 +236,13 @@
                 None => self.call("/api/targets", within, &mut peer).await,
             };
             self.failed.set(answer.is_err());
-            if answer.is_err() && self.asked() {
+            if answer.is_err() && self.polls() {
                 // Over before the module is told: its next call begins a watch of its own.
                 *self.watch.borrow_mut() = None;
-                self.take(answer);
+                self.accept(answer);
                 return;
             }
-            if self.take(answer) {
+            if self.accept(answer) {
                 backoff = BACKOFF[0];
             } else {
                 let least = Instant::now() + self.spread(BACKOFF[0]);
@@ -360,22 +260,22 @@
     /// it leaves us with a list that further changes can be asked for. Changes from before what we
     /// have, or where we asked for the whole, come of a discovery that counts anew: what they tell
     /// is told, and holds until the whole list comes, which is asked for next.
-    fn take(&self, answer: Result<RawList, CallError>) -> bool {
+    fn accept(&self, answer: Result<RawEndpointList, CallError>) -> bool {
         match answer {
             Ok(list) => {
                 let follows = list.reset || self.generation.get().is_some_and(|had| list.generation >= had);
                 self.generation.set(follows.then_some(list.generation));
                 let listed = self.translate(list.instances);
-                let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
-                self.engine.news(news);
+                let news = if list.reset { WatchEvent::Full(listed) } else { WatchEvent::Changes(listed) };
+                self.listener.on_watch_event(news);
                 self.heard.send_replace(true);
-                self.names.borrow_mut().forget(|id| self.engine.knows(id));
+                self.names.borrow_mut().forget(|id| self.listener.is_referenced(id));
                 follows
             }
             Err(error) => {
                 log!("discovery: {error}");
-                if self.asked() {
-                    self.engine.news(News::Refused);
+                if self.polls() {
+                    self.listener.on_watch_event(WatchEvent::Failed);
                 }
                 false
             }
@@ -383,14 +283,19 @@
     }
 
     /// One call, on the connection kept from the last one if there is one.
-    async fn call(&self, path: &str, wait: Duration, kept: &mut Option<Peer>) -> Result<RawList, CallError> {
+    async fn call(
+        &self,
+        path: &str,
+        wait: Duration,
+        kept: &mut Option<Connection>,
+    ) -> Result<RawEndpointList, CallError> {
         let called = tokio::time::timeout(wait, async {
-            let mut peer = match kept.take().and_then(Peer::checked) {
+            let mut peer = match kept.take().and_then(Connection::into_reusable) {
                 Some(peer) => peer,
-                None => backend::connect(self.address.get(), wait).await.map_err(CallError::Connect)?,
+                None => connect(self.address.get(), wait).await.map_err(CallError::Connect)?,
             };
             let request = Request::get(path).header("host", self.address.get().to_string());
-            let Ok(request) = request.body(Outgoing::empty()) else {
+            let Ok(request) = request.body(AttemptBody::empty()) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
             let answer = peer.send(request).await.ok_or(CallError::Broken)?.map_err(|e| e.into_error())?;
@@ -399,7 +304,7 @@
             if !status.is_success() {
                 return Err(CallError::Status(status.as_u16()));
             }
-            *kept = peer.checked();
+            *kept = peer.into_reusable();
             Ok(serde_json::from_slice(&body.to_bytes())?)
         });
         called.await.unwrap_or(Err(CallError::Late))
--- a/src/proxy/seat.rs
+++ b/src/proxy/control/instance_lock.rs
@@ -16,7 +16,7 @@
 const STEP: Duration = Duration::from_millis(10);
 
 /// This process's place beside the other one's.
-pub struct Seat {
+pub struct InstanceLock {
     /// None where both were taken: a third process does without.
     mine: Option<(File, PathBuf)>,
     others: Vec<PathBuf>,
@@ -26,9 +26,9 @@
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
 
-impl Seat {
+impl InstanceLock {
     /// Takes a free seat among the two at `path`.
-    pub async fn take(path: &Path) -> io::Result<Self> {
+    pub async fn acquire(path: &Path) -> io::Result<Self> {
         let seats = [path.with_added_extension("seat-0"), path.with_added_extension("seat-1")];
         for _ in 0..TRIES {
             for (i, seat) in seats.iter().enumerate() {
@@ -50,30 +50,30 @@
     }
 
     /// Tells the other process that this one takes connections.
-    pub fn listening(&self) -> io::Result<()> {
+    pub fn announce_listening(&self) -> io::Result<()> {
         self.mine.as_ref().map_or(Ok(()), |(file, _)| (&*file).write_all(LISTENING.as_bytes()))
     }
 
     /// Tells the other process what this one goes by.
-    pub fn tell(&self, edition: &str) -> io::Result<()> {
+    pub fn publish_settings(&self, edition: &str) -> io::Result<()> {
         self.mine.as_ref().map_or(Ok(()), |(_, path)| std::fs::write(path, edition))
     }
 
     /// Another process is there, and has told that it goes by something else. It may have told half
     /// of it so far: that differs too.
-    pub fn differs(&self, edition: &str) -> bool {
+    pub fn other_settings_differ(&self, edition: &str) -> bool {
         let other = |text: String| !text.is_empty() && text != edition;
         let differs = |seat: &&PathBuf| std::fs::read_to_string(told(seat)).is_ok_and(other);
         self.others.iter().filter(differs).any(|seat| taken(seat))
     }
 
     /// Another process is there. What can't be told counts as none.
-    pub fn shared(&self) -> bool {
+    pub fn is_shared(&self) -> bool {
         self.others.iter().any(|other| taken(other))
     }
 
     /// Another process is there, and takes connections.
-    pub fn relieved(&self) -> bool {
+    pub fn other_is_listening(&self) -> bool {
         let listens = |other: &PathBuf| std::fs::read_to_string(other).is_ok_and(|text| text == LISTENING);
         self.others.iter().any(|other| taken(other) && listens(other))
     }
--- a/src/proxy/management.rs
+++ b/src/proxy/control/management.rs
@@ -1,8 +1,8 @@
 //! The second address, for those who run the proxy: one call a connection, a line each way.
 
 use super::maintenance::{Maintenance, NeverListed};
-use super::server::Server;
 use crate::log;
+use crate::proxy::downstream::server::Server;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 
 /// Connections held at once. They have descriptors of their own.
-pub const MOST_CALLERS: usize = 16;
+pub const MAX_MANAGEMENT_CONNECTIONS: usize = 16;
 /// Longest line.
 const MOST_LINE: u64 = 256;
 /// A call must have come within this, and its answer have been taken within the same again.
@@ -48,7 +48,7 @@
     #[error("not ready")]
     NotReady,
     #[error("no figures: {0}")]
-    Figures(#[from] serde_json::Error),
+    Metrics(#[from] serde_json::Error),
     #[error("{0}")]
     Io(#[from] io::Error),
 }
@@ -117,7 +117,7 @@
     fn crowded(&self) -> bool {
         let mut callers = self.callers.borrow_mut();
         callers.retain(|caller| !caller.is_finished());
-        callers.len() >= MOST_CALLERS
+        callers.len() >= MAX_MANAGEMENT_CONNECTIONS
     }
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
@@ -137,16 +137,16 @@
         Ok(())
     }
 
-    /// Figures come bare, as operators' programs read them; all else begins with `OK`.
+    /// The metrics come bare, as operators' programs read them; all else begins with `OK`.
     async fn answer(&self, call: Call) -> Result<String, CallError> {
         match call {
-            Call::Status if self.server.ready() => Ok("OK ready".to_string()),
+            Call::Status if self.server.is_ready() => Ok("OK ready".to_string()),
             Call::Status => Err(CallError::NotReady),
             Call::Maintain { name, out } => {
-                self.maintenance.set(&name, out).await?;
+                self.maintenance.set_maintenance(&name, out).await?;
                 Ok(format!("OK {name} is {}", if out { "out" } else { "back" }))
             }
-            Call::Stats => Ok(format!("{}\nEND", self.server.figures()?)),
+            Call::Stats => Ok(format!("{}\nEND", self.server.metrics_json()?)),
         }
     }
 }
--- a/src/proxy/reload.rs
+++ b/src/proxy/control/reload.rs
@@ -4,13 +4,14 @@
 //! A signal may reach one of two processes only. Each tells the other which file it goes by, and
 //! who sees another one there reads the file for itself, the same way.
 
-use super::config::{self, Config, ConfigError, Stamp, Terms, Wins};
+use super::config::{self, AddressSource, Config, ConfigError, FileStamp};
 use super::discovery::Discovery;
-use super::engine::Engine;
-use super::limits::{Caps, Limits};
-use super::seat::Seat;
-use super::server::Server;
+use super::instance_lock::InstanceLock;
 use crate::log;
+use crate::proxy::downstream::server::Server;
+use crate::proxy::engine::Engine;
+use crate::proxy::limits::{Capacities, ProcessLimits};
+use crate::proxy::settings::SettingsSnapshot;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,8 +30,8 @@
     server: Rc<Server>,
     engine: Rc<Engine>,
     discovery: Rc<Discovery>,
-    seat: Option<Rc<Seat>>,
-    limits: Cell<Limits>,
+    seat: Option<Rc<InstanceLock>>,
+    limits: Cell<ProcessLimits>,
     /// Descriptors for other use than clients and backends.
     kept: usize,
     /// What stays as it was at the start.
@@ -39,7 +40,7 @@
     /// Another process is there.
     beside: Cell<bool>,
     /// The file that was looked at last.
-    stamp: Cell<Option<Stamp>>,
+    stamp: Cell<Option<FileStamp>>,
     /// Of the file that was taken over last.
     digest: Cell<u64>,
 }
@@ -48,18 +49,18 @@
     /// One for what was started by this configuration, the file of which had this stamp.
     pub fn new(
         config: &Config,
-        stamp: Option<Stamp>,
+        stamp: Option<FileStamp>,
         kept: usize,
         server: Rc<Server>,
         engine: Rc<Engine>,
         discovery: Rc<Discovery>,
-        seat: Option<Rc<Seat>>,
+        seat: Option<Rc<InstanceLock>>,
     ) -> Self {
         let reload = Self {
             server,
             engine,
             discovery,
-            beside: Cell::new(seat.as_ref().is_some_and(|seat| seat.shared())),
+            beside: Cell::new(seat.as_ref().is_some_and(|seat| seat.is_shared())),
             seat,
             limits: Cell::new(config.limits),
             kept,
@@ -68,85 +69,88 @@
             stamp: Cell::new(stamp),
             digest: Cell::new(config.digest),
         };
-        reload.tell();
+        reload.publish();
         reload
     }
 
     /// SIGHUP has come.
-    pub fn signalled(&self) {
+    pub fn on_signal(&self) {
         self.read(Cause::Signal);
     }
 
     /// Looks whether another process is there, and by what it goes.
-    pub fn look(&self) {
+    pub fn check_other_process(&self) {
         let Some(seat) = &self.seat else {
             return;
         };
-        let shared = seat.shared();
-        self.keep_to(shared);
-        self.engine.beside(shared);
+        let shared = seat.is_shared();
+        self.set_capacities(shared);
+        self.engine.second_process(shared);
         let gone = self.beside.replace(shared) && !shared;
         // One file is read once, whatever is found in it: a bad one doesn't get better.
-        if (gone || seat.differs(&self.edition())) && config::stamp() != self.stamp.get() {
+        if (gone || seat.other_settings_differ(&self.edition())) && config::file_stamp() != self.stamp.get() {
             self.read(Cause::Other);
         }
     }
 
-    fn keep_to(&self, shared: bool) {
-        self.server.keep_to(Caps::new(self.limits.get().part(shared), self.kept));
+    fn set_capacities(&self, shared: bool) {
+        self.server.set_capacities(Capacities::new(self.limits.get().share(shared), self.kept));
     }
 
     fn read(&self, cause: Cause) {
         // Before it is read: what comes meanwhile has another one.
-        self.stamp.set(config::stamp());
-        if let Err(error) = Config::from_env(Wins::File).and_then(|config| self.take_over(config, cause)) {
-            self.engine.figures().refused();
-            log!("dewpier: not reloaded: {error}");
+        self.stamp.set(config::file_stamp());
+        if let Err(error) = Config::from_env(AddressSource::File).and_then(|config| self.apply(config, cause))
+        {
+            self.engine.metrics().settings_rejected();
+            log!("balancer-proxy: not reloaded: {error}");
         }
     }
 
     /// Takes all of it over, unless it is from before what is in force.
-    fn take_over(&self, config: Config, cause: Cause) -> Result<(), ConfigError> {
-        let mut terms = config.terms;
-        terms.settings.zone = self.discovery.zone(&terms.wire.zone);
-        let old = self.engine.terms();
-        terms.follow(&old)?;
+    fn apply(&self, config: Config, cause: Cause) -> Result<(), ConfigError> {
+        let mut terms = config.snapshot;
+        terms.settings.zone = self.discovery.zone_index(&terms.proxy.zone);
+        let old = self.engine.settings();
+        terms.check_follows(&old)?;
         let settled = terms != *old;
         if settled {
-            self.engine.settle(terms);
-            self.discovery.settle();
-            log!("dewpier: new settings in force{}", version(&self.engine.terms()));
+            self.engine.apply_settings(terms);
+            self.discovery.settings_changed();
+            log!("balancer-proxy: new settings in force{}", version(&self.engine.settings()));
         }
         let limited = self.limits.replace(config.limits) != config.limits;
         if limited {
-            self.keep_to(self.beside.get());
+            self.set_capacities(self.beside.get());
         }
         // A signal that changes nothing else asks for the list anew, as it always has.
         let again = cause == Cause::Signal && !settled && !limited;
         if self.discovery.address() != config.discovery || again {
-            self.discovery.move_to(config.discovery);
+            self.discovery.change_address(config.discovery);
         }
         if (config.listen, config.management) != (self.listen, self.management) {
-            log!("dewpier: listen and management stay as they are until the next start");
+            log!("balancer-proxy: listen and management stay as they are until the next start");
         }
         self.digest.set(config.digest);
-        self.tell();
+        self.publish();
         Ok(())
     }
 
     /// The file that this process goes by, in the words that the other one compares.
     fn edition(&self) -> String {
-        format!("{:016x}{}\n", self.digest.get(), version(&self.engine.terms()))
+        format!("{:016x}{}\n", self.digest.get(), version(&self.engine.settings()))
     }
 
-    fn tell(&self) {
+    fn publish(&self) {
         if let Some(seat) = &self.seat {
-            let told = seat.tell(&self.edition());
-            told.unwrap_or_else(|error| log!("dewpier: the other process is not told of settings: {error}"));
+            let told = seat.publish_settings(&self.edition());
+            told.unwrap_or_else(|error| {
+                log!("balancer-proxy: the other process is not told of settings: {error}")
+            });
         }
     }
 }
 
-fn version(terms: &Terms) -> String {
-    terms.wire.version.map_or_else(String::new, |version| format!(", version {version}"))
+fn version(terms: &SettingsSnapshot) -> String {
+    terms.proxy.version.map_or_else(String::new, |version| format!(", version {version}"))
 }
--- a/src/proxy/clients.rs
+++ b/src/proxy/downstream/connections.rs
@@ -40,7 +40,7 @@
 const MOST_DISCARDED: usize = 512 << 10;
 
 /// A client's connection.
-pub struct Client {
+pub struct ClientConnection {
     stage: Cell<Stage>,
     /// It has asked for something.
     asked: Cell<bool>,
@@ -77,14 +77,14 @@
 
 /// What is known of a head beside what it says.
 #[derive(Clone, Copy, Debug)]
-pub struct Head {
+pub struct RequestHead {
     /// Its length is given in two ways.
     pub doubtful: bool,
     /// The time that its body has at any rate.
     pub within: Duration,
 }
 
-impl Client {
+impl ClientConnection {
     fn new() -> Rc<Self> {
         let now = Instant::now();
         Rc::new(Self {
@@ -103,24 +103,24 @@
     }
 
     /// A head has come.
-    pub fn headed(&self) -> Head {
+    pub fn head_received(&self) -> RequestHead {
         let took = match self.stage.replace(Stage::Body) {
             Stage::Head(begun) => begun.elapsed(),
             _ => Duration::ZERO,
         };
         self.head.notify_one();
         let doubtful = self.framing.borrow_mut().next_is_doubtful();
-        Head { doubtful, within: READ_WITHIN.saturating_sub(took).max(BODY_WITHIN) }
+        RequestHead { doubtful, within: READ_WITHIN.saturating_sub(took).max(BODY_WITHIN) }
     }
 
     /// A whole request has come.
-    pub fn opened(&self) {
+    pub fn request_received(&self) {
         self.stage.set(Stage::Open);
         self.asked.set(true);
     }
 
     /// There is an answer to what has come.
-    pub fn answered(&self) {
+    pub fn response_finished(&self) {
         let now = Instant::now();
         self.since.set(now);
         self.stage.set(if self.early.take() { Stage::Head(now) } else { Stage::Quiet });
@@ -128,12 +128,12 @@
 
     /// Waits until it is to be closed. A request that has come, or begun to, since that was
     /// decided goes before.
-    pub async fn ended(&self) {
+    pub async fn closing(&self) {
         loop {
             self.end.notified().await;
             tokio::task::yield_now().await; // what has come by now is read
             let begun = self.heading() && self.heard.get().elapsed() < MUTE_ENOUGH && !self.overdue();
-            if !self.at_work() && !begun {
+            if !self.is_busy() && !begun {
                 return;
             }
             self.ending.set(false);
@@ -152,7 +152,7 @@
     }
 
     /// Serves its connection, until that ends or the client has left its request.
-    pub async fn served<T>(&self, connection: impl Future<Output = T>, stream: &TcpStream) {
+    pub async fn serve_until_disconnect<T>(&self, connection: impl Future<Output = T>, stream: &TcpStream) {
         tokio::select! {
             biased;
             _ = connection => {} // its end is no news: clients come and go
@@ -202,7 +202,7 @@
     }
 
     /// It has a request to answer, and takes the answer.
-    pub fn at_work(&self) -> bool {
+    pub fn is_busy(&self) -> bool {
         self.open() && !self.stands_still()
     }
 
@@ -230,34 +230,34 @@
 }
 
 /// All connections of clients.
-pub struct Clients {
-    all: RefCell<Vec<Rc<Client>>>,
+pub struct ClientConnections {
+    all: RefCell<Vec<Rc<ClientConnection>>>,
     most: Cell<usize>,
     over: Cell<usize>,
     left: Notify,
 }
 
 /// A connection's place in the table, given up when it is dropped.
-pub struct Place {
-    clients: Rc<Clients>,
-    client: Rc<Client>,
+pub struct ConnectionSlot {
+    clients: Rc<ClientConnections>,
+    client: Rc<ClientConnection>,
 }
 
-impl Place {
+impl ConnectionSlot {
     /// The connection.
-    pub fn client(&self) -> &Rc<Client> {
+    pub fn client(&self) -> &Rc<ClientConnection> {
         &self.client
     }
 }
 
-impl Drop for Place {
+impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.clients.all.borrow_mut().retain(|c| !Rc::ptr_eq(c, &self.client));
         self.clients.left.notify_one();
     }
 }
 
-impl Clients {
+impl ClientConnections {
     /// Room for so many.
     pub fn new(most: usize) -> Rc<Self> {
         let (most, over) = split(most);
@@ -267,7 +267,7 @@
 
     /// From now on there is room for so many. Those beyond go as far as they may, and the others
     /// once they have their answers.
-    pub fn keep_to(&self, most: usize) {
+    pub fn set_limit(&self, most: usize) {
         let (most, over) = split(most);
         self.most.set(most);
         self.over.set(over);
@@ -285,29 +285,29 @@
     }
 
     /// Half of the room is taken: connections had better not stay behind their answers.
-    pub fn filling(&self) -> bool {
+    pub fn is_half_full(&self) -> bool {
         2 * self.all.borrow().len() > self.most.get()
     }
 
     /// There are more than there is room for, without those that are being closed.
-    pub fn full(&self) -> bool {
+    pub fn is_full(&self) -> bool {
         self.all.borrow().iter().filter(|c| !c.ending.get()).count() > self.most.get()
     }
 
     /// There is no room for those to be refused either.
-    pub fn crowded(&self) -> bool {
+    pub fn is_over_limit(&self) -> bool {
         self.all.borrow().len() >= self.most.get() + self.over.get()
     }
 
     /// Takes in a connection.
-    pub fn admit(self: &Rc<Self>) -> Place {
-        let client = Client::new();
+    pub fn admit(self: &Rc<Self>) -> ConnectionSlot {
+        let client = ClientConnection::new();
         self.all.borrow_mut().push(client.clone());
-        Place { clients: self.clone(), client }
+        ConnectionSlot { clients: self.clone(), client }
     }
 
     /// Waits for a connection to end, for a while.
-    pub async fn one_left(&self, within: Duration) {
+    pub async fn one_closed(&self, within: Duration) {
         let _ = tokio::time::timeout(within, self.left.notified()).await;
     }
 
@@ -341,16 +341,16 @@
 }
 
 /// A client's socket, which notes what comes, and ends so that the last answer arrives.
-pub struct Socket {
+pub struct ClientSocket {
     stream: Rc<TcpStream>,
-    client: Rc<Client>,
+    client: Rc<ClientConnection>,
     linger: Option<Pin<Box<Sleep>>>,
     discarded: usize,
 }
 
-impl Socket {
+impl ClientSocket {
     /// The socket of a connection.
-    pub fn new(stream: Rc<TcpStream>, client: Rc<Client>) -> Self {
+    pub fn new(stream: Rc<TcpStream>, client: Rc<ClientConnection>) -> Self {
         Self { stream, client, linger: None, discarded: 0 }
     }
 
@@ -376,7 +376,7 @@
     }
 }
 
-impl AsyncRead for Socket {
+impl AsyncRead for ClientSocket {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -391,7 +391,7 @@
     }
 }
 
-impl AsyncWrite for Socket {
+impl AsyncWrite for ClientSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         let written = self.poll_give(cx, data);
         let since = self.client.blocked.get().unwrap_or_else(Instant::now);
--- a/src/proxy/request.rs
+++ b/src/proxy/downstream/request.rs
@@ -1,10 +1,11 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
-use super::clients::Head;
-use super::config::Terms;
-use super::engine::{Payload, Sending};
-use super::limits::{Budget, MOST_BODY, MOST_HELD, Permit};
-use super::stream::{Cut, Source};
+use super::connections::RequestHead;
+use crate::proxy::limits::{Budget, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Permit};
+use crate::proxy::settings::SettingsSnapshot;
+use crate::proxy::stream_error::StreamError;
+use crate::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
+use crate::proxy::upstream::request_body::StreamedRequestBody;
 use crate::{Effect, Request, RequestId, Time};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -17,7 +18,7 @@
 
 /// Why a request is not taken.
 #[derive(Debug, Error, PartialEq, Eq)]
-pub enum Unfit {
+pub enum RequestError {
     /// A header that is absent, double or makes no sense.
     #[error("{name}: expected {expected}")]
     Header {
@@ -52,7 +53,7 @@
     },
 }
 
-impl Unfit {
+impl RequestError {
     /// The status that tells of it.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -67,51 +68,52 @@
 }
 
 /// A request that can be sent on.
-pub struct Asked {
+pub struct ParsedRequest {
     /// What the module is told; the engine gives it an id of its own.
     request: Request,
     /// The id that the client gave it.
     pub txn: u64,
     head: Parts,
-    body: Sending,
+    body: ForwardedBody,
     /// By which it was checked.
-    terms: Rc<Terms>,
+    terms: Rc<SettingsSnapshot>,
     room: Permit,
     /// Its body, if it is still coming.
-    pub coming: Option<Rc<Source>>,
+    pub coming: Option<Rc<StreamedRequestBody>>,
 }
 
-impl Asked {
+impl ParsedRequest {
     /// The name of its class.
     pub fn class(&self) -> &str {
-        &self.terms.wire.classes[self.request.class]
+        &self.terms.proxy.classes[self.request.class]
     }
 
     /// Checks it again if these settings are others than those by which it was read: they may have
     /// changed while its body came, and the module knows classes and tenants by these alone.
-    pub fn keep_to(&mut self, terms: Rc<Terms>) -> Result<(), Unfit> {
+    pub fn keep_to(&mut self, terms: Rc<SettingsSnapshot>) -> Result<(), RequestError> {
         if !Rc::ptr_eq(&terms, &self.terms) {
             let (_, request) = check(&self.head.method, &self.head.headers, &terms)?;
-            self.request = Request { streamed: self.request.streamed, ..request };
+            self.request = Request { streaming_body: self.request.streaming_body, ..request };
             self.terms = terms;
         }
         Ok(())
     }
 
     /// What the module is told, what is sent on, and the room that its body takes.
-    pub fn into_parts(self) -> (Request, Payload, Permit) {
+    pub fn into_parts(self) -> (Request, ForwardedRequest, Permit) {
         let Parts { method, uri, headers, .. } = self.head;
-        let payload = Payload { method, uri, headers: onward(headers), body: self.body };
+        let payload =
+            ForwardedRequest { method, uri, headers: forwardable_headers(headers), body: self.body };
         (self.request, payload, self.room)
     }
 }
 
-impl From<Cut> for Unfit {
-    fn from(cut: Cut) -> Self {
+impl From<StreamError> for RequestError {
+    fn from(cut: StreamError) -> Self {
         match cut {
-            Cut::Broken => Self::Broken,
-            Cut::Still => Self::Late,
-            Cut::Long => Self::TooLarge,
+            StreamError::Disconnected => Self::Broken,
+            StreamError::Stalled => Self::Late,
+            StreamError::TooLong => Self::TooLarge,
         }
     }
 }
@@ -120,53 +122,60 @@
 /// its body is read.
 pub async fn read(
     request: hyper::Request<Incoming>,
-    head_read: Head,
-    terms: Rc<Terms>,
+    head_read: RequestHead,
+    terms: Rc<SettingsSnapshot>,
     bodies: &Rc<Budget>,
-) -> Result<Asked, Unfit> {
+) -> Result<ParsedRequest, RequestError> {
     let (head, body) = request.into_parts();
     if head_read.doubtful {
-        return Err(Unfit::Length);
+        return Err(RequestError::Length);
     }
     let length = body.size_hint().exact();
-    if length.is_some_and(|length| length > MOST_BODY) {
-        return Err(Unfit::TooLarge);
+    if length.is_some_and(|length| length > MAX_BODY_BYTES) {
+        return Err(RequestError::TooLarge);
     }
     if !head.uri.path().starts_with('/') || head.uri.authority().is_some() {
-        return Err(Unfit::Target);
+        return Err(RequestError::Target);
     }
     let (txn, mut request) = check(&head.method, &head.headers, &terms)?;
-    let held = length.and_then(|l| usize::try_from(l).ok()).unwrap_or(MOST_HELD).min(MOST_HELD);
+    let held = length
+        .and_then(|l| usize::try_from(l).ok())
+        .unwrap_or(MAX_BUFFERED_BODY_BYTES)
+        .min(MAX_BUFFERED_BODY_BYTES);
     let room = bodies
-        .take(held)
-        .ok_or_else(|| Unfit::NoRoom { class: terms.wire.classes[request.class].clone() })?;
-    let source = Source::new(body, head_read.within);
+        .try_acquire(held)
+        .ok_or_else(|| RequestError::NoRoom { class: terms.proxy.classes[request.class].clone() })?;
+    let source = StreamedRequestBody::new(body, head_read.within);
     let (body, coming) = match length {
-        Some(0) => (Sending::Whole(Bytes::new()), None),
-        _ => match source.first(MOST_HELD).await? {
-            Some(whole) => (Sending::Whole(whole), None),
-            None => (Sending::Flow(source.clone(), length), Some(source)),
+        Some(0) => (ForwardedBody::Buffered(Bytes::new()), None),
+        _ => match source.read_buffered(MAX_BUFFERED_BODY_BYTES).await? {
+            Some(whole) => (ForwardedBody::Buffered(whole), None),
+            None => (ForwardedBody::Streamed(source.clone(), length), Some(source)),
         },
     };
-    request.streamed = coming.is_some();
-    Ok(Asked { request, txn, head, body, terms, room, coming })
+    request.streaming_body = coming.is_some();
+    Ok(ParsedRequest { request, txn, head, body, terms, room, coming })
 }
 
 /// The one value of a header; which of two is meant can't be known.
-fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Unfit> {
+fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, RequestError> {
     let mut values = headers.get_all(name).into_iter();
     let first = values.next();
     let text = first.map(|v| v.to_str().map(str::trim)).transpose();
     match (text, values.next()) {
         (Ok(text), None) => Ok(text),
-        _ => Err(Unfit::Header { name, expected: "one value, of plain text" }),
+        _ => Err(RequestError::Header { name, expected: "one value, of plain text" }),
     }
 }
 
 /// The client's id and what the module is told of a request.
-fn check(method: &Method, headers: &HeaderMap, terms: &Terms) -> Result<(u64, Request), Unfit> {
-    let Terms { settings, wire } = terms;
-    let unfit = |name, expected| Unfit::Header { name, expected };
+fn check(
+    method: &Method,
+    headers: &HeaderMap,
+    terms: &SettingsSnapshot,
+) -> Result<(u64, Request), RequestError> {
+    let SettingsSnapshot { settings, proxy: wire } = terms;
+    let unfit = |name, expected| RequestError::Header { name, expected };
     single(headers, "host")?;
     let hex = |id: &&str| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit());
     let txn = single(headers, "x-txn")?.filter(hex).and_then(|id| u64::from_str_radix(id, 16).ok());
@@ -194,17 +203,27 @@
     let key = single(headers, "idempotency-key")?;
     let fits = match class.effect {
         Effect::Safe => method == Method::GET || method == Method::HEAD,
-        Effect::Keyed { .. } | Effect::Unsafe => method == Method::POST,
+        Effect::Idempotent { .. } | Effect::Unsafe => method == Method::POST,
     };
     match class.effect {
-        _ if !fits => Err(Unfit::Method),
-        Effect::Keyed { .. } if key.is_none_or(str::is_empty) => {
+        _ if !fits => Err(RequestError::Method),
+        Effect::Idempotent { .. } if key.is_none_or(str::is_empty) => {
             Err(unfit("Idempotency-Key", "a value, for this class"))
         }
         Effect::Unsafe if key.is_some() => Err(unfit("Idempotency-Key", "none, for this class")),
         _ => {
             let id = RequestId::default();
-            Ok((txn, Request { id, class: index, tenant, key: subject(headers), budget, streamed: false }))
+            Ok((
+                txn,
+                Request {
+                    id,
+                    class: index,
+                    tenant,
+                    key: subject(headers),
+                    timeout: budget,
+                    streaming_body: false,
+                },
+            ))
         }
     }
 }
@@ -221,7 +240,7 @@
 }
 
 /// The headers that go on, either way: all but those of the connection itself.
-pub fn onward(mut headers: HeaderMap) -> HeaderMap {
+pub fn forwardable_headers(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .into_iter()
--- a/src/proxy/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -1,13 +1,14 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
-use super::clients::{self, Client, Clients, Place, Socket};
-use super::engine::{Answer, Engine};
-use super::limits::{Budget, Caps, MOST_HEAD};
-use super::request::{self, Unfit};
-use super::seat::Seat;
-use super::stream::{Content, Reply};
+use super::connections::{self, ClientConnection, ClientConnections, ClientSocket, ConnectionSlot};
+use super::request::{self, RequestError};
+use super::response::ResponseBody;
 use crate::RequestId;
 use crate::log;
+use crate::proxy::control::instance_lock::InstanceLock;
+use crate::proxy::engine::{Engine, FinalResponse};
+use crate::proxy::limits::{Budget, Capacities, MAX_HEAD_BYTES};
+use crate::proxy::upstream::response_body::ResponseContent;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -51,7 +52,7 @@
 const CROSSED_WITHIN: Duration = Duration::from_millis(50);
 const CROSSED_STEP: Duration = Duration::from_millis(5);
 
-type Answered = Response<Reply>;
+type Answered = Response<ResponseBody>;
 
 /// Answers clients.
 pub struct Server {
@@ -63,10 +64,10 @@
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     /// The place beside another process, if there may be one.
-    seat: Option<Rc<Seat>>,
+    seat: Option<Rc<InstanceLock>>,
     /// That process takes the new connections since SIGTERM.
     relieved: Cell<bool>,
-    clients: Rc<Clients>,
+    clients: Rc<ClientConnections>,
     /// Accepted, and waiting for a place: a stop must not lose it.
     in_hand: Cell<Option<TcpStream>>,
     /// Room for the bodies of requests.
@@ -83,23 +84,24 @@
 }
 
 /// Tells the engine that the client has left, if it is dropped before the answer.
-struct Leaving<'a>(&'a Engine, RequestId);
+struct DisconnectGuard<'a>(&'a Engine, RequestId);
 
-impl Drop for Leaving<'_> {
+impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        self.0.client_left(self.1);
+        self.0.client_disconnected(self.1);
     }
 }
 
-fn plain(status: StatusCode, text: String, client: &Rc<Client>) -> Answered {
-    let mut reply = Response::new(Reply::new(Content::Whole(text.into()), None, client.clone()));
+fn plain(status: StatusCode, text: String, client: &Rc<ClientConnection>) -> Answered {
+    let mut reply =
+        Response::new(ResponseBody::new(ResponseContent::Buffered(text.into()), None, client.clone()));
     *reply.status_mut() = status;
     reply
 }
 
 impl Server {
     /// A server that keeps to these caps.
-    pub fn new(engine: Rc<Engine>, caps: Caps, seat: Option<Rc<Seat>>) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine>, caps: Capacities, seat: Option<Rc<InstanceLock>>) -> Rc<Self> {
         Rc::new(Self {
             engine,
             listening: Cell::new(false),
@@ -107,29 +109,29 @@
             closing: watch::Sender::new(false),
             seat,
             relieved: Cell::new(false),
-            clients: Clients::new(caps.clients),
+            clients: ClientConnections::new(caps.clients),
             in_hand: Cell::new(None),
             bodies: Budget::new(caps.bodies),
         })
     }
 
     /// It takes requests, and has backends to send them to.
-    pub fn ready(&self) -> bool {
-        self.engine.listed() && self.listening.get() && self.stop.get().is_none()
+    pub fn is_ready(&self) -> bool {
+        self.engine.has_endpoints() && self.listening.get() && self.stop.get().is_none()
     }
 
     /// What it has counted, as a line of JSON.
-    pub fn figures(&self) -> serde_json::Result<String> {
-        self.engine.figures_line()
+    pub fn metrics_json(&self) -> serde_json::Result<String> {
+        self.engine.metrics_json()
     }
 
     /// SIGTERM has come. What the settings say of the time that is left is settled with that.
     fn begin_stop(&self) -> Stop {
-        let longest = Duration::try_from_secs_f64(self.engine.longest());
+        let longest = Duration::try_from_secs_f64(self.engine.longest_deadline());
         let notice = longest.map_or(LONGEST, |longest| longest.min(LONGEST)) + MORE;
         let stop = Stop { last: Instant::now() + notice - SPARE, notice };
         self.stop.set(Some(stop));
-        self.engine.end_by(stop.last.into_std());
+        self.engine.finish_by(stop.last.into_std());
         stop
     }
 
@@ -140,8 +142,8 @@
         let stopped = async {
             stop.await;
             let stop = self.begin_stop();
-            log!("dewpier: stopping");
-            self.relieved.set(self.seat.as_ref().is_some_and(|seat| seat.relieved()));
+            log!("balancer-proxy: stopping");
+            self.relieved.set(self.seat.as_ref().is_some_and(|seat| seat.other_is_listening()));
             if !self.relieved.get() {
                 tokio::time::sleep(stop.notice.mul_f64(LINGER)).await;
             }
@@ -171,7 +173,7 @@
         let ended = async {
             let mut idle = 0;
             while !self.clients.is_empty() && idle < IDLE_STEPS {
-                self.clients.one_left(STEP).await;
+                self.clients.one_closed(STEP).await;
                 idle = if self.clients.busy() { 0 } else { idle + 1 };
             }
         };
@@ -200,20 +202,20 @@
     /// Returns once no client is left.
     async fn deserted(&self) {
         while !self.clients.is_empty() {
-            self.clients.one_left(STEP).await;
+            self.clients.one_closed(STEP).await;
         }
     }
 
     /// From now on it keeps to these caps.
-    pub fn keep_to(&self, caps: Caps) {
-        self.clients.keep_to(caps.clients);
-        self.bodies.keep_to(caps.bodies);
-        self.engine.keep_to(caps.backends);
+    pub fn set_capacities(&self, caps: Capacities) {
+        self.clients.set_limit(caps.clients);
+        self.bodies.set_limit(caps.bodies);
+        self.engine.set_connection_limit(caps.backends);
     }
 
     async fn sweep(&self) {
         loop {
-            tokio::time::sleep(clients::STEP).await;
+            tokio::time::sleep(connections::STEP).await;
             self.clients.sweep();
         }
     }
@@ -233,8 +235,8 @@
             // not be called.
             self.in_hand.set(Some(stream));
             self.clients.make_room();
-            while self.clients.crowded() {
-                self.clients.one_left(STEP).await;
+            while self.clients.is_over_limit() {
+                self.clients.one_closed(STEP).await;
                 self.clients.make_room();
             }
             if let Some(stream) = self.in_hand.take() {
@@ -243,10 +245,10 @@
         }
     }
 
-    fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
+    fn serve(self: Rc<Self>, stream: TcpStream, place: ConnectionSlot) {
         let _ = stream.set_nodelay(true); // it still works if not
         let stream = Rc::new(stream);
-        let full = self.clients.full();
+        let full = self.clients.is_full();
         tokio::task::spawn_local(async move {
             let (server, client) = (&self, place.client());
             let mut closing = server.closing.subscribe();
@@ -256,25 +258,26 @@
                 // it may be anything, and each try has its price.
                 let wrong = reply.status().is_client_error();
                 let ending = server.relieved.get() || *server.closing.borrow();
-                if full || wrong || ending || server.clients.filling() {
+                if full || wrong || ending || server.clients.is_half_full() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
             });
-            let socket = Socket::new(stream.clone(), client.clone());
-            let connection =
-                http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(TokioIo::new(socket), service);
+            let socket = ClientSocket::new(stream.clone(), client.clone());
+            let connection = http1::Builder::new()
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(TokioIo::new(socket), service);
             let mut connection = std::pin::pin!(connection);
             tokio::select! {
                 biased; // a request that has come is read before the connection is closed
-                () = client.served(connection.as_mut(), &stream) => return,
-                () = client.ended() => {
+                () = client.serve_until_disconnect(connection.as_mut(), &stream) => return,
+                () = client.closing() => {
                     connection.as_mut().graceful_shutdown();
                     // A request may come whole at the last moment: it is taken then, and answered.
-                    while tokio::time::timeout(CLOSE_WITHIN, client.served(connection.as_mut(), &stream))
+                    while tokio::time::timeout(CLOSE_WITHIN, client.serve_until_disconnect(connection.as_mut(), &stream))
                         .await
                         .is_err()
-                        && client.at_work()
+                        && client.is_busy()
                     {}
                     return;
                 }
@@ -284,64 +287,69 @@
                 } => {}
             }
             connection.as_mut().graceful_shutdown();
-            client.served(connection, &stream).await;
+            client.serve_until_disconnect(connection, &stream).await;
         });
     }
 
-    async fn reply(&self, request: hyper::Request<Incoming>, client: &Rc<Client>, full: bool) -> Answered {
-        let head = client.headed();
+    async fn reply(
+        &self,
+        request: hyper::Request<Incoming>,
+        client: &Rc<ClientConnection>,
+        full: bool,
+    ) -> Answered {
+        let head = client.head_received();
         let head_only = request.method() == Method::HEAD;
         let plain = |status, text: &str| plain(status, text.to_string(), client);
         if request.uri().path() == "/-/ready" {
-            return match self.ready() {
+            return match self.is_ready() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
         }
-        let refusal = |unfit: &Unfit| plain(unfit.status(), &format!("{unfit}\n"));
-        let mut asked = match request::read(request, head, self.engine.terms(), &self.bodies).await {
+        let refusal = |unfit: &RequestError| plain(unfit.status(), &format!("{unfit}\n"));
+        let mut asked = match request::read(request, head, self.engine.settings(), &self.bodies).await {
             Ok(asked) => asked,
             Err(unfit) => {
-                if let Unfit::NoRoom { class } = &unfit {
-                    self.engine.figures().of(class).taken().ended(unfit.status());
+                if let RequestError::NoRoom { class } = &unfit {
+                    self.engine.metrics().for_class(class).request_started().finish(unfit.status());
                 }
                 return refusal(&unfit);
             }
         };
-        let tally = self.engine.figures().of(asked.class());
+        let tally = self.engine.metrics().for_class(asked.class());
         let (txn, coming) = (asked.txn, asked.coming.clone());
         // One that is coming has not been taken yet.
-        let mut taken = coming.is_none().then(|| tally.taken());
+        let mut taken = coming.is_none().then(|| tally.request_started());
         if coming.is_none() {
-            client.opened();
+            client.request_received();
         }
         let begun = Instant::now();
-        while self.engine.in_use(txn) && begun.elapsed() < CROSSED_WITHIN {
+        while self.engine.client_id_in_use(txn) && begun.elapsed() < CROSSED_WITHIN {
             tokio::time::sleep(CROSSED_STEP).await;
         }
         // From here to the engine nothing is waited for: these are the settings that the module has.
-        if let Err(unfit) = asked.keep_to(self.engine.terms()) {
+        if let Err(unfit) = asked.keep_to(self.engine.settings()) {
             return refusal(&unfit);
         }
         let (mut request, payload, _room) = asked.into_parts();
-        request.budget -= begun.elapsed().as_secs_f64();
+        request.timeout -= begun.elapsed().as_secs_f64();
         if let Some(stop) = self.stop.get() {
             // The module is told of the time that the engine keeps to.
             let left = stop.last.saturating_duration_since(Instant::now());
-            request.budget = request.budget.min(left.as_secs_f64());
+            request.timeout = request.timeout.min(left.as_secs_f64());
         }
         let answer = if full {
-            Ok(Answer::Refused(None))
+            Ok(FinalResponse::Rejected(None))
         } else {
-            let Some((id, mut answer)) = self.engine.request(txn, request, payload) else {
+            let Some((id, mut answer)) = self.engine.submit(txn, request, payload) else {
                 return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
             };
-            let leaving = Leaving(&self.engine, id);
+            let leaving = DisconnectGuard(&self.engine, id);
             let ended = match &coming {
                 Some(source) => tokio::select! {
                     biased;
                     answer = &mut answer => Ok(answer),
-                    ended = source.ended() => Err(ended),
+                    ended = source.finished() => Err(ended),
                 },
                 None => Err(Ok(())),
             };
@@ -350,9 +358,9 @@
                 Ok(answer) => answer,
                 Err(Ok(())) => {
                     if coming.is_some() {
-                        self.engine.received(id);
-                        client.opened();
-                        taken = Some(tally.taken());
+                        self.engine.body_received(id);
+                        client.request_received();
+                        taken = Some(tally.request_started());
                     }
                     answer.await
                 }
@@ -365,26 +373,27 @@
             answer
         };
         let mut reply = match answer {
-            Ok(Answer::Served(served)) => {
-                let mut reply = Response::new(Reply::new(served.content, served.length, client.clone()));
+            Ok(FinalResponse::Success(served)) => {
+                let mut reply =
+                    Response::new(ResponseBody::new(served.content, served.length, client.clone()));
                 // For HEAD it tells the length of what GET would bring.
                 let length = served.headers.get(CONTENT_LENGTH).filter(|_| head_only).cloned();
-                *reply.headers_mut() = request::onward(served.headers);
+                *reply.headers_mut() = request::forwardable_headers(served.headers);
                 reply.headers_mut().remove("x-pressure");
                 length.into_iter().for_each(|l| drop(reply.headers_mut().insert(CONTENT_LENGTH, l)));
                 reply
             }
-            Ok(Answer::Refused(wait)) => {
+            Ok(FinalResponse::Rejected(wait)) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
                 if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok()) {
                     reply.headers_mut().insert(RETRY_AFTER, wait);
                 }
                 reply
             }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Ok(FinalResponse::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         };
         let status = reply.status();
-        let taken = taken.unwrap_or_else(|| tally.taken());
+        let taken = taken.unwrap_or_else(|| tally.request_started());
         reply.body_mut().counts(taken, status);
         reply
     }
