--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -2,25 +2,27 @@
 //! and their attempts. Events become calls of the module, its actions become I/O, and every
 //! request gets exactly one final answer.
 
-use super::backend::{self, Done, Endpoint, Served};
-use super::config::Terms;
-use super::discovery::{Discovery, Listed, News};
-use super::figures::Figures;
+use super::clock::Clock;
+use super::control::discovery::{Discovery, WatchListener};
 use super::limits::Budget;
-use super::stream::{Outgoing, Source};
+use super::metrics::Metrics;
+use super::settings::SettingsSnapshot;
+use super::upstream::attempt::{self, AttemptResult};
+use super::upstream::forwarded_request::ForwardedRequest;
+use super::upstream::load_report;
+use super::upstream::pool::ConnectionPool;
+use super::upstream::response_body::BackendResponse;
+use super::watch_event::{ListedEndpoint, WatchEvent};
 use crate::log;
 use crate::{
-    Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
-    Status, Time,
+    Action, BackendId, Balancer, EndedAttempt, Endpoint, EndpointUpdate, Event, LoadReport, Outcome, Request,
+    RequestId, Status, Time,
 };
-use bytes::Bytes;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
@@ -36,96 +38,12 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// The module's clock: seconds since the proxy started.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    unix: Time,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        Self { start: Instant::now(), unix }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Time {
-        self.start.elapsed().as_secs_f64()
-    }
-
-    /// A Unix time, in seconds. The same for the same input as long as the proxy runs.
-    pub fn of_unix(&self, unix: Time) -> Time {
-        unix - self.unix
-    }
-
-    /// A time of this clock as the runtime has it.
-    pub fn at(&self, time: Time) -> tokio::time::Instant {
-        (self.start + Duration::try_from_secs_f64(time).unwrap_or_default()).into()
-    }
-}
-
-/// A request as it goes on to backends.
-#[derive(Debug)]
-pub struct Payload {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers that go on.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Sending,
-}
-
-/// The body of a request on its way to backends.
-#[derive(Debug)]
-pub enum Sending {
-    /// All of it, as often as it takes.
-    Whole(Bytes),
-    /// What is still coming, of this length if that is known.
-    Flow(Rc<Source>, Option<u64>),
-}
-
-impl Payload {
-    /// The request for an attempt that is given up after `wait` seconds; `last` is set once the
-    /// last of its body is given out. None if it can't be sent any more.
-    pub fn request(&self, wait: Time, last: &Rc<Cell<bool>>) -> Option<hyper::Request<Outgoing>> {
-        let (body, length) = match &self.body {
-            Sending::Whole(whole) => {
-                last.set(true);
-                (Outgoing::Whole(Some(whole.clone()).filter(|w| !w.is_empty())), None)
-            }
-            Sending::Flow(source, _) if source.spent() => return None,
-            Sending::Flow(source, length) => {
-                (Outgoing::Flow { source: source.clone(), sent: 0, last: last.clone() }, *length)
-            }
-        };
-        let mut request = hyper::Request::new(body);
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
-        request.headers_mut().insert("x-remaining-ms", wait);
-        if let Some(length) = length {
-            request.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
-        }
-        Some(request)
-    }
-
-    /// Its body is passing through, and can't be sent again.
-    fn spent(&self) -> bool {
-        matches!(&self.body, Sending::Flow(source, _) if source.spent())
-    }
-}
-
 /// The final answer to a request.
-pub enum Answer {
+pub enum FinalResponse {
     /// What a backend answered.
-    Served(Served),
+    Success(BackendResponse),
     /// Not done; trying again is harmless, after so long if that is said.
-    Refused(Option<Time>),
+    Rejected(Option<Time>),
     /// It may have been done.
     Failed,
 }
@@ -159,24 +77,24 @@
 }
 
 /// An event that owns what it tells.
-enum Told {
+enum PendingEvent {
     Event(Event<'static>),
-    List(News),
-    Settings(Rc<Terms>),
+    List(WatchEvent),
+    Settings(Rc<SettingsSnapshot>),
 }
 
 struct Open {
     /// The id that the client gave it.
     txn: u64,
-    answer: oneshot::Sender<Answer>,
-    payload: Rc<Payload>,
+    answer: oneshot::Sender<FinalResponse>,
+    payload: Rc<ForwardedRequest>,
     /// When it must have its answer; without end while its body is coming.
     until: Time,
     /// How long it is waited for once that has come.
     patience: Time,
     attempts: usize,
     /// The settings that it came with, by which it ends.
-    terms: Rc<Terms>,
+    terms: Rc<SettingsSnapshot>,
 }
 
 struct Running {
@@ -189,7 +107,7 @@
 
 struct State {
     balancer: Balancer,
-    told: VecDeque<Told>,
+    told: VecDeque<PendingEvent>,
     timers: BinaryHeap<Reverse<(At, u64, Due)>>,
     timers_set: u64,
     /// Requests without a final answer, by a number that is never used twice: the ids of clients
@@ -199,7 +117,7 @@
     in_use: HashSet<u64>,
     requests: u64,
     running: HashMap<(RequestId, usize), Running>,
-    endpoints: HashMap<BackendId, Rc<Endpoint>>,
+    endpoints: HashMap<BackendId, Rc<ConnectionPool>>,
     /// Backends taken out by hand, and when sends to them must end.
     out: HashMap<BackendId, Time>,
     /// All must have their answers by then, as the process ends.
@@ -224,16 +142,21 @@
     listed: Cell<bool>,
     discovery: RefCell<Weak<Discovery>>,
     budget: Rc<Budget>,
-    figures: Rc<Figures>,
+    figures: Rc<Metrics>,
     /// The settings in force. All that goes by settings takes them from here, so that they change
     /// for all of it at once.
-    terms: RefCell<Rc<Terms>>,
+    terms: RefCell<Rc<SettingsSnapshot>>,
 }
 
 impl Engine {
     /// An engine with a module of its own, and its timers running. At most `connections` to
     /// backends are open at once.
-    pub fn start(terms: Rc<Terms>, seed: u64, connections: usize, figures: Rc<Figures>) -> Rc<Self> {
+    pub fn start(
+        terms: Rc<SettingsSnapshot>,
+        seed: u64,
+        connections: usize,
+        figures: Rc<Metrics>,
+    ) -> Rc<Self> {
         let clock = Clock::start();
         let engine = Rc::new_cyclic(|this| Self {
             this: this.clone(),
@@ -265,37 +188,39 @@
         engine
     }
 
-    /// The module's clock.
-    pub fn clock(&self) -> &Clock {
-        &self.clock
-    }
-
     /// The settings in force.
-    pub fn terms(&self) -> Rc<Terms> {
+    pub fn settings(&self) -> Rc<SettingsSnapshot> {
         self.terms.borrow().clone()
     }
 
     /// From now on these settings are in force, here, in the module and in the figures. Requests that
     /// are open end by those that they came with, and connections stay.
-    pub fn settle(&self, terms: Terms) {
+    pub fn apply_settings(&self, terms: SettingsSnapshot) {
         let terms = Rc::new(terms);
         let mut state = self.state.borrow_mut();
         self.terms.replace(terms.clone());
-        self.figures.changed(&terms.wire);
-        state.endpoints.values().for_each(|e| e.keep_to(terms.wire.connect_timeout, terms.wire.idle_close));
-        state.told.push_back(Told::Settings(terms));
+        self.figures.settings_applied(&terms.proxy);
+        state
+            .endpoints
+            .values()
+            .for_each(|e| e.set_timeouts(terms.proxy.connect_timeout, terms.proxy.idle_close));
+        state.told.push_back(PendingEvent::Settings(terms));
         self.decide(state);
     }
 
     /// The longest deadline of all settings that open requests came with, or one to come may.
-    pub fn longest(&self) -> Time {
+    pub fn longest_deadline(&self) -> Time {
         let state = self.state.borrow();
-        state.open.values().map(|open| open.terms.longest()).fold(self.terms.borrow().longest(), Time::max)
+        state
+            .open
+            .values()
+            .map(|open| open.terms.longest_deadline())
+            .fold(self.terms.borrow().longest_deadline(), Time::max)
     }
 
     /// The time after news of a drain, or a ban, in which what was decided before may be sent.
     fn grace(&self) -> Time {
-        GRACE_USED * self.terms.borrow().wire.drain_grace.as_secs_f64()
+        GRACE_USED * self.terms.borrow().proxy.drain_grace.as_secs_f64()
     }
 
     /// Whom to ask for the list.
@@ -303,14 +228,8 @@
         *self.discovery.borrow_mut() = Rc::downgrade(discovery);
     }
 
-    /// It has been listed, and not been gone for longer than sends to it may take, or is out.
-    pub fn knows(&self, backend: BackendId) -> bool {
-        let state = self.state.borrow();
-        state.endpoints.contains_key(&backend) || state.out.contains_key(&backend)
-    }
-
     /// A backend is taken out by hand, or may serve again.
-    pub fn maintain(&self, backend: BackendId, out: bool) {
+    pub fn set_maintenance(&self, backend: BackendId, out: bool) {
         let mut state = self.state.borrow_mut();
         let last_send = self.clock.now() + self.grace();
         match out {
@@ -318,47 +237,47 @@
             false => drop(state.out.remove(&backend)),
         }
         let until = state.out.get(&backend).copied();
-        state.endpoints.get(&backend).into_iter().for_each(|e| e.take_out(until));
-        state.told.push_back(Told::Event(Event::Maintenance { backend, out }));
+        state.endpoints.get(&backend).into_iter().for_each(|e| e.set_maintenance_deadline(until));
+        state.told.push_back(PendingEvent::Event(Event::Maintenance { backend, out }));
         self.decide(state);
     }
 
     /// From now on there is room for so many connections to backends; idle ones beyond are closed.
-    pub fn keep_to(&self, connections: usize) {
-        self.budget.keep_to(connections);
+    pub fn set_connection_limit(&self, connections: usize) {
+        self.budget.set_limit(connections);
         let state = self.state.borrow();
-        while self.budget.exceeded() && evict(&state.endpoints) {}
+        while self.budget.is_exceeded() && evict(&state.endpoints) {}
     }
 
     /// There is a list to go by.
-    pub fn listed(&self) -> bool {
+    pub fn has_endpoints(&self) -> bool {
         self.listed.get()
     }
 
     /// What is counted.
-    pub fn figures(&self) -> &Rc<Figures> {
+    pub fn metrics(&self) -> &Rc<Metrics> {
         &self.figures
     }
 
     /// What has been counted, and what the module says of the list, as a line of JSON.
-    pub fn figures_line(&self) -> serde_json::Result<String> {
+    pub fn metrics_json(&self) -> serde_json::Result<String> {
         let balancer = &self.state.borrow().balancer;
-        self.figures.line(balancer.backends_listed(), balancer.backends_avoided())
+        self.figures.to_json(balancer.backends_listed(), balancer.backends_avoided())
     }
 
     /// A request of this name has not been answered yet.
-    pub fn in_use(&self, txn: u64) -> bool {
+    pub fn client_id_in_use(&self, txn: u64) -> bool {
         self.state.borrow().in_use.contains(&txn)
     }
 
     /// Takes in a request, named `txn` by its client, which will wait for `request.budget` seconds.
     /// The answer comes to the receiver in that time. None if the name is in use.
-    pub fn request(
+    pub fn submit(
         &self,
         txn: u64,
         mut request: Request,
-        payload: Payload,
-    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        payload: ForwardedRequest,
+    ) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)> {
         let (answer, receiver) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         if state.in_use.contains(&txn) {
@@ -366,31 +285,31 @@
         }
         state.requests += 1;
         request.id = RequestId(state.requests);
-        let terms = self.terms();
-        if state.open.len() >= terms.wire.max_open {
-            let _ = answer.send(Answer::Refused(None)); // the receiver is still here
+        let terms = self.settings();
+        if state.open.len() >= terms.proxy.max_open {
+            let _ = answer.send(FinalResponse::Rejected(None)); // the receiver is still here
             return Some((request.id, receiver));
         }
         state.in_use.insert(txn);
         let now = self.clock.now();
         // The client has waited since it sent, so for as long as the request lay unread too.
-        request.budget -= self.lag.get();
-        let patience = request.budget - 0.5 * ANSWER_WAY;
-        request.budget -= ANSWER_WAY;
-        let until = if request.streamed { Time::INFINITY } else { now + patience }.min(state.last);
+        request.timeout -= self.lag.get();
+        let patience = request.timeout - 0.5 * ANSWER_WAY;
+        request.timeout -= ANSWER_WAY;
+        let until = if request.streaming_body { Time::INFINITY } else { now + patience }.min(state.last);
         let payload = Rc::new(payload);
         state.open.insert(request.id, Open { txn, answer, payload, until, patience, attempts: 0, terms });
         if until.is_finite() {
             self.set_timer(&mut state, until, Due::Request(request.id));
         }
-        state.told.push_back(Told::Event(Event::Request(request)));
+        state.told.push_back(PendingEvent::Event(Event::Request(request)));
         let id = request.id;
         self.decide(state);
         Some((id, receiver))
     }
 
     /// The body of a request that was streamed has come whole.
-    pub fn received(&self, id: RequestId) {
+    pub fn body_received(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
         let (now, last) = (self.clock.now(), state.last);
         let Some(open) = state.open.get_mut(&id) else {
@@ -402,14 +321,14 @@
         for attempt in 0..attempts {
             self.set_timer(&mut state, until, Due::Attempt(id, attempt));
         }
-        state.told.push_back(Told::Event(Event::Received(id)));
+        state.told.push_back(PendingEvent::Event(Event::BodyReceived(id)));
         self.decide(state);
     }
 
     /// The process ends: all requests, those to come too, have their answers by then.
-    pub fn end_by(&self, last: Instant) {
+    pub fn finish_by(&self, last: Instant) {
         let mut state = self.state.borrow_mut();
-        let last = last.saturating_duration_since(self.clock.start).as_secs_f64();
+        let last = last.saturating_duration_since(self.clock.start_instant()).as_secs_f64();
         state.last = last;
         let late = state.open.iter_mut().filter(|(_, open)| open.until > last);
         let late: Vec<_> = late.map(|(id, open)| (*id, open.until = last).0).collect();
@@ -417,91 +336,56 @@
     }
 
     /// Another process takes requests of the same clients beside this one, or no longer does.
-    pub fn beside(&self, beside: bool) {
+    pub fn second_process(&self, beside: bool) {
         let mut state = self.state.borrow_mut();
-        state.told.push_back(Told::Event(Event::Beside(beside)));
+        state.told.push_back(PendingEvent::Event(Event::SecondProcess(beside)));
         self.decide(state);
     }
 
     /// The client has left. Nothing happens if the request has had its answer.
-    pub fn client_left(&self, id: RequestId) {
+    pub fn client_disconnected(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
         if close(&mut state, id).is_some() {
-            state.told.push_back(Told::Event(Event::ClientLeft(id)));
+            state.told.push_back(PendingEvent::Event(Event::ClientDisconnected(id)));
             self.decide(state);
         }
     }
 
-    /// News of the list.
-    pub fn news(&self, news: News) {
-        let mut state = self.state.borrow_mut();
-        let last_send = self.clock.now() + self.grace();
-        let listed: &[Listed] = match &news {
-            News::Full(list) | News::Remembered(list) => {
-                let gone = |id: &BackendId| !list.iter().any(|l| l.entry.id == *id);
-                for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
-                    endpoint.end(last_send);
-                }
-                list
-            }
-            News::Changes(list) => list,
-            News::Refused => &[],
-        };
-        for Listed { entry, address } in listed {
-            if entry.status == Status::Gone {
-                state.endpoints.get(&entry.id).into_iter().for_each(|e| e.end(last_send));
-                continue;
-            }
-            let drained = (entry.status != Status::InService).then_some(last_send);
-            let out = state.out.get(&entry.id).copied();
-            let new = || {
-                let (budget, terms) = (self.budget.clone(), self.terms.borrow());
-                let new = Endpoint::new(*address, budget, terms.wire.connect_timeout, terms.wire.idle_close);
-                new.take_out(out);
-                Rc::new(new)
-            };
-            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, drained);
-        }
-        self.listed.set(self.listed.get() || listed.iter().any(|l| l.entry.status == Status::InService));
-        state.told.push_back(Told::List(news));
-        self.decide(state);
-    }
-
     /// An attempt has ended by itself.
-    fn attempt_done(&self, id: RequestId, attempt: usize, done: Done) {
+    fn attempt_done(&self, id: RequestId, attempt: usize, done: AttemptResult) {
         let mut state = self.state.borrow_mut();
         self.ended(&mut state, id, attempt, done);
         self.decide(state);
     }
 
     /// Tells the module of the end of an attempt, once, and the client of the first answer.
-    fn ended(&self, state: &mut State, id: RequestId, attempt: usize, done: Done) {
+    fn ended(&self, state: &mut State, id: RequestId, attempt: usize, done: AttemptResult) {
         let Some(running) = state.running.remove(&(id, attempt)) else {
             return; // ended otherwise before
         };
         running.task.abort();
-        if state.open.get(&id).is_some_and(|open| open.payload.spent()) {
-            state.told.push_back(Told::Event(Event::Spent(id)));
+        if state.open.get(&id).is_some_and(|open| open.payload.is_consumed()) {
+            state.told.push_back(PendingEvent::Event(Event::BodyConsumed(id)));
         }
         if let Some(served) = done.served
             && let Some(open) = close(state, id)
         {
-            let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
+            let _ = open.answer.send(FinalResponse::Success(served)); // if it has left, its guard tells
         }
-        state.told.push_back(Told::Event(Event::Outcome(Ended {
+        state.told.push_back(PendingEvent::Event(Event::AttemptEnded(EndedAttempt {
             id,
             backend: running.backend,
             attempt,
             outcome: done.outcome,
-            took: self.clock.now() - running.sent,
-            over: !state.open.contains_key(&id),
+            duration: self.clock.now() - running.sent,
+            request_finished: !state.open.contains_key(&id),
             report: done.report,
         })));
     }
 
-    fn probed(&self, backend: BackendId, outcome: Outcome, report: Option<Report>) {
+    fn probed(&self, backend: BackendId, outcome: Outcome, report: Option<LoadReport>) {
         let mut state = self.state.borrow_mut();
-        state.told.push_back(Told::Event(Event::Probed { backend, outcome, report }));
+        state.told.push_back(PendingEvent::Event(Event::HealthCheckEnded { backend, outcome, report }));
         self.decide(state);
     }
 
@@ -510,30 +394,31 @@
         let mut actions = Vec::new();
         while let Some(told) = state.told.pop_front() {
             let now = self.clock.now();
-            let entries = |list: Vec<Listed>| list.into_iter().map(|l| l.entry).collect::<Vec<Entry>>();
+            let entries =
+                |list: Vec<ListedEndpoint>| list.into_iter().map(|l| l.endpoint).collect::<Vec<Endpoint>>();
             match told {
-                Told::Event(event) => state.balancer.handle(now, event, &mut actions),
-                Told::Settings(terms) => {
+                PendingEvent::Event(event) => state.balancer.handle(now, event, &mut actions),
+                PendingEvent::Settings(terms) => {
                     state.balancer.handle(now, Event::Settings(&terms.settings), &mut actions);
                 }
-                Told::List(news) => {
+                PendingEvent::List(news) => {
                     let list;
                     let update = match news {
-                        News::Changes(l) => {
+                        WatchEvent::Changes(l) => {
                             list = entries(l);
-                            ListUpdate::Changes(&list)
+                            EndpointUpdate::Changes(&list)
                         }
-                        News::Full(l) => {
+                        WatchEvent::Full(l) => {
                             list = entries(l);
-                            ListUpdate::Full(&list)
+                            EndpointUpdate::Full(&list)
                         }
-                        News::Remembered(l) => {
+                        WatchEvent::Cached(l) => {
                             list = entries(l);
-                            ListUpdate::Remembered(&list)
+                            EndpointUpdate::Cached(&list)
                         }
-                        News::Refused => ListUpdate::Refused,
+                        WatchEvent::Failed => EndpointUpdate::Failed,
                     };
-                    state.balancer.handle(now, Event::List(update), &mut actions);
+                    state.balancer.handle(now, Event::Endpoints(update), &mut actions);
                 }
             }
             for action in actions.drain(..) {
@@ -549,23 +434,27 @@
             }
             Action::Cancel { id, attempt } => {
                 let written = state.written(id, attempt) == Some(true);
-                let outcome = if written { Outcome::Cancelled } else { Outcome::NeverSent };
-                self.ended(state, id, attempt, Done::without_answer(outcome));
+                let outcome = if written { Outcome::Cancelled } else { Outcome::NotSent };
+                self.ended(state, id, attempt, AttemptResult::without_answer(outcome));
             }
             Action::Withdraw { id, attempt } => {
                 if state.written(id, attempt) == Some(false) {
-                    self.ended(state, id, attempt, Done::without_answer(Outcome::NeverSent));
+                    self.ended(state, id, attempt, AttemptResult::without_answer(Outcome::NotSent));
                 }
             }
-            Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
-            Action::Fail { id } => answer(state, id, Answer::Failed),
-            Action::Timer { at, token } => self.set_timer(state, at, Due::Token(token)),
-            Action::Probe(backend) => self.probe(state, backend),
-            Action::Release(backend) => {
-                state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
+            Action::Reject { id, retry_after } => answer(state, id, FinalResponse::Rejected(retry_after)),
+            Action::Fail { id } => answer(state, id, FinalResponse::Failed),
+            Action::SetTimer { at, token } => self.set_timer(state, at, Due::Token(token)),
+            Action::HealthCheck(backend) => self.probe(state, backend),
+            Action::CloseIdleConnections(backend) => {
+                state.endpoints.get(&backend).into_iter().for_each(|e| e.close_idle());
+            }
+            Action::WatchEndpoints(on) => {
+                self.discovery.borrow().upgrade().into_iter().for_each(|d| d.set_watching(on))
+            }
+            Action::FetchEndpoints => {
+                self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch_once())
             }
-            Action::Watch(on) => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.watch(on)),
-            Action::Fetch => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch()),
             Action::Log(text) => log!("{text}"),
         }
     }
@@ -584,17 +473,17 @@
         let open = state.open.get_mut(&id).filter(may);
         let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
             let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
-            return state.told.push_back(Told::Event(Event::Outcome(Ended {
+            return state.told.push_back(PendingEvent::Event(Event::AttemptEnded(EndedAttempt {
                 id,
                 backend,
                 attempt,
-                outcome: Outcome::NeverSent,
-                took: 0.0,
-                over: !state.open.contains_key(&id),
+                outcome: Outcome::NotSent,
+                duration: 0.0,
+                request_finished: !state.open.contains_key(&id),
                 report: None,
             })));
         };
-        if self.budget.full() {
+        if self.budget.is_full() {
             // Room for a connection that may be needed, at the cost of one that is not.
             evict(&state.endpoints);
         }
@@ -607,7 +496,7 @@
         // A body that is coming has its time once it has come.
         let wait = if until.is_finite() { until } else { now + open.patience };
         let last = now + write_within;
-        let attempted = backend::attempt(endpoint, payload, clock, wait, last, written.clone(), figures);
+        let attempted = attempt::attempt(endpoint, payload, clock, wait, last, written.clone(), figures);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
@@ -624,12 +513,12 @@
 
     fn probe(&self, state: &State, backend: BackendId) {
         if let (Some(endpoint), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
-            let reports = self.terms.borrow().settings.probe_for_reports;
+            let reports = self.terms.borrow().settings.health_checks_for_load_reports;
             let path = if reports { "/-/load" } else { "/-/healthy" };
-            let probed = backend::probe(endpoint.clone(), path, self.clock);
+            let probed = attempt::probe(endpoint.clone(), path, self.clock);
             tokio::task::spawn_local(async move {
                 let done = probed.await;
-                let body = done.served.as_ref().and_then(|s| backend::report(s.whole()?));
+                let body = done.served.as_ref().and_then(|s| load_report::report(s.buffered()?));
                 engine.probed(backend, done.outcome, done.report.or(body));
             });
         }
@@ -669,22 +558,27 @@
             };
             late = late.max(now - at.0);
             match due {
-                Due::Token(token) => state.told.push_back(Told::Event(Event::Timer(token))),
+                Due::Token(token) => state.told.push_back(PendingEvent::Event(Event::Timer(token))),
                 Due::Unwritten(id, attempt) => {
                     if state.written(id, attempt) == Some(false) {
-                        self.ended(&mut state, id, attempt, Done::without_answer(Outcome::NoConnection));
+                        self.ended(
+                            &mut state,
+                            id,
+                            attempt,
+                            AttemptResult::without_answer(Outcome::NoConnection),
+                        );
                     }
                 }
                 Due::Attempt(id, attempt) => {
                     let written = state.written(id, attempt) == Some(true);
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
-                    self.ended(&mut state, id, attempt, Done::without_answer(outcome));
+                    self.ended(&mut state, id, attempt, AttemptResult::without_answer(outcome));
                 }
                 // The module has not answered in time: the client must not be left without.
                 Due::Request(id) => {
                     if state.open.contains_key(&id) {
-                        answer(&mut state, id, Answer::Failed);
-                        state.told.push_back(Told::Event(Event::ClientLeft(id)));
+                        answer(&mut state, id, FinalResponse::Failed);
+                        state.told.push_back(PendingEvent::Event(Event::ClientDisconnected(id)));
                     }
                 }
             }
@@ -699,10 +593,68 @@
             let mut state = self.state.borrow_mut();
             // Where backends are ever new, the gone ones must not be kept. The map's handle is the
             // last one when no attempt or probe is out.
-            let ended = |e: &Rc<Endpoint>| Rc::strong_count(e) == 1 && e.forgettable(&self.clock);
+            let ended = |e: &Rc<ConnectionPool>| Rc::strong_count(e) == 1 && e.is_expired(&self.clock);
             state.endpoints.retain(|_, e| !ended(e));
-            state.endpoints.values().for_each(|e| e.sweep());
+            state.endpoints.values().for_each(|e| e.close_expired());
+        }
+    }
+}
+
+impl WatchListener for Engine {
+    /// WatchEvent of the list.
+    fn on_watch_event(&self, news: WatchEvent) {
+        let mut state = self.state.borrow_mut();
+        let last_send = self.clock.now() + self.grace();
+        let listed: &[ListedEndpoint] = match &news {
+            WatchEvent::Full(list) | WatchEvent::Cached(list) => {
+                let gone = |id: &BackendId| !list.iter().any(|l| l.endpoint.id == *id);
+                for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
+                    endpoint.mark_removed(last_send);
+                }
+                list
+            }
+            WatchEvent::Changes(list) => list,
+            WatchEvent::Failed => &[],
+        };
+        for ListedEndpoint { endpoint: entry, address } in listed {
+            if entry.status == Status::Removed {
+                state.endpoints.get(&entry.id).into_iter().for_each(|e| e.mark_removed(last_send));
+                continue;
+            }
+            let drained = (entry.status != Status::InService).then_some(last_send);
+            let out = state.out.get(&entry.id).copied();
+            let new = || {
+                let (budget, terms) = (self.budget.clone(), self.terms.borrow());
+                let new = ConnectionPool::new(
+                    *address,
+                    budget,
+                    terms.proxy.connect_timeout,
+                    terms.proxy.idle_close,
+                );
+                new.set_maintenance_deadline(out);
+                Rc::new(new)
+            };
+            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, drained);
         }
+        self.listed.set(self.listed.get() || listed.iter().any(|l| l.endpoint.status == Status::InService));
+        state.told.push_back(PendingEvent::List(news));
+        self.decide(state);
+    }
+
+    /// The settings in force.
+    fn settings(&self) -> Rc<SettingsSnapshot> {
+        Engine::settings(self)
+    }
+
+    /// The module's clock.
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// It has been listed, and not been gone for longer than sends to it may take, or is out.
+    fn is_referenced(&self, backend: BackendId) -> bool {
+        let state = self.state.borrow();
+        state.endpoints.contains_key(&backend) || state.out.contains_key(&backend)
     }
 }
 
@@ -710,15 +662,15 @@
 /// lost for one event, and not for all that are to come.
 async fn kept_up<F: Future<Output = ()> + 'static>(task: impl Fn() -> F) {
     while let Err(error) = tokio::task::spawn_local(task()).await {
-        log!("dewpier: {error}");
+        log!("balancer-proxy: {error}");
         tokio::time::sleep(AFTER_PANIC).await;
     }
 }
 
 /// Closes the connection that has been idle longest, if there is one.
-fn evict(endpoints: &HashMap<BackendId, Rc<Endpoint>>) -> bool {
+fn evict(endpoints: &HashMap<BackendId, Rc<ConnectionPool>>) -> bool {
     let idle = endpoints.values().filter(|e| e.idle_since().is_some());
-    idle.min_by_key(|e| e.idle_since()).inspect(|e| e.evict()).is_some()
+    idle.min_by_key(|e| e.idle_since()).inspect(|e| e.close_oldest_idle()).is_some()
 }
 
 /// Takes out a request that has its final answer or wants none.
@@ -729,7 +681,7 @@
 }
 
 /// Gives a request its final answer, if it has had none.
-fn answer(state: &mut State, id: RequestId, answer: Answer) {
+fn answer(state: &mut State, id: RequestId, answer: FinalResponse) {
     if let Some(open) = close(state, id) {
         let _ = open.answer.send(answer); // if it has left, its guard tells
     }
--- a/src/proxy/limits.rs
+++ b/src/proxy/limits.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 
 /// Largest body of a request or an answer, in bytes: the longest that are announced, and some more.
-pub const MOST_BODY: u64 = 40 << 20;
+pub const MAX_BODY_BYTES: u64 = 40 << 20;
 /// Largest body, of a request or an answer, that is held whole and can be repeated. Of a longer one
 /// that much is held before it flows.
-pub const MOST_HELD: usize = 64 << 10;
+pub const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Largest head of a request or an answer.
-pub const MOST_HEAD: usize = 16 << 10;
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Descriptors kept for what is neither a client nor a backend.
 const OWN_DESCRIPTORS: usize = 24;
 /// More descriptors than that are not planned with.
@@ -19,16 +19,16 @@
 
 /// What the system lets a process have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
+pub struct ProcessLimits {
     /// File descriptors.
     pub descriptors: usize,
     /// Bytes of memory.
     pub memory: usize,
 }
 
-impl Limits {
+impl ProcessLimits {
     /// What one process has of these: half, where they are `shared` with another one.
-    pub fn part(self, shared: bool) -> Self {
+    pub fn share(self, shared: bool) -> Self {
         let parts = 1 + usize::from(shared);
         Self { descriptors: self.descriptors / parts, memory: self.memory / parts }
     }
@@ -36,7 +36,7 @@
 
 /// The bounds that connections and bodies are held to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Caps {
+pub struct Capacities {
     /// Connections from clients.
     pub clients: usize,
     /// Connections to backends.
@@ -45,18 +45,18 @@
     pub bodies: usize,
 }
 
-impl Caps {
-    /// The caps of a process with these limits. Clients get the larger
+impl Capacities {
+    /// The caps of a process with these limits. ClientConnections get the larger
     /// part of the descriptors, as connections that ask for nothing are among theirs.
     /// `kept` are for other use.
-    pub fn new(limits: Limits, kept: usize) -> Self {
-        let Limits { descriptors, memory } = limits;
+    pub fn new(limits: ProcessLimits, kept: usize) -> Self {
+        let ProcessLimits { descriptors, memory } = limits;
         let descriptors = descriptors.min(MOST_DESCRIPTORS).saturating_sub(OWN_DESCRIPTORS + kept);
         let part = memory / PART;
         Self {
-            clients: (descriptors * 3 / 5).min(part / MOST_HEAD).max(1),
-            backends: (descriptors * 2 / 5).min(part / (MOST_HEAD + MOST_HELD)).max(1),
-            bodies: part.max(MOST_HELD),
+            clients: (descriptors * 3 / 5).min(part / MAX_HEAD_BYTES).max(1),
+            backends: (descriptors * 2 / 5).min(part / (MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES)).max(1),
+            bodies: part.max(MAX_BUFFERED_BODY_BYTES),
         }
     }
 }
@@ -80,22 +80,22 @@
     }
 
     /// From now on there is room for so much; what is in use beyond that stays.
-    pub fn keep_to(&self, most: usize) {
+    pub fn set_limit(&self, most: usize) {
         self.most.set(most);
     }
 
     /// More is in use than there is room for.
-    pub fn exceeded(&self) -> bool {
+    pub fn is_exceeded(&self) -> bool {
         self.used.get() > self.most.get()
     }
 
     /// There is room for none.
-    pub fn full(&self) -> bool {
+    pub fn is_full(&self) -> bool {
         self.used.get() >= self.most.get()
     }
 
     /// Takes a part, if there is room for it.
-    pub fn take(self: &Rc<Self>, part: usize) -> Option<Permit> {
+    pub fn try_acquire(self: &Rc<Self>, part: usize) -> Option<Permit> {
         (part <= self.most.get().saturating_sub(self.used.get())).then(|| {
             self.used.set(self.used.get() + part);
             Permit { budget: self.clone(), part }
--- a/src/proxy/figures.rs
+++ b/src/proxy/metrics.rs
@@ -1,7 +1,7 @@
 //! What the proxy counts for those who run it: each request once, where it ends, by the name of the
 //! class that it was taken under.
 
-use super::config::WireSettings;
+use super::settings::ProxySettings;
 use hyper::StatusCode;
 use serde::{Serialize, Serializer};
 use std::cell::{Cell, RefCell};
@@ -41,7 +41,7 @@
 struct Changes {
     /// Of those in force.
     version: Option<u64>,
-    /// Taken over.
+    /// OutstandingRequest over.
     changed: u64,
     /// Files that were not.
     refused: u64,
@@ -49,7 +49,7 @@
 
 /// The counts of this process, from 0 at its start.
 #[derive(Serialize)]
-pub struct Figures {
+pub struct Metrics {
     #[serde(rename = "results", serialize_with = "by_name")]
     classes: RefCell<Classes>,
     outstanding: Cell<u64>,
@@ -62,7 +62,7 @@
 #[derive(Serialize)]
 struct Snapshot<'a> {
     #[serde(flatten)]
-    figures: &'a Figures,
+    figures: &'a Metrics,
     discovered: usize,
     ejected: usize,
     settings: Changes,
@@ -73,9 +73,9 @@
     to.collect_map(classes.in_force.iter().chain(&classes.retired).map(|(name, results)| (name, &**results)))
 }
 
-impl Figures {
+impl Metrics {
     /// All at 0, for these classes.
-    pub fn new(wire: &WireSettings) -> Rc<Self> {
+    pub fn new(wire: &ProxySettings) -> Rc<Self> {
         let figures = Self {
             classes: RefCell::default(),
             outstanding: Cell::new(0),
@@ -87,7 +87,7 @@
     }
 
     /// From now on these are the classes. What has been counted stays with their names.
-    fn keep_to(&self, wire: &WireSettings) {
+    fn keep_to(&self, wire: &ProxySettings) {
         let Classes { in_force, retired } = self.classes.take();
         let had: ByName = retired.into_iter().chain(in_force).collect();
         let by_name: HashMap<_, _> = had.iter().rev().map(|(name, results)| (name, results)).collect();
@@ -104,33 +104,33 @@
     }
 
     /// Other settings have come into force.
-    pub fn changed(&self, wire: &WireSettings) {
+    pub fn settings_applied(&self, wire: &ProxySettings) {
         self.keep_to(wire);
         let changes = self.changes.get();
         self.changes.set(Changes { changed: changes.changed + 1, ..changes });
     }
 
     /// A file could not be taken over.
-    pub fn refused(&self) {
+    pub fn settings_rejected(&self) {
         let changes = self.changes.get();
         self.changes.set(Changes { refused: changes.refused + 1, ..changes });
     }
 
     /// An attempt has been written whole to a backend.
-    pub fn forwarded(&self) {
+    pub fn attempt_written(&self) {
         self.forwards.set(self.forwards.get() + 1);
     }
 
     /// Where the requests of a class are counted, whatever becomes of the class.
-    pub fn of(self: &Rc<Self>, class: &str) -> Tally {
+    pub fn for_class(self: &Rc<Self>, class: &str) -> ClassMetrics {
         let classes = self.classes.borrow();
         let found = classes.in_force.iter().chain(&classes.retired).find(|(name, _)| name == class);
         let results = found.map(|(_, results)| results.clone()).unwrap_or_default();
-        Tally { figures: self.clone(), results }
+        ClassMetrics { figures: self.clone(), results }
     }
 
     /// One line of JSON, with what the decision module says of the list.
-    pub fn line(&self, discovered: usize, ejected: usize) -> serde_json::Result<String> {
+    pub fn to_json(&self, discovered: usize, ejected: usize) -> serde_json::Result<String> {
         let settings = self.changes.get();
         serde_json::to_string(&Snapshot { figures: self, discovered, ejected, settings })
     }
@@ -138,25 +138,25 @@
 
 /// The counts of a class.
 #[derive(Clone)]
-pub struct Tally {
-    figures: Rc<Figures>,
+pub struct ClassMetrics {
+    figures: Rc<Metrics>,
     results: Rc<Results>,
 }
 
-impl Tally {
+impl ClassMetrics {
     /// A request has come whole.
-    pub fn taken(&self) -> Taken {
+    pub fn request_started(&self) -> OutstandingRequest {
         self.figures.outstanding.set(self.figures.outstanding.get() + 1);
-        Taken(self.clone())
+        OutstandingRequest(self.clone())
     }
 }
 
 /// A request that is outstanding, until this is dropped.
-pub struct Taken(Tally);
+pub struct OutstandingRequest(ClassMetrics);
 
-impl Taken {
+impl OutstandingRequest {
     /// The client has got this as its final answer. Without it, the client left.
-    pub fn ended(self, status: StatusCode) {
+    pub fn finish(self, status: StatusCode) {
         let results = &self.0.results;
         let count = match status {
             StatusCode::OK => &results.succeeded,
@@ -167,7 +167,7 @@
     }
 }
 
-impl Drop for Taken {
+impl Drop for OutstandingRequest {
     fn drop(&mut self) {
         let outstanding = &self.0.figures.outstanding;
         outstanding.set(outstanding.get() - 1);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -105,14 +105,14 @@
 
 fn outcome(text: &str) -> Result<Outcome> {
     Ok(match text {
-        "S" => Outcome::Served,
+        "S" => Outcome::Success,
         "E" => Outcome::Error,
-        "F" => Outcome::Full,
+        "F" => Outcome::Rejected,
         "T" => Outcome::Timeout,
         "C" => Outcome::NoConnection,
         "R" => Outcome::Reset,
         "X" => Outcome::Cancelled,
-        "N" => Outcome::NeverSent,
+        "N" => Outcome::NotSent,
         _ => return Err(bad("the completion code", "one of S E F T C R X N", text)),
     })
 }
@@ -158,8 +158,8 @@
     /// A numbered list of so many entries follows.
     Roster(usize, usize),
     /// An entry of a list.
-    Item(Entry),
-    /// News of the list for the instance.
+    Item(Endpoint),
+    /// WatchEvent of the list for the instance.
     Update(UpdateKind, usize),
     /// An event that needs nothing further.
     Event(Event<'static>),
@@ -250,8 +250,8 @@
                 class,
                 tenant,
                 key,
-                budget,
-                streamed: false,
+                timeout: budget,
+                streaming_body: false,
             }))
         }
         "BEGUN" => {
@@ -259,23 +259,23 @@
             positive("the duration", duration)?;
             whole::<u32>("the backend", backend)?;
             let attempt = whole("the attempt", attempt)?;
-            Line::Event(Event::Started { id: request_id(id)?, attempt })
+            Line::Event(Event::ResponseStarted { id: request_id(id)?, attempt })
         }
         "RESULT" => {
             let [id, backend, attempt, code, took, over, report] = values("RESULT", rest)?;
-            Line::Event(Event::Outcome(Ended {
+            Line::Event(Event::AttemptEnded(EndedAttempt {
                 id: request_id(id)?,
                 backend: BackendId(whole("the backend", backend)?),
                 attempt: whole("the attempt", attempt)?,
                 outcome: outcome(code)?,
-                took: positive("the duration", took)?,
-                over: flag("the end mark", over)?,
+                duration: positive("the duration", took)?,
+                request_finished: flag("the end mark", over)?,
                 report: load_report(report, instance)?,
             }))
         }
         "CLIENT_LEFT" => {
             let [id] = values("CLIENT_LEFT", rest)?;
-            Line::Event(Event::ClientLeft(request_id(id)?))
+            Line::Event(Event::ClientDisconnected(request_id(id)?))
         }
         "TICK_DUE" => {
             let [token] = values("TICK_DUE", rest)?;
@@ -286,7 +286,7 @@
             positive("the duration", duration)?;
             let report = load_report(report, instance)?;
             let backend = BackendId(whole("the backend", backend)?);
-            Line::Event(Event::Probed { backend, outcome: outcome(code)?, report })
+            Line::Event(Event::HealthCheckEnded { backend, outcome: outcome(code)?, report })
         }
         "PEER" => {
             let [from, octets] = values("PEER", rest)?;
@@ -308,28 +308,28 @@
 }
 
 /// Reads a load report; values that the decisions can't use are skipped.
-fn load_report(text: &str, instance: Option<&InstanceNames>) -> Result<Option<Report>> {
+fn load_report(text: &str, instance: Option<&InstanceNames>) -> Result<Option<LoadReport>> {
     if text == "-" {
         return Ok(None);
     }
-    let mut report = Report::default();
+    let mut report = LoadReport::default();
     let names = instance.map_or(&[][..], |i| &i.report);
     for (i, value) in text.split(',').enumerate().filter(|(_, v)| *v != "-") {
         let value = number("the load report", value)?.max(0.0);
         if names.get(i).is_some_and(|name| name == "avg_ms") {
-            report.service = Some(value / 1000.0);
+            report.service_time = Some(value / 1000.0);
         }
     }
     Ok(Some(report))
 }
 
-fn entry(rest: &str, zones: &mut Names) -> Result<Entry> {
+fn entry(rest: &str, zones: &mut Names) -> Result<Endpoint> {
     let [_kind, cell, id, weight, zone, status, started] = values("ITEM", rest)?;
     let started = match started {
         "-" => None,
         text => Some(number("the start", text)?).filter(|t| *t != 0.0),
     };
-    Ok(Entry {
+    Ok(Endpoint {
         id: BackendId(whole("the backend", id)?),
         cell: whole("the cell", cell)?,
         zone: zones.index(zone),
@@ -337,12 +337,12 @@
         status: match status {
             "in_service" => Status::InService,
             "terminating" => Status::Draining,
-            "terminated" => Status::Gone,
+            "terminated" => Status::Removed,
             _ => {
                 return Err(bad("the status", "in_service, terminating or terminated", status));
             }
         },
-        started,
+        started_at: started,
     })
 }
 
@@ -365,18 +365,18 @@
         Some(other) => Err(bad(path, "true or false", other)),
     };
     // As for the real proxy: what is absent has a default, and a repeat is harmful till told else.
-    let (plain, plain_class) = (Settings::default(), Class::default());
+    let (plain, plain_class) = (Settings::default(), RequestClass::default());
     let mut names = InstanceNames::default();
     let mut classes = Vec::new();
     for i in 0..whole::<usize>("classes.count", text("classes.count")?)? {
         let at = |key: &str| format!("classes.{i}.{key}");
         let effect = match map.get(at("effect").as_str()).copied() {
             Some("free") => Effect::Safe,
-            Some("guarded") => Effect::Keyed {
+            Some("guarded") => Effect::Idempotent {
                 group: match map.get(at("group").as_str()).copied() {
-                    Some("all") => Group::All,
-                    Some("zone") => Group::Zone,
-                    _ => Group::Cell,
+                    Some("all") => IdempotencyGroup::All,
+                    Some("zone") => IdempotencyGroup::Zone,
+                    _ => IdempotencyGroup::Cell,
                 },
                 window: num_or(&at("window"), 0.0)?,
             },
@@ -384,14 +384,14 @@
         };
         let deadline = num_or(&at("hard-limit"), num_or(&at("on-time"), plain_class.deadline)?)?;
         let name = text(&at("name"))?;
-        classes.push(Class {
+        classes.push(RequestClass {
             name: name.to_string(),
-            aim: num_or(&at("on-time"), deadline)?,
+            latency_objective: num_or(&at("on-time"), deadline)?,
             deadline,
-            late_worth: num_or(&at("late-worth"), plain_class.late_worth)?,
-            worth: num_or(&at("worth"), plain_class.worth)?,
+            late_priority_weight: num_or(&at("late-worth"), plain_class.late_priority_weight)?,
+            priority_weight: num_or(&at("worth"), plain_class.priority_weight)?,
             effect,
-            in_order: yes(&at("fifo-by-key"))?,
+            ordered_by_key: yes(&at("fifo-by-key"))?,
         });
         names.classes.push(name.to_string());
     }
@@ -400,7 +400,7 @@
         for i in 0..whole::<usize>("projects.count", text("projects.count")?)? {
             let name = text(&format!("projects.{i}.name"))?;
             let quota = num_or(&format!("projects.{i}.quota-per-s"), f64::MAX)?;
-            tenants.push(Tenant { name: name.to_string(), quota });
+            tenants.push(Tenant { name: name.to_string(), quota_per_second: quota });
             names.tenants.push(name.to_string());
         }
     }
@@ -411,30 +411,30 @@
     let settings = Settings {
         classes,
         tenants,
-        over_share_worth: num_or("over-share-worth", 1.0)?,
-        instances: whole_or("n-instances", plain.instances)?,
-        me: whole_or("me", plain.me)?,
+        over_quota_weight: num_or("over-share-worth", 1.0)?,
+        instance_count: whole_or("n-instances", plain.instance_count)?,
+        instance_index: whole_or("me", plain.instance_index)?,
         tier: whole_or("tier", plain.tier)?,
         zone: zones.index(map.get("zone").copied().unwrap_or("")),
-        cross_zone: num_or("costs.cross-zone", 0.0)?,
-        dear_connections: num_or("costs.connection", 0.0)? + num_or("costs.handshake", 0.0)? > 0.0,
-        probe_for_reports: map.get("stats.how") == Some(&"on_probe") && yes("caps.probing")?,
-        cancel: yes("caps.cancel")?,
-        second_copies: yes("caps.second-copies")?,
+        cross_zone_cost: num_or("costs.cross-zone", 0.0)?,
+        connections_have_cost: num_or("costs.connection", 0.0)? + num_or("costs.handshake", 0.0)? > 0.0,
+        health_checks_for_load_reports: map.get("stats.how") == Some(&"on_probe") && yes("caps.probing")?,
+        cancellation_allowed: yes("caps.cancel")?,
+        hedging_allowed: yes("caps.second-copies")?,
         max_attempts: whole_or("caps.max-attempts", plain.max_attempts)?,
         max_retry_after: retry_after,
-        must_watch: match map.get("registry-mode").copied() {
+        must_poll_endpoints: match map.get("registry-mode").copied() {
             Some("automatic") | None => false,
             Some("subscribe") => true,
             Some(other) => return Err(bad("registry-mode", "automatic or subscribe", other)),
         },
-        ask_within: num_or("rules.ask-within", plain.ask_within)?,
-        cold_share: num_or("rules.cold-share", plain.cold_share)?,
-        cold: num_or("rules.cold", plain.cold)?,
-        fall_multiple: num_or("rules.fall-multiple", plain.fall_multiple)?,
-        tip_after: num_or("rules.tip-after", plain.tip_after)?,
-        settle: num_or("rules.settle-after-doubt", 0.0)?,
-        release_within: match map.contains_key("rules.release-within") {
+        endpoint_poll_limit: num_or("rules.ask-within", plain.endpoint_poll_limit)?,
+        slow_start_initial_capacity: num_or("rules.cold-share", plain.slow_start_initial_capacity)?,
+        slow_start_duration: num_or("rules.cold", plain.slow_start_duration)?,
+        slow_start_overload_multiple: num_or("rules.fall-multiple", plain.slow_start_overload_multiple)?,
+        slow_start_overload_window: num_or("rules.tip-after", plain.slow_start_overload_window)?,
+        key_rest_duration: num_or("rules.settle-after-doubt", 0.0)?,
+        idle_close_limit: match map.contains_key("rules.release-within") {
             true => Some(num_or("rules.release-within", 0.0)?),
             false => None,
         },
@@ -452,16 +452,16 @@
         }
         Action::Cancel { id, attempt } => writeln!(out, "REVOKE {:016x} {attempt}", id.0),
         Action::Withdraw { .. } => Ok(()), // what is placed there has gone out at once
-        Action::Refuse { id, retry_after: Some(wait) } => {
+        Action::Reject { id, retry_after: Some(wait) } => {
             writeln!(out, "REJECT {:016x} {wait:.6}", id.0)
         }
-        Action::Refuse { id, retry_after: None } => writeln!(out, "REJECT {:016x} -", id.0),
+        Action::Reject { id, retry_after: None } => writeln!(out, "REJECT {:016x} -", id.0),
         Action::Fail { id } => writeln!(out, "ERROR {:016x}", id.0),
-        Action::Timer { at, token } => writeln!(out, "SLEEP {at:.6} {token}"),
-        Action::Probe(backend) => writeln!(out, "INSPECT {}", backend.0),
-        Action::Release(backend) => writeln!(out, "RELEASE {}", backend.0),
-        Action::Watch(on) => writeln!(out, "STREAM_CHANGES {}", u8::from(*on)),
-        Action::Fetch => writeln!(out, "REFRESH"),
+        Action::SetTimer { at, token } => writeln!(out, "SLEEP {at:.6} {token}"),
+        Action::HealthCheck(backend) => writeln!(out, "INSPECT {}", backend.0),
+        Action::CloseIdleConnections(backend) => writeln!(out, "RELEASE {}", backend.0),
+        Action::WatchEndpoints(on) => writeln!(out, "STREAM_CHANGES {}", u8::from(*on)),
+        Action::FetchEndpoints => writeln!(out, "REFRESH"),
         Action::Log(text) => writeln!(out, "EMIT {}", text.replace(['\n', '\r'], " ")),
     };
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -10,7 +10,7 @@
 tier=1 zone=here zones=here";
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gannetproxy-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -1,4 +1,4 @@
-//! Clients that stay, say nothing or send what can't be served: they are turned away soon, reach
+//! ClientConnections that stay, say nothing or send what can't be served: they are turned away soon, reach
 //! no backend, and keep no one else out.
 
 mod common;
--- a/tests/cold_backends.rs
+++ b/tests/cold_backends.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
+use balancer_proxy::*;
 use common::*;
-use gannetproxy::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -38,30 +38,40 @@
 enum Due {
     Arrival,
     Timer(u64),
-    Ended(Ended),
+    EndedAttempt(EndedAttempt),
 }
 
 fn settings(fleet: Fleet) -> Settings {
     Settings {
-        classes: vec![Class { aim: 2.0, deadline: 4.0, late_worth: 0.5, ..class(Effect::Safe) }],
-        cold_share: fleet.cold_share,
-        cold: 8.8,
-        fall_multiple: 3.0,
-        tip_after: fleet.tip_after,
+        classes: vec![RequestClass {
+            latency_objective: 2.0,
+            deadline: 4.0,
+            late_priority_weight: 0.5,
+            ..class(Effect::Safe)
+        }],
+        slow_start_initial_capacity: fleet.cold_share,
+        slow_start_duration: 8.8,
+        slow_start_overload_multiple: 3.0,
+        slow_start_overload_window: fleet.tip_after,
         max_attempts: 6,
-        dear_connections: true,
+        connections_have_cost: true,
         ..Settings::default()
     }
 }
 
 /// What the settings allow a cold backend in the window that begins so long after its start.
 fn allowed(settings: &Settings, capacity: f64, begun: Time) -> f64 {
-    let ramp =
-        |age: Time| settings.cold_share + (1.0 - settings.cold_share) * (age / settings.cold).clamp(0.0, 1.0);
+    let ramp = |age: Time| {
+        settings.slow_start_initial_capacity
+            + (1.0 - settings.slow_start_initial_capacity)
+                * (age / settings.slow_start_duration).clamp(0.0, 1.0)
+    };
     let steps = 50;
-    let mean: f64 =
-        (0..steps).map(|i| ramp(begun + settings.tip_after * f64::from(i) / 50.0)).sum::<f64>() / 50.0;
-    settings.fall_multiple * capacity * mean * settings.tip_after
+    let mean: f64 = (0..steps)
+        .map(|i| ramp(begun + settings.slow_start_overload_window * f64::from(i) / 50.0))
+        .sum::<f64>()
+        / 50.0;
+    settings.slow_start_overload_multiple * capacity * mean * settings.slow_start_overload_window
 }
 
 /// Plays the fleet; returns the worst window of any cold backend against what makes it fall, and
@@ -70,16 +80,21 @@
     let (capacity, took_mean) = (fleet.capacity, 2.0 / fleet.capacity);
     let mut rng = SmallRng::seed_from_u64(seed);
     let list: Vec<_> =
-        (0..BACKENDS as u32).map(|i| Entry { id: BackendId(i * 7919), ..Entry::default() }).collect();
+        (0..BACKENDS as u32).map(|i| Endpoint { id: BackendId(i * 7919), ..Endpoint::default() }).collect();
     let mut after = list.clone();
-    after[..fleet.cold].iter_mut().for_each(|e| e.started = Some(STARTED));
+    after[..fleet.cold].iter_mut().for_each(|e| e.started_at = Some(STARTED));
     let begin = if fleet.fresh { STARTED } else { 0.0 };
-    let end = STARTED + settings(fleet).cold;
+    let end = STARTED + settings(fleet).slow_start_duration;
     let weight = |i: usize| if i.is_multiple_of(5) { fleet.skew } else { 1.0 };
     let weights: f64 = (0..fleet.balancers).map(weight).sum();
     let mut balancers: Vec<_> = (0..fleet.balancers)
         .map(|me| {
-            let settings = Settings { me, instances: fleet.balancers, tier: fleet.tier, ..settings(fleet) };
+            let settings = Settings {
+                instance_index: me,
+                instance_count: fleet.balancers,
+                tier: fleet.tier,
+                ..settings(fleet)
+            };
             Balancer::new(begin, seed * 1000 + me as u64, settings)
         })
         .collect();
@@ -98,7 +113,7 @@
     let mut rates = vec![(0.0, begin); BACKENDS];
     for i in 0..fleet.balancers {
         let first = if fleet.fresh { &after } else { &list };
-        balancers[i].handle(begin, Event::List(ListUpdate::Full(first)), &mut actions);
+        balancers[i].handle(begin, Event::Endpoints(EndpointUpdate::Full(first)), &mut actions);
         set(&mut queue, &mut dues, begin + rng.random::<f64>() * 0.01, i, Due::Arrival);
     }
     actions.clear();
@@ -110,7 +125,11 @@
         if now >= STARTED && !told {
             told = true;
             for balancer in &mut balancers {
-                balancer.handle(now, Event::List(ListUpdate::Changes(&after[..fleet.cold])), &mut actions);
+                balancer.handle(
+                    now,
+                    Event::Endpoints(EndpointUpdate::Changes(&after[..fleet.cold])),
+                    &mut actions,
+                );
             }
         }
         let (i, due) = &dues[number];
@@ -121,30 +140,44 @@
                 let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
                 set(&mut queue, &mut dues, now + gap, i, Due::Arrival);
                 requests += 1;
-                let request = Request { id: RequestId(requests), budget: 4.0, ..Request::default() };
+                let request = Request { id: RequestId(requests), timeout: 4.0, ..Request::default() };
                 balancers[i].handle(now, Event::Request(request), &mut actions);
             }
             Due::Timer(token) => balancers[i].handle(now, Event::Timer(*token), &mut actions),
-            Due::Ended(ended) => {
+            Due::EndedAttempt(ended) => {
                 let (rate, at) = &mut rates[(ended.backend.0 / 7919) as usize];
                 *rate = *rate * (-(now - *at) / 2.0).exp() + 0.5;
                 *at = now;
-                let report = fleet.reports.then_some(Report { service: None, rate: Some(*rate) });
-                balancers[i].handle(now, Event::Outcome(Ended { report, ..*ended }), &mut actions);
+                let report = fleet
+                    .reports
+                    .then_some(LoadReport { service_time: None, requests_per_second: Some(*rate) });
+                balancers[i].handle(
+                    now,
+                    Event::AttemptEnded(EndedAttempt { report, ..*ended }),
+                    &mut actions,
+                );
             }
         }
         for action in std::mem::take(&mut actions) {
             match action {
-                Action::Timer { at, token } => set(&mut queue, &mut dues, at, i, Due::Timer(token)),
+                Action::SetTimer { at, token } => set(&mut queue, &mut dues, at, i, Due::Timer(token)),
                 Action::Send { id, backend, .. } => {
                     let cold = (backend.0 / 7919) as usize;
                     if cold < fleet.cold && now >= STARTED {
                         sent[cold].push(now);
                     }
                     let took = took_mean * (0.5 + rng.random::<f64>());
-                    let outcome = Outcome::Served;
-                    let ended = Ended { id, backend, attempt: 0, outcome, took, over: true, report: None };
-                    set(&mut queue, &mut dues, now + took, i, Due::Ended(ended));
+                    let outcome = Outcome::Success;
+                    let ended = EndedAttempt {
+                        id,
+                        backend,
+                        attempt: 0,
+                        outcome,
+                        duration: took,
+                        request_finished: true,
+                        report: None,
+                    };
+                    set(&mut queue, &mut dues, now + took, i, Due::EndedAttempt(ended));
                 }
                 _ => {}
             }
@@ -154,11 +187,13 @@
     let (mut worst, mut used): (f64, f64) = (0.0, 0.0);
     for sent in &sent {
         for (i, from) in sent.iter().enumerate() {
-            let count = sent[i..].iter().take_while(|at| **at < from + settings.tip_after).count();
+            let count =
+                sent[i..].iter().take_while(|at| **at < from + settings.slow_start_overload_window).count();
             let most = allowed(&settings, capacity, from - STARTED);
             worst = worst.max(count as f64 / (most + 2.0 * most.sqrt() + 2.0));
         }
-        let can = capacity * settings.cold * (1.0 + settings.cold_share) / 2.0;
+        let can =
+            capacity * settings.slow_start_duration * (1.0 + settings.slow_start_initial_capacity) / 2.0;
         used += sent.len() as f64 / can / fleet.cold as f64;
     }
     (worst, used)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,15 +3,15 @@
 
 pub mod sockets;
 
-use gannetproxy::*;
+use balancer_proxy::*;
 use std::collections::BTreeMap;
 
-pub fn class(effect: Effect) -> Class {
-    Class { aim: 1.0, deadline: 2.0, effect, ..Class::default() }
+pub fn class(effect: Effect) -> RequestClass {
+    RequestClass { latency_objective: 1.0, deadline: 2.0, effect, ..RequestClass::default() }
 }
 
 pub fn tenant(name: &str, quota: f64) -> Tenant {
-    Tenant { name: name.to_string(), quota }
+    Tenant { name: name.to_string(), quota_per_second: quota }
 }
 
 pub fn safe() -> Settings {
@@ -22,8 +22,8 @@
     Settings { classes: vec![class(effect)], tier: 1, ..Settings::default() }
 }
 
-pub fn entry(id: u32) -> Entry {
-    Entry { id: BackendId(id), ..Entry::default() }
+pub fn entry(id: u32) -> Endpoint {
+    Endpoint { id: BackendId(id), ..Endpoint::default() }
 }
 
 pub struct Bench {
@@ -35,14 +35,14 @@
 }
 
 impl Bench {
-    pub fn new(settings: Settings, list: &[Entry]) -> Self {
+    pub fn new(settings: Settings, list: &[Endpoint]) -> Self {
         Self::seeded(1, settings, list)
     }
 
-    pub fn seeded(seed: u64, settings: Settings, list: &[Entry]) -> Self {
+    pub fn seeded(seed: u64, settings: Settings, list: &[Endpoint]) -> Self {
         let balancer = Balancer::new(0.0, seed, settings);
         let mut bench = Self { balancer, now: 0.0, timers: vec![], sent: BTreeMap::new() };
-        bench.event(Event::List(ListUpdate::Remembered(list)));
+        bench.event(Event::Endpoints(EndpointUpdate::Cached(list)));
         bench
     }
 
@@ -53,16 +53,16 @@
             if let Action::Cancel { id, attempt } = action {
                 let backend = BackendId(self.sent[&id.0][*attempt]);
                 let outcome = Outcome::Cancelled;
-                let ended = Ended {
+                let ended = EndedAttempt {
                     id: *id,
                     backend,
                     attempt: *attempt,
                     outcome,
-                    took: 0.0,
-                    over: true,
+                    duration: 0.0,
+                    request_finished: true,
                     report: None,
                 };
-                further.extend(self.event(Event::Outcome(ended)));
+                further.extend(self.event(Event::AttemptEnded(ended)));
             }
         }
         further
@@ -73,7 +73,7 @@
         let mut actions = Vec::new();
         self.balancer.handle(self.now, event, &mut actions);
         actions.retain(|action| match action {
-            Action::Timer { at, token } => {
+            Action::SetTimer { at, token } => {
                 self.timers.push((*at, *token));
                 false
             }
@@ -91,7 +91,7 @@
     }
 
     pub fn request_for(&mut self, id: u64, budget: Time) -> Vec<Action> {
-        let request = Request { id: RequestId(id), budget, ..Request::default() };
+        let request = Request { id: RequestId(id), timeout: budget, ..Request::default() };
         self.event(Event::Request(request))
     }
 
@@ -113,8 +113,16 @@
 
     pub fn end(&mut self, id: u64, attempt: usize, to: u32, outcome: Outcome, took: Time) -> Vec<Action> {
         let (id, backend) = (RequestId(id), BackendId(to));
-        let over = outcome == Outcome::Served;
-        self.event(Event::Outcome(Ended { id, backend, attempt, outcome, took, over, report: None }))
+        let over = outcome == Outcome::Success;
+        self.event(Event::AttemptEnded(EndedAttempt {
+            id,
+            backend,
+            attempt,
+            outcome,
+            duration: took,
+            request_finished: over,
+            report: None,
+        }))
     }
 
     /// One request that is answered after `took`; returns where it went.
@@ -122,7 +130,7 @@
         let actions = self.request(id);
         let (_, to) = sends(&actions)[0];
         self.run_to(self.now + took);
-        let actions = self.end(id, 0, to, Outcome::Served, took);
+        let actions = self.end(id, 0, to, Outcome::Success, took);
         self.cancelled(&actions);
         to
     }
@@ -137,7 +145,7 @@
 }
 
 pub fn refused(actions: &[Action], id: u64) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { id: i, .. } if i.0 == id))
+    actions.iter().any(|a| matches!(a, Action::Reject { id: i, .. } if i.0 == id))
 }
 
 pub fn failed(actions: &[Action], id: u64) -> bool {
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -266,7 +266,7 @@
         let address = loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "it has ended");
-            let told = line.trim().strip_prefix("dewpier: ").unwrap_or_default();
+            let told = line.trim().strip_prefix("balancer-proxy: ").unwrap_or_default();
             match told.split_once(" on ") {
                 Some(("listening", address)) => break address.parse().unwrap(),
                 Some(("management", address)) => management = Some(address.parse().unwrap()),
@@ -466,7 +466,7 @@
     let name = format!("{}-{}.json", std::process::id(), number);
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_dewpier"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_balancer-proxy"));
     command.env("RELAY_CONFIG", &path).env("RELAY_LISTEN", "127.0.0.1:0");
     command.env("RELAY_DISCOVERY", discovery.to_string());
     command.env("TMPDIR", folder(number));
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -113,7 +113,7 @@
     })
 }
 
-/// Clients take all the room, having `asked` or never said a word. Then many more come in one moment,
+/// ClientConnections take all the room, having `asked` or never said a word. Then many more come in one moment,
 /// and so many callers of the second address, if there is one, just as discovery returns.
 fn crowd_at_the_return(asked: bool, callers: Option<usize>) {
     let (old, new) = (Played::good("old"), Played::good("new"));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,10 +1,10 @@
 //! The decisions of one balancer, through its public interface.
 
 mod common;
+use balancer_proxy::*;
 use common::*;
-use gannetproxy::*;
 
-fn fleet(n: u32) -> Vec<Entry> {
+fn fleet(n: u32) -> Vec<Endpoint> {
     (1..=n).map(entry).collect()
 }
 
@@ -88,13 +88,13 @@
     b.now = 0.1;
     b.request(2);
     b.now = 0.2;
-    b.end(2, 0, 1, Outcome::Served, 0.1);
-    b.event(Event::List(ListUpdate::Changes(&[entry(2)])));
+    b.end(2, 0, 1, Outcome::Success, 0.1);
+    b.event(Event::Endpoints(EndpointUpdate::Changes(&[entry(2)])));
     assert_eq!(sends(&plain(b.run_to(0.5))), []);
     // Without that answer the copy goes out.
     let mut b = Bench::new(safe(), &[entry(1)]);
     b.request(1);
-    b.event(Event::List(ListUpdate::Changes(&[entry(2)])));
+    b.event(Event::Endpoints(EndpointUpdate::Changes(&[entry(2)])));
     assert_eq!(sends(&plain(b.run_to(0.5))), [(1, 2)]);
 }
 
@@ -110,8 +110,8 @@
     b.request(1);
     b.request(2);
     b.run_to(sent + 0.03);
-    b.end(2, 0, 1, Outcome::Served, 0.03);
-    b.event(Event::List(ListUpdate::Changes(&[entry(2)])));
+    b.end(2, 0, 1, Outcome::Success, 0.03);
+    b.event(Event::Endpoints(EndpointUpdate::Changes(&[entry(2)])));
     // T1 is a little over 0.05: one firing passes, the next sends the copy.
     assert_eq!(sends(&plain(b.run_to(sent + 0.1))), []);
     assert_eq!(sends(&plain(b.run_to(sent + 0.3))), [(1, 2)]);
@@ -125,7 +125,7 @@
     b.request(1);
     assert_eq!(sends(&plain(b.run_to(0.9))), []);
     let mut settings = safe();
-    settings.second_copies = false;
+    settings.hedging_allowed = false;
     let mut b = Bench::new(settings.clone(), &fleet(4));
     let to = sends(&b.request(1))[0].1;
     assert_eq!(sends(&plain(b.run_to(0.2))), []);
@@ -141,18 +141,18 @@
 #[test]
 fn outcomes_by_effect() {
     use Outcome::*;
-    let keyed = |group| Effect::Keyed { group, window: 5.0 };
+    let keyed = |group| Effect::Idempotent { group, window: 5.0 };
     // After the failure of the only attempt with the last attempt used: may it be refused?
     let cases = [
         (Effect::Safe, [true; 6]),
-        (keyed(Group::All), [true; 6]),
-        (keyed(Group::Zone), [false, true, false, true, false, true]),
-        (keyed(Group::Cell), [false, true, false, true, false, true]),
+        (keyed(IdempotencyGroup::All), [true; 6]),
+        (keyed(IdempotencyGroup::Zone), [false, true, false, true, false, true]),
+        (keyed(IdempotencyGroup::Cell), [false, true, false, true, false, true]),
         (Effect::Unsafe, [false, true, false, true, false, true]),
     ];
     for (effect, harmless) in cases {
         for (outcome, harmless) in
-            [Error, Full, Timeout, NoConnection, Reset, NeverSent].into_iter().zip(harmless)
+            [Error, Rejected, Timeout, NoConnection, Reset, NotSent].into_iter().zip(harmless)
         {
             let mut settings = with(effect);
             settings.max_attempts = 1;
@@ -170,7 +170,7 @@
 #[test]
 fn an_unsafe_call_is_sent_again_only_if_it_never_ran() {
     for (outcome, again) in
-        [(Outcome::Full, 1), (Outcome::NoConnection, 1), (Outcome::Error, 0), (Outcome::Reset, 0)]
+        [(Outcome::Rejected, 1), (Outcome::NoConnection, 1), (Outcome::Error, 0), (Outcome::Reset, 0)]
     {
         let mut b = Bench::new(with(Effect::Unsafe), &fleet(4));
         let to = sends(&b.request(1))[0].1;
@@ -186,19 +186,19 @@
 
 #[test]
 fn a_keyed_call_is_repeated_inside_its_cell_and_window_only() {
-    let list: Vec<Entry> = (0..8).map(|i| Entry { cell: i % 4, zone: i % 2, ..entry(i + 1) }).collect();
+    let list: Vec<Endpoint> = (0..8).map(|i| Endpoint { cell: i % 4, zone: i % 2, ..entry(i + 1) }).collect();
     for seed in 0..30 {
-        let effect = Effect::Keyed { group: Group::Cell, window: 5.0 };
+        let effect = Effect::Idempotent { group: IdempotencyGroup::Cell, window: 5.0 };
         let mut b = Bench::seeded(seed, with(effect), &list);
         let first = sends(&b.request(1))[0].1;
         let again = sends(&plain(b.run_to(0.5)));
         assert_eq!(again.len(), 1, "the other member of the cell, in the subset or not");
         assert_eq!(again[0].1 % 4, first % 4);
-        let effect = Effect::Keyed { group: Group::Cell, window: 0.2 };
+        let effect = Effect::Idempotent { group: IdempotencyGroup::Cell, window: 0.2 };
         let mut b = Bench::seeded(seed, with(effect), &list);
         b.request(1);
         assert_eq!(sends(&plain(b.run_to(0.9))), [], "the cell has forgotten it");
-        let effect = Effect::Keyed { group: Group::Zone, window: 5.0 };
+        let effect = Effect::Idempotent { group: IdempotencyGroup::Zone, window: 5.0 };
         let mut b = Bench::seeded(seed, with(effect), &list);
         let first = sends(&b.request(1))[0].1;
         assert!(sends(&plain(b.run_to(0.5))).iter().all(|(_, to)| to % 2 == first % 2));
@@ -210,13 +210,13 @@
 #[test]
 fn the_answer_is_out_before_the_client_gives_up() {
     let mut settings = safe();
-    settings.classes[0].late_worth = 0.5;
+    settings.classes[0].late_priority_weight = 0.5;
     let mut b = Bench::new(settings, &fleet(3));
     b.request_for(1, 1.5);
     let seen = b.run_to(3.0);
     let answers: Vec<Time> = seen
         .iter()
-        .filter(|(_, a)| matches!(a, Action::Refuse { .. } | Action::Fail { .. }))
+        .filter(|(_, a)| matches!(a, Action::Reject { .. } | Action::Fail { .. }))
         .map(|(t, _)| *t)
         .collect();
     assert_eq!(answers.len(), 1);
@@ -251,9 +251,9 @@
     for (max_retry_after, told) in [(2.0, true), (0.0, false)] {
         let mut b = Bench::new(Settings { max_retry_after, max_attempts: 1, ..safe() }, &fleet(1));
         b.request(1);
-        let actions = b.end(1, 0, 1, Outcome::Full, 0.01);
+        let actions = b.end(1, 0, 1, Outcome::Rejected, 0.01);
         let wait = actions.iter().find_map(|a| match a {
-            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            Action::Reject { retry_after, .. } => Some(*retry_after),
             _ => None,
         });
         let wait = wait.expect("refused at once");
@@ -268,11 +268,11 @@
         [(true, Action::Cancel { id, attempt: 0 }), (false, Action::Withdraw { id, attempt: 0 })]
     {
         let mut settings = safe();
-        settings.cancel = cancel;
+        settings.cancellation_allowed = cancel;
         let mut b = Bench::new(settings, &fleet(4));
         b.request(1);
         let second = sends(&plain(b.run_to(0.5)))[0].1;
-        let actions = b.end(1, 1, second, Outcome::Served, 0.1);
+        let actions = b.end(1, 1, second, Outcome::Success, 0.1);
         assert_eq!(actions, [end]);
     }
 }
@@ -281,7 +281,7 @@
 fn a_started_stream_is_the_callers() {
     let mut b = Bench::new(safe(), &fleet(4));
     b.request(1);
-    let actions = b.event(Event::Started { id: RequestId(1), attempt: 0 });
+    let actions = b.event(Event::ResponseStarted { id: RequestId(1), attempt: 0 });
     assert_eq!(actions, []);
     assert_eq!(b.run_to(5.0), []);
 }
@@ -290,9 +290,9 @@
 fn a_client_that_left_is_owed_nothing() {
     let mut b = Bench::new(safe(), &fleet(4));
     b.request(1);
-    let actions = b.event(Event::ClientLeft(RequestId(1)));
+    let actions = b.event(Event::ClientDisconnected(RequestId(1)));
     assert_eq!(actions, [Action::Cancel { id: RequestId(1), attempt: 0 }]);
-    assert_eq!(b.event(Event::ClientLeft(RequestId(1))), []);
+    assert_eq!(b.event(Event::ClientDisconnected(RequestId(1))), []);
     assert_eq!(b.run_to(5.0), []);
 }
 
@@ -300,28 +300,28 @@
 
 #[test]
 fn nothing_new_goes_to_a_backend_that_drains_or_is_gone() {
-    for status in [Status::Draining, Status::Gone] {
+    for status in [Status::Draining, Status::Removed] {
         let mut b = Bench::new(safe(), &[entry(1)]);
         b.request(1);
-        b.event(Event::List(ListUpdate::Changes(&[Entry { status, ..entry(1) }])));
+        b.event(Event::Endpoints(EndpointUpdate::Changes(&[Endpoint { status, ..entry(1) }])));
         // Also when it is a held call's only choice.
         let to = BackendId(1);
-        let ended = Ended {
+        let ended = EndedAttempt {
             id: RequestId(1),
             backend: to,
             attempt: 0,
-            outcome: Outcome::Full,
-            took: 0.1,
-            over: false,
+            outcome: Outcome::Rejected,
+            duration: 0.1,
+            request_finished: false,
             report: None,
         };
-        b.event(Event::Outcome(ended));
+        b.event(Event::AttemptEnded(ended));
         assert_eq!(sends(&plain(b.run_to(0.9))), []);
         let actions = b.request(2);
         assert_eq!(sends(&actions), []);
     }
     let mut b = Bench::new(safe(), &fleet(2));
-    b.event(Event::List(ListUpdate::Full(&[entry(2)])));
+    b.event(Event::Endpoints(EndpointUpdate::Full(&[entry(2)])));
     for id in 0..20 {
         assert_eq!(sends(&b.request(id)), [(id, 2)], "what a full list lacks is gone");
     }
@@ -330,20 +330,20 @@
 #[test]
 fn the_list_is_asked_for_and_asked_again() {
     let mut settings = safe();
-    settings.must_watch = true;
+    settings.must_poll_endpoints = true;
     let mut b = Bench::new(settings.clone(), &fleet(3));
-    let asked = b.run_to(settings.ask_within);
+    let asked = b.run_to(settings.endpoint_poll_limit);
     assert_eq!(asked.len(), 1);
-    assert_eq!(asked[0].1, Action::Watch(true));
+    assert_eq!(asked[0].1, Action::WatchEndpoints(true));
     let mut last = 0.0;
     for round in 0..6 {
         let start = b.now;
-        b.event(Event::List(ListUpdate::Refused));
-        let mut again = b.run_to(start + 2.0 * settings.ask_within);
-        again.retain(|(_, a)| matches!(a, Action::Watch(true)));
+        b.event(Event::Endpoints(EndpointUpdate::Failed));
+        let mut again = b.run_to(start + 2.0 * settings.endpoint_poll_limit);
+        again.retain(|(_, a)| matches!(a, Action::WatchEndpoints(true)));
         assert_eq!(again.len(), 1, "asked once after each refusal");
         let wait = again[0].0 - start;
-        assert!(wait > 0.0 && wait < 1.5 * settings.ask_within, "{wait}");
+        assert!(wait > 0.0 && wait < 1.5 * settings.endpoint_poll_limit, "{wait}");
         if round > 3 {
             assert!(wait > last * 0.3, "waits don't shrink beyond their spread");
         }
@@ -361,14 +361,14 @@
 
 fn ordered(effect: Effect) -> Settings {
     let mut settings = with(effect);
-    settings.classes[0].in_order = true;
-    settings.classes[0].late_worth = 0.5;
-    settings.settle = 0.2;
+    settings.classes[0].ordered_by_key = true;
+    settings.classes[0].late_priority_weight = 0.5;
+    settings.key_rest_duration = 0.2;
     settings
 }
 
 fn keyed_request(b: &mut Bench, id: u64, key: u64) -> Vec<Action> {
-    let request = Request { id: RequestId(id), key: Some(key), budget: 2.0, ..Request::default() };
+    let request = Request { id: RequestId(id), key: Some(key), timeout: 2.0, ..Request::default() };
     b.event(Event::Request(request))
 }
 
@@ -380,11 +380,12 @@
     assert_eq!(sends(&keyed_request(&mut b, 3, 7)), []);
     assert_eq!(sends(&keyed_request(&mut b, 4, 8)).len(), 1, "another key is free");
     b.run_to(0.1);
-    let next = sends(&b.end(1, 0, to, Outcome::Served, 0.1));
+    let next = sends(&b.end(1, 0, to, Outcome::Success, 0.1));
     assert_eq!(next.iter().map(|s| s.0).collect::<Vec<_>>(), [2], "in the order of arrival");
     // The one in front leaves; its cancelled attempt holds the key, and then the key rests.
     assert!(
-        b.event(Event::ClientLeft(RequestId(2))).contains(&Action::Cancel { id: RequestId(2), attempt: 0 })
+        b.event(Event::ClientDisconnected(RequestId(2)))
+            .contains(&Action::Cancel { id: RequestId(2), attempt: 0 })
     );
     assert_eq!(sends(&plain(b.run_to(0.4))), []);
     assert_eq!(sends(&b.end(2, 0, next[0].1, Outcome::Cancelled, 0.3)), []);
@@ -413,16 +414,22 @@
 #[test]
 fn idle_connections_to_a_draining_backend_are_closed() {
     let mut settings = safe();
-    settings.release_within = Some(0.5);
+    settings.idle_close_limit = Some(0.5);
     let mut b = Bench::new(settings, &fleet(1));
     b.request(1);
-    let drains = Entry { status: Status::Draining, ..entry(1) };
-    let close = Action::Release(BackendId(1));
-    assert!(b.event(Event::List(ListUpdate::Changes(std::slice::from_ref(&drains)))).contains(&close));
+    let drains = Endpoint { status: Status::Draining, ..entry(1) };
+    let close = Action::CloseIdleConnections(BackendId(1));
+    assert!(
+        b.event(Event::Endpoints(EndpointUpdate::Changes(std::slice::from_ref(&drains)))).contains(&close)
+    );
     b.run_to(0.1);
-    assert!(b.end(1, 0, 1, Outcome::Served, 0.1).contains(&close), "what was out at the notice");
+    assert!(b.end(1, 0, 1, Outcome::Success, 0.1).contains(&close), "what was out at the notice");
     let mut b = Bench::new(safe(), &fleet(1));
-    assert_eq!(b.event(Event::List(ListUpdate::Changes(&[drains]))), [], "only where it is asked for");
+    assert_eq!(
+        b.event(Event::Endpoints(EndpointUpdate::Changes(&[drains]))),
+        [],
+        "only where it is asked for"
+    );
 }
 
 // ---- subsets and the choice in them ----
@@ -434,13 +441,13 @@
 
 #[test]
 fn a_subset_is_small_and_stable() {
-    let mut b = Bench::new(Settings { instances: 50, ..safe() }, &fleet(40));
+    let mut b = Bench::new(Settings { instance_count: 50, ..safe() }, &fleet(40));
     let before = met(&mut b, 0);
     assert!(before.len() <= 4, "{before:?}");
     let mut list = fleet(40);
     let gone = *before.iter().next().unwrap();
     list.retain(|e| e.id.0 != gone);
-    b.event(Event::List(ListUpdate::Full(&list)));
+    b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
     let after = met(&mut b, 100);
     assert!(!after.contains(&gone));
     assert!(before.iter().filter(|m| **m != gone).all(|m| after.contains(m)), "{before:?} {after:?}");
@@ -451,7 +458,7 @@
     // Guards against connections over many members, all together beyond what backends accept:
     // failed connects to backends that run and answer others.
     let members = |dear_connections| {
-        let settings = Settings { instances: 50, dear_connections, ..safe() };
+        let settings = Settings { instance_count: 50, connections_have_cost: dear_connections, ..safe() };
         let mut b = Bench::new(settings, &fleet(40));
         // Eight calls in flight on average, for longer than rates are remembered.
         let mut out = std::collections::VecDeque::new();
@@ -459,7 +466,7 @@
             out.extend(sends(&b.request(id)).into_iter().map(|(id, to)| (id, to, b.now)));
             if out.len() > 8 {
                 let (id, to, sent) = out.pop_front().unwrap();
-                let actions = b.end(id, 0, to, Outcome::Served, b.now - sent);
+                let actions = b.end(id, 0, to, Outcome::Success, b.now - sent);
                 b.cancelled(&actions);
             }
             let seen = plain(b.run_to(b.now + 0.02));
@@ -477,7 +484,7 @@
     for (instances, backends) in [(3, 20), (1, 9), (7, 30), (40, 60)] {
         let mut all = std::collections::BTreeSet::new();
         for me in 0..instances {
-            let settings = Settings { instances, me, ..safe() };
+            let settings = Settings { instance_count: instances, instance_index: me, ..safe() };
             all.extend(met(&mut Bench::seeded(me as u64, settings, &fleet(backends)), 0));
         }
         assert_eq!(all.len() as u32, backends, "{instances} over {backends}");
@@ -486,7 +493,7 @@
 
 #[test]
 fn fewer_own_calls_in_flight_are_preferred_by_weight() {
-    let list = [Entry { weight: 3.0, ..entry(1) }, entry(2)];
+    let list = [Endpoint { weight: 3.0, ..entry(1) }, entry(2)];
     let mut b = Bench::new(safe(), &list);
     let mut to = [0, 0];
     for id in 0..40 {
@@ -509,7 +516,7 @@
             bad += 1;
             b.end(id, 0, 1, Outcome::Error, 0.001);
         } else {
-            b.end(id, 0, 2, Outcome::Served, 0.02);
+            b.end(id, 0, 2, Outcome::Success, 0.02);
         }
     }
     assert!(bad < 20, "{bad}");
@@ -523,8 +530,8 @@
 fn calls_cross_zones_only_when_the_own_zone_is_much_busier() {
     // Guards against paying for crossings that gain nothing, and against a zone that is given
     // more traffic than its own backends can carry.
-    let list: Vec<Entry> = (1..=8).map(|i| Entry { zone: i % 2, ..entry(i) }).collect();
-    let mut b = Bench::new(Settings { cross_zone: 0.2, zone: 1, ..safe() }, &list);
+    let list: Vec<Endpoint> = (1..=8).map(|i| Endpoint { zone: i % 2, ..entry(i) }).collect();
+    let mut b = Bench::new(Settings { cross_zone_cost: 0.2, zone: 1, ..safe() }, &list);
     for id in 0..40 {
         assert_eq!(b.served(id, 0.05) % 2, 1, "idle backends of the own zone");
     }
@@ -540,7 +547,12 @@
 #[test]
 fn cold_backends_get_their_part_of_the_traffic() {
     // Many quiet balancers, each on its own, stay far under the multiple that tips it over.
-    let settings = Settings { instances: 100, cold: 20.0, cold_share: 0.2, ..safe() };
+    let settings = Settings {
+        instance_count: 100,
+        slow_start_duration: 20.0,
+        slow_start_initial_capacity: 0.2,
+        ..safe()
+    };
     let mut list = fleet(4);
     let (mut cold, mut warm) = (0, 0);
     for seed in 0..100 {
@@ -549,8 +561,8 @@
             b.served(id, 0.01);
             b.run_to(b.now + 0.24);
         }
-        list[0].started = Some(b.now);
-        b.event(Event::List(ListUpdate::Full(&list)));
+        list[0].started_at = Some(b.now);
+        b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
         for id in 100..108 {
             match b.served(id, 0.01) {
                 1 => cold += 1,
@@ -566,21 +578,22 @@
 
 #[test]
 fn most_of_the_fleet_cold_is_not_pushed_over() {
-    let settings = Settings { instances: 1, cold: 20.0, cold_share: 0.1, ..safe() };
+    let settings =
+        Settings { instance_count: 1, slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe() };
     let mut list = fleet(3);
     let mut b = Bench::new(settings, &list);
     for id in 0..200 {
         b.served(id, 0.05);
     }
     let start = b.now;
-    list.iter_mut().for_each(|e| e.started = Some(start));
-    b.event(Event::List(ListUpdate::Full(&list)));
+    list.iter_mut().for_each(|e| e.started_at = Some(start));
+    b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
     let mut sent = 0;
     for id in 1000..1020 {
         let actions = b.request(id);
         for (id, to) in sends(&actions) {
             sent += 1;
-            b.end(id, 0, to, Outcome::Served, 0.05);
+            b.end(id, 0, to, Outcome::Success, 0.05);
         }
         b.run_to(b.now + 0.05);
     }
@@ -592,20 +605,26 @@
 fn an_overload_does_not_widen_the_budget_of_cold_backends() {
     // Guards against budgets that follow what is sent: with clients that repeat without pause
     // it was four times what the backends could do, and one fell over.
-    let settings = Settings { instances: 1, cold: 20.0, cold_share: 0.1, fall_multiple: 2.0, ..safe() };
+    let settings = Settings {
+        instance_count: 1,
+        slow_start_duration: 20.0,
+        slow_start_initial_capacity: 0.1,
+        slow_start_overload_multiple: 2.0,
+        ..safe()
+    };
     let mut list = fleet(4);
     let mut b = Bench::new(settings, &list);
     let mut cold = 0;
     for id in 0..2000 {
         let actions = b.request(id);
         if id == 1000 {
-            list[0].started = Some(b.now);
-            b.event(Event::List(ListUpdate::Full(&list)));
+            list[0].started_at = Some(b.now);
+            b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
         }
         cold += sends(&actions).iter().filter(|s| id > 1000 && s.1 == 1).count();
         // A hundred a second come, and ten of them are answered.
         if let Some((_, to)) = sends(&actions).first().filter(|_| id % 10 == 0) {
-            b.end(id, 0, *to, Outcome::Served, 0.05);
+            b.end(id, 0, *to, Outcome::Success, 0.05);
         }
         let seen = b.run_to(b.now + 0.01);
         cold += sends(&plain(seen.clone())).iter().filter(|s| id > 1000 && s.1 == 1).count();
@@ -619,7 +638,13 @@
 fn what_was_saved_for_a_cold_backend_does_not_come_at_once() {
     // Guards against budgets that quiet balancers save up to a whole request: when the other
     // members turned bad, all of them spent it within a second, and a cold backend fell over.
-    let settings = Settings { instances: 100, cold: 20.0, cold_share: 0.1, fall_multiple: 2.0, ..safe() };
+    let settings = Settings {
+        instance_count: 100,
+        slow_start_duration: 20.0,
+        slow_start_initial_capacity: 0.1,
+        slow_start_overload_multiple: 2.0,
+        ..safe()
+    };
     let mut at_once = 0;
     for seed in 0..200 {
         let mut b = Bench::seeded(seed, settings.clone(), &fleet(4));
@@ -628,12 +653,12 @@
             b.run_to(b.now + 0.49);
         }
         let mut list = fleet(4);
-        list[0].started = Some(b.now);
-        b.event(Event::List(ListUpdate::Full(&list)));
+        list[0].started_at = Some(b.now);
+        b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
         b.run_to(b.now + 10.0);
         // Now every other backend fails, and all balancers want the cold one.
-        (2..=4).for_each(|id| list[id - 1].status = Status::Gone);
-        b.event(Event::List(ListUpdate::Full(&list)));
+        (2..=4).for_each(|id| list[id - 1].status = Status::Removed);
+        b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
         at_once += sends(&b.request(1000)).len();
     }
     // Two a second over a few members, half of capacity there, 0.8 of it for a second.
@@ -647,14 +672,20 @@
     let (mut met, mut unsent) = (vec![0; warm], 0);
     let mut most_at_one = 0;
     for me in 0..instances {
-        let settings = Settings { instances, me, cold: 9.0, cold_share: 0.3, ..safe() };
+        let settings = Settings {
+            instance_count: instances,
+            instance_index: me,
+            slow_start_duration: 9.0,
+            slow_start_initial_capacity: 0.3,
+            ..safe()
+        };
         let mut b = Bench::seeded(me as u64, settings, &fleet(16));
         for id in 0..100 {
             b.served(id, 0.08);
         }
         let mut list = fleet(warm as u32);
-        list.extend((101..=110).map(|id| Entry { started: Some(b.now), ..entry(id) }));
-        b.event(Event::List(ListUpdate::Full(&list)));
+        list.extend((101..=110).map(|id| Endpoint { started_at: Some(b.now), ..entry(id) }));
+        b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
         let mut own = vec![0; warm];
         for id in 200..200 + calls {
             match sends(&b.request(id)).first() {
@@ -673,15 +704,16 @@
 
 #[test]
 fn calls_at_stand_ins_count_as_pressure() {
-    let settings = Settings { tier: 0, cold: 1000.0, cold_share: 0.01, ..safe() };
+    let settings =
+        Settings { tier: 0, slow_start_duration: 1000.0, slow_start_initial_capacity: 0.01, ..safe() };
     let mut list = fleet(12);
-    let mut b = Bench::new(Settings { instances: 4, ..settings }, &list);
+    let mut b = Bench::new(Settings { instance_count: 4, ..settings }, &list);
     let members: std::collections::BTreeSet<u32> = (0..200).map(|id| b.served(id, 0.05)).collect();
     assert!(members.len() < 12, "{members:?}");
     // All members are cold from now on, so that others take nearly every call.
     let now = b.now;
-    list.iter_mut().filter(|e| members.contains(&e.id.0)).for_each(|e| e.started = Some(now));
-    b.event(Event::List(ListUpdate::Full(&list)));
+    list.iter_mut().filter(|e| members.contains(&e.id.0)).for_each(|e| e.started_at = Some(now));
+    b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
     let out: usize = (1000..1200).map(|id| sends(&b.request(id)).len()).sum();
     assert!(out < 60, "{out} of 200 calls sent, with none answered");
 }
@@ -699,7 +731,7 @@
         for id in 1000..1200 {
             assert!(!refused(&b.request(id), id), "it waits for a while");
             let actions = plain(b.run_to(b.now + 0.005));
-            shed += actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+            shed += actions.iter().filter(|a| matches!(a, Action::Reject { .. })).count();
         }
         if tier == 0 { assert!(shed > 50, "{shed}") } else { assert_eq!(shed, 0) }
     }
@@ -709,7 +741,7 @@
 /// `usual` calls a second for a while, then twice that for 5 s. Returns how many of the latter
 /// were not sent at once.
 fn held_back_when_traffic_doubles(usual: f64) -> usize {
-    let mut b = Bench::new(Settings { tier: 0, instances: 2, ..safe() }, &fleet(4));
+    let mut b = Bench::new(Settings { tier: 0, instance_count: 2, ..safe() }, &fleet(4));
     let took = 0.24;
     let mut out = std::collections::VecDeque::<(Time, u64, u32)>::new();
     let mut held_back = 0;
@@ -721,7 +753,7 @@
         while let Some(&(at, done, to)) = out.front().filter(|o| o.0 <= next) {
             actions.extend(plain(b.run_to(at)));
             out.pop_front();
-            actions.extend(b.end(done, 0, to, Outcome::Served, took));
+            actions.extend(b.end(done, 0, to, Outcome::Success, took));
         }
         actions.extend(plain(b.run_to(next)));
         out.extend(sends(&actions).into_iter().map(|(id, to)| (b.now + took, id, to)));
@@ -737,15 +769,21 @@
 
 #[test]
 fn fast_cold_members_do_not_hide_a_jam_at_all_others() {
-    let settings = Settings { tier: 0, instances: 1, cold: 1000.0, cold_share: 0.01, ..safe() };
+    let settings = Settings {
+        tier: 0,
+        instance_count: 1,
+        slow_start_duration: 1000.0,
+        slow_start_initial_capacity: 0.01,
+        ..safe()
+    };
     let mut list = fleet(6);
     let mut b = Bench::new(settings, &list);
     for id in 0..200 {
         b.served(id, 0.05);
     }
     let now = b.now;
-    list[3..].iter_mut().for_each(|e| e.started = Some(now));
-    b.event(Event::List(ListUpdate::Full(&list)));
+    list[3..].iter_mut().for_each(|e| e.started_at = Some(now));
+    b.event(Event::Endpoints(EndpointUpdate::Full(&list)));
     // The warm half answers eight times slower; the cold half gets next to nothing.
     for id in 300..315 {
         b.served(id, 0.8);
@@ -756,7 +794,7 @@
 
 #[test]
 fn pressure_does_not_cut_repeats_of_calls_that_could_not_connect() {
-    let mut b = Bench::new(Settings { tier: 0, instances: 1, ..safe() }, &fleet(3));
+    let mut b = Bench::new(Settings { tier: 0, instance_count: 1, ..safe() }, &fleet(3));
     let mut out = std::collections::VecDeque::<(Time, u64, u32, Time)>::new();
     // A hundred a second for a while, answered after 0.05 s or 0.2 s; then no answers come.
     for id in 0..540 {
@@ -766,7 +804,7 @@
         out.make_contiguous().sort_by(|x, y| x.0.total_cmp(&y.0));
         while let Some((_, done, to, took)) = out.front().copied().filter(|o| id < 500 && o.0 <= b.now) {
             out.pop_front();
-            let actions = b.end(done, 0, to, Outcome::Served, took);
+            let actions = b.end(done, 0, to, Outcome::Success, took);
             b.cancelled(&actions);
         }
     }
@@ -784,9 +822,9 @@
 fn least_worth_and_over_share_go_first() {
     let mut settings = safe();
     settings.tier = 0;
-    settings.classes.push(Class { worth: 10.0, ..class(Effect::Safe) });
+    settings.classes.push(RequestClass { priority_weight: 10.0, ..class(Effect::Safe) });
     settings.tenants = vec![tenant("small", 1.0), tenant("large", 1000.0)];
-    settings.over_share_worth = 0.01;
+    settings.over_quota_weight = 0.01;
     let mut b = Bench::new(settings, &fleet(4));
     let mut shed = [[0; 2]; 2];
     let mut waiting = std::collections::VecDeque::<(u64, u32, Time)>::new();
@@ -798,8 +836,8 @@
             class,
             tenant: Some(tenant),
             key: None,
-            budget: 2.0,
-            streamed: false,
+            timeout: 2.0,
+            streaming_body: false,
         };
         let mut actions = b.event(Event::Request(request));
         // One fleet that answers in turn: all of what comes at first, then seven in ten.
@@ -807,13 +845,13 @@
             && let Some((id, to, sent)) = waiting.pop_front()
         {
             let took = b.now - sent;
-            actions.extend(b.end(id, 0, to, Outcome::Served, took.max(0.001)));
+            actions.extend(b.end(id, 0, to, Outcome::Success, took.max(0.001)));
         }
         actions.extend(plain(b.run_to(b.now + 0.005)));
         actions.extend(b.cancelled(&actions.clone()));
         waiting.extend(sends(&actions).into_iter().map(|(id, to)| (id, to, b.now)));
         for id in
-            actions.iter().filter_map(|a| if let Action::Refuse { id, .. } = a { Some(id.0) } else { None })
+            actions.iter().filter_map(|a| if let Action::Reject { id, .. } = a { Some(id.0) } else { None })
         {
             let (class, tenant) = kind(id);
             shed[class][tenant] += usize::from(id > 500);
@@ -827,7 +865,7 @@
 fn hung_backends_do_not_make_the_entry_shed() {
     // Guards against calls stuck at a few bad backends passing for an overload of the fleet.
     let mut settings = safe();
-    (settings.tier, settings.second_copies) = (0, false);
+    (settings.tier, settings.hedging_allowed) = (0, false);
     let mut b = Bench::new(settings, &fleet(8));
     for id in 0..60 {
         b.served(id, 0.02);
@@ -840,7 +878,7 @@
         b.cancelled(&seen);
         // Backends 1 to 6 answer nothing; the others as usual.
         if let Some((_, to)) = sends(&actions).first().filter(|s| s.1 > 6) {
-            b.end(id, 0, *to, Outcome::Served, 0.01);
+            b.end(id, 0, *to, Outcome::Success, 0.01);
         }
     }
     assert!(shed < 60, "{shed} of 300");
@@ -865,27 +903,27 @@
 #[test]
 fn service_times_are_probed_for_and_count_as_load() {
     let mut settings = safe();
-    settings.probe_for_reports = true;
+    settings.health_checks_for_load_reports = true;
     let mut b = Bench::new(settings, &fleet(2));
     let (mut probes, mut to) = (0, [0, 0]);
     for id in 0..200 {
         let actions = b.request(id);
         to[sends(&actions)[0].1 as usize - 1] += usize::from(id >= 100);
         for action in &actions {
-            if let Action::Probe(backend) = action {
+            if let Action::HealthCheck(backend) = action {
                 probes += 1;
                 let service = Some(0.02 * f64::from(backend.0 * backend.0));
-                let report = Some(Report { service, rate: None });
-                b.event(Event::Probed { backend: *backend, outcome: Outcome::Served, report });
+                let report = Some(LoadReport { service_time: service, requests_per_second: None });
+                b.event(Event::HealthCheckEnded { backend: *backend, outcome: Outcome::Success, report });
             }
         }
         b.run_to(b.now + 0.05);
-        b.end(id, 0, sends(&actions)[0].1, Outcome::Served, 0.05);
+        b.end(id, 0, sends(&actions)[0].1, Outcome::Success, 0.05);
     }
     assert!((50..80).contains(&probes), "one for a few sends: {probes}");
     assert!(to[0] > 3 * to[1], "{to:?}");
     let mut b = Bench::new(safe(), &fleet(2));
-    assert!((0..20).all(|id| !b.request(id).iter().any(|a| matches!(a, Action::Probe(_)))));
+    assert!((0..20).all(|id| !b.request(id).iter().any(|a| matches!(a, Action::HealthCheck(_)))));
 }
 
 // ---- settings that hold zero, and determinism ----
@@ -893,30 +931,41 @@
 #[test]
 fn zero_settings_are_survived() {
     let zero = Settings {
-        classes: vec![Class { aim: 0.0, deadline: 0.0, worth: 0.0, ..class(Effect::Safe) }],
+        classes: vec![RequestClass {
+            latency_objective: 0.0,
+            deadline: 0.0,
+            priority_weight: 0.0,
+            ..class(Effect::Safe)
+        }],
         tenants: vec![tenant("none", 0.0)],
-        instances: 0,
+        instance_count: 0,
         tier: 0,
-        cold: 0.0,
-        cold_share: 0.0,
-        fall_multiple: 0.0,
-        tip_after: 0.0,
-        ask_within: 0.0,
+        slow_start_duration: 0.0,
+        slow_start_initial_capacity: 0.0,
+        slow_start_overload_multiple: 0.0,
+        slow_start_overload_window: 0.0,
+        endpoint_poll_limit: 0.0,
         quantum: 0.0,
-        must_watch: true,
+        must_poll_endpoints: true,
         ..Settings::default()
     };
     let mut list = fleet(3);
     list[0].weight = 0.0;
-    list[1].started = Some(0.0);
+    list[1].started_at = Some(0.0);
     let mut b = Bench::new(zero, &list);
     for id in 0..20 {
-        let request =
-            Request { id: RequestId(id), class: 0, tenant: Some(0), key: None, budget: 1.0, streamed: false };
+        let request = Request {
+            id: RequestId(id),
+            class: 0,
+            tenant: Some(0),
+            key: None,
+            timeout: 1.0,
+            streaming_body: false,
+        };
         let actions = b.event(Event::Request(request));
         assert!(refused(&actions, id), "no aim, no worth: nothing to wait for");
     }
-    b.event(Event::List(ListUpdate::Refused));
+    b.event(Event::Endpoints(EndpointUpdate::Failed));
     assert_eq!(b.balancer.open_requests(), 0);
     assert!(b.timers.iter().all(|(at, _)| at.is_finite()));
 }
@@ -954,7 +1003,7 @@
             b.end(id, 0, 1, Outcome::Timeout, 1.0);
         } else {
             b.run_to(b.now + 0.02);
-            b.end(id, 0, 2, Outcome::Served, 0.02);
+            b.end(id, 0, 2, Outcome::Success, 0.02);
         }
     }
     assert!(hung <= 5, "{hung} of 40 went to the backend that answers none");
@@ -976,8 +1025,8 @@
     // Guards against a memory of no length, over which every rate is not a number.
     let mut settings = safe();
     settings.quantum = 0.0;
-    settings.classes[0].aim = 0.0;
-    settings.classes[0].late_worth = 0.5;
+    settings.classes[0].latency_objective = 0.0;
+    settings.classes[0].late_priority_weight = 0.5;
     let mut b = Bench::new(settings, &fleet(3));
     for id in 0..20 {
         b.served(id, 0.1);
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -3,20 +3,22 @@
 
 mod common;
 
+use balancer_proxy::proxy::control::discovery::WatchListener;
+use balancer_proxy::proxy::engine::Engine;
+use balancer_proxy::proxy::metrics::Metrics;
+use balancer_proxy::proxy::settings::{ProxySettings, SettingsSnapshot};
+use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
+use balancer_proxy::proxy::watch_event::{ListedEndpoint, WatchEvent};
+use balancer_proxy::*;
 use common::sockets::{LONG, NEXT, Play, Played, heard};
 use common::{Bench, entry, refused, safe, sends};
-use gannetproxy::proxy::config::{Terms, WireSettings};
-use gannetproxy::proxy::discovery::{Listed, News};
-use gannetproxy::proxy::engine::{Engine, Payload, Sending};
-use gannetproxy::proxy::figures::Figures;
-use gannetproxy::*;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-fn listed(id: u32, address: SocketAddr) -> Listed {
-    Listed { entry: entry(id), address }
+fn listed(id: u32, address: SocketAddr) -> ListedEndpoint {
+    ListedEndpoint { endpoint: entry(id), address }
 }
 
 #[test]
@@ -25,43 +27,43 @@
     let silent = Played::new(move |_, _| Play::Silence(ended.clone()));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let wire = WireSettings {
+        let wire = ProxySettings {
             connect_timeout: LONG,
             idle_close: LONG,
             drain_grace: Duration::from_millis(100),
             max_open: 10,
-            ..WireSettings::default()
+            ..ProxySettings::default()
         };
-        let figures = Figures::new(&wire);
-        let engine = Engine::start(Terms { settings: safe(), wire }.into(), 1, 10, figures);
-        engine.news(News::Full(vec![listed(1, silent.address)]));
-        let payload = Payload {
+        let figures = Metrics::new(&wire);
+        let engine = Engine::start(SettingsSnapshot { settings: safe(), proxy: wire }.into(), 1, 10, figures);
+        engine.on_watch_event(WatchEvent::Full(vec![listed(1, silent.address)]));
+        let payload = ForwardedRequest {
             method: hyper::Method::GET,
             uri: "/api".parse().unwrap(),
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
-            body: Sending::Whole("".into()),
+            body: ForwardedBody::Buffered("".into()),
         };
-        let request = Request { budget: 20.0, ..Request::default() };
+        let request = Request { timeout: 20.0, ..Request::default() };
         let id = NEXT.fetch_add(1, Ordering::SeqCst) as u64;
-        let (id, _answer) = engine.request(id, request, payload).unwrap();
+        let (id, _answer) = engine.submit(id, request, payload).unwrap();
         let pause = || tokio::time::sleep(Duration::from_millis(20));
         while silent.count() == 0 {
             pause().await;
         }
         for new in 2..50 {
-            engine.news(News::Full(vec![listed(new, silent.address)]));
+            engine.on_watch_event(WatchEvent::Full(vec![listed(new, silent.address)]));
         }
         // Long enough for the grace and the next sweep, over and over.
         let mut waits = 0;
-        while (2..49).any(|id| engine.knows(BackendId(id))) {
+        while (2..49).any(|id| engine.is_referenced(BackendId(id))) {
             pause().await;
             waits += 1;
             assert!(waits < 1000, "they are not forgotten");
         }
-        assert!(engine.knows(BackendId(49)), "the one that is listed");
-        assert!(engine.knows(BackendId(1)), "the one with an attempt out");
-        engine.client_left(id);
-        while engine.knows(BackendId(1)) {
+        assert!(engine.is_referenced(BackendId(49)), "the one that is listed");
+        assert!(engine.is_referenced(BackendId(1)), "the one with an attempt out");
+        engine.client_disconnected(id);
+        while engine.is_referenced(BackendId(1)) {
             pause().await;
             waits += 1;
             assert!(waits < 2000, "it is not forgotten");
@@ -76,20 +78,20 @@
     let first = sends(&bench.request(1));
     assert_eq!(first, [(1, 1)]);
     for new in 2..500 {
-        bench.event(Event::List(ListUpdate::Full(&[entry(new), entry(1000 + new)])));
+        bench.event(Event::Endpoints(EndpointUpdate::Full(&[entry(new), entry(1000 + new)])));
         // Calls go on meanwhile, and their places are not mixed up.
         bench.now += 0.01;
         let id = u64::from(new);
         let to = sends(&bench.request(id))[0].1;
         assert!(to == new || to == 1000 + new, "{to} at {new}");
-        let over = bench.end(id, 0, to, Outcome::Served, 0.01);
+        let over = bench.end(id, 0, to, Outcome::Success, 0.01);
         assert!(!refused(&over, id));
     }
     assert!(bench.balancer.backends_known() <= 5, "{}", bench.balancer.backends_known());
     // The first call's backend is known until its attempt has ended.
     assert!(bench.balancer.backends_known() > 2);
-    bench.end(1, 0, 1, Outcome::Served, 1.0);
-    bench.event(Event::List(ListUpdate::Changes(&[])));
-    bench.event(Event::List(ListUpdate::Full(&[entry(499)])));
+    bench.end(1, 0, 1, Outcome::Success, 1.0);
+    bench.event(Event::Endpoints(EndpointUpdate::Changes(&[])));
+    bench.event(Event::Endpoints(EndpointUpdate::Full(&[entry(499)])));
     assert_eq!(bench.balancer.backends_known(), 1);
 }
--- a/tests/left.rs
+++ b/tests/left.rs
@@ -1,16 +1,18 @@
-//! Clients that leave while their requests wait: what has not been written whole to a backend by
+//! ClientConnections that leave while their requests wait: what has not been written whole to a backend by
 //! then never is, whether or not attempts may be cancelled.
 
 mod common;
 
+use balancer_proxy::proxy::clock::Clock;
+use balancer_proxy::proxy::limits::Budget;
+use balancer_proxy::proxy::metrics::Metrics;
+use balancer_proxy::proxy::settings::ProxySettings;
+use balancer_proxy::proxy::upstream::attempt::attempt;
+use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
+use balancer_proxy::proxy::upstream::pool::ConnectionPool;
+use balancer_proxy::*;
 use common::sockets::*;
 use common::{Bench, entry, refused, safe, sends, with};
-use gannetproxy::proxy::backend::{Endpoint, attempt};
-use gannetproxy::proxy::config::WireSettings;
-use gannetproxy::proxy::engine::{Clock, Payload, Sending};
-use gannetproxy::proxy::figures::Figures;
-use gannetproxy::proxy::limits::Budget;
-use gannetproxy::*;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::Cell;
@@ -596,15 +598,15 @@
     let address = listener.local_addr().unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let payload = Payload {
+        let payload = ForwardedRequest {
             method: "POST".parse().unwrap(),
             uri: "/api".parse().unwrap(),
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
-            body: Sending::Whole("body".into()),
+            body: ForwardedBody::Buffered("body".into()),
         };
         let written = Rc::new(Cell::new(false));
-        let figures = Figures::new(&WireSettings::default());
-        let endpoint = Rc::new(Endpoint::new(address, Budget::new(4), LONG, LONG));
+        let figures = Metrics::new(&ProxySettings::default());
+        let endpoint = Rc::new(ConnectionPool::new(address, Budget::new(4), LONG, LONG));
         let attempted =
             attempt(endpoint, payload.into(), Clock::start(), 20.0, 20.0, written.clone(), figures.clone());
         let mut attempted = std::pin::pin!(attempted);
@@ -640,9 +642,9 @@
 
 /// Plays on after the client of request 1 has left, with all that could set it off.
 fn left(mut bench: Bench) -> Vec<Action> {
-    let mut seen = bench.event(Event::ClientLeft(RequestId(1)));
+    let mut seen = bench.event(Event::ClientDisconnected(RequestId(1)));
     seen.extend(common::plain(bench.run_to(bench.now + 30.0)));
-    seen.extend(bench.event(Event::Received(RequestId(1))));
+    seen.extend(bench.event(Event::BodyReceived(RequestId(1))));
     seen.extend(common::plain(bench.run_to(bench.now + 30.0)));
     assert_eq!(bench.balancer.open_requests(), 0);
     seen
@@ -654,7 +656,10 @@
     for (cancel, wanted) in
         [(true, Action::Cancel { id, attempt: 0 }), (false, Action::Withdraw { id, attempt: 0 })]
     {
-        let mut bench = Bench::new(Settings { cancel, ..with(Effect::Unsafe) }, &[entry(1), entry(2)]);
+        let mut bench = Bench::new(
+            Settings { cancellation_allowed: cancel, ..with(Effect::Unsafe) },
+            &[entry(1), entry(2)],
+        );
         assert_eq!(sends(&bench.request(1)).len(), 1);
         assert_eq!(left(bench), [wanted]);
     }
@@ -664,42 +669,49 @@
 fn a_call_whose_client_has_left_is_sent_nowhere_whatever_it_waited_for() {
     for cancel in [true, false] {
         // Its doubling timer.
-        let mut bench = Bench::new(Settings { cancel, ..safe() }, &[entry(1), entry(2)]);
+        let mut bench =
+            Bench::new(Settings { cancellation_allowed: cancel, ..safe() }, &[entry(1), entry(2)]);
         let (_, to) = sends(&bench.request(1))[0];
-        assert!(bench.end(1, 0, to, Outcome::Full, 0.01).is_empty());
+        assert!(bench.end(1, 0, to, Outcome::Rejected, 0.01).is_empty());
         assert!(left(bench).is_empty());
 
         // The same, as it could not connect.
-        let mut bench = Bench::new(Settings { cancel, ..safe() }, &[entry(1), entry(2)]);
+        let mut bench =
+            Bench::new(Settings { cancellation_allowed: cancel, ..safe() }, &[entry(1), entry(2)]);
         let (_, to) = sends(&bench.request(1))[0];
         assert!(bench.end(1, 0, to, Outcome::NoConnection, 0.01).is_empty());
         assert!(left(bench).is_empty());
 
         // The same, while its first attempt hangs: none goes out beside that.
-        let mut bench = Bench::new(Settings { cancel, second_copies: true, ..safe() }, &[entry(1), entry(2)]);
+        let mut bench = Bench::new(
+            Settings { cancellation_allowed: cancel, hedging_allowed: true, ..safe() },
+            &[entry(1), entry(2)],
+        );
         assert_eq!(sends(&bench.request(1)).len(), 1);
         assert!(sends(&left(bench)).is_empty());
 
         // The rest of its body.
-        let mut bench = Bench::new(Settings { cancel, ..safe() }, &[entry(1), entry(2)]);
-        let request = Request { id: RequestId(1), budget: 2.0, streamed: true, ..Request::default() };
+        let mut bench =
+            Bench::new(Settings { cancellation_allowed: cancel, ..safe() }, &[entry(1), entry(2)]);
+        let request = Request { id: RequestId(1), timeout: 2.0, streaming_body: true, ..Request::default() };
         let (_, to) = sends(&bench.event(Event::Request(request)))[0];
         assert!(bench.end(1, 0, to, Outcome::NoConnection, 0.01).is_empty());
         assert!(left(bench).is_empty());
 
         // Its key's lane: the one ahead of it ends only once it has left.
-        let mut settings = Settings { cancel, ..safe() };
-        settings.classes[0].in_order = true;
+        let mut settings = Settings { cancellation_allowed: cancel, ..safe() };
+        settings.classes[0].ordered_by_key = true;
         let mut bench = Bench::new(settings, &[entry(1), entry(2)]);
-        let keyed = |id| Request { id: RequestId(id), budget: 2.0, key: Some(7), ..Request::default() };
+        let keyed = |id| Request { id: RequestId(id), timeout: 2.0, key: Some(7), ..Request::default() };
         let (_, to) = sends(&bench.event(Event::Request(keyed(9))))[0];
         assert!(bench.event(Event::Request(keyed(1))).is_empty());
-        assert!(bench.event(Event::ClientLeft(RequestId(1))).is_empty());
-        assert!(sends(&bench.end(9, 0, to, Outcome::Served, 0.1)).is_empty());
+        assert!(bench.event(Event::ClientDisconnected(RequestId(1))).is_empty());
+        assert!(sends(&bench.end(9, 0, to, Outcome::Success, 0.1)).is_empty());
         assert!(left(bench).is_empty());
 
         // A place at the entry.
-        let mut bench = Bench::new(Settings { cancel, tier: 0, ..safe() }, &[entry(1), entry(2)]);
+        let mut bench =
+            Bench::new(Settings { cancellation_allowed: cancel, tier: 0, ..safe() }, &[entry(1), entry(2)]);
         for id in 100..200 {
             bench.served(id, 0.1);
         }
@@ -707,10 +719,10 @@
         let (held, sent): (Vec<_>, Vec<_>) = crowd.into_iter().partition(|(_, sends)| sends.is_empty());
         assert!(!held.is_empty());
         for (id, _) in &held {
-            assert!(bench.event(Event::ClientLeft(RequestId(*id))).is_empty());
+            assert!(bench.event(Event::ClientDisconnected(RequestId(*id))).is_empty());
         }
         for (id, to) in sent {
-            let seen = bench.end(id, 0, to[0].1, Outcome::Served, 0.1);
+            let seen = bench.end(id, 0, to[0].1, Outcome::Success, 0.1);
             assert!(sends(&seen).is_empty() && !held.iter().any(|(id, _)| refused(&seen, *id)));
         }
         assert!(left(bench).is_empty());
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use balancer_proxy::*;
 use common::sockets::*;
 use common::{Bench, entry, refused, safe, sends};
-use gannetproxy::*;
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::io::Write;
@@ -18,21 +18,21 @@
 fn a_backend_that_is_out_gets_nothing_whatever_the_list_says() {
     let mut bench = Bench::new(safe(), &[entry(1), entry(2)]);
     bench.served(1, 0.01);
-    assert_eq!(maintain(&mut bench, 1, true), [Action::Release(BackendId(1))]);
+    assert_eq!(maintain(&mut bench, 1, true), [Action::CloseIdleConnections(BackendId(1))]);
     assert_eq!(maintain(&mut bench, 1, true), [], "once is enough");
     assert_eq!((bench.balancer.backends_listed(), bench.balancer.backends_avoided()), (2, 1));
-    let gone = Entry { status: Status::Gone, ..entry(1) };
-    let restarted = Entry { started: Some(0.0), ..entry(1) };
+    let gone = Endpoint { status: Status::Removed, ..entry(1) };
+    let restarted = Endpoint { started_at: Some(0.0), ..entry(1) };
     for (i, update) in [
-        ListUpdate::Changes(&[restarted]),
-        ListUpdate::Full(&[entry(2)]),
-        ListUpdate::Changes(&[gone]),
-        ListUpdate::Full(&[entry(1), entry(2)]),
+        EndpointUpdate::Changes(&[restarted]),
+        EndpointUpdate::Full(&[entry(2)]),
+        EndpointUpdate::Changes(&[gone]),
+        EndpointUpdate::Full(&[entry(1), entry(2)]),
     ]
     .into_iter()
     .enumerate()
     {
-        bench.event(Event::List(update));
+        bench.event(Event::Endpoints(update));
         for id in 0..20 {
             assert_eq!(bench.served(100 * (i as u64 + 1) + id, 0.01), 2, "{update:?}");
         }
@@ -49,7 +49,7 @@
 fn a_backend_that_was_never_told_of_may_be_out() {
     let mut bench = Bench::new(safe(), &[entry(2)]);
     maintain(&mut bench, 1, true);
-    bench.event(Event::List(ListUpdate::Full(&[entry(1), entry(2)])));
+    bench.event(Event::Endpoints(EndpointUpdate::Full(&[entry(1), entry(2)])));
     for id in 0..20 {
         assert_eq!(bench.served(id, 0.01), 2);
     }
@@ -69,23 +69,26 @@
             bench.run_to(bench.now + 0.05);
         }
         let took = if i < 5 { 0.05 } else { 0.1 };
-        bench.end(id, 0, *to, Outcome::Served, took);
+        bench.end(id, 0, *to, Outcome::Success, took);
     }
     to
 }
 
 #[test]
 fn one_call_brings_it_back_as_a_cold_one_that_is_soon_used() {
-    let settings = Settings { cold: 20.0, cold_share: 0.1, ..safe() };
+    let settings = Settings { slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe() };
     // The list shows no start, one from before it went, or one since then.
     for (started, cold) in [(None, true), (Some(-60.0), true), (Some(2.5), false)] {
-        let entries = [Entry { started: started.filter(|s| *s < 0.0), ..entry(1) }, entry(2)];
+        let entries = [Endpoint { started_at: started.filter(|s| *s < 0.0), ..entry(1) }, entry(2)];
         let mut bench = Bench::new(settings.clone(), &entries);
         let before: usize = (0..20).map(|i| ten(&mut bench, 10 * i)).sum();
         maintain(&mut bench, 1, true);
         let meanwhile: usize = (20..220).map(|i| ten(&mut bench, 10 * i)).sum();
         assert_eq!(meanwhile, 0);
-        bench.event(Event::List(ListUpdate::Full(&[Entry { started, ..entry(1) }, entry(2)])));
+        bench.event(Event::Endpoints(EndpointUpdate::Full(&[
+            Endpoint { started_at: started, ..entry(1) },
+            entry(2),
+        ])));
         maintain(&mut bench, 1, true);
         maintain(&mut bench, 1, false);
         maintain(&mut bench, 1, false);
@@ -98,25 +101,25 @@
 #[test]
 fn a_member_is_one_again_whatever_was_dealt_meanwhile() {
     // Twelve backends, four to each of three balancers; one of them goes and others come meanwhile.
-    let entries: Vec<Entry> = (1..=12).map(entry).collect();
-    let settings = Settings { instances: 3, cold: 1.0, ..safe() };
+    let entries: Vec<Endpoint> = (1..=12).map(entry).collect();
+    let settings = Settings { instance_count: 3, slow_start_duration: 1.0, ..safe() };
     for me in 0..3 {
-        let mut bench = Bench::new(Settings { me, ..settings.clone() }, &entries);
+        let mut bench = Bench::new(Settings { instance_index: me, ..settings.clone() }, &entries);
         let tens = (0..20).flat_map(|i| ten_to(&mut bench, 10 * i));
         let used: BTreeSet<u32> = tens.collect();
         assert!(used.len() < 12, "{used:?}");
         for (member, gone) in used.into_iter().flat_map(|m| (1..=12).map(move |gone| (m, gone))) {
-            let mut bench = Bench::new(Settings { me, ..settings.clone() }, &entries);
+            let mut bench = Bench::new(Settings { instance_index: me, ..settings.clone() }, &entries);
             (0..20).for_each(|i| drop(ten_to(&mut bench, 10 * i)));
             maintain(&mut bench, member, true);
-            let others: Vec<Entry> = entries.iter().filter(|e| e.id.0 != gone).cloned().collect();
-            bench.event(Event::List(ListUpdate::Full(&others)));
+            let others: Vec<Endpoint> = entries.iter().filter(|e| e.id.0 != gone).cloned().collect();
+            bench.event(Event::Endpoints(EndpointUpdate::Full(&others)));
             (20..40).for_each(|i| drop(ten_to(&mut bench, 10 * i)));
             maintain(&mut bench, member, false);
             // One that went itself is back a little later, and others in place of the rest.
             let new = (20..24).map(entry).chain([entry(member)]);
-            let new: Vec<Entry> = others.iter().filter(|e| e.id.0 != member).cloned().chain(new).collect();
-            bench.event(Event::List(ListUpdate::Full(&new)));
+            let new: Vec<Endpoint> = others.iter().filter(|e| e.id.0 != member).cloned().chain(new).collect();
+            bench.event(Event::Endpoints(EndpointUpdate::Full(&new)));
             let mut after = (40..80).flat_map(|i| ten_to(&mut bench, 10 * i));
             assert!(after.any(|to| to == member), "{member} at {me}, {gone} gone");
         }
@@ -126,14 +129,21 @@
 #[test]
 fn a_stand_in_that_was_used_is_used_again() {
     // One balancer of many; its members are cold when calls come, so that others stand in.
-    let settings = Settings { instances: 20, cold: 2.0, cold_share: 0.1, dear_connections: true, ..safe() };
-    let entries: Vec<Entry> = (1..=12).map(entry).collect();
+    let settings = Settings {
+        instance_count: 20,
+        slow_start_duration: 2.0,
+        slow_start_initial_capacity: 0.1,
+        connections_have_cost: true,
+        ..safe()
+    };
+    let entries: Vec<Endpoint> = (1..=12).map(entry).collect();
     let mut bench = Bench::new(settings.clone(), &entries);
     let members: BTreeSet<u32> = (0..40).flat_map(|i| ten_to(&mut bench, 10 * i)).collect();
     let started = Some(bench.now);
-    let cold = |e: &Entry| Entry { started: started.filter(|_| members.contains(&e.id.0)), ..e.clone() };
-    let cold: Vec<Entry> = entries.iter().map(cold).collect();
-    bench.event(Event::List(ListUpdate::Full(&cold)));
+    let cold =
+        |e: &Endpoint| Endpoint { started_at: started.filter(|_| members.contains(&e.id.0)), ..e.clone() };
+    let cold: Vec<Endpoint> = entries.iter().map(cold).collect();
+    bench.event(Event::Endpoints(EndpointUpdate::Full(&cold)));
     let to: Vec<u32> = (40..60).flat_map(|i| ten_to(&mut bench, 10 * i)).collect();
     let stand_in = *to.iter().find(|to| !members.contains(to)).expect("one that stands in");
     maintain(&mut bench, stand_in, true);
@@ -145,7 +155,7 @@
 
 #[test]
 fn a_return_that_was_no_absence_changes_nothing() {
-    let settings = Settings { cold: 20.0, cold_share: 0.1, ..safe() };
+    let settings = Settings { slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe() };
     let mut bench = Bench::new(settings.clone(), &[entry(1), entry(2)]);
     let mut other = Bench::new(settings, &[entry(1), entry(2)]);
     assert_eq!(maintain(&mut bench, 1, false), []);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -3,13 +3,15 @@
 
 mod common;
 
+use balancer_proxy::Outcome;
+use balancer_proxy::proxy::clock::Clock;
+use balancer_proxy::proxy::limits::Budget;
+use balancer_proxy::proxy::metrics::Metrics;
+use balancer_proxy::proxy::settings::ProxySettings;
+use balancer_proxy::proxy::upstream::attempt::attempt;
+use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
+use balancer_proxy::proxy::upstream::pool::ConnectionPool;
 use common::sockets::*;
-use gannetproxy::Outcome;
-use gannetproxy::proxy::backend::{Endpoint, attempt};
-use gannetproxy::proxy::config::WireSettings;
-use gannetproxy::proxy::engine::{Clock, Payload, Sending};
-use gannetproxy::proxy::figures::Figures;
-use gannetproxy::proxy::limits::Budget;
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
@@ -68,7 +70,7 @@
         let output = command(&text, quiet().address).0.output().unwrap();
         let told = String::from_utf8(output.stderr).unwrap();
         assert!(!output.status.success());
-        assert!(told.starts_with("dewpier: ") && told.lines().count() == 1, "{told}");
+        assert!(told.starts_with("balancer-proxy: ") && told.lines().count() == 1, "{told}");
     }
 }
 
@@ -234,22 +236,22 @@
     let backend = Played::good("hello");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let attempt = |last_send: Option<f64>| {
-        let endpoint = Endpoint::new(backend.address, Budget::new(4), LONG, LONG);
+        let endpoint = ConnectionPool::new(backend.address, Budget::new(4), LONG, LONG);
         endpoint.update(backend.address, last_send);
-        let payload = Payload {
+        let payload = ForwardedRequest {
             method: "POST".parse().unwrap(),
             uri: "/api".parse().unwrap(),
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
-            body: Sending::Whole("body".into()),
+            body: ForwardedBody::Buffered("body".into()),
         };
-        let figures = Figures::new(&WireSettings::default());
+        let figures = Metrics::new(&ProxySettings::default());
         let attempted =
             attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, 20.0, Default::default(), figures);
         runtime.block_on(attempted).outcome
     };
     assert_eq!(attempt(Some(0.0)), Outcome::NoConnection);
     assert_eq!(backend.count(), 0);
-    assert_eq!(attempt(None), Outcome::Served);
+    assert_eq!(attempt(None), Outcome::Success);
 }
 
 #[test]
--- a/tests/reload_settings.rs
+++ b/tests/reload_settings.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use balancer_proxy::proxy::metrics::Metrics;
+use balancer_proxy::proxy::settings::ProxySettings;
 use common::sockets::*;
-use gannetproxy::proxy::config::WireSettings;
-use gannetproxy::proxy::figures::Figures;
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -331,15 +331,15 @@
 
 #[test]
 fn of_classes_that_are_no_more_the_latest_stay_in_the_figures() {
-    let wire = |i: usize| WireSettings { classes: vec![format!("c-{i}")], ..WireSettings::default() };
-    let figures = Figures::new(&wire(0));
-    let late = figures.of("c-0").taken();
+    let wire = |i: usize| ProxySettings { classes: vec![format!("c-{i}")], ..ProxySettings::default() };
+    let figures = Metrics::new(&wire(0));
+    let late = figures.for_class("c-0").request_started();
     for i in 0..100 {
-        figures.changed(&wire(i));
-        figures.of(&format!("c-{i}")).taken().ended(StatusCode::OK);
+        figures.settings_applied(&wire(i));
+        figures.for_class(&format!("c-{i}")).request_started().finish(StatusCode::OK);
     }
-    late.ended(StatusCode::OK); // of a class that is forgotten
-    let line: Value = serde_json::from_str(&figures.line(0, 0).unwrap()).unwrap();
+    late.finish(StatusCode::OK); // of a class that is forgotten
+    let line: Value = serde_json::from_str(&figures.to_json(0, 0).unwrap()).unwrap();
     let names: Vec<_> = line["results"].as_object().unwrap().keys().cloned().collect();
     assert_eq!(names.len(), 65);
     assert!((35..100).all(|i| names.contains(&format!("c-{i}"))));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 //! shown to catch planted breaches.
 
 mod common;
+use balancer_proxy::*;
 use common::entry;
-use gannetproxy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::HashMap;
@@ -29,7 +29,7 @@
 struct Checker {
     settings: Settings,
     open: HashMap<u64, Open>,
-    list: HashMap<u32, Entry>,
+    list: HashMap<u32, Endpoint>,
     /// Draining backends whose connections are to be closed, since the notice or the last use.
     unclosed: HashMap<u32, Time>,
     breaches: Vec<String>,
@@ -52,12 +52,12 @@
 
     /// What is out of order if this request is sent now: ids rise in the order of arrival.
     fn out_of_order(&self, now: Time, id: u64) -> Option<&'static str> {
-        let ordered = |o: &&Open| self.settings.classes[o.class].in_order && o.key.is_some();
+        let ordered = |o: &&Open| self.settings.classes[o.class].ordered_by_key && o.key.is_some();
         let key = self.open.get(&id).filter(ordered)?.key;
         for earlier in self.open.iter().filter(|(i, o)| **i < id && ordered(o) && o.key == key) {
             let rests = |t: &Try| {
                 matches!(t.outcome, Some(Outcome::Timeout | Outcome::Reset | Outcome::Cancelled))
-                    && now < t.ended + self.settings.settle
+                    && now < t.ended + self.settings.key_rest_duration
             };
             if !earlier.1.over || earlier.1.tries.iter().any(|t| t.outcome.is_none()) {
                 return Some("order: an earlier one is not over");
@@ -79,7 +79,7 @@
     }
 
     fn check_closed(&mut self, now: Time) {
-        let within = self.settings.release_within.unwrap_or(f64::INFINITY);
+        let within = self.settings.idle_close_limit.unwrap_or(f64::INFINITY);
         if self.unclosed.values().any(|since| now > since + within) {
             self.unclosed.clear();
             self.breach("drain: connections left open".into());
@@ -88,7 +88,7 @@
 
     fn action(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Release(backend) => {
+            Action::CloseIdleConnections(backend) => {
                 self.unclosed.remove(&backend.0);
             }
             Action::Send { id, backend, timeout, write_within } => {
@@ -115,18 +115,18 @@
                 if open.tries.len() >= settings.max_attempts {
                     what.push("too many attempts");
                 }
-                if !settings.second_copies && open.tries.iter().any(|t| t.outcome.is_none()) {
+                if !settings.hedging_allowed && open.tries.iter().any(|t| t.outcome.is_none()) {
                     what.push("two at once");
                 }
                 if let Some(first) = open.tries.iter().find(|t| may_have_run(t)) {
                     match settings.classes[open.class].effect {
                         Effect::Safe => {}
                         Effect::Unsafe => what.push("unsafe call twice"),
-                        Effect::Keyed { group, window } => {
+                        Effect::Idempotent { group, window } => {
                             let inside = match group {
-                                Group::All => true,
-                                Group::Zone => first.zone == entry.zone,
-                                Group::Cell => first.cell == entry.cell,
+                                IdempotencyGroup::All => true,
+                                IdempotencyGroup::Zone => first.zone == entry.zone,
+                                IdempotencyGroup::Cell => first.cell == entry.cell,
                             };
                             // What waits for its connection must not go out later either.
                             if !inside || now + write_within > first.sent + window {
@@ -144,11 +144,11 @@
                 });
                 what.into_iter().for_each(|w| self.breaches.push(w.to_string()));
             }
-            Action::Refuse { id, .. } => {
+            Action::Reject { id, .. } => {
                 let harmless = self.open.get(&id.0).is_some_and(|open| {
                     let all = matches!(
                         self.settings.classes[open.class].effect,
-                        Effect::Safe | Effect::Keyed { group: Group::All, .. }
+                        Effect::Safe | Effect::Idempotent { group: IdempotencyGroup::All, .. }
                     );
                     all || !open.tries.iter().any(may_have_run)
                 });
@@ -158,8 +158,10 @@
                 self.answer(now, id.0);
             }
             Action::Fail { id } => self.answer(now, id.0),
-            Action::Cancel { .. } if !self.settings.cancel => self.breach("cancel forbidden".into()),
-            Action::Timer { at, .. } if !at.is_finite() => self.breach("timer at no time".into()),
+            Action::Cancel { .. } if !self.settings.cancellation_allowed => {
+                self.breach("cancel forbidden".into())
+            }
+            Action::SetTimer { at, .. } if !at.is_finite() => self.breach("timer at no time".into()),
             _ => {}
         }
     }
@@ -183,7 +185,7 @@
 }
 
 fn may_have_run(t: &Try) -> bool {
-    !matches!(t.outcome, Some(Outcome::Full | Outcome::NoConnection | Outcome::NeverSent))
+    !matches!(t.outcome, Some(Outcome::Rejected | Outcome::NoConnection | Outcome::NotSent))
 }
 
 #[derive(Clone, Debug)]
@@ -210,47 +212,48 @@
 }
 
 fn settings(second_copies: bool, cancel: bool, tier: usize) -> Settings {
-    let class = |effect| Class { aim: 0.8, deadline: 2.0, effect, ..Class::default() };
-    let keyed = |group, window| Effect::Keyed { group, window };
+    let class =
+        |effect| RequestClass { latency_objective: 0.8, deadline: 2.0, effect, ..RequestClass::default() };
+    let keyed = |group, window| Effect::Idempotent { group, window };
     Settings {
         classes: vec![
             class(Effect::Safe),
-            Class { late_worth: 0.3, in_order: true, ..class(Effect::Unsafe) },
-            class(keyed(Group::All, 0.6)),
-            class(keyed(Group::Zone, 0.5)),
-            Class { in_order: true, ..class(keyed(Group::Cell, 0.4)) },
+            RequestClass { late_priority_weight: 0.3, ordered_by_key: true, ..class(Effect::Unsafe) },
+            class(keyed(IdempotencyGroup::All, 0.6)),
+            class(keyed(IdempotencyGroup::Zone, 0.5)),
+            RequestClass { ordered_by_key: true, ..class(keyed(IdempotencyGroup::Cell, 0.4)) },
         ],
         tenants: vec![common::tenant("a", 2.0), common::tenant("b", 100.0)],
-        over_share_worth: 0.1,
-        second_copies,
-        cancel,
+        over_quota_weight: 0.1,
+        hedging_allowed: second_copies,
+        cancellation_allowed: cancel,
         tier,
         max_attempts: 3,
         max_retry_after: 1.0,
-        must_watch: true,
-        settle: 0.2,
-        release_within: Some(0.1),
+        must_poll_endpoints: true,
+        key_rest_duration: 0.2,
+        idle_close_limit: Some(0.1),
         ..Settings::default()
     }
 }
 
 fn play(steps: &[Step], settings: Settings, seed: u64) -> Vec<String> {
     const OUTCOMES: [Outcome; 8] = [
-        Outcome::Served,
+        Outcome::Success,
         Outcome::Error,
-        Outcome::Full,
+        Outcome::Rejected,
         Outcome::Timeout,
         Outcome::NoConnection,
         Outcome::Reset,
         Outcome::Cancelled,
-        Outcome::NeverSent,
+        Outcome::NotSent,
     ];
     let mut check = Checker::new(settings.clone());
     let mut balancer = Balancer::new(0.0, seed, settings);
     let mut now = 0.0;
     let mut timers: Vec<(Time, u64)> = Vec::new();
     let mut out: Vec<(u64, usize, u32)> = Vec::new();
-    let mut list: Vec<Entry> = (1..8).map(|i| Entry { cell: i % 3, zone: i % 2, ..entry(i) }).collect();
+    let mut list: Vec<Endpoint> = (1..8).map(|i| Endpoint { cell: i % 3, zone: i % 2, ..entry(i) }).collect();
     let mut next = 0;
     let mut all = vec![Step::Full { gone: 0 }];
     all.extend_from_slice(steps);
@@ -271,8 +274,8 @@
                     class,
                     tenant: Some(tenant),
                     key,
-                    budget,
-                    streamed: false,
+                    timeout: budget,
+                    streaming_body: false,
                 }));
             }
             Step::End { which, outcome } if !out.is_empty() => {
@@ -281,16 +284,24 @@
                 let open = check.open.get_mut(&id).unwrap();
                 open.tries[attempt].outcome = Some(OUTCOMES[outcome]);
                 open.tries[attempt].ended = now;
-                open.over |= OUTCOMES[outcome] == Outcome::Served;
+                open.over |= OUTCOMES[outcome] == Outcome::Success;
                 let took = now - open.tries[attempt].sent;
                 let (id, backend, outcome, over) =
                     (RequestId(id), BackendId(backend), OUTCOMES[outcome], open.over);
-                due.push(Event::Outcome(Ended { id, backend, attempt, outcome, took, over, report: None }));
+                due.push(Event::AttemptEnded(EndedAttempt {
+                    id,
+                    backend,
+                    attempt,
+                    outcome,
+                    duration: took,
+                    request_finished: over,
+                    report: None,
+                }));
             }
             Step::Leave { which } if next > 0 => {
                 let id = 1 + which as u64 % next;
                 check.open.get_mut(&id).unwrap().over = true;
-                due.push(Event::ClientLeft(RequestId(id)));
+                due.push(Event::ClientDisconnected(RequestId(id)));
             }
             Step::End { .. } | Step::Leave { .. } => {}
             Step::Wait(span) => {
@@ -309,24 +320,24 @@
             }
             Step::Change { which, status, restarted } => {
                 let e = &mut list[which as usize - 1];
-                e.status = [Status::InService, Status::Draining, Status::Gone][status];
-                e.started = restarted.then_some(now);
+                e.status = [Status::InService, Status::Draining, Status::Removed][status];
+                e.started_at = restarted.then_some(now);
                 check.list.insert(which, e.clone());
                 check.used(now, which);
                 copy = vec![e.clone()];
-                due.push(Event::List(ListUpdate::Changes(&copy)));
+                due.push(Event::Endpoints(EndpointUpdate::Changes(&copy)));
             }
             Step::Full { gone } => {
                 copy = list.iter().filter(|e| e.id.0 != gone).cloned().collect::<Vec<_>>();
-                check.list.values_mut().for_each(|e| e.status = Status::Gone);
+                check.list.values_mut().for_each(|e| e.status = Status::Removed);
                 check.unclosed.clear();
                 copy.iter().for_each(|e| {
                     check.list.insert(e.id.0, e.clone());
                     check.used(now, e.id.0);
                 });
-                due.push(Event::List(ListUpdate::Full(&copy)));
+                due.push(Event::Endpoints(EndpointUpdate::Full(&copy)));
             }
-            Step::Refused => due.push(Event::List(ListUpdate::Refused)),
+            Step::Refused => due.push(Event::Endpoints(EndpointUpdate::Failed)),
         }
         for event in due {
             let mut actions = Vec::new();
@@ -352,7 +363,7 @@
     for action in actions {
         check.action(now, action);
         match action {
-            Action::Timer { at, token } => timers.push((*at, *token)),
+            Action::SetTimer { at, token } => timers.push((*at, *token)),
             Action::Send { id, backend, .. } => {
                 let attempt = check.open.get(&id.0).map_or(0, |o| o.tries.len() - 1);
                 out.push((id.0, attempt, backend.0));
@@ -381,9 +392,9 @@
 fn the_checker_catches_planted_breaches() {
     let plant = |class: usize, then: &[(Time, Action)]| {
         let mut check = Checker::new(settings(false, false, 0));
-        check.list.insert(1, Entry { cell: 1, ..entry(1) });
-        check.list.insert(2, Entry { cell: 2, ..entry(2) });
-        check.list.insert(3, Entry { status: Status::Draining, ..entry(3) });
+        check.list.insert(1, Endpoint { cell: 1, ..entry(1) });
+        check.list.insert(2, Endpoint { cell: 2, ..entry(2) });
+        check.list.insert(3, Endpoint { status: Status::Draining, ..entry(3) });
         for id in 1..3 {
             check.open.insert(id, Open { class, key: Some(9), deadline: 1.0, tries: vec![], over: id == 2 });
         }
@@ -393,7 +404,7 @@
     };
     let id = RequestId(1);
     let send = |to| Action::Send { id, backend: BackendId(to), timeout: 0.5, write_within: 0.5 };
-    assert_eq!(plant(0, &[(0.0, send(1)), (0.5, Action::Refuse { id, retry_after: None })]).len(), 0);
+    assert_eq!(plant(0, &[(0.0, send(1)), (0.5, Action::Reject { id, retry_after: None })]).len(), 0);
     assert_eq!(plant(0, &[(0.0, send(1))]), ["1 lost"]);
     assert_eq!(plant(0, &[(1.5, Action::Fail { id })]), ["1 answered late"]);
     assert_eq!(plant(0, &[(0.1, Action::Fail { id }), (0.2, Action::Fail { id })]).len(), 1);
@@ -421,15 +432,15 @@
     assert_eq!(check.breaches, ["order: the key has not rested"]);
     assert_eq!(check.out_of_order(0.51, 2), None);
     // Closing: a draining backend's connections left open, after the notice or a later outcome.
-    check.list.insert(1, Entry { status: Status::Draining, ..entry(1) });
+    check.list.insert(1, Endpoint { status: Status::Draining, ..entry(1) });
     check.used(1.0, 1);
     check.check_closed(1.05);
-    check.action(1.05, &Action::Release(BackendId(1)));
+    check.action(1.05, &Action::CloseIdleConnections(BackendId(1)));
     check.check_closed(1.2);
     assert_eq!(check.breaches.len(), 1);
     check.used(1.3, 1);
     check.check_closed(1.5);
     assert_eq!(check.breaches[1], "drain: connections left open");
-    let refused = [(0.0, send(1)), (0.6, Action::Refuse { id, retry_after: None })];
+    let refused = [(0.0, send(1)), (0.6, Action::Reject { id, retry_after: None })];
     assert!(plant(1, &refused)[0].contains("which may have run"));
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,20 +2,20 @@
 
 mod common;
 
+use balancer_proxy::*;
 use common::*;
-use gannetproxy::*;
 use std::collections::BTreeSet;
 
-fn named(name: &str, effect: Effect) -> Class {
-    Class { name: name.to_string(), ..class(effect) }
+fn named(name: &str, effect: Effect) -> RequestClass {
+    RequestClass { name: name.to_string(), ..class(effect) }
 }
 
 fn keyed(window: Time) -> Effect {
-    Effect::Keyed { group: Group::All, window }
+    Effect::Idempotent { group: IdempotencyGroup::All, window }
 }
 
 fn of_class(id: u64, class: usize) -> Request {
-    Request { id: RequestId(id), class, budget: 2.0, ..Request::default() }
+    Request { id: RequestId(id), class, timeout: 2.0, ..Request::default() }
 }
 
 #[test]
@@ -34,7 +34,7 @@
         let sent =
             |(at, a): &(Time, Action)| matches!(a, Action::Send { id: i, .. } if i.0 == id).then_some(*at);
         let repeat = seen.iter().find_map(sent).expect("a lone call is repeated") - begun;
-        bench.event(Event::ClientLeft(RequestId(id)));
+        bench.event(Event::ClientDisconnected(RequestId(id)));
         repeat
     };
     assert!(first_repeat(&mut bench, 100, 0) < 0.2);
@@ -68,7 +68,7 @@
         seen.extend(plain(bench.run_to(5.0)));
         assert_eq!(!sends(&seen).is_empty(), repeated, "{then:?}");
         assert_eq!(
-            seen.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count(),
+            seen.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count(),
             1
         );
         assert_eq!(bench.balancer.open_requests(), 0);
@@ -78,7 +78,7 @@
 #[test]
 fn a_tenants_used_share_stays_with_its_name() {
     let mut settings = Settings { tier: 0, tenants: vec![tenant("x", 1.0), tenant("y", 1.0)], ..safe() };
-    settings.over_share_worth = 0.5;
+    settings.over_quota_weight = 0.5;
     let mut bench = Bench::new(settings.clone(), &[entry(1), entry(2)]);
     let ask = |bench: &mut Bench, id, tenant| {
         bench.event(Event::Request(Request { tenant: Some(tenant), ..of_class(id, 0) }))
@@ -102,7 +102,7 @@
 fn one_balancer_more_or_less_moves_few_subsets_and_leaves_no_backend_out() {
     for (listed, instances) in [(17, 40), (17, 41), (60, 300), (5, 7), (15, 3), (40, 12)] {
         let list: Vec<_> = (0..listed).map(|i| entry(100 + 7 * i)).collect();
-        let settings = |me, instances| Settings { me, instances, ..safe() };
+        let settings = |me, instances| Settings { instance_index: me, instance_count: instances, ..safe() };
         let mut fleet: Vec<_> = (0..instances).map(|me| Bench::new(settings(me, instances), &list)).collect();
         for now in [instances + 1, instances, instances - 1] {
             let before: Vec<_> = fleet.iter().map(subset).collect();
@@ -129,7 +129,7 @@
 #[test]
 fn the_same_settings_again_change_nothing() {
     let list: Vec<_> = (0..9).map(entry).collect();
-    let settings = Settings { instances: 4, me: 1, ..safe() };
+    let settings = Settings { instance_count: 4, instance_index: 1, ..safe() };
     let (mut one, mut two) = (Bench::new(settings.clone(), &list), Bench::new(settings.clone(), &list));
     for id in 0..200 {
         assert_eq!(one.served(id, 0.05), two.served(id, 0.05));
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -159,7 +159,7 @@
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut line = String::new();
     log.read_line(&mut line).unwrap();
-    let address = line.trim().strip_prefix("dewpier: listening on ").unwrap().parse().unwrap();
+    let address = line.trim().strip_prefix("balancer-proxy: listening on ").unwrap().parse().unwrap();
     drop(log);
     let signal = |name: &str| {
         assert!(
--- a/tests/streaming.rs
+++ b/tests/streaming.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use balancer_proxy::*;
 use common::sockets::*;
 use common::{Bench, entry, failed, refused, safe, sends, with};
-use gannetproxy::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
@@ -304,7 +304,7 @@
 // ---- what the module decides ----
 
 fn streamed(bench: &mut Bench, id: u64) -> u32 {
-    let request = Request { id: RequestId(id), budget: 2.0, streamed: true, ..Request::default() };
+    let request = Request { id: RequestId(id), timeout: 2.0, streaming_body: true, ..Request::default() };
     sends(&bench.event(Event::Request(request)))[0].1
 }
 
@@ -313,8 +313,8 @@
     let mut bench = Bench::new(safe(), &[entry(1), entry(2)]);
     streamed(&mut bench, 1);
     assert!(bench.run_to(30.0).is_empty(), "neither a copy nor an end while it comes");
-    bench.event(Event::Received(RequestId(1)));
-    bench.event(Event::Received(RequestId(1)));
+    bench.event(Event::BodyReceived(RequestId(1)));
+    bench.event(Event::BodyReceived(RequestId(1)));
     let seen = bench.run_to(30.5);
     assert!(sends(&common::plain(seen)).is_empty(), "it can't be in two places at once");
     let seen = common::plain(bench.run_to(32.0));
@@ -327,7 +327,7 @@
         let mut bench = Bench::new(class, &[entry(1), entry(2)]);
         let to = streamed(&mut bench, 1);
         if spent {
-            bench.event(Event::Spent(RequestId(1)));
+            bench.event(Event::BodyConsumed(RequestId(1)));
         }
         let mut seen = bench.end(1, 0, to, Outcome::NoConnection, 0.01);
         assert_eq!(refused(&seen, 1), spent, "at once, if at all");
@@ -350,8 +350,8 @@
         bench.served(id, 0.1); // it would panic if it were not sent at once
     }
     for (id, to) in slow {
-        bench.event(Event::Received(RequestId(id)));
-        bench.end(id, 0, to, Outcome::Served, 10.0);
+        bench.event(Event::BodyReceived(RequestId(id)));
+        bench.end(id, 0, to, Outcome::Success, 10.0);
     }
     assert_eq!(bench.balancer.open_requests(), 0);
     for id in 200..300 {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
+use balancer_proxy::proxy::control::instance_lock::InstanceLock;
+use balancer_proxy::*;
 use common::sockets::*;
 use common::{Bench, entry, safe, sends};
-use gannetproxy::proxy::seat::Seat;
-use gannetproxy::*;
 use serde_json::json;
 use std::io::Write;
 use std::sync::Arc;
@@ -18,7 +18,7 @@
     let place = Place::new();
     let mut old = place.start(&config_of(&settings(), &known(&[&backends[0], &backends[1]])));
     let done = Arc::new(AtomicBool::new(false));
-    // Clients that connect anew each time, and one that keeps its connection while it may.
+    // ClientConnections that connect anew each time, and one that keeps its connection while it may.
     let clients: Vec<_> = (0..4)
         .map(|i| {
             let (done, address) = (done.clone(), old.address);
@@ -193,20 +193,20 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let path = place.file("any");
-        let first = Seat::take(&path).await.unwrap();
-        assert!(!first.shared() && !first.relieved());
-        let second = Seat::take(&path).await.unwrap();
-        assert!(first.shared() && second.shared());
-        assert!(!first.relieved(), "it does not take connections yet");
-        second.listening().unwrap();
-        assert!(first.relieved() && !second.relieved());
+        let first = InstanceLock::acquire(&path).await.unwrap();
+        assert!(!first.is_shared() && !first.other_is_listening());
+        let second = InstanceLock::acquire(&path).await.unwrap();
+        assert!(first.is_shared() && second.is_shared());
+        assert!(!first.other_is_listening(), "it does not take connections yet");
+        second.announce_listening().unwrap();
+        assert!(first.other_is_listening() && !second.other_is_listening());
         // A third does without, and disturbs nobody.
-        let third = Seat::take(&path).await.unwrap();
-        assert!(third.shared() && third.relieved());
+        let third = InstanceLock::acquire(&path).await.unwrap();
+        assert!(third.is_shared() && third.other_is_listening());
         drop((second, third));
-        assert!(!first.shared() && !first.relieved());
-        let again = Seat::take(&path).await.unwrap();
-        assert!(first.shared() && !first.relieved(), "what the one before wrote says nothing");
+        assert!(!first.is_shared() && !first.other_is_listening());
+        let again = InstanceLock::acquire(&path).await.unwrap();
+        assert!(first.is_shared() && !first.other_is_listening(), "what the one before wrote says nothing");
         drop(again);
     });
 }
@@ -217,9 +217,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let paths = ["x-127.0.0.1:7070", "x-127.0.0.2:7070"].map(|name| place.file("a").with_file_name(name));
-        let taken = [Seat::take(&paths[0]).await.unwrap(), Seat::take(&paths[0]).await.unwrap()];
-        let other = Seat::take(&paths[1]).await.unwrap();
-        assert!(taken[0].shared() && !other.shared());
+        let taken = [
+            InstanceLock::acquire(&paths[0]).await.unwrap(),
+            InstanceLock::acquire(&paths[0]).await.unwrap(),
+        ];
+        let other = InstanceLock::acquire(&paths[1]).await.unwrap();
+        assert!(taken[0].is_shared() && !other.is_shared());
         drop(taken);
     });
 }
@@ -252,12 +255,12 @@
 /// How many of forty requests that come at once are let in at once, by a balancer that knows what
 /// is usual.
 fn let_in(beside: &[bool]) -> usize {
-    let settings = Settings { tier: 0, instances: 1, ..safe() };
+    let settings = Settings { tier: 0, instance_count: 1, ..safe() };
     let mut bench = Bench::new(settings, &[entry(1), entry(2)]);
     for id in 0..100 {
         bench.served(id, 0.1);
     }
-    beside.iter().for_each(|beside| drop(bench.event(Event::Beside(*beside))));
+    beside.iter().for_each(|beside| drop(bench.event(Event::SecondProcess(*beside))));
     (1000..1040).map(|id| sends(&bench.request(id)).len()).sum()
 }
 
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use balancer_proxy::*;
 use common::sockets::*;
 use common::{Bench, plain, safe};
-use gannetproxy::*;
 use serde_json::json;
 use socket2::SockRef;
 use std::io::{BufReader, Read, Write};
@@ -224,12 +224,15 @@
 fn a_call_for_the_list_that_failed_is_soon_made_again_however_rarely_it_must_be_asked_for() {
     for ask_within in [1.0, 10.0, 60.0] {
         for seed in 0..20 {
-            let settings = Settings { must_watch: true, ask_within, ..safe() };
+            let settings = Settings { must_poll_endpoints: true, endpoint_poll_limit: ask_within, ..safe() };
             let mut bench = Bench::seeded(seed, settings, &[common::entry(1)]);
             bench.run_to(ask_within);
-            bench.event(Event::List(ListUpdate::Refused));
+            bench.event(Event::Endpoints(EndpointUpdate::Failed));
             // What was missed counts as told 6 s after the watch fell silent, 2.3 s before this.
-            assert!(plain(bench.run_to(ask_within + 1.6)).contains(&Action::Watch(true)), "{ask_within}");
+            assert!(
+                plain(bench.run_to(ask_within + 1.6)).contains(&Action::WatchEndpoints(true)),
+                "{ask_within}"
+            );
         }
     }
 }
@@ -241,7 +244,7 @@
 fn two_calls_that_take_long_to_fail_leave_time_for_a_third_within_6_s() {
     for ask_within in [1.0, 10.0, 60.0] {
         for seed in 0..200 {
-            let settings = Settings { must_watch: true, ask_within, ..safe() };
+            let settings = Settings { must_poll_endpoints: true, endpoint_poll_limit: ask_within, ..safe() };
             let mut bench = Bench::seeded(seed, settings, &[common::entry(1)]);
             bench.run_to(ask_within);
             // So many fail at once before the one that is swallowed as discovery returns.
@@ -259,7 +262,7 @@
                 assert!(took < 5.25, "{ask_within}, seed {seed}, {refused} refused: {took}");
                 // The first of them follows soon, the others a second apart.
                 assert!(start - first >= 0.5 * refused.saturating_sub(1) as f64, "{start} {first}");
-                bench.event(Event::List(ListUpdate::Changes(&[])));
+                bench.event(Event::Endpoints(EndpointUpdate::Changes(&[])));
                 bench.run_to(bench.now + ask_within);
             }
         }
@@ -268,15 +271,15 @@
 
 /// The call in progress fails, and the next one begins.
 fn next_call(bench: &mut Bench) {
-    bench.event(Event::List(ListUpdate::Refused));
+    bench.event(Event::Endpoints(EndpointUpdate::Failed));
     let (at, _) = *bench.timers.last().expect("a timer");
-    assert!(plain(bench.run_to(at)).contains(&Action::Watch(true)));
+    assert!(plain(bench.run_to(at)).contains(&Action::WatchEndpoints(true)));
 }
 
 #[test]
 fn balancers_whose_calls_fail_at_the_same_time_do_not_call_again_together() {
     let again = |seed| {
-        let settings = Settings { must_watch: true, ..safe() };
+        let settings = Settings { must_poll_endpoints: true, ..safe() };
         let mut bench = Bench::seeded(seed, settings, &[common::entry(1)]);
         bench.run_to(10.0);
         [next_call(&mut bench), next_call(&mut bench)].map(|()| bench.now)
