Split the decision module into one file for each concern, and its state from its decisions

Cause: src/logic.rs held eight jobs in 1,200 lines, and Balancer some forty fields.

src/decisions has 17 files: admission, quotas, ordered keys, attempts, placement, subset assignment, slow start, outliers, overload, retransmission, traffic, load reports, endpoint list, maintenance, completion, changed settings, and mod.rs with `handle` as the list of what can happen. Constants stand beside the decisions that use them, with reason and unit.

Beside them, in src/state, lies what a balancer knows: data structures that decide nothing and hold no tuning constant (token bucket, decaying rate, latency estimate, smoothed means, the tables of calls, backends and maintenance, the queues of waiting calls and ordering keys, typed timer tokens, hashing, quotas, and Balancer as the list of its parts). Balancer no longer has a Default, which made one without settings. The bound on idle key queues (16) went with the queues: dropping an idle queue changes no decision.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -131,6 +131,20 @@
     pub quantum: Time,
 }
 
+impl Settings {
+    /// The place of the class of this name.
+    #[must_use]
+    pub fn class_index(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class.name == name)
+    }
+
+    /// The place of the tenant of this name.
+    #[must_use]
+    pub fn tenant_index(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|tenant| tenant.name == name)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,14 +6,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod decisions;
 mod interface;
-mod logic;
-mod primitives;
 pub mod proxy;
+mod state;
 pub mod wire;
 
 pub use interface::*;
-pub use logic::Balancer;
+pub use state::Balancer;
 
 /// The example of the front page, run as a test.
 #[cfg(doctest)]
--- /dev/null
+++ b/src/state/balancer.rs
@@ -0,0 +1,124 @@
+//! All that one balancer knows, as one small structure for each concern.
+
+use super::{
+    ArrivalRates, BackendIndex, BackendTable, CallTable, DecayingMean, KeyQueues, MaintenanceTable, Quota,
+    Traffic, WaitingQueue,
+};
+use crate::{BackendId, Endpoint, Settings, Status, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::sync::Arc;
+
+/// The backends in service, and which of them are members of this balancer's subset.
+#[derive(Debug, Default)]
+pub(crate) struct SubsetAssignment {
+    /// Backends in service, in ascending order.
+    pub in_service: Vec<BackendIndex>,
+    /// Those to which this balancer sends first.
+    pub members: Vec<BackendIndex>,
+    /// Members that the calls in flight have called for so far.
+    pub grown_to: usize,
+}
+
+/// Means of what all backends report; 0 where nothing has been reported.
+#[derive(Debug, Default)]
+pub(crate) struct FleetLoad {
+    /// Service time, in seconds.
+    pub service_time: Time,
+    /// Requests a second that each backend serves that is not warming up.
+    pub requests_per_second: f64,
+}
+
+/// When the endpoint list is polled.
+#[derive(Debug)]
+pub(crate) struct EndpointPolls {
+    /// The first poll has been scheduled.
+    pub is_scheduled: bool,
+    /// When the last poll that follows a failure begins, in seconds.
+    pub last_retry_at: Time,
+}
+
+/// One balancer: a state machine without I/O, clock or global state. [`Balancer::handle`] takes an event with
+/// its time, and returns actions.
+#[derive(Debug)]
+pub struct Balancer {
+    pub(crate) settings: Arc<Settings>,
+    /// The time of the latest event, in seconds.
+    pub(crate) now: Time,
+    /// Where all random draws come from, in the order of the decisions.
+    pub(crate) random: SmallRng,
+    pub(crate) calls: CallTable,
+    pub(crate) backends: BackendTable,
+    pub(crate) subset: SubsetAssignment,
+    pub(crate) traffic: Traffic,
+    /// By class.
+    pub(crate) arrivals: Vec<ArrivalRates>,
+    /// By tenant.
+    pub(crate) quotas: Vec<Quota>,
+    /// Calls that wait for admission.
+    pub(crate) waiting_queue: WaitingQueue,
+    /// Mean excess of calls in flight, in deviations from the usual number.
+    pub(crate) mean_excess: DecayingMean,
+    pub(crate) key_queues: KeyQueues,
+    pub(crate) maintenance: MaintenanceTable,
+    pub(crate) fleet_load: FleetLoad,
+    /// Attempts sent so far.
+    pub(crate) sends: usize,
+    pub(crate) endpoint_polls: EndpointPolls,
+    /// A second process serves the same clients, and there are twice as many balancers for the time.
+    pub(crate) second_process: bool,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing, at `now` in seconds.
+    pub(crate) fn empty(now: Time, seed: u64) -> Self {
+        Self {
+            settings: Arc::default(),
+            now,
+            random: SmallRng::seed_from_u64(seed),
+            calls: CallTable::default(),
+            backends: BackendTable::default(),
+            subset: SubsetAssignment::default(),
+            traffic: Traffic::starting_at(now),
+            arrivals: Vec::new(),
+            quotas: Vec::new(),
+            waiting_queue: WaitingQueue::default(),
+            mean_excess: DecayingMean::zero_at(now),
+            key_queues: KeyQueues::default(),
+            maintenance: MaintenanceTable::default(),
+            fleet_load: FleetLoad::default(),
+            sends: 0,
+            endpoint_polls: EndpointPolls { is_scheduled: false, last_retry_at: f64::NEG_INFINITY },
+            second_process: false,
+        }
+    }
+
+    /// Requests without a final response.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Backends that state is kept of.
+    #[must_use]
+    pub fn backends_known(&self) -> usize {
+        self.backends.known()
+    }
+
+    /// Backends in the endpoint list.
+    #[must_use]
+    pub fn backends_listed(&self) -> usize {
+        self.listed_endpoints().count()
+    }
+
+    /// The members of this balancer's subset, to which it sends first.
+    pub fn members(&self) -> impl Iterator<Item = BackendId> {
+        self.subset.members.iter().map(|member| self.backends[*member].endpoint.id)
+    }
+
+    /// What the endpoint list says of each backend.
+    pub(crate) fn listed_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        let endpoints = self.backends.iter().map(|backend| &backend.endpoint);
+        endpoints.filter(|endpoint| endpoint.status != Status::Removed)
+    }
+}
--- a/src/primitives/decaying_rate.rs
+++ b/src/state/decaying_rate.rs
@@ -5,7 +5,7 @@
 /// A count of events and the span that it covers, both of which decay with the same time constant. Until
 /// the window has filled, the rate is the plain mean since the start.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct DecayingRate {
+pub(crate) struct DecayingRate {
     /// Events in the window, by their remaining weight.
     count: f64,
     /// Length of the window so far, in seconds; it approaches the time constant.
@@ -39,3 +39,20 @@
         if self.span > 0.0 { self.count / self.span } else { 0.0 }
     }
 }
+
+/// The rates at which the requests of a class arrive.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ArrivalRates {
+    /// Requests within the quota of their tenants.
+    pub within_quota: DecayingRate,
+    /// Requests over it.
+    pub over_quota: DecayingRate,
+}
+
+impl ArrivalRates {
+    /// Empty windows that begin at `now`.
+    pub fn starting_at(now: Time) -> Self {
+        let rate = DecayingRate::starting_at(now);
+        Self { within_quota: rate, over_quota: rate }
+    }
+}
--- /dev/null
+++ b/src/state/key_queues.rs
@@ -0,0 +1,106 @@
+//! The queues of ordering keys.
+
+use super::call::{Call, CallKey};
+use crate::{RequestId, Time};
+use std::collections::{HashMap, VecDeque};
+
+/// Queues that there may be before idle ones are dropped for the first time.
+const MIN_QUEUE_LIMIT: usize = 16;
+
+/// The calls of one key.
+#[derive(Debug, Default)]
+struct KeyQueue {
+    /// Calls without a final response, in the order of their arrival.
+    calls: VecDeque<CallKey>,
+    /// Attempts in flight of calls that have ended.
+    orphaned_attempts: usize,
+    rests_until: Time,
+}
+
+impl KeyQueue {
+    fn is_idle(&self, now: Time) -> bool {
+        self.calls.is_empty() && self.orphaned_attempts == 0 && self.rests_until <= now
+    }
+}
+
+/// An attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct AttemptId {
+    request: RequestId,
+    attempt: usize,
+}
+
+/// The call at the front of its queue, none of whose predecessors has an attempt in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NextCall {
+    pub key: CallKey,
+    /// Until when the ordering key rests.
+    pub rests_until: Time,
+}
+
+/// The queues of all ordering keys.
+#[derive(Debug)]
+pub(crate) struct KeyQueues {
+    queues: HashMap<u64, KeyQueue>,
+    /// When there are as many queues, idle ones are dropped.
+    queue_limit: usize,
+    /// The ordering key of each attempt in flight of a call that has ended.
+    orphans: HashMap<AttemptId, u64>,
+}
+
+impl Default for KeyQueues {
+    fn default() -> Self {
+        Self { queues: HashMap::new(), queue_limit: MIN_QUEUE_LIMIT, orphans: HashMap::new() }
+    }
+}
+
+impl KeyQueues {
+    /// Calls of the ordering key without a final response.
+    pub fn len(&self, ordering_key: u64) -> usize {
+        self.queues.get(&ordering_key).map_or(0, |queue| queue.calls.len())
+    }
+
+    pub fn push(&mut self, ordering_key: u64, call: CallKey, now: Time) {
+        if self.queues.len() >= self.queue_limit {
+            self.queues.retain(|_, queue| !queue.is_idle(now));
+            self.queue_limit = MIN_QUEUE_LIMIT.max(2 * self.queues.len());
+        }
+        self.queues.entry(ordering_key).or_default().calls.push_back(call);
+    }
+
+    /// The next call of an ordering key, unless an attempt of an ended call is still in flight.
+    pub fn next(&self, ordering_key: u64) -> Option<NextCall> {
+        let queue = self.queues.get(&ordering_key).filter(|queue| queue.orphaned_attempts == 0)?;
+        let key = *queue.calls.front()?;
+        Some(NextCall { key, rests_until: queue.rests_until })
+    }
+
+    /// Takes an ended call out of its queue. Its attempts in flight become orphans, and go on holding up
+    /// the ordering key.
+    pub fn remove(&mut self, ordering_key: u64, key: CallKey, call: &Call) {
+        let Some(queue) = self.queues.get_mut(&ordering_key) else { return };
+        queue.calls.retain(|queued| *queued != key);
+        for (attempt, sent) in call.attempts.iter().enumerate() {
+            if sent.is_in_flight() {
+                queue.orphaned_attempts += 1;
+                self.orphans.insert(AttemptId { request: call.id, attempt }, ordering_key);
+            }
+        }
+    }
+
+    /// An attempt has ended. Returns its ordering key if it was an orphan.
+    pub fn settle_orphan(&mut self, request: RequestId, attempt: usize) -> Option<u64> {
+        let ordering_key = self.orphans.remove(&AttemptId { request, attempt })?;
+        if let Some(queue) = self.queues.get_mut(&ordering_key) {
+            queue.orphaned_attempts -= 1;
+        }
+        Some(ordering_key)
+    }
+
+    /// Lets an ordering key rest until a time.
+    pub fn rest(&mut self, ordering_key: u64, until: Time) {
+        if let Some(queue) = self.queues.get_mut(&ordering_key) {
+            queue.rests_until = until;
+        }
+    }
+}
