Put the names of files that two versions share in one place, and test both directions

An upgrade runs an old and a new process on one address, which find each other, their settings and the maintenance record through files in $TMPDIR.

control/state_files.rs now names them all, with the reason why they stay. tests/stored_data.rs has the names and contents as literals, in both directions: record, staged record, locks, settings, third process. MaintenanceRecord has Rust names with serde renames, FileVersion replaces a tuple, MaintenanceState a bool, and the management protocol stands apart from its listener. Behaviour and texts are unchanged.

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use balancer_proxy::proxy::control::maintenance_store::MaintenanceStore;
 use balancer_proxy::proxy::control::management::{self, MAX_MANAGEMENT_CONNECTIONS, Management};
 use balancer_proxy::proxy::control::reload::Reload;
+use balancer_proxy::proxy::control::state_files;
 use balancer_proxy::proxy::downstream::server::{self, Server};
 use balancer_proxy::proxy::engine::Engine;
 use balancer_proxy::proxy::limits::Capacities;
@@ -55,7 +56,7 @@
         log!("balancer-proxy: management on {}", listener.local_addr()?);
     }
     // What two processes share, where one may be replaced by another.
-    let place = std::env::temp_dir().join(format!("dewpier-{}", config.listen));
+    let place = state_files::base_path(config.listen);
     let (seat, book) = match management {
         Some(_) => (take_seat(&place).await, Some(MaintenanceStore::open(&place))),
         None => (None, None),
--- a/src/proxy/control/instance_lock.rs
+++ b/src/proxy/control/instance_lock.rs
@@ -1,90 +1,136 @@
-//! Two processes on one address, while one replaces the other: who else is there.
+//! The instance lock: detects a second process on the same listen address during an upgrade.
 //!
-//! Each holds the lock of a file of its own. The system lets go of it however the process ends, so
-//! that what a killed one leaves behind misleads nobody. What a process says of its settings lies
-//! beside that, and counts while the lock is held.
+//! Each process holds an advisory lock on one of two files. The operating system releases it however
+//! the process ends, so that files left behind by a killed process have no effect. The settings that a
+//! process uses are published in a file beside its lock file and count only while the lock is held.
+//! The files are shared with other versions of the program: see [`state_files`].
 
+use super::state_files::{self, LISTENING_MARK};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// What the file of a process that takes connections holds.
-const LISTENING: &str = "listening";
-/// A seat is tried for so often: whoever looks who else is there holds it for a moment.
-const TRIES: usize = 20;
-const STEP: Duration = Duration::from_millis(10);
+/// Attempts to acquire a lock before a process runs without one. A single attempt is not enough, as a
+/// process that checks for others locks the file for a moment.
+const MAX_ACQUIRE_ATTEMPTS: usize = 20;
+const ACQUIRE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// This process's place beside the other one's.
+/// The lock of this process, held until it is dropped, and a view of the other process.
 pub struct InstanceLock {
-    /// None where both were taken: a third process does without.
-    mine: Option<(File, PathBuf)>,
-    others: Vec<PathBuf>,
+    /// None if two other processes hold both locks: a third process runs without one.
+    held: Option<HeldLock>,
+    /// Lock files that other processes may hold.
+    other_paths: Vec<PathBuf>,
 }
 
-fn open(path: &Path) -> io::Result<File> {
-    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+/// A lock file that this process has locked.
+struct HeldLock {
+    file: File,
+    settings_path: PathBuf,
 }
 
 impl InstanceLock {
-    /// Takes a free seat among the two at `path`.
-    pub async fn acquire(path: &Path) -> io::Result<Self> {
-        let seats = [path.with_added_extension("seat-0"), path.with_added_extension("seat-1")];
-        for _ in 0..TRIES {
-            for (i, seat) in seats.iter().enumerate() {
-                let file = open(seat)?;
-                match file.try_lock() {
-                    Ok(()) => {
-                        file.set_len(0)?;
-                        std::fs::write(told(seat), "")?;
-                        let mine = Some((file, told(seat)));
-                        return Ok(Self { mine, others: vec![seats[1 - i].clone()] });
-                    }
-                    Err(TryLockError::WouldBlock) => {}
-                    Err(TryLockError::Error(error)) => return Err(error),
-                }
+    /// Acquires a free lock of the two whose files start with `base`. If both stay held, the returned
+    /// value holds none and sees two other processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be opened, locked or written.
+    pub async fn acquire(base: &Path) -> io::Result<Self> {
+        let paths = state_files::instance_lock_paths(base);
+        for _ in 0..MAX_ACQUIRE_ATTEMPTS {
+            if let Some(lock) = Self::try_acquire(&paths)? {
+                return Ok(lock);
+            }
+            tokio::time::sleep(ACQUIRE_RETRY_INTERVAL).await;
+        }
+        Ok(Self { held: None, other_paths: paths.to_vec() })
+    }
+
+    fn try_acquire([first, second]: &[PathBuf; 2]) -> io::Result<Option<Self>> {
+        for (own, other) in [(first, second), (second, first)] {
+            if let Some(held) = HeldLock::try_acquire(own)? {
+                return Ok(Some(Self { held: Some(held), other_paths: vec![other.clone()] }));
             }
-            tokio::time::sleep(STEP).await;
         }
-        Ok(Self { mine: None, others: seats.to_vec() })
+        Ok(None)
     }
 
-    /// Tells the other process that this one takes connections.
+    /// Announces to other processes that this one accepts connections. Without a lock it does nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the lock file can't be written.
     pub fn announce_listening(&self) -> io::Result<()> {
-        self.mine.as_ref().map_or(Ok(()), |(file, _)| (&*file).write_all(LISTENING.as_bytes()))
+        match &self.held {
+            Some(held) => (&held.file).write_all(LISTENING_MARK.as_bytes()),
+            None => Ok(()),
+        }
     }
 
-    /// Tells the other process what this one goes by.
-    pub fn publish_settings(&self, edition: &str) -> io::Result<()> {
-        self.mine.as_ref().map_or(Ok(()), |(_, path)| std::fs::write(path, edition))
+    /// Publishes a fingerprint of the settings in force to other processes. Without a lock it does
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file of published settings can't be written.
+    pub fn publish_settings(&self, fingerprint: &str) -> io::Result<()> {
+        match &self.held {
+            Some(held) => std::fs::write(&held.settings_path, fingerprint),
+            None => Ok(()),
+        }
     }
 
-    /// Another process is there, and has told that it goes by something else. It may have told half
-    /// of it so far: that differs too.
-    pub fn other_settings_differ(&self, edition: &str) -> bool {
-        let other = |text: String| !text.is_empty() && text != edition;
-        let differs = |seat: &&PathBuf| std::fs::read_to_string(told(seat)).is_ok_and(other);
-        self.others.iter().filter(differs).any(|seat| taken(seat))
+    /// Whether another process runs and has published settings other than these. A partly written
+    /// fingerprint differs too.
+    #[must_use]
+    pub fn other_settings_differ(&self, fingerprint: &str) -> bool {
+        self.other_paths.iter().any(|path| publishes_other_settings(path, fingerprint) && is_locked(path))
     }
 
-    /// Another process is there. What can't be told counts as none.
+    /// Whether another process runs. One that can't be detected counts as absent.
+    #[must_use]
     pub fn is_shared(&self) -> bool {
-        self.others.iter().any(|other| taken(other))
+        self.other_paths.iter().any(|path| is_locked(path))
     }
 
-    /// Another process is there, and takes connections.
+    /// Whether another process runs and accepts connections.
+    #[must_use]
     pub fn other_is_listening(&self) -> bool {
-        let listens = |other: &PathBuf| std::fs::read_to_string(other).is_ok_and(|text| text == LISTENING);
-        self.others.iter().any(|other| taken(other) && listens(other))
+        self.other_paths.iter().any(|path| is_locked(path) && has_listening_mark(path))
+    }
+}
+
+impl HeldLock {
+    /// Locks this file and clears what its last holder left, unless another process holds it.
+    fn try_acquire(path: &Path) -> io::Result<Option<Self>> {
+        let file = open_lock_file(path)?;
+        match file.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Ok(None),
+            Err(TryLockError::Error(error)) => return Err(error),
+        }
+        file.set_len(0)?;
+        let settings_path = state_files::published_settings_path(path);
+        std::fs::write(&settings_path, "")?;
+        Ok(Some(Self { file, settings_path }))
     }
 }
 
-/// Where the process in a seat tells what it goes by. Not in the seat's own file, which programs of
-/// before compare to a word.
-fn told(seat: &Path) -> PathBuf {
-    seat.with_added_extension("settings")
+fn open_lock_file(path: &Path) -> io::Result<File> {
+    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+}
+
+fn is_locked(path: &Path) -> bool {
+    open_lock_file(path).is_ok_and(|file| matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
+}
+
+fn has_listening_mark(path: &Path) -> bool {
+    std::fs::read_to_string(path).is_ok_and(|text| text == LISTENING_MARK)
 }
 
-fn taken(seat: &Path) -> bool {
-    open(seat).is_ok_and(|file| matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
+fn publishes_other_settings(path: &Path, fingerprint: &str) -> bool {
+    std::fs::read_to_string(state_files::published_settings_path(path))
+        .is_ok_and(|published| !published.is_empty() && published != fingerprint)
 }
--- a/src/proxy/control/maintenance.rs
+++ b/src/proxy/control/maintenance.rs
@@ -1,7 +1,9 @@
-//! Takes backends in and out of maintenance, as the maintenance store says.
+//! Applies the maintenance record to the engine: at the start, at each maintenance call, and whenever
+//! the other process of the same address has changed the record.
 
 use super::discovery::Discovery;
-use super::maintenance_store::{MaintenanceRecord, MaintenanceStore};
+use super::maintenance_record::MaintenanceState;
+use super::maintenance_store::MaintenanceStore;
 use crate::proxy::engine::Engine;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -9,63 +11,63 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// How often the book is looked at for what the other process has written.
-const BEAT: Duration = Duration::from_millis(100);
+/// How often the store is checked for changes by the other process.
+const STORE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A call that can't be done.
+/// A maintenance call names a backend that discovery has never listed.
 #[derive(Debug, Error, PartialEq, Eq)]
 #[error("never listed: {0}")]
 pub struct NeverListed(pub String);
 
-/// Tells the engine what the book says.
+/// Keeps the engine at what the maintenance store says.
 pub struct Maintenance {
-    book: Rc<MaintenanceStore>,
+    store: Rc<MaintenanceStore>,
     discovery: Rc<Discovery>,
     engine: Rc<Engine>,
-    /// What the engine has been told.
-    told: RefCell<BTreeSet<String>>,
+    /// Ids of the backends that the engine has in maintenance.
+    notified: RefCell<BTreeSet<String>>,
 }
 
 impl Maintenance {
-    /// Tells the engine at once, and from then on of each change.
-    pub fn start(book: Rc<MaintenanceStore>, discovery: Rc<Discovery>, engine: Rc<Engine>) -> Rc<Self> {
-        let maintenance = Rc::new(Self { book, discovery, engine, told: RefCell::default() });
+    /// Notifies the engine at once, and of each change from then on.
+    pub fn start(store: Rc<MaintenanceStore>, discovery: Rc<Discovery>, engine: Rc<Engine>) -> Rc<Self> {
+        let maintenance = Rc::new(Self { store, discovery, engine, notified: RefCell::default() });
         maintenance.notify_engine();
-        tokio::task::spawn_local(maintenance.clone().follow());
+        tokio::task::spawn_local(maintenance.clone().poll_store());
         maintenance
     }
 
-    /// Takes a backend out, or lets it serve again. Doing so twice changes nothing.
-    pub async fn set_maintenance(&self, name: &str, out: bool) -> Result<(), NeverListed> {
-        self.book.refresh();
-        if !self.book.pages.borrow().listed.contains(name) {
-            return Err(NeverListed(name.to_string()));
+    /// Puts a backend into maintenance or back into service, and saves that. Setting the same state
+    /// again changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no process of this address has ever had the backend listed.
+    pub async fn set_state(&self, backend: &str, state: MaintenanceState) -> Result<(), NeverListed> {
+        self.store.refresh();
+        if !self.store.record().ever_listed.contains(backend) {
+            return Err(NeverListed(backend.to_string()));
         }
-        let change = |pages: &mut MaintenanceRecord| match out {
-            true => drop(pages.out.insert(name.to_string())),
-            false => drop(pages.out.remove(name)),
-        };
-        self.book.update(change).await;
+        self.store.set_state(backend, state).await;
         self.notify_engine();
         Ok(())
     }
 
-    async fn follow(self: Rc<Self>) {
+    async fn poll_store(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(BEAT).await;
-            self.book.refresh();
-            if self.book.unsaved.get() {
-                self.book.update(|_| ()).await;
-            }
+            tokio::time::sleep(STORE_POLL_INTERVAL).await;
+            self.store.refresh();
+            self.store.save_pending().await;
             self.notify_engine();
         }
     }
 
     fn notify_engine(&self) {
-        let out = self.book.pages.borrow().out.clone();
-        let told = self.told.replace(out.clone());
-        for name in told.symmetric_difference(&out) {
-            self.engine.set_maintenance(self.discovery.backend_id(name), out.contains(name));
+        let in_maintenance = self.store.record().in_maintenance.clone();
+        let notified = self.notified.replace(in_maintenance.clone());
+        for backend in notified.symmetric_difference(&in_maintenance) {
+            let id = self.discovery.backend_id(backend);
+            self.engine.set_maintenance(id, in_maintenance.contains(backend));
         }
     }
 }
--- a/src/proxy/control/management.rs
+++ b/src/proxy/control/management.rs
@@ -1,6 +1,11 @@
-//! The second address, for those who run the proxy: one call a connection, a line each way.
+//! The management address: answers the calls of operators, one a connection.
+//!
+//! Every caller gets an answer or an end of its connection within two timeouts, and callers that send
+//! nothing can't keep others from being answered.
 
-use super::maintenance::{Maintenance, NeverListed};
+use super::maintenance::Maintenance;
+use super::maintenance_record::MaintenanceState;
+use super::management_protocol::{Call, CallError, MAX_LINE_BYTES};
 use crate::log;
 use crate::proxy::downstream::server::Server;
 use std::cell::RefCell;
@@ -8,80 +13,30 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::str::FromStr;
 use std::time::Duration;
-use thiserror::Error;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-/// Connections held at once. They have descriptors of their own.
+/// Connections open at once. Their descriptors are reserved.
 pub const MAX_MANAGEMENT_CONNECTIONS: usize = 16;
-/// Longest line.
-const MOST_LINE: u64 = 256;
-/// A call must have come within this, and its answer have been taken within the same again.
-const WITHIN: Duration = Duration::from_secs(2);
+/// Bounds the time in which a call arrives, and again the time in which its answer is read.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a failed `accept`, which may fail again at once.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// What can be asked.
-#[derive(Debug, PartialEq, Eq)]
-enum Call {
-    Status,
-    Stats,
-    /// Takes the named backend out, or lets it serve again.
-    Maintain {
-        name: String,
-        out: bool,
-    },
-}
-
-/// Why there is no answer but `ERR`.
-#[derive(Debug, Error)]
-enum CallError {
-    #[error("no call: status, stats, maint-on ID, maint-off ID")]
-    Unknown,
-    #[error("the call did not come whole")]
-    Incomplete,
-    #[error("the call did not come in time")]
-    Late,
-    #[error("{0}")]
-    NeverListed(#[from] NeverListed),
-    #[error("not ready")]
-    NotReady,
-    #[error("no figures: {0}")]
-    Metrics(#[from] serde_json::Error),
-    #[error("{0}")]
-    Io(#[from] io::Error),
-}
-
-impl FromStr for Call {
-    type Err = CallError;
-
-    fn from_str(line: &str) -> Result<Self, CallError> {
-        let mut words = line.split_ascii_whitespace();
-        match (words.next(), words.next(), words.next()) {
-            (Some("status"), None, None) => Ok(Call::Status),
-            (Some("stats"), None, None) => Ok(Call::Stats),
-            (Some("maint-on"), Some(name), None) => Ok(Call::Maintain { name: name.to_string(), out: true }),
-            (Some("maint-off"), Some(name), None) => {
-                Ok(Call::Maintain { name: name.to_string(), out: false })
-            }
-            _ => Err(CallError::Unknown),
-        }
-    }
-}
-
-/// Answers calls.
+/// Serves the management address.
 pub struct Management {
     server: Rc<Server>,
     maintenance: Rc<Maintenance>,
-    /// The connections, the oldest first.
-    callers: RefCell<VecDeque<AbortHandle>>,
+    /// Tasks of the open connections, the oldest first.
+    connections: RefCell<VecDeque<AbortHandle>>,
 }
 
 impl Management {
-    /// One that speaks for this server, and to this maintenance.
+    /// Answers calls for this server, and changes this maintenance.
     pub fn new(server: Rc<Server>, maintenance: Rc<Maintenance>) -> Rc<Self> {
-        Rc::new(Self { server, maintenance, callers: RefCell::default() })
+        Rc::new(Self { server, maintenance, connections: RefCell::default() })
     }
 
     /// Answers calls for as long as the process runs.
@@ -91,74 +46,86 @@
                 Ok((stream, _)) => self.clone().admit(stream).await,
                 Err(error) => {
                     log!("management: {error}");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
                 }
             }
         }
     }
 
-    /// Takes in a caller. Those that have sent their calls are answered first, so that those that
-    /// are still there say nothing, and the oldest of them may go for want of room. It has its
-    /// descriptor until it has gone, and no more than these are set aside.
+    /// Serves a new connection; at the limit, the oldest one is closed for it. Connections whose call
+    /// has arrived are answered first, so that only callers that have sent nothing are closed. The
+    /// loop ends when the closed one has released its descriptor, as no more than the limit are
+    /// reserved.
     async fn admit(self: Rc<Self>, stream: TcpStream) {
         tokio::task::yield_now().await;
-        while self.crowded() {
-            self.callers.borrow().front().into_iter().for_each(|oldest| oldest.abort());
+        while self.is_full() {
+            self.abort_oldest();
             tokio::task::yield_now().await;
         }
         let this = self.clone();
-        let caller = tokio::task::spawn_local(async move {
-            // A caller that is gone needs no answer.
+        let connection = tokio::task::spawn_local(async move {
+            // An error means that the caller has disconnected, so that nobody waits for an answer.
             let _ = this.serve(stream).await;
         });
-        self.callers.borrow_mut().push_back(caller.abort_handle());
+        self.connections.borrow_mut().push_back(connection.abort_handle());
     }
 
-    fn crowded(&self) -> bool {
-        let mut callers = self.callers.borrow_mut();
-        callers.retain(|caller| !caller.is_finished());
-        callers.len() >= MAX_MANAGEMENT_CONNECTIONS
+    fn is_full(&self) -> bool {
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|connection| !connection.is_finished());
+        connections.len() >= MAX_MANAGEMENT_CONNECTIONS
+    }
+
+    fn abort_oldest(&self) {
+        if let Some(oldest) = self.connections.borrow().front() {
+            oldest.abort();
+        }
     }
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
-        let call = tokio::time::timeout(WITHIN, read(&mut stream)).await;
-        let answer = async { self.answer(call.unwrap_or(Err(CallError::Late))?).await };
-        let answer = match answer.await {
+        let call = tokio::time::timeout(CALL_TIMEOUT, Call::read(&mut stream)).await;
+        let answer = match call.unwrap_or(Err(CallError::Timeout)) {
+            Ok(call) => self.answer(call).await,
+            Err(error) => Err(error),
+        };
+        let line = match answer {
             Ok(text) => format!("{text}\n"),
             Err(error) => format!("ERR {error}\n"),
         };
-        let written = async {
-            stream.write_all(answer.as_bytes()).await?;
-            stream.shutdown().await?;
-            // What is left unread would reset the connection, and the answer might be lost.
-            tokio::io::copy(&mut stream.take(MOST_LINE), &mut tokio::io::sink()).await
-        };
-        tokio::time::timeout(WITHIN, written).await??;
-        Ok(())
+        tokio::time::timeout(CALL_TIMEOUT, write_and_close(stream, &line)).await?
     }
 
-    /// The metrics come bare, as operators' programs read them; all else begins with `OK`.
+    /// Metrics are sent without `OK`, as operators' programs expect; all other answers begin with it.
     async fn answer(&self, call: Call) -> Result<String, CallError> {
         match call {
             Call::Status if self.server.is_ready() => Ok("OK ready".to_string()),
             Call::Status => Err(CallError::NotReady),
-            Call::Maintain { name, out } => {
-                self.maintenance.set_maintenance(&name, out).await?;
-                Ok(format!("OK {name} is {}", if out { "out" } else { "back" }))
+            Call::SetMaintenance { backend, state } => {
+                self.maintenance.set_state(&backend, state).await?;
+                let word = match state {
+                    MaintenanceState::InMaintenance => "out",
+                    MaintenanceState::InService => "back",
+                };
+                Ok(format!("OK {backend} is {word}"))
             }
             Call::Stats => Ok(format!("{}\nEND", self.server.metrics_json()?)),
         }
     }
 }
 
-async fn read(stream: &mut TcpStream) -> Result<Call, CallError> {
-    let mut line = Vec::new();
-    BufReader::new(stream.take(MOST_LINE)).read_until(b'\n', &mut line).await?;
-    let line = line.strip_suffix(b"\n").ok_or(CallError::Incomplete)?;
-    std::str::from_utf8(line).map_err(|_| CallError::Unknown)?.parse()
+async fn write_and_close(mut stream: TcpStream, line: &str) -> io::Result<()> {
+    stream.write_all(line.as_bytes()).await?;
+    stream.shutdown().await?;
+    // Closing a socket with unread input resets the connection, and the answer could be lost.
+    tokio::io::copy(&mut stream.take(MAX_LINE_BYTES), &mut tokio::io::sink()).await?;
+    Ok(())
 }
 
-/// Binds the second address.
+/// Binds the management address.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     TcpListener::bind(address).await
 }
