Split start-up into steps, and name the parts of the metrics

It now reads as the list of steps: signals, configuration, management address with lock and store, engine and discovery, listening, serving. Signals, Managed and Proxy own what belongs together; the interval of the check for another process has a name.

The metrics have ClassTable, ClassCounts, OutcomeCounts and SettingsChanges in place of tuples and aliases; the JSON of stats keeps its names through serde renames.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,8 @@
-//! The real proxy: starts it, has it read its configuration again on SIGHUP, stops it on SIGTERM.
+//! The program `balancer-proxy`: starts the proxy, reloads its configuration on SIGHUP and begins a
+//! graceful shutdown on SIGTERM.
+//!
+//! A proxy with a management address may be replaced by a second process on the same listen address:
+//! the two share the state files, and each uses half of the limits while both run.
 
 #![forbid(unsafe_code)]
 
@@ -15,105 +19,193 @@
 use balancer_proxy::proxy::engine::Engine;
 use balancer_proxy::proxy::limits::Capacities;
 use balancer_proxy::proxy::metrics::Metrics;
+use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
+/// Descriptors reserved for the management address: its listener and its connections.
+const MANAGEMENT_DESCRIPTORS: usize = 1 + MAX_MANAGEMENT_CONNECTIONS;
+/// Bounds the wait for an endpoint list before a process that replaces another one accepts
+/// connections. After that it serves from the cached list.
+const ENDPOINT_LIST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How often a process checks whether another one runs on its address, and with which settings.
+const OTHER_PROCESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Why the proxy could not start.
 #[derive(Debug, Error)]
 enum StartError {
-    #[error("{0}")]
+    #[error(transparent)]
     Config(#[from] ConfigError),
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Io(#[from] io::Error),
 }
 
-/// A process that takes over from another one waits so long for a list before it takes connections.
-const LIST_WITHIN: Duration = Duration::from_millis(1500);
-/// How often it is looked whether another process is there.
-const LOOK: Duration = Duration::from_millis(100);
+/// The signals that the process handles.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+}
 
-/// This process's place beside another one. Without it the proxy serves as if it were alone.
-async fn take_seat(place: &Path) -> Option<Rc<InstanceLock>> {
-    let seat = InstanceLock::acquire(place).await;
-    seat.inspect_err(|error| log!("balancer-proxy: {}: {error}", place.display())).ok().map(Rc::new)
+impl Signals {
+    fn install() -> io::Result<Self> {
+        let hangup = signal(SignalKind::hangup())?;
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(Self { hangup, terminate })
+    }
 }
 
-async fn run() -> Result<(), StartError> {
-    // The handlers come first: a signal that finds none ends the program.
-    let mut hangup = signal(SignalKind::hangup())?;
-    let mut stop = signal(SignalKind::terminate())?;
-    let stamp = config::file_stamp();
-    let mut config = Config::from_env(AddressSource::Environment)?;
-    let management = match config.management {
-        Some(address) => Some(management::bind(address).await?),
-        None => None,
-    };
-    if let Some(listener) = &management {
+/// What only a proxy with a management address has.
+struct Managed {
+    /// The management address.
+    listener: TcpListener,
+    /// None if the lock files can't be used: the proxy then serves as if it were alone.
+    lock: Option<Rc<InstanceLock>>,
+    store: Rc<MaintenanceStore>,
+}
+
+impl Managed {
+    async fn open(management: SocketAddr, listen: SocketAddr) -> io::Result<Self> {
+        let listener = management::bind(management).await?;
         log!("balancer-proxy: management on {}", listener.local_addr()?);
+        let base = state_files::base_path(listen);
+        let lock = match InstanceLock::acquire(&base).await {
+            Ok(lock) => Some(Rc::new(lock)),
+            Err(error) => {
+                log_file_error(&base, &error);
+                None
+            }
+        };
+        Ok(Self { listener, lock, store: MaintenanceStore::open(&base) })
     }
-    // What two processes share, where one may be replaced by another.
-    let place = state_files::base_path(config.listen);
-    let (seat, book) = match management {
-        Some(_) => (take_seat(&place).await, Some(MaintenanceStore::open(&place))),
-        None => (None, None),
-    };
-    let successor = seat.as_ref().is_some_and(|seat| seat.is_shared());
-    let managed = management.is_some();
-    let kept = if managed { MAX_MANAGEMENT_CONNECTIONS + 1 } else { 0 };
-    let caps = Capacities::new(config.limits.share(successor), kept);
-    let terms = Rc::new(std::mem::take(&mut config.snapshot));
-    let figures = Metrics::new(&terms.proxy);
-    let engine = Engine::start(terms.clone(), config.seed, caps.backends, figures);
-    let (at, known) = (config.discovery, std::mem::take(&mut config.cached_endpoints));
-    let discovery = Discovery::new(at, config.seed, &terms, engine.clone(), book.clone());
-    engine.set_discovery(&discovery);
-    discovery.start(known);
-    let maintenance = book.map(|book| Maintenance::start(book, discovery.clone(), engine.clone()));
-    let server = Server::new(engine.clone(), caps, seat.clone());
-    if let Some((listener, maintenance)) = management.zip(maintenance) {
-        tokio::task::spawn_local(Management::new(server.clone(), maintenance).run(listener));
+}
+
+/// The parts of a running proxy.
+struct Proxy {
+    engine: Rc<Engine>,
+    discovery: Rc<Discovery>,
+    server: Rc<Server>,
+}
+
+impl Proxy {
+    /// Starts the engine, discovery, and maintenance and management if there is a management address.
+    /// Takes the settings and the cached endpoint list out of `config`.
+    fn start(config: &mut Config, capacities: Capacities, managed: Option<Managed>) -> Self {
+        let settings = Rc::new(std::mem::take(&mut config.snapshot));
+        let metrics = Metrics::new(&settings.proxy);
+        let engine = Engine::start(settings.clone(), config.seed, capacities.backends, metrics);
+
+        let store = managed.as_ref().map(|managed| managed.store.clone());
+        let discovery = Discovery::new(config.discovery, config.seed, &settings, engine.clone(), store);
+        engine.set_discovery(&discovery);
+        discovery.start(std::mem::take(&mut config.cached_endpoints));
+
+        let lock = managed.as_ref().and_then(|managed| managed.lock.clone());
+        let server = Server::new(engine.clone(), capacities, lock);
+        let proxy = Self { engine, discovery, server };
+        if let Some(managed) = managed {
+            proxy.start_management(managed);
+        }
+        proxy
     }
-    if successor {
-        discovery.fetch_once();
-        let _ = tokio::time::timeout(LIST_WITHIN, discovery.answered()).await; // else the known list holds
+
+    fn start_management(&self, managed: Managed) {
+        let maintenance = Maintenance::start(managed.store, self.discovery.clone(), self.engine.clone());
+        let management = Management::new(self.server.clone(), maintenance);
+        tokio::task::spawn_local(management.run(managed.listener));
     }
-    let listener = server::bind(config.listen, managed)?;
-    log!("balancer-proxy: listening on {}", listener.local_addr()?);
-    let reload = Rc::new(Reload::new(&config, stamp, kept, server.clone(), engine, discovery, seat.clone()));
-    let signals = reload.clone();
-    let reloading = async move {
-        while hangup.recv().await.is_some() {
-            signals.on_signal();
+
+    /// Waits until discovery has answered, or for [`ENDPOINT_LIST_TIMEOUT`].
+    async fn wait_for_endpoint_list(&self) {
+        self.discovery.fetch_once();
+        let _ = tokio::time::timeout(ENDPOINT_LIST_TIMEOUT, self.discovery.answered()).await;
+    }
+
+    /// Serves clients until the graceful shutdown that SIGTERM begins is complete.
+    async fn serve(self, listener: TcpListener, signals: Signals, reload: Rc<Reload>) {
+        let Signals { hangup, mut terminate } = signals;
+        let shutdown = async move { terminate.recv().await.unwrap_or_default() };
+        tokio::select! {
+            () = self.server.run(listener, shutdown) => {}
+            () = reload_on_hangup(hangup, reload) => {}
         }
-        std::future::pending().await
+    }
+}
+
+/// Reloads the configuration on each SIGHUP. Never returns.
+async fn reload_on_hangup(mut hangup: Signal, reload: Rc<Reload>) {
+    while hangup.recv().await.is_some() {
+        reload.on_signal();
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Follows what another process on the same address does, for as long as this one runs.
+async fn follow_other_process(reload: Rc<Reload>) {
+    loop {
+        tokio::time::sleep(OTHER_PROCESS_CHECK_INTERVAL).await;
+        reload.check_other_process();
+    }
+}
+
+fn log_file_error(base: &Path, error: &io::Error) {
+    log!("balancer-proxy: {}: {error}", base.display());
+}
+
+async fn run() -> Result<(), StartError> {
+    // First of all, as an unhandled signal ends the process.
+    let signals = Signals::install()?;
+    // Before the file is read, so that a later change of the file is noticed.
+    let file_stamp = config::file_stamp();
+    let mut config = Config::from_env(AddressSource::Environment)?;
+    let managed = match config.management {
+        Some(address) => Some(Managed::open(address, config.listen).await?),
+        None => None,
     };
-    if let Some(seat) = seat {
-        // Without it the other process takes this one for absent, and goes on taking connections.
-        let told = seat.announce_listening();
-        told.unwrap_or_else(|error| log!("balancer-proxy: {}: {error}", place.display()));
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(LOOK).await;
-                reload.check_other_process();
-            }
-        });
+    let is_managed = managed.is_some();
+    let lock = managed.as_ref().and_then(|managed| managed.lock.clone());
+    let replaces_another = lock.as_ref().is_some_and(|lock| lock.is_shared());
+
+    let reserved_descriptors = if is_managed { MANAGEMENT_DESCRIPTORS } else { 0 };
+    let capacities = Capacities::new(config.limits.share(replaces_another), reserved_descriptors);
+    let proxy = Proxy::start(&mut config, capacities, managed);
+    if replaces_another {
+        proxy.wait_for_endpoint_list().await;
     }
-    tokio::select! {
-        () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
-        () = reloading => {}
+    let listener = server::bind(config.listen, is_managed)?;
+    log!("balancer-proxy: listening on {}", listener.local_addr()?);
+
+    let reload = Rc::new(Reload::new(
+        &config,
+        file_stamp,
+        reserved_descriptors,
+        proxy.server.clone(),
+        proxy.engine.clone(),
+        proxy.discovery.clone(),
+        lock.clone(),
+    ));
+    if let Some(lock) = lock {
+        // Otherwise the other process would count this one as absent and keep accepting connections.
+        if let Err(error) = lock.announce_listening() {
+            log_file_error(&state_files::base_path(config.listen), &error);
+        }
+        tokio::task::spawn_local(follow_other_process(reload.clone()));
     }
+    proxy.serve(listener, signals, reload).await;
     log!("balancer-proxy: stopped");
     Ok(())
 }
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ran = runtime.map_err(StartError::from);
-    match ran.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
+    let result = runtime.map_err(StartError::from);
+    match result.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log!("balancer-proxy: {error}");
--- a/src/proxy/control/maintenance_store.rs
+++ b/src/proxy/control/maintenance_store.rs
@@ -56,6 +56,7 @@
 impl MaintenanceStore {
     /// Opens the store whose files start with `base`. A record that is missing or incomplete counts
     /// as empty.
+    #[must_use]
     pub fn open(base: &Path) -> Rc<Self> {
         let store = Self {
             path: state_files::maintenance_record_path(base),
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -1,5 +1,7 @@
-//! What the proxy counts for those who run it: each request once, where it ends, by the name of the
-//! class that it was taken under.
+//! The metrics that operators read with the management call `stats`.
+//!
+//! Each request is counted once, where it ends, under the name that its class had when it arrived.
+//! The names of the JSON fields are part of the management protocol and stay as they are.
 
 use super::settings::ProxySettings;
 use hyper::StatusCode;
@@ -8,160 +10,212 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-/// So many classes that are no more are kept in the figures, those that went last. What went before
-/// is lost from them: where every change brings new names, they must not grow for ever.
-const MOST_RETIRED: usize = 64;
+/// Retired classes in the metrics, those that were removed last. The counts of earlier ones are
+/// dropped: the metrics must stay bounded where each change of the settings brings new names.
+const MAX_RETIRED_CLASSES: usize = 64;
 
-/// How many requests of a class ended how.
+/// How the requests of a class ended.
 #[derive(Default, Serialize)]
-struct Results {
+struct OutcomeCounts {
+    /// Final status 200.
     succeeded: Cell<u64>,
+    /// Final status 429 or 503: not executed, and safe to send again.
     declined: Cell<u64>,
+    /// Any other final status.
     aborted: Cell<u64>,
 }
 
-impl Results {
-    fn any(&self) -> bool {
-        [&self.succeeded, &self.declined, &self.aborted].iter().any(|count| count.get() > 0)
+impl OutcomeCounts {
+    fn is_empty(&self) -> bool {
+        [&self.succeeded, &self.declined, &self.aborted].iter().all(|count| count.get() == 0)
     }
 }
 
-type ByName = Vec<(String, Rc<Results>)>;
+/// The counts of one class name.
+struct ClassCounts {
+    name: String,
+    outcomes: Rc<OutcomeCounts>,
+}
+
+impl ClassCounts {
+    /// It has counts, or requests that are yet to be counted.
+    fn is_used(&self) -> bool {
+        !self.outcomes.is_empty() || Rc::strong_count(&self.outcomes) > 1
+    }
+}
 
 /// The classes that are counted.
 #[derive(Default)]
-struct Classes {
-    in_force: ByName,
-    /// Those that are no more, with counts or with requests that will count, the latest last.
-    retired: ByName,
+struct ClassTable {
+    /// Classes of the settings in force, in the order of the settings.
+    in_force: Vec<ClassCounts>,
+    /// Classes that the settings no longer have, the one removed last at the end.
+    retired: Vec<ClassCounts>,
 }
 
-/// What has become of the settings that came since the start.
+impl ClassTable {
+    fn iter(&self) -> impl Iterator<Item = &ClassCounts> {
+        self.in_force.iter().chain(&self.retired)
+    }
+
+    /// Replaces the classes in force. Counts stay with their names.
+    fn set_in_force(&mut self, names: &[String]) {
+        let mut previous = std::mem::take(&mut self.retired);
+        previous.append(&mut self.in_force);
+        self.in_force = with_previous_counts(names, &previous);
+
+        let names: HashSet<&String> = names.iter().collect();
+        previous.retain(|class| !names.contains(&class.name) && class.is_used());
+        let excess = previous.len().saturating_sub(MAX_RETIRED_CLASSES);
+        previous.drain(..excess);
+        self.retired = previous;
+    }
+}
+
+fn with_previous_counts(names: &[String], previous: &[ClassCounts]) -> Vec<ClassCounts> {
+    let mut counts_by_name = HashMap::new();
+    for class in previous {
+        counts_by_name.entry(&class.name).or_insert(&class.outcomes);
+    }
+    let counts_of = |name: &String| ClassCounts {
+        name: name.clone(),
+        outcomes: counts_by_name.get(name).map(|outcomes| Rc::clone(outcomes)).unwrap_or_default(),
+    };
+    names.iter().map(counts_of).collect()
+}
+
+impl Serialize for ClassTable {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.iter().map(|class| (&class.name, &*class.outcomes)))
+    }
+}
+
+/// Changes of the settings since the process started.
 #[derive(Clone, Copy, Default, Serialize)]
-struct Changes {
-    /// Of those in force.
+struct SettingsChanges {
+    /// Version of the settings in force, if they have one.
     version: Option<u64>,
-    /// OutstandingRequest over.
-    changed: u64,
-    /// Files that were not.
-    refused: u64,
+    /// Changes that came into force.
+    #[serde(rename = "changed")]
+    applied: u64,
+    /// Files that were rejected.
+    #[serde(rename = "refused")]
+    rejected: u64,
 }
 
-/// The counts of this process, from 0 at its start.
+/// The metrics of this process, from 0 at its start.
 #[derive(Serialize)]
 pub struct Metrics {
-    #[serde(rename = "results", serialize_with = "by_name")]
-    classes: RefCell<Classes>,
+    #[serde(rename = "results")]
+    classes: RefCell<ClassTable>,
+    /// Requests without a final response.
     outstanding: Cell<u64>,
+    /// Attempts that were written completely to a backend.
     forwards: Cell<u64>,
     #[serde(skip)]
-    changes: Cell<Changes>,
+    settings_changes: Cell<SettingsChanges>,
 }
 
-/// The figures at one moment, in the form that is answered.
+/// The metrics at one moment, in the form of `stats`.
 #[derive(Serialize)]
 struct Snapshot<'a> {
     #[serde(flatten)]
-    figures: &'a Metrics,
+    metrics: &'a Metrics,
     discovered: usize,
     ejected: usize,
-    settings: Changes,
-}
-
-fn by_name<S: Serializer>(classes: &RefCell<Classes>, to: S) -> Result<S::Ok, S::Error> {
-    let classes = classes.borrow();
-    to.collect_map(classes.in_force.iter().chain(&classes.retired).map(|(name, results)| (name, &**results)))
+    settings: SettingsChanges,
 }
 
 impl Metrics {
-    /// All at 0, for these classes.
-    pub fn new(wire: &ProxySettings) -> Rc<Self> {
-        let figures = Self {
+    /// Metrics at 0 for the classes of these settings.
+    #[must_use]
+    pub fn new(settings: &ProxySettings) -> Rc<Self> {
+        let metrics = Self {
             classes: RefCell::default(),
             outstanding: Cell::new(0),
             forwards: Cell::new(0),
-            changes: Cell::default(),
-        };
-        figures.keep_to(wire);
-        Rc::new(figures)
-    }
-
-    /// From now on these are the classes. What has been counted stays with their names.
-    fn keep_to(&self, wire: &ProxySettings) {
-        let Classes { in_force, retired } = self.classes.take();
-        let had: ByName = retired.into_iter().chain(in_force).collect();
-        let by_name: HashMap<_, _> = had.iter().rev().map(|(name, results)| (name, results)).collect();
-        let counted = |name: &String| by_name.get(name).copied().cloned().unwrap_or_default();
-        let in_force = wire.classes.iter().map(|name| (name.clone(), counted(name))).collect();
-        let names: HashSet<_> = wire.classes.iter().collect();
-        let still = |(name, results): &(String, Rc<Results>)| {
-            !names.contains(name) && (results.any() || Rc::strong_count(results) > 1)
+            settings_changes: Cell::default(),
         };
-        let mut retired: ByName = had.into_iter().filter(still).collect();
-        retired.drain(..retired.len().saturating_sub(MOST_RETIRED));
-        self.classes.replace(Classes { in_force, retired });
-        self.changes.set(Changes { version: wire.version, ..self.changes.get() });
+        metrics.set_settings(settings);
+        Rc::new(metrics)
     }
 
-    /// Other settings have come into force.
-    pub fn settings_applied(&self, wire: &ProxySettings) {
-        self.keep_to(wire);
-        let changes = self.changes.get();
-        self.changes.set(Changes { changed: changes.changed + 1, ..changes });
+    fn set_settings(&self, settings: &ProxySettings) {
+        self.classes.borrow_mut().set_in_force(&settings.classes);
+        let changes = self.settings_changes.get();
+        self.settings_changes.set(SettingsChanges { version: settings.version, ..changes });
     }
 
-    /// A file could not be taken over.
+    /// Counts a change of the settings, and counts requests under its classes from now on.
+    pub fn settings_applied(&self, settings: &ProxySettings) {
+        self.set_settings(settings);
+        let changes = self.settings_changes.get();
+        self.settings_changes.set(SettingsChanges { applied: changes.applied + 1, ..changes });
+    }
+
+    /// Counts a file of settings that was rejected.
     pub fn settings_rejected(&self) {
-        let changes = self.changes.get();
-        self.changes.set(Changes { refused: changes.refused + 1, ..changes });
+        let changes = self.settings_changes.get();
+        self.settings_changes.set(SettingsChanges { rejected: changes.rejected + 1, ..changes });
     }
 
-    /// An attempt has been written whole to a backend.
+    /// Counts an attempt that was written completely to a backend.
     pub fn attempt_written(&self) {
         self.forwards.set(self.forwards.get() + 1);
     }
 
-    /// Where the requests of a class are counted, whatever becomes of the class.
-    pub fn for_class(self: &Rc<Self>, class: &str) -> ClassMetrics {
+    /// Where the requests of a class are counted. It stays valid when the class is retired.
+    #[must_use]
+    pub fn for_class(self: &Rc<Self>, name: &str) -> ClassMetrics {
         let classes = self.classes.borrow();
-        let found = classes.in_force.iter().chain(&classes.retired).find(|(name, _)| name == class);
-        let results = found.map(|(_, results)| results.clone()).unwrap_or_default();
-        ClassMetrics { figures: self.clone(), results }
+        let class = classes.iter().find(|class| class.name == name);
+        let outcomes = class.map(|class| class.outcomes.clone()).unwrap_or_default();
+        ClassMetrics { metrics: self.clone(), outcomes }
     }
 
-    /// One line of JSON, with what the decision module says of the list.
+    /// One line of JSON. `discovered` and `ejected` are the numbers of backends that are listed, and of
+    /// those that receive no requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the serializer does.
     pub fn to_json(&self, discovered: usize, ejected: usize) -> serde_json::Result<String> {
-        let settings = self.changes.get();
-        serde_json::to_string(&Snapshot { figures: self, discovered, ejected, settings })
+        let settings = self.settings_changes.get();
+        serde_json::to_string(&Snapshot { metrics: self, discovered, ejected, settings })
     }
 }
 
-/// The counts of a class.
+/// Counts the requests of a class.
 #[derive(Clone)]
 pub struct ClassMetrics {
-    figures: Rc<Metrics>,
-    results: Rc<Results>,
+    metrics: Rc<Metrics>,
+    outcomes: Rc<OutcomeCounts>,
 }
 
 impl ClassMetrics {
-    /// A request has come whole.
+    /// Counts a request that was received completely, and is outstanding from now on.
+    #[must_use]
     pub fn request_started(&self) -> OutstandingRequest {
-        self.figures.outstanding.set(self.figures.outstanding.get() + 1);
-        OutstandingRequest(self.clone())
+        let outstanding = &self.metrics.outstanding;
+        outstanding.set(outstanding.get() + 1);
+        OutstandingRequest { class: self.clone() }
     }
 }
 
-/// A request that is outstanding, until this is dropped.
-pub struct OutstandingRequest(ClassMetrics);
+/// A request that counts as outstanding until this is dropped.
+pub struct OutstandingRequest {
+    class: ClassMetrics,
+}
 
 impl OutstandingRequest {
-    /// The client has got this as its final answer. Without it, the client left.
+    /// Counts the outcome of the request, whose client has received its final response. If the client
+    /// disconnects before that, the value is dropped and no outcome is counted.
     pub fn finish(self, status: StatusCode) {
-        let results = &self.0.results;
+        let outcomes = &self.class.outcomes;
         let count = match status {
-            StatusCode::OK => &results.succeeded,
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => &results.declined,
-            _ => &results.aborted,
+            StatusCode::OK => &outcomes.succeeded,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => &outcomes.declined,
+            _ => &outcomes.aborted,
         };
         count.set(count.get() + 1);
     }
@@ -169,7 +223,7 @@
 
 impl Drop for OutstandingRequest {
     fn drop(&mut self) {
-        let outstanding = &self.0.figures.outstanding;
+        let outstanding = &self.class.metrics.outstanding;
         outstanding.set(outstanding.get() - 1);
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,4 +1,7 @@
-//! The real proxy: the decision module on sockets.
+//! The proxy: hosts the decision module on sockets.
+//!
+//! [`downstream`] serves clients, [`engine`] drives the decisions, [`upstream`] talks to backends and
+//! [`control`] takes in configuration, endpoint lists and operators' calls.
 
 pub mod clock;
 pub mod control;
@@ -11,8 +14,8 @@
 pub mod upstream;
 pub mod watch_event;
 
-/// Writes a line to the log, which is the standard error. Where nobody takes it any more, it is
-/// lost: `eprintln` would panic then, and end the task that had something to tell.
+/// Writes a line to the log, which is the standard error. A line that can't be written is dropped:
+/// `eprintln` would panic and end the task that logs.
 #[macro_export]
 macro_rules! log {
     ($($part:tt)*) => {{
