--- a/src/proxy/control/maintenance_record.rs
+++ b/src/proxy/control/maintenance_record.rs
@@ -27,16 +27,6 @@
 }
 
 impl MaintenanceRecord {
-    /// The state of a backend; one that is not recorded is in service.
-    #[must_use]
-    pub fn state_of(&self, backend: &str) -> MaintenanceState {
-        if self.in_maintenance.contains(backend) {
-            MaintenanceState::InMaintenance
-        } else {
-            MaintenanceState::InService
-        }
-    }
-
     /// Sets the state of a backend. Setting the same state again changes nothing.
     pub fn set_state(&mut self, backend: &str, state: MaintenanceState) {
         match state {
