--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,46 @@
+//! The JSON of the management call `stats`, byte for byte as operators' programs read it.
+
+use balancer_proxy::proxy::metrics::Metrics;
+use balancer_proxy::proxy::settings::ProxySettings;
+use hyper::StatusCode;
+
+fn settings(version: Option<u64>, classes: &[&str]) -> ProxySettings {
+    let classes = classes.iter().map(ToString::to_string).collect();
+    ProxySettings { version, classes, ..ProxySettings::default() }
+}
+
+#[test]
+fn new_metrics_have_all_fields_at_zero_in_the_order_of_the_settings() {
+    let metrics = Metrics::new(&settings(None, &["look", "save"]));
+
+    let expected = concat!(
+        r#"{"results":{"look":{"succeeded":0,"declined":0,"aborted":0},"#,
+        r#""save":{"succeeded":0,"declined":0,"aborted":0}},"#,
+        r#""outstanding":0,"forwards":0,"discovered":0,"ejected":0,"#,
+        r#""settings":{"version":null,"changed":0,"refused":0}}"#,
+    );
+    assert_eq!(metrics.to_json(0, 0).unwrap(), expected);
+}
+
+#[test]
+fn each_final_status_counts_once_and_retired_classes_follow_those_in_force() {
+    let metrics = Metrics::new(&settings(Some(3), &["look", "save", "unused"]));
+    let look = metrics.for_class("look");
+    for status in [200, 429, 503, 400, 502, 504] {
+        look.request_started().finish(StatusCode::from_u16(status).unwrap());
+    }
+    drop(look.request_started()); // its client has disconnected
+    metrics.attempt_written();
+    metrics.settings_rejected();
+    metrics.settings_applied(&settings(Some(4), &["order", "save"]));
+    let _outstanding = metrics.for_class("save").request_started();
+
+    let expected = concat!(
+        r#"{"results":{"order":{"succeeded":0,"declined":0,"aborted":0},"#,
+        r#""save":{"succeeded":0,"declined":0,"aborted":0},"#,
+        r#""look":{"succeeded":1,"declined":2,"aborted":3}},"#,
+        r#""outstanding":1,"forwards":1,"discovered":5,"ejected":2,"#,
+        r#""settings":{"version":4,"changed":1,"refused":1}}"#,
+    );
+    assert_eq!(metrics.to_json(5, 2).unwrap(), expected);
+}
