Name the conversions of the clock, and the notice of a second process, after what they do

Clock::of_unix and Clock::at did not say from what to what they convert, and Engine::second_process reads as a query. They become from_unix_time, instant_at and set_second_process_running. No behaviour changes.

--- a/src/proxy/control/endpoint_list.rs
+++ b/src/proxy/control/endpoint_list.rs
@@ -94,7 +94,8 @@
                     Lifecycle::Draining => Status::Draining,
                     Lifecycle::Deleted => Status::Removed,
                 },
-                started_at: (raw.started_at_ms > 0.0).then(|| clock.of_unix(raw.started_at_ms / 1000.0)),
+                started_at: (raw.started_at_ms > 0.0)
+                    .then(|| clock.from_unix_time(raw.started_at_ms / 1000.0)),
             },
             address: raw.host_port,
         };
--- a/src/proxy/control/reload.rs
+++ b/src/proxy/control/reload.rs
@@ -85,7 +85,7 @@
         };
         let shared = seat.is_shared();
         self.set_capacities(shared);
-        self.engine.second_process(shared);
+        self.engine.set_second_process_running(shared);
         let gone = self.beside.replace(shared) && !shared;
         // One file is read once, whatever is found in it: a bad one doesn't get better.
         if (gone || seat.other_settings_differ(&self.edition())) && config::file_stamp() != self.stamp.get() {
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -336,7 +336,7 @@
     }
 
     /// Another process takes requests of the same clients beside this one, or no longer does.
-    pub fn second_process(&self, beside: bool) {
+    pub fn set_second_process_running(&self, beside: bool) {
         let mut state = self.state.borrow_mut();
         state.told.push_back(PendingEvent::Event(Event::SecondProcess(beside)));
         self.decide(state);
@@ -535,7 +535,7 @@
 
     async fn run_timers(self: Rc<Self>) {
         loop {
-            let next = self.state.borrow().timers.peek().map(|Reverse((at, ..))| self.clock.at(at.0));
+            let next = self.state.borrow().timers.peek().map(|Reverse((at, ..))| self.clock.instant_at(at.0));
             match next {
                 None => self.timer_set.notified().await,
                 Some(next) => tokio::select! {
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -47,7 +47,7 @@
     figures: Rc<Metrics>,
 ) -> AttemptResult {
     let request = |last: &Rc<Cell<bool>>| payload.request(until - clock.now(), last);
-    let by = last.is_finite().then(|| clock.at(last));
+    let by = last.is_finite().then(|| clock.instant_at(last));
     exchange(&endpoint, &clock, &written, request, by, Some(figures)).await
 }
 
