Split the engine into parts with one owner each: requests, attempts, timers, endpoints, decisions

engine.rs held the timer heap, the open requests, the running attempts, the connection pools, the module's events and the estimate of the scheduling lag in one struct of functions on shared state, with keys such as (RequestId, usize).

It becomes src/proxy/engine/: one file for each of these, state.rs for how requests and attempts end, dispatcher.rs for the events given to the module and the actions that it asks for, and Engine as the interface to the layers around. No part imports Engine or the dispatcher.

The order of events, timers and actions is the same as before.

--- /dev/null
+++ b/src/proxy/engine/decisions.rs
@@ -0,0 +1,84 @@
+//! The decision module and the events that it has not been given yet.
+//!
+//! Owns both. Events are queued because carrying out an action may cause the next event, while the
+//! module must be given them one after another, in the order in which they happened.
+
+use crate::proxy::clock::Clock;
+use crate::proxy::settings::SettingsSnapshot;
+use crate::proxy::watch_event::{ListedEndpoint, WatchEvent};
+use crate::{Action, Balancer, Endpoint, EndpointUpdate, Event, Settings, Time};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// An event that owns its data.
+pub(super) enum PendingEvent {
+    /// An event that borrows nothing.
+    Plain(Event<'static>),
+    /// An event of the endpoint list.
+    Watch(WatchEvent),
+    /// New settings.
+    Settings(Rc<SettingsSnapshot>),
+}
+
+impl From<Event<'static>> for PendingEvent {
+    fn from(event: Event<'static>) -> Self {
+        Self::Plain(event)
+    }
+}
+
+/// The decision module with its queue of events.
+pub(super) struct Decisions {
+    balancer: Balancer,
+    pending: VecDeque<PendingEvent>,
+}
+
+impl Decisions {
+    pub(super) fn new(now: Time, seed: u64, settings: Settings) -> Self {
+        Self { balancer: Balancer::new(now, seed, settings), pending: VecDeque::new() }
+    }
+
+    /// Queues an event.
+    pub(super) fn push(&mut self, event: impl Into<PendingEvent>) {
+        self.pending.push_back(event.into());
+    }
+
+    /// Gives the module the first pending event and appends the actions that it asks for. Returns the
+    /// time at which it was given the event; `None` if no event is pending.
+    pub(super) fn handle_next(&mut self, clock: &Clock, actions: &mut Vec<Action>) -> Option<Time> {
+        let event = self.pending.pop_front()?;
+        let now = clock.now();
+        match event {
+            PendingEvent::Plain(event) => self.balancer.handle(now, event, actions),
+            PendingEvent::Settings(snapshot) => {
+                self.balancer.handle(now, Event::Settings(&snapshot.settings), actions);
+            }
+            PendingEvent::Watch(event) => self.handle_watch_event(now, event, actions),
+        }
+        Some(now)
+    }
+
+    fn handle_watch_event(&mut self, now: Time, event: WatchEvent, actions: &mut Vec<Action>) {
+        let mut handle =
+            |update: EndpointUpdate<'_>| self.balancer.handle(now, Event::Endpoints(update), actions);
+        match event {
+            WatchEvent::Changes(listed) => handle(EndpointUpdate::Changes(&endpoints(listed))),
+            WatchEvent::Full(listed) => handle(EndpointUpdate::Full(&endpoints(listed))),
+            WatchEvent::Cached(listed) => handle(EndpointUpdate::Cached(&endpoints(listed))),
+            WatchEvent::Failed => handle(EndpointUpdate::Failed),
+        }
+    }
+
+    /// Number of backends on the endpoint list.
+    pub(super) fn backends_listed(&self) -> usize {
+        self.balancer.backends_listed()
+    }
+
+    /// Number of backends that the module avoids.
+    pub(super) fn backends_avoided(&self) -> usize {
+        self.balancer.backends_avoided()
+    }
+}
+
+fn endpoints(listed: Vec<ListedEndpoint>) -> Vec<Endpoint> {
+    listed.into_iter().map(|listed| listed.endpoint).collect()
+}
--- /dev/null
+++ b/src/proxy/engine/endpoints.rs
@@ -0,0 +1,173 @@
+//! The backends and their connection pools.
+//!
+//! Owns one pool for each backend that is listed, and the time by which sends to a backend in
+//! maintenance must end. A backend that is gone is forgotten once its grace period is over and no
+//! attempt or health check uses its pool.
+
+use crate::proxy::clock::Clock;
+use crate::proxy::limits::Budget;
+use crate::proxy::settings::ProxySettings;
+use crate::proxy::upstream::pool::ConnectionPool;
+use crate::proxy::watch_event::{ListedEndpoint, WatchEvent};
+use crate::{BackendId, Status, Time};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// All backends that requests may be sent to.
+pub(super) struct Endpoints {
+    pools: HashMap<BackendId, Rc<ConnectionPool>>,
+    /// The backends in maintenance, and when sends to each must end.
+    maintenance_deadlines: HashMap<BackendId, Time>,
+    /// The connections to all backends together.
+    connections: Rc<Budget>,
+}
+
+impl Endpoints {
+    /// No backends; at most `max_connections` connections to all of them will be open at once.
+    pub(super) fn new(max_connections: usize) -> Self {
+        Self {
+            pools: HashMap::new(),
+            maintenance_deadlines: HashMap::new(),
+            connections: Budget::new(max_connections),
+        }
+    }
+
+    pub(super) fn pool(&self, backend: BackendId) -> Option<Rc<ConnectionPool>> {
+        self.pools.get(&backend).cloned()
+    }
+
+    /// Whether a backend has a pool or is in maintenance.
+    pub(super) fn is_referenced(&self, backend: BackendId) -> bool {
+        self.pools.contains_key(&backend) || self.maintenance_deadlines.contains_key(&backend)
+    }
+
+    /// Applies the time-outs of these settings to all connections.
+    pub(super) fn set_timeouts(&self, settings: &ProxySettings) {
+        for pool in self.pools.values() {
+            pool.set_timeouts(settings.connect_timeout, settings.idle_close);
+        }
+    }
+
+    /// Puts a backend in maintenance, so that sends to it end by `last_send`. A backend that is in
+    /// maintenance keeps its earlier deadline.
+    pub(super) fn begin_maintenance(&mut self, backend: BackendId, last_send: Time) {
+        let deadline = *self.maintenance_deadlines.entry(backend).or_insert(last_send);
+        self.set_maintenance_deadline(backend, Some(deadline));
+    }
+
+    /// Ends the maintenance of a backend.
+    pub(super) fn end_maintenance(&mut self, backend: BackendId) {
+        self.maintenance_deadlines.remove(&backend);
+        self.set_maintenance_deadline(backend, None);
+    }
+
+    fn set_maintenance_deadline(&self, backend: BackendId, deadline: Option<Time>) {
+        if let Some(pool) = self.pools.get(&backend) {
+            pool.set_maintenance_deadline(deadline);
+        }
+    }
+
+    /// Brings the pools up to date with the endpoint list. Sends to backends that are draining or gone
+    /// end by `last_send`.
+    pub(super) fn apply_watch_event(
+        &mut self,
+        event: &WatchEvent,
+        last_send: Time,
+        settings: &ProxySettings,
+    ) {
+        if let WatchEvent::Full(listed) | WatchEvent::Cached(listed) = event {
+            self.mark_unlisted_removed(listed, last_send);
+        }
+        for listed in listed_endpoints(event) {
+            if listed.endpoint.status == Status::Removed {
+                self.mark_removed(listed.endpoint.id, last_send);
+            } else {
+                self.upsert(listed, last_send, settings);
+            }
+        }
+    }
+
+    fn mark_unlisted_removed(&self, listed: &[ListedEndpoint], last_send: Time) {
+        for (id, pool) in &self.pools {
+            if !listed.iter().any(|listed| listed.endpoint.id == *id) {
+                pool.mark_removed(last_send);
+            }
+        }
+    }
+
+    fn mark_removed(&self, backend: BackendId, last_send: Time) {
+        if let Some(pool) = self.pools.get(&backend) {
+            pool.mark_removed(last_send);
+        }
+    }
+
+    fn upsert(&mut self, listed: &ListedEndpoint, last_send: Time, settings: &ProxySettings) {
+        let ListedEndpoint { endpoint, address } = listed;
+        let drain_deadline = (endpoint.status != Status::InService).then_some(last_send);
+        let maintenance_deadline = self.maintenance_deadlines.get(&endpoint.id).copied();
+        let pool = self.pools.entry(endpoint.id).or_insert_with(|| {
+            let connections = self.connections.clone();
+            let pool =
+                ConnectionPool::new(*address, connections, settings.connect_timeout, settings.idle_close);
+            pool.set_maintenance_deadline(maintenance_deadline);
+            Rc::new(pool)
+        });
+        pool.update(*address, drain_deadline);
+    }
+
+    /// Closes the idle connections to a backend.
+    pub(super) fn close_idle(&self, backend: BackendId) {
+        if let Some(pool) = self.pools.get(&backend) {
+            pool.close_idle();
+        }
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(super) fn close_expired(&self) {
+        for pool in self.pools.values() {
+            pool.close_expired();
+        }
+    }
+
+    /// Forgets the backends that are gone: where backends come and go all the time, their pools must
+    /// not add up. A pool with a single reference is used by no attempt and no health check.
+    pub(super) fn forget_removed(&mut self, clock: &Clock) {
+        self.pools.retain(|_, pool| Rc::strong_count(pool) > 1 || !pool.is_expired(clock));
+    }
+
+    /// Sets how many connections may be open at once, and closes idle ones beyond that.
+    pub(super) fn set_connection_limit(&self, max_connections: usize) {
+        self.connections.set_limit(max_connections);
+        while self.connections.is_exceeded() && self.evict_oldest_idle() {}
+    }
+
+    /// Makes sure that a connection can be opened, if need be at the cost of an idle one.
+    pub(super) fn make_connection_available(&self) {
+        if self.connections.is_full() {
+            self.evict_oldest_idle();
+        }
+    }
+
+    /// Closes the connection that has been idle longest; whether there was one.
+    fn evict_oldest_idle(&self) -> bool {
+        let idle = self.pools.values().filter(|pool| pool.idle_since().is_some());
+        let Some(pool) = idle.min_by_key(|pool| pool.idle_since()) else {
+            return false;
+        };
+        pool.close_oldest_idle();
+        true
+    }
+}
+
+/// The endpoints that an event lists.
+fn listed_endpoints(event: &WatchEvent) -> &[ListedEndpoint] {
+    match event {
+        WatchEvent::Full(listed) | WatchEvent::Cached(listed) | WatchEvent::Changes(listed) => listed,
+        WatchEvent::Failed => &[],
+    }
+}
+
+/// Whether an event lists a backend that is in service.
+pub(super) fn lists_in_service(event: &WatchEvent) -> bool {
+    listed_endpoints(event).iter().any(|listed| listed.endpoint.status == Status::InService)
+}
