--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,14 +1,16 @@
-//! The adapter on hand-written transcripts: replies, and what bad input does.
+//! The simulator's adapter on hand-written transcripts: its replies, and its errors for invalid input.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
+/// Starts an instance with one safe class, `look`.
 const HELLO: &str = "HELLO 7 caps.cancel=true caps.max-attempts=3 caps.second-copies=true \
 caps.new-setting=12 classes.count=1 classes.0.effect=free classes.0.name=look classes.0.on-time=1.0 \
 classes.0.hard-limit=2.0 n-instances=1 me=0 registry-mode=automatic rules.ask-within=10.0 rules.cold=5.0 \
 rules.cold-share=0.2 rules.drain-grace=1.0 rules.fall-multiple=3.0 rules.tip-after=1.0 quantum=0.001 \
 tier=1 zone=here zones=here";
 
+/// Runs the adapter on an input, to its end.
 fn run(input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
@@ -16,17 +18,19 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    // The adapter may end before it has read all of a bad input.
+    // The adapter may end before it has read all of an invalid input.
     let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
     child.wait_with_output().unwrap()
 }
 
+/// The replies to a valid input.
 fn replies(input: &str) -> String {
     let output = run(input);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     String::from_utf8(output.stdout).unwrap()
 }
 
+/// Selects and starts an instance, and lists backend 51 to it.
 fn start(instance: &str) -> String {
     format!(
         "SELECT {instance}\n{HELLO}\nROSTER 0 1\nITEM k 0 51 1 here in_service -\nUPDATE 1 remembered 0\n"
@@ -34,7 +38,7 @@
 }
 
 #[test]
-fn a_request_is_sent_and_answered() {
+fn sends_a_request_and_accepts_its_result() {
     let input = format!(
         "BATCH 1 1\nGO\nBATCH 2 2\n{}QUERY 00000000000000a1 0 - 0.5 0 - look -\nGO\n\
          BATCH 2.1 3\nSELECT proxy-1\nRESULT 00000000000000a1 51 0 S 0.1 1 -\nGO\n\
@@ -42,7 +46,9 @@
          CLIENT_LEFT 00000000000000a1\nHEALTH 0.1 51 S -\nPEER 2 -\nTICK_DUE 99\nGO\n",
         start("proxy-1")
     );
+
     let replies = replies(&input);
+
     let lines: Vec<&str> = replies.lines().collect();
     assert_eq!(lines[..2], ["END 1", "BY proxy-1"]);
     assert!(lines[2].starts_with("SLEEP 2.498"), "{}", lines[2]);
@@ -51,8 +57,7 @@
 }
 
 #[test]
-fn odd_but_legal_rounds() {
-    // Instances selected twice, a list number used twice, TEARDOWN and HELLO in one batch.
+fn accepts_reselected_instances_refilled_lists_and_a_restart_in_one_batch() {
     let input = format!(
         "BATCH 1 1\n{}{}SELECT proxy-1\nROSTER 0 0\nUPDATE 2 all 0\nROSTER 0 1\nITEM k 0 52 1 here in_service 0\n\
          UPDATE 3 changes 0\nQUERY 00000000000000a1 0 - 0.5 - - look -\nSELECT proxy-2\n\
@@ -61,8 +66,10 @@
         start("proxy-1"),
         start("proxy-2"),
     );
+
     let replies = replies(&input);
-    let of = |start: &str| replies.lines().filter(|l| l.starts_with(start)).collect::<Vec<_>>();
+
+    let of = |start: &str| replies.lines().filter(|line| line.starts_with(start)).collect::<Vec<_>>();
     assert_eq!(of("BY"), ["BY proxy-1", "BY proxy-2", "BY proxy-1"]);
     assert_eq!(of("PLACE 00000000000000a1"), ["PLACE 00000000000000a1 0.498000 52"]);
     assert_eq!(of("PLACE 00000000000000a2"), ["PLACE 00000000000000a2 0.498000 51"]);
@@ -71,26 +78,33 @@
 }
 
 #[test]
-fn two_instances_in_one_process_act_as_in_two() {
+fn instances_in_one_process_act_as_in_processes_of_their_own() {
     let traffic = |name: &str| {
         let mut lines = start(name);
-        (0..9).for_each(|i| lines += &format!("QUERY 00000000000000a{i} 0 - 0.5 0 - look -\n"));
+        for request in 0..9 {
+            lines += &format!("QUERY 00000000000000a{request} 0 - 0.5 0 - look -\n");
+        }
         lines
     };
-    let own = |text: String| {
-        text.lines().filter(|l| !l.starts_with("END")).map(|l| l.to_string() + "\n").collect::<String>()
+    let actions = |batch: String| {
+        let replies = replies(&format!("BATCH 1 1\n{batch}GO\n"));
+        let lines = replies.lines().filter(|line| !line.starts_with("END"));
+        lines.map(|line| format!("{line}\n")).collect::<String>()
     };
-    let one = own(replies(&format!("BATCH 1 1\n{}GO\n", traffic("proxy-1"))));
-    let two = own(replies(&format!("BATCH 1 1\n{}GO\n", traffic("proxy-2"))));
-    let both = own(replies(&format!("BATCH 1 1\n{}{}GO\n", traffic("proxy-1"), traffic("proxy-2"))));
-    assert_eq!(both, one + &two);
+
+    let first = actions(traffic("proxy-1"));
+    let second = actions(traffic("proxy-2"));
+    let both = actions(traffic("proxy-1") + &traffic("proxy-2"));
+
+    assert_eq!(both, first + &second);
 }
 
 #[test]
-fn bad_input_is_named_and_ends_the_process() {
+fn invalid_input_ends_the_process_with_an_error_that_names_it() {
     let ready = start("proxy-1");
-    let hello =
-        |without: &str| HELLO.split(' ').filter(|p| !p.starts_with(without)).collect::<Vec<_>>().join(" ");
+    let hello_without = |setting: &str| {
+        HELLO.split(' ').filter(|part| !part.starts_with(setting)).collect::<Vec<_>>().join(" ")
+    };
     let cases = [
         ("SELECT proxy-1\n".to_string(), "between batches, line 1: expected BATCH"),
         ("BATCH x 1\n".into(), "expected a number for the clock, got 'x'"),
@@ -114,19 +128,24 @@
         (format!("BATCH 1 1\n{ready}RESULT 00000000000000a1 51 0 S -0.1 1 -\n"), "not below 0"),
         (format!("BATCH 1 1\n{ready}UPDATE 1 some 0\n"), "changes, all, remembered or refused"),
         (
-            format!("BATCH 1 1\nSELECT p\n{} caps.max-attempts=few\n", hello("caps.max-attempts")),
+            format!("BATCH 1 1\nSELECT p\n{} caps.max-attempts=few\n", hello_without("caps.max-attempts")),
             "a whole number for caps.max-attempts",
         ),
         (
-            format!("BATCH 1 1\nSELECT p\n{} caps.cancel=perhaps\n", hello("caps.cancel")),
+            format!("BATCH 1 1\nSELECT p\n{} caps.cancel=perhaps\n", hello_without("caps.cancel")),
             "true or false for caps.cancel",
         ),
-        (format!("BATCH 1 1\nSELECT p\n{}\n", hello("classes.count")), "missing setting classes.count"),
+        (
+            format!("BATCH 1 1\nSELECT p\n{}\n", hello_without("classes.count")),
+            "missing setting classes.count",
+        ),
         ("BATCH 1 1\nBATCH 2 2\n".into(), "expected GO before the next BATCH"),
         ("BATCH 1 1\n".into(), "batch 1, line 1: expected GO, got end of input"),
     ];
+
     for (input, expected) in cases {
         let output = run(&input);
+
         let message = String::from_utf8(output.stderr).unwrap();
         assert!(!output.status.success(), "{input}");
         assert_eq!(message.lines().count(), 1, "{message}");
