State the engine's deadlines, timers and closings in the field's terms

Comments on the response margins, on timers that outlive what they are for, on the closing of requests and on what is forgotten or evicted said it in words that needed explaining. No code changes.

--- a/src/proxy/engine/endpoints.rs
+++ b/src/proxy/engine/endpoints.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Puts a backend in maintenance, so that sends to it end by `last_send`. A backend that is in
-    /// maintenance keeps its earlier deadline.
+    /// Puts a backend in maintenance, so that sends to it end by `last_send`. A backend that already is
+    /// in maintenance keeps its deadline.
     pub(super) fn begin_maintenance(&mut self, backend: BackendId, last_send: Time) {
         let deadline = *self.maintenance_deadlines.entry(backend).or_insert(last_send);
         self.set_maintenance_deadline(backend, Some(deadline));
@@ -129,8 +129,9 @@
         }
     }
 
-    /// Forgets the backends that are gone: where backends come and go all the time, their pools must
-    /// not add up. A pool with a single reference is used by no attempt and no health check.
+    /// Forgets the backends that are gone and past their grace period, so that memory stays bounded
+    /// where backends are replaced all the time. A pool with a single reference is used by no attempt
+    /// and no health check.
     pub(super) fn forget_removed(&mut self, clock: &Clock) {
         self.pools.retain(|_, pool| Rc::strong_count(pool) > 1 || !pool.is_expired(clock));
     }
@@ -141,14 +142,14 @@
         while self.connections.is_exceeded() && self.evict_oldest_idle() {}
     }
 
-    /// Makes sure that a connection can be opened, if need be at the cost of an idle one.
+    /// Closes an idle connection if no further one may be opened, as an attempt may need one.
     pub(super) fn make_connection_available(&self) {
         if self.connections.is_full() {
             self.evict_oldest_idle();
         }
     }
 
-    /// Closes the connection that has been idle longest; whether there was one.
+    /// Closes the connection that has been idle longest. Returns whether there was one.
     fn evict_oldest_idle(&self) -> bool {
         let idle = self.pools.values().filter(|pool| pool.idle_since().is_some());
         let Some(pool) = idle.min_by_key(|pool| pool.idle_since()) else {
--- a/src/proxy/engine/mod.rs
+++ b/src/proxy/engine/mod.rs
@@ -46,10 +46,11 @@
 use timers::Timer;
 use tokio::sync::oneshot;
 
-/// Time reserved for the way of a response to the client, in seconds: the module decides so long
-/// before the client's timeout.
+/// By how much the timeout that the module is given is shorter than the client's, in seconds: the time
+/// that the final response needs on its way to the client.
 const DECISION_MARGIN_SECS: Time = 0.006;
-/// The engine's own response, if the module has not decided by then, comes at half of that.
+/// The engine fails a request on which the module has not decided, this long before the client's
+/// timeout, in seconds.
 const RESPONSE_MARGIN_SECS: Time = 0.5 * DECISION_MARGIN_SECS;
 /// Fraction of the grace period of a drain or maintenance after which an attempt that was decided on
 /// before is no longer sent.
@@ -114,7 +115,7 @@
         self.settings().longest_deadline().max(of_open_requests)
     }
 
-    /// The time from which nothing is sent to a backend that is now notified of a drain or maintenance.
+    /// The time by which sends must end to a backend whose drain or maintenance begins now.
     fn send_deadline_of_drain(&self) -> Time {
         let grace = self.settings().proxy.drain_grace.as_secs_f64();
         self.dispatcher.clock.now() + SEND_GRACE_FRACTION * grace
@@ -191,7 +192,7 @@
             return Some((id, receiver));
         }
         let now = self.dispatcher.clock.now();
-        // The client's timeout began when it sent the request, which may have waited to be read.
+        // The client's timeout started when it sent the request, which may then have waited to be read.
         request.timeout -= self.scheduling_lag.get();
         let timeout = request.timeout - RESPONSE_MARGIN_SECS;
         request.timeout -= DECISION_MARGIN_SECS;
--- a/src/proxy/engine/requests.rs
+++ b/src/proxy/engine/requests.rs
@@ -52,8 +52,8 @@
         number
     }
 
-    /// When an attempt sent `now` times out, `timeout` seconds later or with the request; a timeout
-    /// of 0 is none of its own. Infinite while the body is being received, if the timeout is 0.
+    /// When an attempt sent `now` times out: after `timeout` seconds, but not after the request. A
+    /// timeout of 0 means that of the request, which is infinite while its body is being received.
     pub(super) fn attempt_deadline(&self, now: Time, timeout: Time) -> Time {
         if timeout == 0.0 { self.deadline } else { (now + timeout).min(self.deadline) }
     }
@@ -141,12 +141,14 @@
         self.by_id.values().map(|request| request.settings.longest_deadline()).fold(0.0, Time::max)
     }
 
-    /// Removes a request without a final response, as its client wants none; whether it was open.
+    /// Closes a request without a final response, as its client has disconnected. Returns whether it
+    /// was open.
     pub(super) fn abandon(&mut self, id: RequestId) -> bool {
         self.close(id).is_some()
     }
 
-    /// Gives a request its final response; whether it was open.
+    /// Closes a request with its final response. Returns whether it was open; otherwise the response
+    /// is dropped.
     pub(super) fn respond(&mut self, id: RequestId, response: FinalResponse) -> bool {
         let Some(request) = self.close(id) else {
             return false;
--- a/src/proxy/engine/timers.rs
+++ b/src/proxy/engine/timers.rs
@@ -1,7 +1,7 @@
 //! The timers of the engine, in the order in which they are due.
 //!
-//! Owns the queue and the wait for the first of them. A timer is never cancelled: whoever it concerns
-//! may be gone when it expires.
+//! Owns the queue and the wait for the first of them. Timers are never cancelled: the request or
+//! attempt of one that expires may have ended before.
 
 use super::attempts::AttemptId;
 use crate::proxy::clock::Clock;
