Pass the parameters of an attempt by name, and share its flags as a type of their own

An attempt took seven positional values, three of them times or shared cells. They are now the fields of AttemptParameters, and the Rc<Cell<bool>> that tell whether a request was written are SharedFlag. Public names of the upstream layer follow the field: response, health_check, parse. No behaviour changes.

--- a/src/proxy/downstream/request.rs
+++ b/src/proxy/downstream/request.rs
@@ -150,7 +150,7 @@
         Some(0) => (ForwardedBody::Buffered(Bytes::new()), None),
         _ => match source.read_buffered(MAX_BUFFERED_BODY_BYTES).await? {
             Some(whole) => (ForwardedBody::Buffered(whole), None),
-            None => (ForwardedBody::Streamed(source.clone(), length), Some(source)),
+            None => (ForwardedBody::Streamed { body: source.clone(), length }, Some(source)),
         },
     };
     request.streaming_body = coming.is_some();
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -7,11 +7,12 @@
 use super::limits::Budget;
 use super::metrics::Metrics;
 use super::settings::SettingsSnapshot;
-use super::upstream::attempt::{self, AttemptResult};
+use super::upstream::attempt::{self, AttemptParameters, AttemptResult};
 use super::upstream::forwarded_request::ForwardedRequest;
 use super::upstream::load_report;
 use super::upstream::pool::ConnectionPool;
 use super::upstream::response_body::BackendResponse;
+use super::upstream::shared_flag::SharedFlag;
 use super::watch_event::{ListedEndpoint, WatchEvent};
 use crate::log;
 use crate::{
@@ -101,7 +102,7 @@
     backend: BackendId,
     sent: Time,
     /// It has been written whole: it may run. One that has not never will, once its task is ended.
-    written: Rc<Cell<bool>>,
+    written: SharedFlag,
     task: AbortHandle,
 }
 
@@ -367,7 +368,7 @@
         if state.open.get(&id).is_some_and(|open| open.payload.is_consumed()) {
             state.told.push_back(PendingEvent::Event(Event::BodyConsumed(id)));
         }
-        if let Some(served) = done.served
+        if let Some(served) = done.response
             && let Some(open) = close(state, id)
         {
             let _ = open.answer.send(FinalResponse::Success(served)); // if it has left, its guard tells
@@ -435,11 +436,11 @@
             Action::Cancel { id, attempt } => {
                 let written = state.written(id, attempt) == Some(true);
                 let outcome = if written { Outcome::Cancelled } else { Outcome::NotSent };
-                self.ended(state, id, attempt, AttemptResult::without_answer(outcome));
+                self.ended(state, id, attempt, AttemptResult::without_response(outcome));
             }
             Action::Withdraw { id, attempt } => {
                 if state.written(id, attempt) == Some(false) {
-                    self.ended(state, id, attempt, AttemptResult::without_answer(Outcome::NotSent));
+                    self.ended(state, id, attempt, AttemptResult::without_response(Outcome::NotSent));
                 }
             }
             Action::Reject { id, retry_after } => answer(state, id, FinalResponse::Rejected(retry_after)),
@@ -490,13 +491,21 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
-        let written = Rc::new(Cell::new(false));
+        let written = SharedFlag::default();
         let (payload, clock) = (open.payload.clone(), self.clock);
         let figures = self.figures.clone();
         // A body that is coming has its time once it has come.
         let wait = if until.is_finite() { until } else { now + open.patience };
         let last = now + write_within;
-        let attempted = attempt::attempt(endpoint, payload, clock, wait, last, written.clone(), figures);
+        let attempted = attempt::attempt(AttemptParameters {
+            pool: endpoint,
+            request: payload,
+            clock,
+            response_deadline: wait,
+            write_deadline: last,
+            written: written.clone(),
+            metrics: figures,
+        });
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
@@ -515,10 +524,10 @@
         if let (Some(endpoint), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
             let reports = self.terms.borrow().settings.health_checks_for_load_reports;
             let path = if reports { "/-/load" } else { "/-/healthy" };
-            let probed = attempt::probe(endpoint.clone(), path, self.clock);
+            let probed = attempt::health_check(endpoint.clone(), path, self.clock);
             tokio::task::spawn_local(async move {
                 let done = probed.await;
-                let body = done.served.as_ref().and_then(|s| load_report::report(s.buffered()?));
+                let body = done.response.as_ref().and_then(|s| load_report::parse(s.buffered()?));
                 engine.probed(backend, done.outcome, done.report.or(body));
             });
         }
@@ -565,14 +574,14 @@
                             &mut state,
                             id,
                             attempt,
-                            AttemptResult::without_answer(Outcome::NoConnection),
+                            AttemptResult::without_response(Outcome::NoConnection),
                         );
                     }
                 }
                 Due::Attempt(id, attempt) => {
                     let written = state.written(id, attempt) == Some(true);
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
-                    self.ended(&mut state, id, attempt, AttemptResult::without_answer(outcome));
+                    self.ended(&mut state, id, attempt, AttemptResult::without_response(outcome));
                 }
                 // The module has not answered in time: the client must not be left without.
                 Due::Request(id) => {
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -2,10 +2,11 @@
 
 use super::connection::{ExchangeError, ReceivedBody};
 use super::forwarded_request::ForwardedRequest;
-use super::load_report::report;
+use super::load_report;
 use super::pool::{ConnectionLease, ConnectionPool};
 use super::request_body::AttemptBody;
 use super::response_body::{BackendResponse, ResponseContent, StreamedResponseBody};
+use super::shared_flag::SharedFlag;
 use crate::proxy::clock::Clock;
 use crate::proxy::metrics::Metrics;
 use crate::{LoadReport, Outcome, Time};
@@ -13,7 +14,6 @@
 use hyper::body::Body;
 use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
-use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -21,39 +21,51 @@
 pub struct AttemptResult {
     /// The outcome.
     pub outcome: Outcome,
-    /// The answer, if it was served.
-    pub served: Option<BackendResponse>,
+    /// The response, of an attempt that succeeded.
+    pub response: Option<BackendResponse>,
     /// The load report that came along.
     pub report: Option<LoadReport>,
 }
 
 impl AttemptResult {
     /// One that has brought no answer.
-    pub fn without_answer(outcome: Outcome) -> Self {
-        Self { outcome, served: None, report: None }
+    pub fn without_response(outcome: Outcome) -> Self {
+        Self { outcome, response: None, report: None }
     }
 }
 
+/// What an attempt needs. Times are those of `clock`, in seconds.
+pub struct AttemptParameters {
+    /// The connections to the backend.
+    pub pool: Rc<ConnectionPool>,
+    /// The request to forward.
+    pub request: Rc<ForwardedRequest>,
+    /// The clock of the deadlines.
+    pub clock: Clock,
+    /// Until when the response is awaited; the backend is told the time that remains.
+    pub response_deadline: Time,
+    /// The last byte of the request is not written after this; infinite if there is no such limit.
+    pub write_deadline: Time,
+    /// Set once the complete request has been written.
+    pub written: SharedFlag,
+    /// Where a request that has been written is counted.
+    pub metrics: Rc<Metrics>,
+}
+
 /// Makes one attempt. `written` is set once all of the request has gone out: from then on a break
 /// may hide a request that runs, and is told as a reset. Dropped before, it never will. Its answer
 /// is waited for until `until`, and its last byte not written after `last`.
-pub async fn attempt(
-    endpoint: Rc<ConnectionPool>,
-    payload: Rc<ForwardedRequest>,
-    clock: Clock,
-    until: Time,
-    last: Time,
-    written: Rc<Cell<bool>>,
-    figures: Rc<Metrics>,
-) -> AttemptResult {
-    let request = |last: &Rc<Cell<bool>>| payload.request(until - clock.now(), last);
-    let by = last.is_finite().then(|| clock.at(last));
-    exchange(&endpoint, &clock, &written, request, by, Some(figures)).await
+pub async fn attempt(parameters: AttemptParameters) -> AttemptResult {
+    let AttemptParameters { pool, request, clock, response_deadline, write_deadline, written, metrics } =
+        parameters;
+    let build = |last: &SharedFlag| request.request(response_deadline - clock.now(), last);
+    let by = write_deadline.is_finite().then(|| clock.at(write_deadline));
+    exchange(&pool, &clock, &written, build, by, Some(metrics)).await
 }
 
 /// Makes one probe of `path`.
-pub async fn probe(endpoint: Rc<ConnectionPool>, path: &'static str, clock: Clock) -> AttemptResult {
-    let request = |last: &Rc<Cell<bool>>| {
+pub async fn health_check(endpoint: Rc<ConnectionPool>, path: &'static str, clock: Clock) -> AttemptResult {
+    let request = |last: &SharedFlag| {
         last.set(true);
         let mut request = Request::new(AttemptBody::empty());
         *request.uri_mut() = hyper::Uri::from_static(path);
@@ -61,16 +73,16 @@
         Some(request)
     };
     let within = 4 * endpoint.connect_timeout.get();
-    let written = Rc::default();
+    let written = SharedFlag::default();
     let probed = exchange(&endpoint, &clock, &written, request, None, None);
-    tokio::time::timeout(within, probed).await.unwrap_or(AttemptResult::without_answer(Outcome::Timeout))
+    tokio::time::timeout(within, probed).await.unwrap_or(AttemptResult::without_response(Outcome::Timeout))
 }
 
 async fn exchange(
     endpoint: &Rc<ConnectionPool>,
     clock: &Clock,
-    written: &Rc<Cell<bool>>,
-    request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<AttemptBody>>,
+    written: &SharedFlag,
+    request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
     by: Option<Instant>,
     figures: Option<Rc<Metrics>>,
 ) -> AttemptResult {
@@ -78,21 +90,21 @@
     let mut again = false;
     let (peer, permit, head, answered) = loop {
         let Some((mut peer, permit, new)) = endpoint.acquire().await else {
-            return AttemptResult::without_answer(Outcome::NoConnection);
+            return AttemptResult::without_response(Outcome::NoConnection);
         };
         // The news of a drain may have come while the connection was made.
         if !endpoint.may_send(clock) {
-            return AttemptResult::without_answer(Outcome::NoConnection);
+            return AttemptResult::without_response(Outcome::NoConnection);
         }
         match peer.exchange(!new, &request, written, by, figures.clone()).await {
             Some(Ok((head, answered))) => break (peer, permit, head, answered),
             // One that was kept may have ended meanwhile; a second new one would end again.
             Some(Err(ExchangeError::NotSent)) if !(new && again) => again = again || new,
             Some(Err(ExchangeError::NotSent)) | None => {
-                return AttemptResult::without_answer(Outcome::NoConnection);
+                return AttemptResult::without_response(Outcome::NoConnection);
             }
             Some(Err(ExchangeError::InvalidResponse)) => {
-                return AttemptResult::without_answer(Outcome::Reset);
+                return AttemptResult::without_response(Outcome::Reset);
             }
         }
     };
@@ -102,7 +114,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away() => Outcome::Rejected,
         _ => Outcome::Error,
     };
-    let report = head.headers.get("x-pressure").and_then(|v| report(v.as_bytes()));
+    let report = head.headers.get("x-pressure").and_then(|v| load_report::parse(v.as_bytes()));
     let kept = ConnectionLease { endpoint: endpoint.clone(), permit, era };
     let (content, length) = match answered {
         ReceivedBody::Buffered(whole) => {
@@ -121,7 +133,7 @@
             )
         }
     };
-    let served =
+    let response =
         (outcome == Outcome::Success).then_some(BackendResponse { content, length, headers: head.headers });
-    AttemptResult { outcome, served, report }
+    AttemptResult { outcome, response, report }
 }
--- a/src/proxy/upstream/connection.rs
+++ b/src/proxy/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a backend, one exchange on it, and how much of a request has been written.
 
 use super::request_body::AttemptBody;
+use super::shared_flag::SharedFlag;
 use crate::proxy::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::proxy::metrics::Metrics;
 use bytes::{Bytes, BytesMut};
@@ -67,9 +68,9 @@
 #[derive(Default)]
 struct WriteProgress {
     /// All of it. The attempt's own word: whoever ends it from outside goes by it.
-    whole: RefCell<Rc<Cell<bool>>>,
+    whole: RefCell<SharedFlag>,
     /// What is written next holds its last byte.
-    last: Rc<Cell<bool>>,
+    last: SharedFlag,
     /// Where that is to be counted.
     figures: RefCell<Option<Rc<Metrics>>>,
     /// What comes before all of it has gone out is not its answer.
@@ -79,7 +80,7 @@
 }
 
 impl WriteProgress {
-    fn begin(&self, whole: &Rc<Cell<bool>>, by: Option<Instant>, figures: Option<Rc<Metrics>>) {
+    fn begin(&self, whole: &SharedFlag, by: Option<Instant>, figures: Option<Rc<Metrics>>) {
         whole.set(false);
         self.by.set(by);
         self.whole.replace(whole.clone());
@@ -271,8 +272,8 @@
     pub async fn exchange(
         &mut self,
         kept: bool,
-        request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<AttemptBody>>,
-        whole: &Rc<Cell<bool>>,
+        request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+        whole: &SharedFlag,
         by: Option<Instant>,
         figures: Option<Rc<Metrics>>,
     ) -> Option<Result<(Parts, ReceivedBody), ExchangeError>> {
--- a/src/proxy/upstream/forwarded_request.rs
+++ b/src/proxy/upstream/forwarded_request.rs
@@ -1,11 +1,11 @@
 //! A request in the form in which attempts send it to backends.
 
 use super::request_body::{AttemptBody, StreamedRequestBody};
+use super::shared_flag::SharedFlag;
 use crate::Time;
 use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
-use std::cell::Cell;
 use std::rc::Rc;
 
 /// A request as it goes on to backends.
@@ -27,20 +27,25 @@
     /// All of it, as often as it takes.
     Buffered(Bytes),
     /// What is still coming, of this length if that is known.
-    Streamed(Rc<StreamedRequestBody>, Option<u64>),
+    Streamed {
+        /// The body.
+        body: Rc<StreamedRequestBody>,
+        /// Its length in bytes, if the client announced it.
+        length: Option<u64>,
+    },
 }
 
 impl ForwardedRequest {
     /// The request for an attempt that is given up after `wait` seconds; `last` is set once the
     /// last of its body is given out. None if it can't be sent any more.
-    pub fn request(&self, wait: Time, last: &Rc<Cell<bool>>) -> Option<hyper::Request<AttemptBody>> {
+    pub fn request(&self, wait: Time, last: &SharedFlag) -> Option<hyper::Request<AttemptBody>> {
         let (body, length) = match &self.body {
             ForwardedBody::Buffered(whole) => {
                 last.set(true);
                 (AttemptBody::Buffered(Some(whole.clone()).filter(|w| !w.is_empty())), None)
             }
-            ForwardedBody::Streamed(source, _) if source.is_consumed() => return None,
-            ForwardedBody::Streamed(source, length) => {
+            ForwardedBody::Streamed { body: source, .. } if source.is_consumed() => return None,
+            ForwardedBody::Streamed { body: source, length } => {
                 (AttemptBody::Streamed { source: source.clone(), sent: 0, last: last.clone() }, *length)
             }
         };
@@ -58,6 +63,6 @@
 
     /// Its body is passing through, and can't be sent again.
     pub fn is_consumed(&self) -> bool {
-        matches!(&self.body, ForwardedBody::Streamed(source, _) if source.is_consumed())
+        matches!(&self.body, ForwardedBody::Streamed { body: source, .. } if source.is_consumed())
     }
 }
--- a/src/proxy/upstream/load_report.rs
+++ b/src/proxy/upstream/load_report.rs
@@ -3,7 +3,8 @@
 use crate::LoadReport;
 
 /// Reads a load report; what the decisions can't use is skipped.
-pub fn report(json: &[u8]) -> Option<LoadReport> {
+#[must_use]
+pub fn parse(json: &[u8]) -> Option<LoadReport> {
     let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(json).ok()?;
     let figure = |names: [&str; 2]| {
         let value = names.iter().find_map(|name| fields.get(*name)?.as_f64());
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -7,3 +7,4 @@
 pub mod pool;
 pub mod request_body;
 pub mod response_body;
+pub mod shared_flag;
--- a/src/proxy/upstream/request_body.rs
+++ b/src/proxy/upstream/request_body.rs
@@ -1,11 +1,12 @@
 //! Request bodies on their way from a client to a backend. A body that is too long to be buffered is
 //! streamed, as fast as the slower side reads.
 
+use super::shared_flag::SharedFlag;
 use crate::proxy::limits::MAX_BODY_BYTES;
 use crate::proxy::stream_error::StreamError;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
@@ -190,7 +191,7 @@
         /// Pieces of the first part sent.
         sent: usize,
         /// Set when the last piece is given out.
-        last: Rc<Cell<bool>>,
+        last: SharedFlag,
     },
 }
 
--- a/tests/left.rs
+++ b/tests/left.rs
@@ -7,15 +7,15 @@
 use balancer_proxy::proxy::limits::Budget;
 use balancer_proxy::proxy::metrics::Metrics;
 use balancer_proxy::proxy::settings::ProxySettings;
-use balancer_proxy::proxy::upstream::attempt::attempt;
+use balancer_proxy::proxy::upstream::attempt::{AttemptParameters, attempt};
 use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
 use balancer_proxy::proxy::upstream::pool::ConnectionPool;
+use balancer_proxy::proxy::upstream::shared_flag::SharedFlag;
 use balancer_proxy::*;
 use common::sockets::*;
 use common::{Bench, entry, refused, safe, sends, with};
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
-use std::cell::Cell;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -604,11 +604,18 @@
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: ForwardedBody::Buffered("body".into()),
         };
-        let written = Rc::new(Cell::new(false));
+        let written = SharedFlag::default();
         let figures = Metrics::new(&ProxySettings::default());
         let endpoint = Rc::new(ConnectionPool::new(address, Budget::new(4), LONG, LONG));
-        let attempted =
-            attempt(endpoint, payload.into(), Clock::start(), 20.0, 20.0, written.clone(), figures.clone());
+        let attempted = attempt(AttemptParameters {
+            pool: endpoint,
+            request: payload.into(),
+            clock: Clock::start(),
+            response_deadline: 20.0,
+            write_deadline: 20.0,
+            written: written.clone(),
+            metrics: figures.clone(),
+        });
         let mut attempted = std::pin::pin!(attempted);
         // It works on only where the test lets it.
         let mut work = async || {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -8,9 +8,10 @@
 use balancer_proxy::proxy::limits::Budget;
 use balancer_proxy::proxy::metrics::Metrics;
 use balancer_proxy::proxy::settings::ProxySettings;
-use balancer_proxy::proxy::upstream::attempt::attempt;
+use balancer_proxy::proxy::upstream::attempt::{AttemptParameters, attempt};
 use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
 use balancer_proxy::proxy::upstream::pool::ConnectionPool;
+use balancer_proxy::proxy::upstream::shared_flag::SharedFlag;
 use common::sockets::*;
 use serde_json::json;
 use std::io::Write;
@@ -245,8 +246,15 @@
             body: ForwardedBody::Buffered("body".into()),
         };
         let figures = Metrics::new(&ProxySettings::default());
-        let attempted =
-            attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, 20.0, Default::default(), figures);
+        let attempted = attempt(AttemptParameters {
+            pool: endpoint.into(),
+            request: payload.into(),
+            clock: Clock::start(),
+            response_deadline: 20.0,
+            write_deadline: 20.0,
+            written: SharedFlag::default(),
+            metrics: figures,
+        });
         runtime.block_on(attempted).outcome
     };
     assert_eq!(attempt(Some(0.0)), Outcome::NoConnection);
