--- a/src/proxy/stream_error.rs
+++ b/src/proxy/stream_error.rs
@@ -1,17 +1,17 @@
-//! The ways in which a streamed body or response can break off.
+//! How a body that is being streamed can fail.
 
 use thiserror::Error;
 
-/// Why a flow ended before its end.
+/// Why a body ended early.
 #[derive(Debug, Error, Clone, Copy, PartialEq, Eq)]
 pub enum StreamError {
-    /// The other side has gone, or broke its framing.
-    #[error("it broke off")]
+    /// The peer disconnected or violated its framing.
+    #[error("the peer disconnected or sent an invalid body")]
     Disconnected,
-    /// Nothing came for too long.
-    #[error("it stands still")]
+    /// Nothing arrived for too long, or too little in the time.
+    #[error("the body stalled")]
     Stalled,
-    /// It is longer than any may be.
-    #[error("it is too long")]
+    /// The body is longer than the limit.
+    #[error("the body is too long")]
     TooLong,
 }
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -1,34 +1,44 @@
-//! Attempts of requests and health checks, and the outcome of each.
+//! Attempts of requests and health checks: each is one exchange with a backend, and ends with an
+//! outcome for the decision module.
 
-use super::connection::{ExchangeError, ReceivedBody};
+use super::connection::{Connection, ConnectionOrigin};
+use super::exchange::{ExchangeError, ReceivedBody, ReceivedResponse, exchange};
+use super::exchange_progress::ExchangeOptions;
 use super::forwarded_request::ForwardedRequest;
 use super::load_report;
-use super::pool::{ConnectionLease, ConnectionPool};
+use super::pool::{CheckedOutConnection, ConnectionLease, ConnectionPool};
 use super::request_body::AttemptBody;
 use super::response_body::{BackendResponse, ResponseContent, StreamedResponseBody};
 use super::shared_flag::SharedFlag;
 use crate::proxy::clock::Clock;
 use crate::proxy::metrics::Metrics;
 use crate::{LoadReport, Outcome, Time};
-use bytes::Bytes;
-use hyper::body::Body;
-use hyper::header::HeaderValue;
-use hyper::{Request, StatusCode};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Request, StatusCode, Uri};
 use std::rc::Rc;
-use tokio::time::Instant;
 
-/// How an attempt or probe ended.
+/// Response header with the value 1: the backend rejected the request before running it.
+const REJECTED_HEADER: &str = "x-turned-away";
+/// Response header with the load report of the backend.
+const LOAD_REPORT_HEADER: &str = "x-pressure";
+/// The `Host` of health checks.
+const HEALTH_CHECK_HOST: &str = "backend";
+/// The timeout of a health check, in connect timeouts.
+const HEALTH_CHECK_CONNECT_TIMEOUTS: u32 = 4;
+
+/// How an attempt or a health check ended.
 pub struct AttemptResult {
     /// The outcome.
     pub outcome: Outcome,
     /// The response, of an attempt that succeeded.
     pub response: Option<BackendResponse>,
-    /// The load report that came along.
+    /// The load report that came with the response.
     pub report: Option<LoadReport>,
 }
 
 impl AttemptResult {
-    /// One that has brought no answer.
+    /// The result of an attempt that got no response.
+    #[must_use]
     pub fn without_response(outcome: Outcome) -> Self {
         Self { outcome, response: None, report: None }
     }
@@ -42,98 +52,127 @@
     pub request: Rc<ForwardedRequest>,
     /// The clock of the deadlines.
     pub clock: Clock,
-    /// Until when the response is awaited; the backend is told the time that remains.
+    /// Until when the engine waits for the response. The backend is sent the time that remains; the
+    /// attempt itself does not end by it.
     pub response_deadline: Time,
     /// The last byte of the request is not written after this; infinite if there is no such limit.
     pub write_deadline: Time,
-    /// Set once the complete request has been written.
+    /// Set once the complete request has been written: from then on a failure may hide a request
+    /// that runs, and is reported as a reset. If the attempt is dropped before, it never runs.
     pub written: SharedFlag,
     /// Where a request that has been written is counted.
     pub metrics: Rc<Metrics>,
 }
 
-/// Makes one attempt. `written` is set once all of the request has gone out: from then on a break
-/// may hide a request that runs, and is told as a reset. Dropped before, it never will. Its answer
-/// is waited for until `until`, and its last byte not written after `last`.
+/// Makes one attempt. The engine ends it at its response deadline by dropping it.
 pub async fn attempt(parameters: AttemptParameters) -> AttemptResult {
     let AttemptParameters { pool, request, clock, response_deadline, write_deadline, written, metrics } =
         parameters;
-    let build = |last: &SharedFlag| request.request(response_deadline - clock.now(), last);
-    let by = write_deadline.is_finite().then(|| clock.at(write_deadline));
-    exchange(&pool, &clock, &written, build, by, Some(metrics)).await
+    let build_request = |final_data: &SharedFlag| request.build(response_deadline - clock.now(), final_data);
+    let options = ExchangeOptions {
+        request_written: written,
+        write_deadline: write_deadline.is_finite().then(|| clock.at(write_deadline)),
+        metrics: Some(metrics),
+    };
+    run(&pool, &clock, build_request, &options).await
 }
 
-/// Makes one probe of `path`.
-pub async fn health_check(endpoint: Rc<ConnectionPool>, path: &'static str, clock: Clock) -> AttemptResult {
-    let request = |last: &SharedFlag| {
-        last.set(true);
+/// Makes one health check: a GET of `path`.
+pub async fn health_check(pool: Rc<ConnectionPool>, path: &'static str, clock: Clock) -> AttemptResult {
+    let build_request = |final_data: &SharedFlag| {
+        final_data.set(true);
         let mut request = Request::new(AttemptBody::empty());
-        *request.uri_mut() = hyper::Uri::from_static(path);
-        request.headers_mut().insert("host", HeaderValue::from_static("backend"));
+        *request.uri_mut() = Uri::from_static(path);
+        request.headers_mut().insert(HOST, HeaderValue::from_static(HEALTH_CHECK_HOST));
         Some(request)
     };
-    let within = 4 * endpoint.connect_timeout.get();
-    let written = SharedFlag::default();
-    let probed = exchange(&endpoint, &clock, &written, request, None, None);
-    tokio::time::timeout(within, probed).await.unwrap_or(AttemptResult::without_response(Outcome::Timeout))
+    let timeout = HEALTH_CHECK_CONNECT_TIMEOUTS * pool.connect_timeout();
+    let options = ExchangeOptions::default();
+    let result = tokio::time::timeout(timeout, run(&pool, &clock, build_request, &options)).await;
+    result.unwrap_or(AttemptResult::without_response(Outcome::Timeout))
+}
+
+/// An exchange that got a response, and the connection that may still carry the rest of it.
+struct CompletedExchange {
+    response: ReceivedResponse,
+    connection: Connection,
+    lease: ConnectionLease,
 }
 
-async fn exchange(
-    endpoint: &Rc<ConnectionPool>,
+async fn run(
+    pool: &Rc<ConnectionPool>,
     clock: &Clock,
-    written: &SharedFlag,
-    request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
-    by: Option<Instant>,
-    figures: Option<Rc<Metrics>>,
+    build_request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+    options: &ExchangeOptions,
 ) -> AttemptResult {
-    let era = endpoint.era.get();
-    let mut again = false;
-    let (peer, permit, head, answered) = loop {
-        let Some((mut peer, permit, new)) = endpoint.acquire().await else {
-            return AttemptResult::without_response(Outcome::NoConnection);
-        };
-        // The news of a drain may have come while the connection was made.
-        if !endpoint.may_send(clock) {
-            return AttemptResult::without_response(Outcome::NoConnection);
+    match exchange_with_backend(pool, clock, build_request, options).await {
+        Ok(completed) => completed.into_result(),
+        Err(outcome) => AttemptResult::without_response(outcome),
+    }
+}
+
+/// Makes an exchange on a connection of the pool, and on another one if the first turns out to be
+/// closed before the request has been written.
+async fn exchange_with_backend(
+    pool: &Rc<ConnectionPool>,
+    clock: &Clock,
+    build_request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+    options: &ExchangeOptions,
+) -> Result<CompletedExchange, Outcome> {
+    let generation = pool.generation();
+    let mut has_new_connection_failed = false;
+    loop {
+        let CheckedOutConnection { mut connection, lease, origin } =
+            pool.check_out(generation).await.ok_or(Outcome::NoConnection)?;
+        // The notification of a drain may have arrived while the connection was established.
+        if !pool.may_send(clock) {
+            return Err(Outcome::NoConnection);
         }
-        match peer.exchange(!new, &request, written, by, figures.clone()).await {
-            Some(Ok((head, answered))) => break (peer, permit, head, answered),
-            // One that was kept may have ended meanwhile; a second new one would end again.
-            Some(Err(ExchangeError::NotSent)) if !(new && again) => again = again || new,
-            Some(Err(ExchangeError::NotSent)) | None => {
-                return AttemptResult::without_response(Outcome::NoConnection);
-            }
-            Some(Err(ExchangeError::InvalidResponse)) => {
-                return AttemptResult::without_response(Outcome::Reset);
+        match exchange(&mut connection, origin, &build_request, options).await {
+            Ok(response) => return Ok(CompletedExchange { response, connection, lease }),
+            Err(ExchangeError::InvalidResponse) => return Err(Outcome::Reset),
+            Err(ExchangeError::BodyConsumed) => return Err(Outcome::NoConnection),
+            // A reused connection may have been closed meanwhile. A new one is replaced once: after
+            // two, a third would end in the same way.
+            Err(ExchangeError::NotSent) => {
+                let is_new = origin == ConnectionOrigin::New;
+                if is_new && has_new_connection_failed {
+                    return Err(Outcome::NoConnection);
+                }
+                has_new_connection_failed |= is_new;
             }
         }
-    };
-    let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
-    let outcome = match head.status {
+    }
+}
+
+impl CompletedExchange {
+    /// Sorts the response, and releases its connection now or when its body has been streamed.
+    fn into_result(self) -> AttemptResult {
+        let Self { response: ReceivedResponse { head, body }, connection, lease } = self;
+        let outcome = outcome_of(head.status, &head.headers);
+        let report = head.headers.get(LOAD_REPORT_HEADER).and_then(|v| load_report::parse(v.as_bytes()));
+        let content = match body {
+            ReceivedBody::Buffered(complete) => {
+                lease.release(connection);
+                ResponseContent::Buffered(complete)
+            }
+            ReceivedBody::Streamed { received, incoming } => ResponseContent::Streamed(Box::new(
+                StreamedResponseBody::new(received, incoming, connection, lease),
+            )),
+        };
+        let response = (outcome == Outcome::Success).then(|| BackendResponse::new(content, head.headers));
+        AttemptResult { outcome, response, report }
+    }
+}
+
+/// The outcome that a response with this status and these headers stands for.
+fn outcome_of(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let is_marked_rejected = headers.get(REJECTED_HEADER).is_some_and(|value| value == "1");
+    match status {
         StatusCode::OK => Outcome::Success,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away() => Outcome::Rejected,
-        _ => Outcome::Error,
-    };
-    let report = head.headers.get("x-pressure").and_then(|v| load_report::parse(v.as_bytes()));
-    let kept = ConnectionLease { endpoint: endpoint.clone(), permit, era };
-    let (content, length) = match answered {
-        ReceivedBody::Buffered(whole) => {
-            kept.release(peer);
-            let length = whole.len() as u64;
-            (ResponseContent::Buffered(whole), Some(length))
-        }
-        ReceivedBody::Streamed(first, rest) => {
-            let come: usize = first.iter().map(Bytes::len).sum();
-            let length = rest.size_hint().exact().map(|left| left + come as u64);
-            (
-                ResponseContent::Streamed(Box::new(StreamedResponseBody::new(
-                    first, rest, length, peer, kept,
-                ))),
-                length,
-            )
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_marked_rejected => {
+            Outcome::Rejected
         }
-    };
-    let response =
-        (outcome == Outcome::Success).then_some(BackendResponse { content, length, headers: head.headers });
-    AttemptResult { outcome, response, report }
+        _ => Outcome::Error,
+    }
 }
--- /dev/null
+++ b/src/proxy/upstream/exchange.rs
@@ -0,0 +1,143 @@
+//! One exchange of a request and its response on a connection, up to the point where the response
+//! is complete or must be streamed.
+
+use super::body_chunks::BodyChunks;
+use super::connection::{Connection, ConnectionOrigin};
+use super::exchange_progress::ExchangeOptions;
+use super::request_body::AttemptBody;
+use super::shared_flag::SharedFlag;
+use crate::proxy::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use std::pin::pin;
+use std::time::Duration;
+use thiserror::Error;
+
+/// A response of unknown length is buffered for at most this long and then streamed: where a
+/// response is long, the latency that the client sees is that of the first bytes.
+const MAX_BUFFERING_TIME: Duration = Duration::from_millis(250);
+
+/// A response with any status.
+pub struct ReceivedResponse {
+    /// Its status and headers.
+    pub head: Parts,
+    /// Its body.
+    pub body: ReceivedBody,
+}
+
+/// The body of a response, as far as it has been received.
+pub enum ReceivedBody {
+    /// The complete body.
+    Buffered(Bytes),
+    /// A body that is too long to be buffered.
+    Streamed {
+        /// Its beginning, as received so far.
+        received: BodyChunks,
+        /// The source of the rest.
+        incoming: Incoming,
+    },
+}
+
+/// Why there is no response.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// The last byte of the request was not written: the request never ran, and can be sent again.
+    #[error("the connection ended before the request had been written")]
+    NotSent,
+    /// The request never ran, but its body has been consumed and can't be sent again.
+    #[error("the body of the request is consumed")]
+    BodyConsumed,
+    /// The request may have run.
+    #[error("the response is missing, incomplete or invalid")]
+    InvalidResponse,
+}
+
+/// Sends a request and waits for its response. The response must be complete, or too long to be
+/// buffered; one that stalls half way, or that could be parsed in two ways, is invalid. On a reused
+/// connection, data that arrives before the request has been written belongs to the exchange before.
+///
+/// `build_request` returns the request, or None if its body can't be sent any more; the flag that it
+/// is given is to be set once the end of the body has been handed out.
+///
+/// # Errors
+/// [`ExchangeError`] says whether the request may have run. The connection is unusable after any.
+pub async fn exchange(
+    connection: &mut Connection,
+    origin: ConnectionOrigin,
+    build_request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+    options: &ExchangeOptions,
+) -> Result<ReceivedResponse, ExchangeError> {
+    let activity = connection.activity().clone();
+    activity.clear();
+    let progress = connection.progress().clone();
+    progress.begin(options);
+    let mut request = build_request(progress.final_data()).ok_or(ExchangeError::BodyConsumed)?;
+    let is_buffered = matches!(request.body(), AttemptBody::Buffered(_));
+    progress.reject_early_data(origin == ConnectionOrigin::Reused && is_buffered);
+    // Informational (1xx) responses precede the final one, perhaps by a long time.
+    let informational_activity = activity.clone();
+    hyper::ext::on_informational(&mut request, move |_| informational_activity.clear());
+    let result = tokio::select! {
+        result = send_and_receive(connection, request, &options.request_written) => result,
+        () = activity.stalled() => Err(ExchangeError::InvalidResponse),
+    };
+    match result {
+        Err(ExchangeError::NotSent) if build_request(progress.final_data()).is_none() => {
+            Err(ExchangeError::BodyConsumed)
+        }
+        result => result,
+    }
+}
+
+async fn send_and_receive(
+    connection: &mut Connection,
+    request: Request<AttemptBody>,
+    request_written: &SharedFlag,
+) -> Result<ReceivedResponse, ExchangeError> {
+    let response = match connection.send(request).await {
+        Some(Ok(response)) => response,
+        _ if request_written.get() => return Err(ExchangeError::InvalidResponse),
+        _ => return Err(ExchangeError::NotSent),
+    };
+    if !is_valid(&response) {
+        return Err(ExchangeError::InvalidResponse);
+    }
+    let (head, incoming) = response.into_parts();
+    let body = receive_body(connection, incoming).await.ok_or(ExchangeError::InvalidResponse)?;
+    Ok(ReceivedResponse { head, body })
+}
+
+/// The response is a final one of an unambiguous and allowed length.
+fn is_valid(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    let is_ambiguous = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
+    let is_too_long = response.body().size_hint().lower() > MAX_BODY_BYTES;
+    !is_ambiguous && !is_too_long && !response.status().is_informational()
+}
+
+/// Receives a body, as far as it is buffered. None if it breaks off.
+async fn receive_body(connection: &mut Connection, mut incoming: Incoming) -> Option<ReceivedBody> {
+    let announced_bytes = incoming.size_hint().exact();
+    let mut received = BodyChunks::default();
+    if announced_bytes.is_some_and(|bytes| bytes > MAX_BUFFERED_BODY_BYTES as u64) {
+        return Some(ReceivedBody::Streamed { received, incoming });
+    }
+    let mut buffering_timeout = pin!(tokio::time::sleep(MAX_BUFFERING_TIME));
+    while received.bytes() <= MAX_BUFFERED_BODY_BYTES {
+        let frame = tokio::select! {
+            biased;
+            frame = connection.drive(incoming.frame()) => frame?,
+            () = buffering_timeout.as_mut(), if announced_bytes.is_none() => break,
+        };
+        let Some(frame) = frame else {
+            return Some(ReceivedBody::Buffered(received.take_concatenated()));
+        };
+        // Trailers need not be forwarded.
+        received.push(frame.ok()?.into_data().unwrap_or_default());
+    }
+    Some(ReceivedBody::Streamed { received, incoming })
+}
--- a/src/proxy/upstream/forwarded_request.rs
+++ b/src/proxy/upstream/forwarded_request.rs
@@ -5,28 +5,31 @@
 use crate::Time;
 use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
+use hyper::{Method, Request, Uri};
 use std::rc::Rc;
 
-/// A request as it goes on to backends.
+/// Request header with the time that remains for the response, in whole milliseconds.
+const REMAINING_TIME_HEADER: &str = "x-remaining-ms";
+
+/// A request as it is forwarded to backends.
 #[derive(Debug)]
 pub struct ForwardedRequest {
-    /// Its method.
+    /// The method.
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
-    /// The headers that go on.
+    /// The headers that are forwarded.
     pub headers: HeaderMap,
-    /// Its body.
+    /// The body.
     pub body: ForwardedBody,
 }
 
-/// The body of a request on its way to backends.
+/// The body of a request that is forwarded to backends.
 #[derive(Debug)]
 pub enum ForwardedBody {
-    /// All of it, as often as it takes.
+    /// The complete body, which can be sent any number of times.
     Buffered(Bytes),
-    /// What is still coming, of this length if that is known.
+    /// A body that is still being received.
     Streamed {
         /// The body.
         body: Rc<StreamedRequestBody>,
@@ -36,33 +39,39 @@
 }
 
 impl ForwardedRequest {
-    /// The request for an attempt that is given up after `wait` seconds; `last` is set once the
-    /// last of its body is given out. None if it can't be sent any more.
-    pub fn request(&self, wait: Time, last: &SharedFlag) -> Option<hyper::Request<AttemptBody>> {
-        let (body, length) = match &self.body {
-            ForwardedBody::Buffered(whole) => {
-                last.set(true);
-                (AttemptBody::Buffered(Some(whole.clone()).filter(|w| !w.is_empty())), None)
-            }
-            ForwardedBody::Streamed { body: source, .. } if source.is_consumed() => return None,
-            ForwardedBody::Streamed { body: source, length } => {
-                (AttemptBody::Streamed { source: source.clone(), sent: 0, last: last.clone() }, *length)
-            }
-        };
-        let mut request = hyper::Request::new(body);
+    /// The request for an attempt that ends in `remaining_time` seconds. `final_data` is set once
+    /// the end of its body has been handed out. None if the body can't be sent any more.
+    #[must_use]
+    pub fn build(&self, remaining_time: Time, final_data: &SharedFlag) -> Option<Request<AttemptBody>> {
+        let mut request = Request::new(self.attempt_body(final_data)?);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
-        request.headers_mut().insert("x-remaining-ms", wait);
-        if let Some(length) = length {
+        let remaining_ms = (remaining_time.max(0.0) * 1000.0) as u64;
+        request.headers_mut().insert(REMAINING_TIME_HEADER, HeaderValue::from(remaining_ms));
+        if let ForwardedBody::Streamed { length: Some(length), .. } = self.body {
             request.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
         }
         Some(request)
     }
 
-    /// Its body is passing through, and can't be sent again.
+    /// Part of the body has been forwarded and is no longer buffered: it can't be sent again.
+    #[must_use]
     pub fn is_consumed(&self) -> bool {
-        matches!(&self.body, ForwardedBody::Streamed { body: source, .. } if source.is_consumed())
+        matches!(&self.body, ForwardedBody::Streamed { body, .. } if body.is_consumed())
+    }
+
+    fn attempt_body(&self, final_data: &SharedFlag) -> Option<AttemptBody> {
+        match &self.body {
+            ForwardedBody::Buffered(complete) => {
+                final_data.set(true);
+                let content = (!complete.is_empty()).then(|| complete.clone());
+                Some(AttemptBody::Buffered(content))
+            }
+            ForwardedBody::Streamed { body, .. } if body.is_consumed() => None,
+            ForwardedBody::Streamed { body, .. } => {
+                Some(AttemptBody::streamed(body.clone(), final_data.clone()))
+            }
+        }
     }
 }
--- a/src/proxy/upstream/pool.rs
+++ b/src/proxy/upstream/pool.rs
@@ -1,7 +1,7 @@
-//! The connections to one backend: those that are idle, how new ones are made, and when sends to
-//! the backend must end.
+//! The connections to one backend: it owns those that are idle, establishes new ones, and knows the
+//! deadlines after which nothing more may be sent to the backend.
 
-use super::connection::{Connection, connect};
+use super::connection::{Connection, ConnectionOrigin, connect};
 use crate::Time;
 use crate::proxy::clock::Clock;
 use crate::proxy::limits::{Budget, Permit};
@@ -13,172 +13,221 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Part of the idle limit of backends up to which a connection is used again: one that is used
-/// close to the limit crosses the backend's closing, and the request on it is lost.
-const REUSE_WITHIN: f64 = 0.7;
+/// Fraction of the idle timeout of backends up to which an idle connection is reused: near the
+/// timeout, a request can cross with the backend's close and be lost.
+const REUSE_FRACTION: f64 = 0.7;
 
-/// A connection is used again only so long after its last answer: what a backend writes behind an
-/// answer comes by then, spoils the connection, and is not taken for the answer to what is sent next.
-const SETTLED: Duration = Duration::from_millis(25);
-struct Idle {
-    peer: Connection,
+/// A connection is reused only when it has been idle for this long. What a backend writes after the
+/// end of a response arrives within it, makes the connection unusable, and is not taken for the
+/// response to the next request.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(25);
+
+struct IdleConnection {
+    connection: Connection,
     permit: Permit,
     since: Instant,
 }
 
-/// A backend, its idle connections, and when sends to it must end.
+/// A backend's idle connections, and the deadlines after which nothing may be sent to it. Times are
+/// those of the proxy's clock, in seconds.
 pub struct ConnectionPool {
     address: Cell<SocketAddr>,
-    idle: RefCell<Vec<Idle>>,
-    /// Set while it drains or is gone.
-    last_send: Cell<Option<Time>>,
-    /// The same while it is taken out by hand.
-    out: Cell<Option<Time>>,
-    /// The list says so, or no longer names it.
-    gone: Cell<bool>,
-    /// Goes up when its connections are no longer to be kept.
-    pub(super) era: Cell<u64>,
+    /// In the order in which they became idle.
+    idle: RefCell<Vec<IdleConnection>>,
+    /// When sends must end, while the backend is draining or removed.
+    drain_deadline: Cell<Option<Time>>,
+    /// When sends must end, while the backend is in maintenance.
+    maintenance_deadline: Cell<Option<Time>>,
+    /// The endpoint list says that the backend is removed, or no longer has it.
+    is_removed: Cell<bool>,
+    /// Increases when all present connections are to be closed: one of an earlier generation is not
+    /// cached when it becomes idle.
+    generation: Cell<u64>,
     budget: Rc<Budget>,
-    pub(super) connect_timeout: Cell<Duration>,
-    reuse_within: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
+    max_idle_time: Cell<Duration>,
 }
 
 impl ConnectionPool {
-    /// A backend at `address`.
-    pub fn new(address: SocketAddr, budget: Rc<Budget>, connect_timeout: Duration, idle: Duration) -> Self {
+    /// A pool for the backend at `address`. Each connection takes a permit of `budget`. A backend
+    /// closes its connections after they have been idle for `idle_timeout`.
+    #[must_use]
+    pub fn new(
+        address: SocketAddr,
+        budget: Rc<Budget>,
+        connect_timeout: Duration,
+        idle_timeout: Duration,
+    ) -> Self {
         Self {
             address: Cell::new(address),
             idle: RefCell::default(),
-            last_send: Cell::new(None),
-            out: Cell::new(None),
-            gone: Cell::new(false),
-            era: Cell::new(0),
+            drain_deadline: Cell::new(None),
+            maintenance_deadline: Cell::new(None),
+            is_removed: Cell::new(false),
+            generation: Cell::new(0),
             budget,
             connect_timeout: Cell::new(connect_timeout),
-            reuse_within: Cell::new(idle.mul_f64(REUSE_WITHIN)),
+            max_idle_time: Cell::new(idle_timeout.mul_f64(REUSE_FRACTION)),
         }
     }
 
-    /// From now on these are the time to connect in, and that after which it closes what is idle.
-    pub fn set_timeouts(&self, connect_timeout: Duration, idle: Duration) {
+    /// Changes the timeouts, see [`ConnectionPool::new`].
+    pub fn set_timeouts(&self, connect_timeout: Duration, idle_timeout: Duration) {
         self.connect_timeout.set(connect_timeout);
-        self.reuse_within.set(idle.mul_f64(REUSE_WITHIN));
+        self.max_idle_time.set(idle_timeout.mul_f64(REUSE_FRACTION));
+    }
+
+    /// The time within which a connection must be established.
+    #[must_use]
+    pub fn connect_timeout(&self) -> Duration {
+        self.connect_timeout.get()
     }
 
-    /// What the list now says: where it is and, if it drains or is gone, when sends must end.
-    pub fn update(&self, address: SocketAddr, last_send: Option<Time>) {
-        if self.address.replace(address) != address || last_send.is_some() {
+    /// Applies an entry of the endpoint list: the address and, if the backend is draining, the time
+    /// when sends must end.
+    pub fn update(&self, address: SocketAddr, drain_deadline: Option<Time>) {
+        if self.address.replace(address) != address || drain_deadline.is_some() {
             self.close_idle();
         }
-        // Hearing of the same drain again doesn't extend the grace.
-        let earlier = self.last_send.get().filter(|_| last_send.is_some());
-        self.last_send.set(earlier.or(last_send));
-        self.gone.set(false);
+        // A repeated notification of the same drain must not extend the grace period.
+        let earlier = self.drain_deadline.get().filter(|_| drain_deadline.is_some());
+        self.drain_deadline.set(earlier.or(drain_deadline));
+        self.is_removed.set(false);
     }
 
-    /// It is gone from the list: sends must end by `last_send`.
-    pub fn mark_removed(&self, last_send: Time) {
-        self.update(self.address.get(), Some(last_send));
-        self.gone.set(true);
+    /// The backend is removed from the endpoint list: sends must end by `deadline`.
+    pub fn mark_removed(&self, deadline: Time) {
+        self.update(self.address.get(), Some(deadline));
+        self.is_removed.set(true);
     }
 
-    /// When sends must end as it is taken out by hand, if it is.
-    pub fn set_maintenance_deadline(&self, last_send: Option<Time>) {
-        self.out.set(last_send);
+    /// Sets when sends must end because the backend is in maintenance, or that it no longer is.
+    pub fn set_maintenance_deadline(&self, deadline: Option<Time>) {
+        self.maintenance_deadline.set(deadline);
     }
 
-    /// It is gone, and its grace is over.
+    /// The backend is removed, and its grace period is over.
+    #[must_use]
     pub fn is_expired(&self, clock: &Clock) -> bool {
-        self.gone.get() && !self.may_send(clock)
+        self.is_removed.get() && !self.may_send(clock)
+    }
+
+    /// No deadline for sends to the backend has passed.
+    #[must_use]
+    pub fn may_send(&self, clock: &Clock) -> bool {
+        let deadlines = [self.drain_deadline.get(), self.maintenance_deadline.get()];
+        deadlines.into_iter().flatten().all(|deadline| clock.now() < deadline)
     }
 
-    /// Closes the idle connections, and those in use once they become idle.
+    /// Closes the idle connections, and those in use as soon as they become idle.
     pub fn close_idle(&self) {
-        self.era.set(self.era.get() + 1);
+        self.generation.set(self.generation.get() + 1);
         self.idle.borrow_mut().clear();
     }
 
-    /// Closes connections that have been idle too long, or that the backend has closed.
+    /// Closes connections that have been idle for too long or were closed by the backend.
     pub fn close_expired(&self) {
-        let fresh = |idle: Idle| {
-            let Idle { peer, permit, since } = idle;
-            let peer = peer.into_reusable().filter(|_| since.elapsed() < self.reuse_within.get())?;
-            Some(Idle { peer, permit, since })
-        };
-        let swept = self.idle.take().into_iter().filter_map(fresh).collect();
-        self.idle.replace(swept);
+        let reusable = self.idle.take().into_iter().filter_map(|idle| self.check_idle(idle)).collect();
+        self.idle.replace(reusable);
+    }
+
+    fn check_idle(&self, idle: IdleConnection) -> Option<IdleConnection> {
+        let IdleConnection { connection, permit, since } = idle;
+        let connection = connection.into_reusable()?;
+        (since.elapsed() < self.max_idle_time.get()).then_some(IdleConnection { connection, permit, since })
     }
 
-    /// Since when its longest idle connection has been idle.
+    /// Since when the connection that has been idle longest has been so.
+    #[must_use]
     pub fn idle_since(&self) -> Option<Instant> {
         self.idle.borrow().first().map(|idle| idle.since)
     }
 
-    /// Closes that connection.
+    /// Closes the connection that has been idle longest, if there is one.
     pub fn close_oldest_idle(&self) {
         let mut idle = self.idle.borrow_mut();
         if !idle.is_empty() {
-            drop(idle.remove(0));
+            idle.remove(0);
         }
     }
 
-    pub(super) fn may_send(&self, clock: &Clock) -> bool {
-        let limits = [self.last_send.get(), self.out.get()];
-        limits.into_iter().flatten().all(|last| clock.now() < last)
+    /// The present generation of connections.
+    pub(super) fn generation(&self) -> u64 {
+        self.generation.get()
     }
 
-    /// An idle connection that has settled, the one used last, or a new one; and whether it is new.
-    pub(super) async fn acquire(&self) -> Option<(Connection, Permit, bool)> {
-        loop {
-            let mut idle = self.idle.borrow_mut();
-            let settled = idle.iter().rposition(|i| i.since.elapsed() >= SETTLED);
-            let Some(Idle { peer, permit, since }) = settled.map(|i| idle.remove(i)) else {
-                break;
-            };
-            if since.elapsed() < self.reuse_within.get()
-                && let Some(peer) = peer.into_reusable()
-            {
-                return Some((peer, permit, false));
-            }
+    /// Checks out an idle connection, the one used last, or establishes a new one. It is cached
+    /// again after use if the pool then still has this `generation`. None if the budget is used up
+    /// or no connection can be established.
+    pub(super) async fn check_out(self: &Rc<Self>, generation: u64) -> Option<CheckedOutConnection> {
+        if let Some(IdleConnection { connection, permit, .. }) = self.take_idle() {
+            let lease = ConnectionLease { pool: self.clone(), permit, generation };
+            return Some(CheckedOutConnection { connection, lease, origin: ConnectionOrigin::Reused });
         }
         let permit = self.budget.try_acquire(1)?;
-        let peer = self.connect().await.ok()?;
-        Some((peer, permit, true))
+        let connection = self.connect().await.ok()?;
+        let lease = ConnectionLease { pool: self.clone(), permit, generation };
+        Some(CheckedOutConnection { connection, lease, origin: ConnectionOrigin::New })
     }
 
-    /// Connects. Where a connection alone is late, another one asked for meanwhile mostly is not: half
-    /// way to the time-out a second one is tried beside it, and whichever is up first is used. Guards
-    /// against calls that wait for their next timer for want of a connection; a backend that is slow
-    /// to accept gets up to twice the connections for it.
+    /// Removes the idle connection that was used last and can be reused. Those found unusable are
+    /// closed.
+    fn take_idle(&self) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(index) = idle.iter().rposition(|idle| idle.since.elapsed() >= MIN_IDLE_TIME) {
+            if let Some(reusable) = self.check_idle(idle.remove(index)) {
+                return Some(reusable);
+            }
+        }
+        None
+    }
+
+    /// Establishes a connection. If only this one connection attempt is slow, another one started
+    /// meanwhile usually is not: after half of the timeout a second attempt runs beside it, and the
+    /// first to succeed is used. This avoids requests that wait for their next retransmission timer
+    /// because they have no connection; a backend that is slow to accept gets up to twice as many
+    /// connections.
     async fn connect(&self) -> io::Result<Connection> {
-        let (address, within) = (self.address.get(), self.connect_timeout.get());
-        let mut first = pin!(connect(address, within));
-        if let Ok(ended) = tokio::time::timeout(within / 2, first.as_mut()).await {
-            return ended;
+        let address = self.address.get();
+        let timeout = self.connect_timeout.get();
+        let mut first = pin!(connect(address, timeout));
+        if let Ok(connected) = tokio::time::timeout(timeout / 2, first.as_mut()).await {
+            return connected;
         }
-        let Some(_room) = self.budget.try_acquire(1) else { return first.await };
+        let Some(_second_permit) = self.budget.try_acquire(1) else { return first.await };
         tokio::select! {
-            ended = first => ended,
-            ended = connect(address, within / 2) => ended,
+            connected = first => connected,
+            connected = connect(address, timeout / 2) => connected,
         }
     }
 }
 
-/// Where a connection goes once it is free again.
+/// A connection in use, and its place in the pool.
+pub(super) struct CheckedOutConnection {
+    /// The connection.
+    pub connection: Connection,
+    /// Returns the connection to its pool.
+    pub lease: ConnectionLease,
+    /// Whether the connection was used before.
+    pub origin: ConnectionOrigin,
+}
+
+/// The place of a connection in its pool while the connection is in use. Dropping it returns the
+/// permit to the budget.
 pub struct ConnectionLease {
-    pub(super) endpoint: Rc<ConnectionPool>,
-    pub(super) permit: Permit,
-    pub(super) era: u64,
+    pool: Rc<ConnectionPool>,
+    permit: Permit,
+    generation: u64,
 }
 
 impl ConnectionLease {
-    /// It is free.
-    pub fn release(self, peer: Connection) {
-        let Self { endpoint, permit, era } = self;
-        if let Some(peer) = peer.into_reusable()
-            && endpoint.era.get() == era
+    /// Makes the connection idle, or closes it if it can't be reused.
+    pub fn release(self, connection: Connection) {
+        let Self { pool, permit, generation } = self;
+        if let Some(connection) = connection.into_reusable()
+            && pool.generation.get() == generation
         {
-            endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
+            pool.idle.borrow_mut().push(IdleConnection { connection, permit, since: Instant::now() });
         }
     }
 }
--- a/src/proxy/upstream/request_body.rs
+++ b/src/proxy/upstream/request_body.rs
@@ -1,205 +1,227 @@
 //! Request bodies on their way from a client to a backend. A body that is too long to be buffered is
-//! streamed, as fast as the slower side reads.
+//! streamed, as fast as the slower side reads. Its beginning stays buffered, so that the request can
+//! be sent again, until more than that has been forwarded.
 
+use super::body_chunks::BodyChunks;
 use super::shared_flag::SharedFlag;
+use super::transfer_pace::TransferPace;
 use crate::proxy::limits::MAX_BODY_BYTES;
 use crate::proxy::stream_error::StreamError;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::time::Instant;
-
-/// A body is waited for as long as what has come of it takes at so many bytes a second, beside the
-/// time that a request has at any rate.
-const LEAST_PACE: f64 = 40e3;
-/// How often it is looked whether a body still comes.
-const LOOK: Duration = Duration::from_millis(50);
-
-/// The time that a body has been waited for, beside what has come.
-struct Pace {
-    /// The time that it has at any rate.
-    within: Duration,
-    since: Option<Instant>,
-    waited: Duration,
-    bytes: usize,
-}
-
-impl Pace {
-    fn new(within: Duration) -> Self {
-        Self { within, since: None, waited: Duration::ZERO, bytes: 0 }
-    }
-
-    fn waits(&mut self) {
-        self.since.get_or_insert_with(Instant::now);
-    }
-
-    fn came(&mut self, bytes: usize) {
-        self.waited += self.since.take().map_or(Duration::ZERO, |since| since.elapsed());
-        self.bytes += bytes;
-    }
-
-    fn too_slow(&self) -> bool {
-        let waited = self.waited + self.since.map_or(Duration::ZERO, |since| since.elapsed());
-        waited > self.within + Duration::from_secs_f64(self.bytes as f64 / LEAST_PACE)
-    }
-}
 
-struct Inner {
-    /// What has come first, until more than that has been passed on.
-    first: VecDeque<Bytes>,
-    rest: Incoming,
-    /// What is still to come, where that is known.
-    left: Option<u64>,
-    pace: Pace,
-    /// The end has come, or can't come any more.
-    end: Option<Result<(), StreamError>>,
-    spent: bool,
-    watcher: Option<Waker>,
-}
+/// How often the pace of a body is checked.
+const PACE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The body of a request, as it comes from its client.
+/// The body of a request, while it is received from its client.
 pub struct StreamedRequestBody {
-    inner: RefCell<Inner>,
+    state: RefCell<State>,
 }
 
-impl fmt::Debug for StreamedRequestBody {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Source").field("spent", &self.is_consumed()).finish_non_exhaustive()
-    }
+struct State {
+    /// The beginning of the body, until more than that has been forwarded.
+    buffered: BodyChunks,
+    incoming: Incoming,
+    /// Bytes still to be received, if the length is known.
+    remaining_bytes: Option<u64>,
+    pace: TransferPace,
+    /// Set once the body is complete, or can't be completed any more.
+    end: Option<Result<(), StreamError>>,
+    /// More has been forwarded than is buffered.
+    is_consumed: bool,
+    /// The task that waits for the end.
+    end_waker: Option<Waker>,
 }
 
-impl Inner {
-    /// The next piece from the client; None at the end.
+impl State {
+    /// The next chunk from the client; None at the end.
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamError>>> {
         loop {
             if let Some(end) = self.end {
                 return Poll::Ready(end.err().map(Err));
             }
-            match Pin::new(&mut self.rest).poll_frame(cx) {
+            match Pin::new(&mut self.incoming).poll_frame(cx) {
                 Poll::Pending => {
-                    self.pace.waits();
+                    self.pace.start_waiting();
                     return Poll::Pending;
                 }
                 Poll::Ready(Some(Ok(frame))) => {
-                    // Trailers may be left out on the way.
-                    let Ok(data) = frame.into_data() else { continue };
-                    self.pace.came(data.len());
-                    if self.pace.bytes as u64 > MAX_BODY_BYTES {
-                        self.ended(Err(StreamError::TooLong));
-                        continue;
-                    }
-                    self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
-                    if self.left == Some(0) {
-                        self.ended(Ok(()));
+                    // Trailers need not be forwarded.
+                    let Ok(chunk) = frame.into_data() else { continue };
+                    if let Some(chunk) = self.accept(chunk) {
+                        return Poll::Ready(Some(Ok(chunk)));
                     }
-                    return Poll::Ready(Some(Ok(data)));
                 }
-                Poll::Ready(Some(Err(_))) => self.ended(Err(StreamError::Disconnected)),
-                Poll::Ready(None) => self.ended(Ok(())),
+                Poll::Ready(Some(Err(_))) => self.finish(Err(StreamError::Disconnected)),
+                Poll::Ready(None) => self.finish(Ok(())),
             }
         }
     }
 
-    fn ended(&mut self, end: Result<(), StreamError>) {
-        self.end = self.end.or(Some(end));
-        self.watcher.take().into_iter().for_each(Waker::wake);
+    /// Counts a chunk that was received. None if the body has become too long.
+    fn accept(&mut self, chunk: Bytes) -> Option<Bytes> {
+        self.pace.record_chunk(chunk.len());
+        if self.pace.received_bytes() as u64 > MAX_BODY_BYTES {
+            self.finish(Err(StreamError::TooLong));
+            return None;
+        }
+        self.remaining_bytes = self.remaining_bytes.map(|bytes| bytes.saturating_sub(chunk.len() as u64));
+        if self.remaining_bytes == Some(0) {
+            self.finish(Ok(()));
+        }
+        Some(chunk)
+    }
+
+    /// The body ends in this way, if it has not ended before.
+    fn finish(&mut self, end: Result<(), StreamError>) {
+        self.end.get_or_insert(end);
+        if let Some(waker) = self.end_waker.take() {
+            waker.wake();
+        }
     }
 }
 
 impl StreamedRequestBody {
-    /// The body that `rest` brings. It has so much time at any rate, and more as it comes.
-    pub fn new(rest: Incoming, within: Duration) -> Rc<Self> {
-        let (first, pace, left) = (VecDeque::new(), Pace::new(within), rest.size_hint().exact());
-        let inner = Inner { first, rest, left, pace, end: None, spent: false, watcher: None };
-        Rc::new(Self { inner: RefCell::new(inner) })
-    }
-
-    /// Takes in the first part, more than `most` bytes, or the whole if it is no longer.
-    pub async fn read_buffered(&self, most: usize) -> Result<Option<Bytes>, StreamError> {
-        let mut length = 0;
-        let filled = std::future::poll_fn(|cx| {
-            loop {
-                let mut inner = self.inner.borrow_mut();
-                match ready!(inner.poll_next(cx)).transpose() {
-                    Err(cut) => return Poll::Ready(Err(cut)),
-                    Ok(None) => return Poll::Ready(Ok(true)),
-                    Ok(Some(data)) => {
-                        length += data.len();
-                        inner.first.push_back(data);
-                        if length > most {
-                            return Poll::Ready(Ok(false));
-                        }
-                    }
-                }
-            }
-        });
-        let whole = tokio::select! {
-            filled = filled => filled?,
+    /// The body that is received as `incoming`. It is allowed `base_timeout`, and more time as more
+    /// of it arrives.
+    #[must_use]
+    pub fn new(incoming: Incoming, base_timeout: Duration) -> Rc<Self> {
+        let state = State {
+            buffered: BodyChunks::default(),
+            remaining_bytes: incoming.size_hint().exact(),
+            incoming,
+            pace: TransferPace::new(base_timeout),
+            end: None,
+            is_consumed: false,
+            end_waker: None,
+        };
+        Rc::new(Self { state: RefCell::new(state) })
+    }
+
+    /// Receives the body until it is complete, and returns it, or until more than `max_bytes` are
+    /// buffered.
+    ///
+    /// # Errors
+    /// If the body breaks off, is too slow, or is longer than [`MAX_BODY_BYTES`].
+    pub async fn read_buffered(&self, max_bytes: usize) -> Result<Option<Bytes>, StreamError> {
+        let is_complete = tokio::select! {
+            filled = std::future::poll_fn(|cx| self.poll_fill(cx, max_bytes)) => filled?,
             () = self.too_slow() => return Err(StreamError::Stalled),
         };
-        Ok(whole.then(|| joined(self.inner.borrow_mut().first.drain(..), length)))
+        Ok(is_complete.then(|| self.state.borrow_mut().buffered.take_concatenated()))
+    }
+
+    /// Buffers more than `max_bytes`, or the complete body. Returns whether the body is complete.
+    fn poll_fill(&self, cx: &mut Context<'_>, max_bytes: usize) -> Poll<Result<bool, StreamError>> {
+        let mut state = self.state.borrow_mut();
+        while let Some(chunk) = ready!(state.poll_next(cx)).transpose()? {
+            state.buffered.push(chunk);
+            if state.buffered.bytes() > max_bytes {
+                return Poll::Ready(Ok(false));
+            }
+        }
+        Poll::Ready(Ok(true))
     }
 
-    /// Returns once the whole body has come, or no more will.
+    /// Returns once the complete body has been received.
+    ///
+    /// # Errors
+    /// If the body breaks off, is too slow, or is longer than [`MAX_BODY_BYTES`].
     pub async fn finished(&self) -> Result<(), StreamError> {
         let ended = std::future::poll_fn(|cx| {
-            let mut inner = self.inner.borrow_mut();
-            inner.watcher = Some(cx.waker().clone());
-            inner.end.map_or(Poll::Pending, Poll::Ready)
+            let mut state = self.state.borrow_mut();
+            state.end_waker = Some(cx.waker().clone());
+            state.end.map_or(Poll::Pending, Poll::Ready)
         });
         tokio::select! {
-            ended = ended => ended,
+            end = ended => end,
             () = self.too_slow() => {
-                self.inner.borrow_mut().ended(Err(StreamError::Stalled));
+                self.state.borrow_mut().finish(Err(StreamError::Stalled));
                 Err(StreamError::Stalled)
             }
         }
     }
 
     async fn too_slow(&self) {
-        while !self.inner.borrow().pace.too_slow() {
-            tokio::time::sleep(LOOK).await;
+        while !self.state.borrow().pace.is_too_slow() {
+            tokio::time::sleep(PACE_CHECK_INTERVAL).await;
         }
     }
 
-    /// More has been passed on than is kept.
+    /// More has been forwarded than is buffered: the body can't be sent again.
+    #[must_use]
     pub fn is_consumed(&self) -> bool {
-        self.inner.borrow().spent
+        self.state.borrow().is_consumed
+    }
+
+    /// The chunk for an attempt that has sent the `sent_chunks` before it, which is then counted in;
+    /// None at the end. Sets `final_data` if nothing more follows.
+    fn poll_chunk(
+        &self,
+        cx: &mut Context<'_>,
+        sent_chunks: &mut usize,
+        final_data: &SharedFlag,
+    ) -> Poll<Option<Result<Bytes, StreamError>>> {
+        let mut state = self.state.borrow_mut();
+        let next = match state.buffered.get(*sent_chunks) {
+            Some(chunk) => Some(Ok(chunk.clone())),
+            None => ready!(state.poll_next(cx)),
+        };
+        let is_beyond_buffer = *sent_chunks >= state.buffered.count();
+        if is_beyond_buffer && matches!(next, Some(Ok(_))) {
+            state.is_consumed = true;
+        }
+        *sent_chunks += 1;
+        let is_buffer_sent = state.is_consumed || *sent_chunks >= state.buffered.count();
+        final_data.set(is_buffer_sent && state.end == Some(Ok(())));
+        if state.is_consumed {
+            state.buffered.clear();
+        }
+        Poll::Ready(next)
     }
 }
 
-fn joined(parts: impl Iterator<Item = Bytes>, length: usize) -> Bytes {
-    let mut whole = BytesMut::with_capacity(length);
-    parts.for_each(|part| whole.extend_from_slice(&part));
-    whole.freeze()
+impl fmt::Debug for StreamedRequestBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StreamedRequestBody")
+            .field("is_consumed", &self.is_consumed())
+            .finish_non_exhaustive()
+    }
 }
 
-/// What an attempt sends.
+/// The body that one attempt sends.
 pub enum AttemptBody {
-    /// All of it at once.
+    /// A complete body, until it has been handed out.
     Buffered(Option<Bytes>),
-    /// What comes, from its beginning.
+    /// A body that is still being received, from its beginning.
     Streamed {
-        /// Where it comes from.
+        /// The body.
         source: Rc<StreamedRequestBody>,
-        /// Pieces of the first part sent.
-        sent: usize,
-        /// Set when the last piece is given out.
-        last: SharedFlag,
+        /// The number of chunks that this attempt has handed out.
+        sent_chunks: usize,
+        /// Set when the last chunk is handed out.
+        final_data: SharedFlag,
     },
 }
 
 impl AttemptBody {
-    /// There is nothing to send.
+    /// A body of no bytes.
+    #[must_use]
     pub fn empty() -> Self {
         Self::Buffered(None)
     }
+
+    /// The body from its beginning. `final_data` is set when its last chunk is handed out.
+    #[must_use]
+    pub fn streamed(source: Rc<StreamedRequestBody>, final_data: SharedFlag) -> Self {
+        Self::Streamed { source, sent_chunks: 0, final_data }
+    }
 }
 
 impl Body for AttemptBody {
@@ -210,24 +232,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        let (source, sent, last) = match &mut *self {
-            Self::Buffered(whole) => return Poll::Ready(whole.take().map(|data| Ok(Frame::data(data)))),
-            Self::Streamed { source, sent, last } => (source, sent, last),
-        };
-        let mut inner = source.inner.borrow_mut();
-        let next = match inner.first.get(*sent) {
-            Some(first) => Some(Ok(first.clone())),
-            None => ready!(inner.poll_next(cx)),
+        let next = match &mut *self {
+            Self::Buffered(content) => content.take().map(Ok),
+            Self::Streamed { source, sent_chunks, final_data } => {
+                ready!(source.poll_chunk(cx, sent_chunks, final_data))
+            }
         };
-        if matches!(next, Some(Ok(_))) && *sent >= inner.first.len() {
-            inner.spent = true;
-        }
-        *sent += 1;
-        last.set(inner.end == Some(Ok(())) && (inner.spent || *sent >= inner.first.len()));
-        if inner.spent {
-            inner.first.clear();
-        }
-        Poll::Ready(next.map(|next| next.map(Frame::data)))
+        Poll::Ready(next.map(|chunk| chunk.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -236,8 +247,8 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(whole) => SizeHint::with_exact(whole.as_ref().map_or(0, |w| w.len() as u64)),
-            // Its length, if told, goes on as a header.
+            Self::Buffered(content) => SizeHint::with_exact(content.as_ref().map_or(0, Bytes::len) as u64),
+            // If the length is known, it is sent as a header.
             Self::Streamed { .. } => SizeHint::default(),
         }
     }
--- a/src/proxy/upstream/response_body.rs
+++ b/src/proxy/upstream/response_body.rs
@@ -1,6 +1,7 @@
-//! Responses of backends that are too long to be buffered: they are streamed, as fast as the client
-//! reads.
+//! Responses of backends. Those that are too long to be buffered are streamed, as fast as the client
+//! reads; a streamed body owns its connection, and releases it to the pool at its end.
 
+use super::body_chunks::BodyChunks;
 use super::connection::Connection;
 use super::pool::ConnectionLease;
 use crate::proxy::limits::MAX_BODY_BYTES;
@@ -8,110 +9,146 @@
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
-use std::collections::VecDeque;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
-/// A backend that gives nothing for so long will not end its answer.
-const SILENT: Duration = Duration::from_secs(10);
+/// A backend from which nothing arrives for this long will not complete its response.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// An answer that is still coming from its backend.
+/// The body of a response that is still being received from its backend.
 pub struct StreamedResponseBody {
-    first: VecDeque<Bytes>,
-    rest: Incoming,
-    peer: Option<Connection>,
-    /// What is done with the connection once it is free.
-    kept: Option<ConnectionLease>,
+    buffered: BodyChunks,
+    incoming: Incoming,
+    /// The connection, until the body has ended.
+    leased: Option<LeasedConnection>,
+    /// In bytes, if known.
     length: Option<u64>,
-    come: u64,
-    silent: Pin<Box<Sleep>>,
+    /// The length of the chunks returned so far, in bytes.
+    returned_bytes: u64,
+    idle_timer: Pin<Box<Sleep>>,
+}
+
+struct LeasedConnection {
+    connection: Connection,
+    lease: ConnectionLease,
 }
 
 impl StreamedResponseBody {
-    /// The answer that begins with `first`, and the rest of which comes over `peer`.
-    /// It has this length, if that is known.
+    /// The body that begins with `received`. The rest is received as `incoming`, over `connection`.
+    #[must_use]
     pub fn new(
-        first: VecDeque<Bytes>,
-        rest: Incoming,
-        length: Option<u64>,
-        peer: Connection,
-        kept: ConnectionLease,
+        received: BodyChunks,
+        incoming: Incoming,
+        connection: Connection,
+        lease: ConnectionLease,
     ) -> Self {
-        let silent = Box::pin(tokio::time::sleep(SILENT));
-        Self { first, rest, peer: Some(peer), kept: Some(kept), length, come: 0, silent }
+        Self {
+            length: incoming.size_hint().exact().map(|remaining| remaining + received.bytes() as u64),
+            buffered: received,
+            incoming,
+            leased: Some(LeasedConnection { connection, lease }),
+            returned_bytes: 0,
+            idle_timer: Box::pin(tokio::time::sleep(IDLE_TIMEOUT)),
+        }
     }
 
-    /// All of it has come: its connection may carry another request.
-    fn free(&mut self) {
-        if let (Some(peer), Some(kept)) = (self.peer.take(), self.kept.take()) {
-            kept.release(peer);
-        }
+    /// The length in bytes, if known.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        self.length
     }
 
-    /// The next piece of the response; None at its end.
+    /// The next chunk; None at the end.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamError>>> {
-        if let Some(first) = self.first.pop_front() {
-            self.come += first.len() as u64;
-            return Poll::Ready(Some(Ok(first)));
+        if let Some(chunk) = self.buffered.pop_front() {
+            self.returned_bytes += chunk.len() as u64;
+            return Poll::Ready(Some(Ok(chunk)));
         }
         loop {
-            let Some(peer) = &mut self.peer else {
+            let Some(LeasedConnection { connection, .. }) = &mut self.leased else {
                 return Poll::Ready(None);
             };
-            let ended = peer.poll(cx);
-            match Pin::new(&mut self.rest).poll_frame(cx) {
+            let connection_ended = connection.poll_ended(cx);
+            match Pin::new(&mut self.incoming).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.silent.as_mut().reset(Instant::now() + SILENT);
-                    // Trailers may be left out on the way.
-                    let Ok(data) = frame.into_data() else { continue };
-                    self.come += data.len() as u64;
-                    // The end of a known length is not asked for: this is the last that is seen.
-                    if self.length == Some(self.come) {
-                        self.free();
-                    }
-                    let fits = self.come <= MAX_BODY_BYTES;
-                    return Poll::Ready(Some(if fits { Ok(data) } else { Err(StreamError::TooLong) }));
+                    self.idle_timer.as_mut().reset(Instant::now() + IDLE_TIMEOUT);
+                    // Trailers need not be forwarded.
+                    let Ok(chunk) = frame.into_data() else { continue };
+                    return Poll::Ready(Some(self.accept(chunk)));
                 }
                 Poll::Ready(None) => {
-                    self.free();
+                    self.release();
                     return Poll::Ready(None);
                 }
                 Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(StreamError::Disconnected))),
-                Poll::Pending if ended => return Poll::Ready(Some(Err(StreamError::Disconnected))),
+                Poll::Pending if connection_ended => {
+                    return Poll::Ready(Some(Err(StreamError::Disconnected)));
+                }
                 Poll::Pending => {
-                    ready!(self.silent.as_mut().poll(cx));
+                    ready!(self.idle_timer.as_mut().poll(cx));
                     return Poll::Ready(Some(Err(StreamError::Stalled)));
                 }
             }
         }
     }
+
+    /// Counts a chunk that was received.
+    fn accept(&mut self, chunk: Bytes) -> Result<Bytes, StreamError> {
+        self.returned_bytes += chunk.len() as u64;
+        // A client does not poll beyond a known length: this is the last call.
+        if self.length == Some(self.returned_bytes) {
+            self.release();
+        }
+        if self.returned_bytes > MAX_BODY_BYTES {
+            return Err(StreamError::TooLong);
+        }
+        Ok(chunk)
+    }
+
+    /// The body is complete: its connection may carry another request.
+    fn release(&mut self) {
+        if let Some(LeasedConnection { connection, lease }) = self.leased.take() {
+            lease.release(connection);
+        }
+    }
 }
 
-/// What a client is answered.
+/// The body of a response to a client.
 pub enum ResponseContent {
-    /// All of it at once.
+    /// The complete body.
     Buffered(Bytes),
-    /// What comes from the backend.
+    /// A body that is still being received from the backend.
     Streamed(Box<StreamedResponseBody>),
 }
 
-/// An answer of a backend.
+/// A response of a backend.
 pub struct BackendResponse {
-    /// Its body.
+    /// The body.
     pub content: ResponseContent,
-    /// How long that is, where it is known.
+    /// The length of the body in bytes, if known.
     pub length: Option<u64>,
-    /// Its headers.
+    /// The headers.
     pub headers: HeaderMap,
 }
 
 impl BackendResponse {
-    /// Its body, if it is held.
+    /// A response with this body and these headers.
+    #[must_use]
+    pub fn new(content: ResponseContent, headers: HeaderMap) -> Self {
+        let length = match &content {
+            ResponseContent::Buffered(complete) => Some(complete.len() as u64),
+            ResponseContent::Streamed(body) => body.length(),
+        };
+        Self { content, length, headers }
+    }
+
+    /// The body, if it is buffered.
+    #[must_use]
     pub fn buffered(&self) -> Option<&Bytes> {
         match &self.content {
-            ResponseContent::Buffered(whole) => Some(whole),
+            ResponseContent::Buffered(complete) => Some(complete),
             ResponseContent::Streamed(_) => None,
         }
     }
--- /dev/null
+++ b/src/proxy/upstream/socket.rs
@@ -0,0 +1,167 @@
+//! The socket of a backend connection. It records when data arrives, and writes the last byte of a
+//! request a little later than the rest: until then the request can still be stopped or moved to
+//! another connection.
+
+use super::exchange_progress::{ResponseActivity, WriteProgress};
+use socket2::SockRef;
+use std::future::Future;
+use std::io::{self, Read};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+/// The last byte of a request is delayed by this. A backend begins to process a request when its
+/// last byte arrives, so a request whose connection breaks before that never ran and may be sent
+/// elsewhere: this guards against connections that the peer has abandoned without notice, or resets
+/// as it accepts them.
+const LAST_BYTE_DELAY: Duration = Duration::from_millis(1);
+
+/// If the delay ends later than planned by more than this, the process was suspended or busy, and
+/// what happened meanwhile, such as a disconnect of the client, has not been processed yet: the
+/// byte is delayed once more.
+const MAX_TIMER_LATENESS: Duration = Duration::from_millis(50);
+
+/// Why the socket stops in the middle of an exchange.
+#[derive(Debug, Error)]
+enum AbortedExchange {
+    #[error("data arrived before the request had been written")]
+    EarlyData,
+    #[error("the deadline for writing the request has passed")]
+    WriteDeadlineExceeded,
+}
+
+impl From<AbortedExchange> for io::Error {
+    fn from(error: AbortedExchange) -> Self {
+        Self::other(error)
+    }
+}
+
+/// A TCP socket to a backend that delays the last byte of each request.
+pub struct BackendSocket {
+    stream: TcpStream,
+    activity: ResponseActivity,
+    progress: Rc<WriteProgress>,
+    /// A byte that is accepted but not written yet.
+    delayed_byte: Option<u8>,
+    delay: Pin<Box<Sleep>>,
+    /// The byte has been delayed a second time. There is no third, so that a slow process makes
+    /// progress too.
+    is_delay_extended: bool,
+}
+
+impl BackendSocket {
+    /// Wraps a connected stream, and reports to `activity` and `progress`.
+    pub fn new(stream: TcpStream, activity: ResponseActivity, progress: Rc<WriteProgress>) -> Self {
+        let delay = Box::pin(tokio::time::sleep(Duration::ZERO));
+        Self { stream, activity, progress, delayed_byte: None, delay, is_delay_extended: false }
+    }
+
+    /// Accepts the last byte of a request, to be written after the delay.
+    fn delay_byte(&mut self, byte: u8) {
+        self.delayed_byte = Some(byte);
+        self.is_delay_extended = false;
+        self.restart_delay();
+    }
+
+    fn restart_delay(&mut self) {
+        self.delay.as_mut().reset(Instant::now() + LAST_BYTE_DELAY);
+    }
+
+    /// Waits for the end of the delay, and of its extension if the process was stalled.
+    fn poll_delay(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        ready!(self.delay.as_mut().poll(cx));
+        if !self.is_delay_extended && self.delay.deadline().elapsed() > MAX_TIMER_LATENESS {
+            self.is_delay_extended = true;
+            self.restart_delay();
+            ready!(self.delay.as_mut().poll(cx));
+        }
+        Poll::Ready(())
+    }
+
+    /// Decides whether the last byte may be written.
+    fn check_last_byte(&self) -> Result<(), AbortedExchange> {
+        if self.progress.is_too_early() && self.is_readable() {
+            return Err(AbortedExchange::EarlyData);
+        }
+        // Checked here, as after a standstill all timers of the process are due at once, in any order.
+        if self.progress.is_write_deadline_exceeded() {
+            return Err(AbortedExchange::WriteDeadlineExceeded);
+        }
+        Ok(())
+    }
+
+    /// Data or the end of the stream has arrived, whether or not the runtime has noticed it. A byte
+    /// that is there is lost: the connection must not be used after that.
+    fn is_readable(&self) -> bool {
+        let socket = SockRef::from(&self.stream);
+        !matches!((&*socket).read(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Writes the delayed byte, if there is one.
+    fn poll_write_delayed(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(byte) = self.delayed_byte {
+            ready!(Pin::new(&mut self.stream).poll_write(cx, &[byte]))?;
+            self.delayed_byte = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncRead for BackendSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > filled_before {
+            // Here the order is decided: after this error the last byte is not written.
+            if self.progress.is_too_early() {
+                return Poll::Ready(Err(AbortedExchange::EarlyData.into()));
+            }
+            self.activity.record();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for BackendSocket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        // More data follows: the delayed byte was not the last one.
+        ready!(self.poll_write_delayed(cx))?;
+        if !self.progress.final_data().get() {
+            return Pin::new(&mut self.stream).poll_write(cx, data);
+        }
+        let Some((last, rest)) = data.split_last() else {
+            return Poll::Ready(Ok(0));
+        };
+        if !rest.is_empty() {
+            let written = ready!(Pin::new(&mut self.stream).poll_write(cx, rest))?;
+            if written < rest.len() {
+                return Poll::Ready(Ok(written));
+            }
+        }
+        self.delay_byte(*last);
+        Poll::Ready(Ok(data.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.delayed_byte.is_some() {
+            ready!(self.poll_delay(cx));
+            self.check_last_byte()?;
+            ready!(self.poll_write_delayed(cx))?;
+            self.progress.finish();
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
