Move the deadlines for sends out of the connection pool, and reword the upstream comments

The pool had three cells for the drain, the maintenance and the removal of its backend beside its connections. They are now SendDeadlines. The closure that builds the request of an exchange has one named type. Comments give reasons in plain terms.

--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -2,7 +2,7 @@
 //! outcome for the decision module.
 
 use super::connection::{Connection, ConnectionOrigin};
-use super::exchange::{ExchangeError, ReceivedBody, ReceivedResponse, exchange};
+use super::exchange::{BuildRequest, ExchangeError, ReceivedBody, ReceivedResponse, exchange};
 use super::exchange_progress::ExchangeOptions;
 use super::forwarded_request::ForwardedRequest;
 use super::load_report;
@@ -52,8 +52,8 @@
     pub request: Rc<ForwardedRequest>,
     /// The clock of the deadlines.
     pub clock: Clock,
-    /// Until when the engine waits for the response. The backend is sent the time that remains; the
-    /// attempt itself does not end by it.
+    /// When the engine stops waiting for the response. The backend is sent the time that remains; the
+    /// attempt does not end at this time by itself.
     pub response_deadline: Time,
     /// The last byte of the request is not written after this; infinite if there is no such limit.
     pub write_deadline: Time,
@@ -74,7 +74,7 @@
         write_deadline: write_deadline.is_finite().then(|| clock.at(write_deadline)),
         metrics: Some(metrics),
     };
-    run(&pool, &clock, build_request, &options).await
+    run(&pool, &clock, &build_request, &options).await
 }
 
 /// Makes one health check: a GET of `path`.
@@ -88,7 +88,7 @@
     };
     let timeout = HEALTH_CHECK_CONNECT_TIMEOUTS * pool.connect_timeout();
     let options = ExchangeOptions::default();
-    let result = tokio::time::timeout(timeout, run(&pool, &clock, build_request, &options)).await;
+    let result = tokio::time::timeout(timeout, run(&pool, &clock, &build_request, &options)).await;
     result.unwrap_or(AttemptResult::without_response(Outcome::Timeout))
 }
 
@@ -102,7 +102,7 @@
 async fn run(
     pool: &Rc<ConnectionPool>,
     clock: &Clock,
-    build_request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+    build_request: BuildRequest<'_>,
     options: &ExchangeOptions,
 ) -> AttemptResult {
     match exchange_with_backend(pool, clock, build_request, options).await {
@@ -111,12 +111,12 @@
     }
 }
 
-/// Makes an exchange on a connection of the pool, and on another one if the first turns out to be
-/// closed before the request has been written.
+/// Makes an exchange on a connection of the pool. If the connection ends before the request has been
+/// written, the next one is used.
 async fn exchange_with_backend(
     pool: &Rc<ConnectionPool>,
     clock: &Clock,
-    build_request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+    build_request: BuildRequest<'_>,
     options: &ExchangeOptions,
 ) -> Result<CompletedExchange, Outcome> {
     let generation = pool.generation();
@@ -124,16 +124,16 @@
     loop {
         let CheckedOutConnection { mut connection, lease, origin } =
             pool.check_out(generation).await.ok_or(Outcome::NoConnection)?;
-        // The notification of a drain may have arrived while the connection was established.
+        // A drain may have been notified while the connection was established.
         if !pool.may_send(clock) {
             return Err(Outcome::NoConnection);
         }
-        match exchange(&mut connection, origin, &build_request, options).await {
+        match exchange(&mut connection, origin, build_request, options).await {
             Ok(response) => return Ok(CompletedExchange { response, connection, lease }),
             Err(ExchangeError::InvalidResponse) => return Err(Outcome::Reset),
             Err(ExchangeError::BodyConsumed) => return Err(Outcome::NoConnection),
-            // A reused connection may have been closed meanwhile. A new one is replaced once: after
-            // two, a third would end in the same way.
+            // A reused connection may have been closed while it was idle. A new one is replaced only
+            // once: after two failures a third connection would fail in the same way.
             Err(ExchangeError::NotSent) => {
                 let is_new = origin == ConnectionOrigin::New;
                 if is_new && has_new_connection_failed {
@@ -146,7 +146,7 @@
 }
 
 impl CompletedExchange {
-    /// Sorts the response, and releases its connection now or when its body has been streamed.
+    /// Classifies the response, and releases its connection: now, or when its body has been streamed.
     fn into_result(self) -> AttemptResult {
         let Self { response: ReceivedResponse { head, body }, connection, lease } = self;
         let outcome = outcome_of(head.status, &head.headers);
--- a/src/proxy/upstream/connection.rs
+++ b/src/proxy/upstream/connection.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Why a request got no response head. Holds the request if nothing of it has been sent.
+/// Why a request got no response head. It contains the request if nothing of it has been sent.
 pub type SendError = TrySendError<Request<AttemptBody>>;
 
 /// Whether a connection has been used before.
@@ -26,12 +26,12 @@
 pub enum ConnectionOrigin {
     /// Just established.
     New,
-    /// Used before: the peer may have closed it meanwhile, or still write to it.
+    /// Used before: the peer may have closed it since, or may still write to it.
     Reused,
 }
 
-/// A connection together with the task that drives it, which runs while the owner waits for
-/// something on the connection.
+/// A connection that is driven by its owner: nothing is read or written except while the owner
+/// waits for something on it.
 pub struct Connection {
     sender: http1::SendRequest<AttemptBody>,
     driver: Driver,
@@ -99,8 +99,8 @@
 /// Reads and writes for a connection.
 struct Driver {
     connection: Pin<Box<http1::Connection<TokioIo<BackendSocket>, AttemptBody>>>,
-    /// Remembered, as the sender reports that it is ready even after the end: a connection that the
-    /// backend closed right after its response would be cached and used again.
+    /// Recorded because the sender reports that it is ready even after the end: a connection that the
+    /// backend closed right after its response would otherwise be cached and reused.
     ended: bool,
 }
 
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -17,10 +17,14 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// A response of unknown length is buffered for at most this long and then streamed: where a
-/// response is long, the latency that the client sees is that of the first bytes.
+/// A response of unknown length is buffered for at most this long and then streamed: the latency of
+/// a long response is that of its first bytes.
 const MAX_BUFFERING_TIME: Duration = Duration::from_millis(250);
 
+/// Builds the request of an exchange, once for each connection that it is sent on. None if its body
+/// can't be sent any more. The flag is to be set once the end of the body has been handed out.
+pub type BuildRequest<'a> = &'a dyn Fn(&SharedFlag) -> Option<Request<AttemptBody>>;
+
 /// A response with any status.
 pub struct ReceivedResponse {
     /// Its status and headers.
@@ -58,17 +62,14 @@
 
 /// Sends a request and waits for its response. The response must be complete, or too long to be
 /// buffered; one that stalls half way, or that could be parsed in two ways, is invalid. On a reused
-/// connection, data that arrives before the request has been written belongs to the exchange before.
-///
-/// `build_request` returns the request, or None if its body can't be sent any more; the flag that it
-/// is given is to be set once the end of the body has been handed out.
+/// connection, data that arrives before the request has been written belongs to an earlier exchange.
 ///
 /// # Errors
 /// [`ExchangeError`] says whether the request may have run. The connection is unusable after any.
 pub async fn exchange(
     connection: &mut Connection,
     origin: ConnectionOrigin,
-    build_request: impl Fn(&SharedFlag) -> Option<Request<AttemptBody>>,
+    build_request: BuildRequest<'_>,
     options: &ExchangeOptions,
 ) -> Result<ReceivedResponse, ExchangeError> {
     let activity = connection.activity().clone();
--- a/src/proxy/upstream/exchange_progress.rs
+++ b/src/proxy/upstream/exchange_progress.rs
@@ -1,5 +1,5 @@
-//! What an exchange shares with the socket below it: when data of the response last arrived, and
-//! how much of the request has been written.
+//! The state that an exchange shares with the socket of its connection: when data of the response
+//! last arrived, and how much of the request has been written.
 
 use super::shared_flag::SharedFlag;
 use crate::proxy::metrics::Metrics;
@@ -14,8 +14,8 @@
 /// How often a response is checked for such a stall.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// When data of the current response last arrived; unset until its first byte. Behind a mutex, as
-/// hyper requires of its callback for informational responses that it is `Send`.
+/// When data of the current response last arrived; unset until its first byte. It is behind a
+/// mutex because hyper requires its callback for informational responses to be `Send`.
 #[derive(Clone, Default)]
 pub struct ResponseActivity(Arc<Mutex<Option<Instant>>>);
 
@@ -51,8 +51,8 @@
 /// How an exchange is observed and bounded from outside.
 #[derive(Clone, Default)]
 pub struct ExchangeOptions {
-    /// Set once the complete request has been written. It belongs to the attempt: whoever ends the
-    /// attempt from outside decides by it whether the request may run.
+    /// Set once the complete request has been written. The engine shares it: when it ends the
+    /// attempt, the flag decides whether the request may run.
     pub request_written: SharedFlag,
     /// The last byte of the request is not written after this.
     pub write_deadline: Option<Instant>,
@@ -66,7 +66,7 @@
     options: RefCell<ExchangeOptions>,
     /// The end of the body has been handed out: the next write contains the last byte.
     final_data: SharedFlag,
-    /// Data that arrives before the request has been written is not its response.
+    /// Data that arrives before the request has been written is an error.
     rejects_early_data: Cell<bool>,
 }
 
@@ -78,7 +78,8 @@
         self.options.replace(options.clone());
     }
 
-    /// Data that arrives before the request has been written is an error, or is part of the response.
+    /// Sets whether data that arrives before the request has been written is an error. Otherwise it
+    /// belongs to the response.
     pub fn reject_early_data(&self, reject: bool) {
         self.rejects_early_data.set(reject);
     }
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -11,6 +11,7 @@
 pub mod pool;
 pub mod request_body;
 pub mod response_body;
+pub mod send_deadlines;
 pub mod shared_flag;
 pub mod socket;
 pub mod transfer_pace;
--- a/src/proxy/upstream/pool.rs
+++ b/src/proxy/upstream/pool.rs
@@ -1,7 +1,8 @@
-//! The connections to one backend: it owns those that are idle, establishes new ones, and knows the
-//! deadlines after which nothing more may be sent to the backend.
+//! The connections to one backend. The pool owns those that are idle, establishes new ones, and knows
+//! the deadlines after which nothing more may be sent to the backend.
 
 use super::connection::{Connection, ConnectionOrigin, connect};
+use super::send_deadlines::SendDeadlines;
 use crate::Time;
 use crate::proxy::clock::Clock;
 use crate::proxy::limits::{Budget, Permit};
@@ -13,13 +14,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Fraction of the idle timeout of backends up to which an idle connection is reused: near the
-/// timeout, a request can cross with the backend's close and be lost.
+/// Fraction of the idle timeout of backends up to which an idle connection is reused. Near the
+/// timeout, the backend may close the connection while a request is on its way, which is then lost.
 const REUSE_FRACTION: f64 = 0.7;
 
 /// A connection is reused only when it has been idle for this long. What a backend writes after the
-/// end of a response arrives within it, makes the connection unusable, and is not taken for the
-/// response to the next request.
+/// end of a response arrives in that time and makes the connection unusable, so that it is not
+/// mistaken for the response to the next request.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(25);
 
 struct IdleConnection {
@@ -28,18 +29,12 @@
     since: Instant,
 }
 
-/// A backend's idle connections, and the deadlines after which nothing may be sent to it. Times are
-/// those of the proxy's clock, in seconds.
+/// The connections to one backend. Times are those of the proxy's clock, in seconds.
 pub struct ConnectionPool {
     address: Cell<SocketAddr>,
     /// In the order in which they became idle.
     idle: RefCell<Vec<IdleConnection>>,
-    /// When sends must end, while the backend is draining or removed.
-    drain_deadline: Cell<Option<Time>>,
-    /// When sends must end, while the backend is in maintenance.
-    maintenance_deadline: Cell<Option<Time>>,
-    /// The endpoint list says that the backend is removed, or no longer has it.
-    is_removed: Cell<bool>,
+    send_deadlines: SendDeadlines,
     /// Increases when all present connections are to be closed: one of an earlier generation is not
     /// cached when it becomes idle.
     generation: Cell<u64>,
@@ -61,9 +56,7 @@
         Self {
             address: Cell::new(address),
             idle: RefCell::default(),
-            drain_deadline: Cell::new(None),
-            maintenance_deadline: Cell::new(None),
-            is_removed: Cell::new(false),
+            send_deadlines: SendDeadlines::default(),
             generation: Cell::new(0),
             budget,
             connect_timeout: Cell::new(connect_timeout),
@@ -89,34 +82,30 @@
         if self.address.replace(address) != address || drain_deadline.is_some() {
             self.close_idle();
         }
-        // A repeated notification of the same drain must not extend the grace period.
-        let earlier = self.drain_deadline.get().filter(|_| drain_deadline.is_some());
-        self.drain_deadline.set(earlier.or(drain_deadline));
-        self.is_removed.set(false);
+        self.send_deadlines.set_drain(drain_deadline);
     }
 
     /// The backend is removed from the endpoint list: sends must end by `deadline`.
     pub fn mark_removed(&self, deadline: Time) {
-        self.update(self.address.get(), Some(deadline));
-        self.is_removed.set(true);
+        self.close_idle();
+        self.send_deadlines.set_removed(deadline);
     }
 
-    /// Sets when sends must end because the backend is in maintenance, or that it no longer is.
+    /// Sets when sends must end because the backend is in maintenance; None if it is not.
     pub fn set_maintenance_deadline(&self, deadline: Option<Time>) {
-        self.maintenance_deadline.set(deadline);
+        self.send_deadlines.set_maintenance(deadline);
     }
 
     /// The backend is removed, and its grace period is over.
     #[must_use]
     pub fn is_expired(&self, clock: &Clock) -> bool {
-        self.is_removed.get() && !self.may_send(clock)
+        self.send_deadlines.is_expired(clock.now())
     }
 
     /// No deadline for sends to the backend has passed.
     #[must_use]
     pub fn may_send(&self, clock: &Clock) -> bool {
-        let deadlines = [self.drain_deadline.get(), self.maintenance_deadline.get()];
-        deadlines.into_iter().flatten().all(|deadline| clock.now() < deadline)
+        self.send_deadlines.allow_send(clock.now())
     }
 
     /// Closes the idle connections, and those in use as soon as they become idle.
@@ -156,9 +145,9 @@
         self.generation.get()
     }
 
-    /// Checks out an idle connection, the one used last, or establishes a new one. It is cached
-    /// again after use if the pool then still has this `generation`. None if the budget is used up
-    /// or no connection can be established.
+    /// Checks out the idle connection that was used last, or else establishes a new one. After use
+    /// it is cached if the pool then still has this `generation`. None if the budget is used up or no
+    /// connection can be established.
     pub(super) async fn check_out(self: &Rc<Self>, generation: u64) -> Option<CheckedOutConnection> {
         if let Some(IdleConnection { connection, permit, .. }) = self.take_idle() {
             let lease = ConnectionLease { pool: self.clone(), permit, generation };
@@ -182,10 +171,10 @@
         None
     }
 
-    /// Establishes a connection. If only this one connection attempt is slow, another one started
-    /// meanwhile usually is not: after half of the timeout a second attempt runs beside it, and the
-    /// first to succeed is used. This avoids requests that wait for their next retransmission timer
-    /// because they have no connection; a backend that is slow to accept gets up to twice as many
+    /// Establishes a connection. Where a single connection attempt is slow, a second one usually is
+    /// not: it is started after half of the timeout, and the first of the two to end is used. This
+    /// avoids requests that must wait for their next retransmission timer because they got no
+    /// connection. Its cost is that a backend that is slow to accept gets up to twice as many
     /// connections.
     async fn connect(&self) -> io::Result<Connection> {
         let address = self.address.get();
--- a/src/proxy/upstream/request_body.rs
+++ b/src/proxy/upstream/request_body.rs
@@ -104,8 +104,8 @@
         Rc::new(Self { state: RefCell::new(state) })
     }
 
-    /// Receives the body until it is complete, and returns it, or until more than `max_bytes` are
-    /// buffered.
+    /// Buffers the body until it is complete, and returns it; None once more than `max_bytes` are
+    /// buffered, and the body must be streamed.
     ///
     /// # Errors
     /// If the body breaks off, is too slow, or is longer than [`MAX_BODY_BYTES`].
@@ -160,8 +160,8 @@
         self.state.borrow().is_consumed
     }
 
-    /// The chunk for an attempt that has sent the `sent_chunks` before it, which is then counted in;
-    /// None at the end. Sets `final_data` if nothing more follows.
+    /// The next chunk for an attempt that has sent `sent_chunks` of them, and increases that number;
+    /// None at the end. Sets `final_data` if no data follows.
     fn poll_chunk(
         &self,
         cx: &mut Context<'_>,
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -16,13 +16,13 @@
 use tokio::time::{Instant, Sleep};
 
 /// The last byte of a request is delayed by this. A backend begins to process a request when its
-/// last byte arrives, so a request whose connection breaks before that never ran and may be sent
-/// elsewhere: this guards against connections that the peer has abandoned without notice, or resets
-/// as it accepts them.
+/// last byte arrives, so if the connection breaks before that, the request never ran and may be sent
+/// on another one. This guards against connections that the peer has abandoned without notice, or
+/// resets as it accepts them.
 const LAST_BYTE_DELAY: Duration = Duration::from_millis(1);
 
 /// If the delay ends later than planned by more than this, the process was suspended or busy, and
-/// what happened meanwhile, such as a disconnect of the client, has not been processed yet: the
+/// events of that time, such as a disconnect of the client, may not have been processed yet: the
 /// byte is delayed once more.
 const MAX_TIMER_LATENESS: Duration = Duration::from_millis(50);
 
@@ -88,15 +88,16 @@
         if self.progress.is_too_early() && self.is_readable() {
             return Err(AbortedExchange::EarlyData);
         }
-        // Checked here, as after a standstill all timers of the process are due at once, in any order.
+        // Checked here and not only by a timer: after the process was suspended, all of its timers
+        // are due at once and fire in any order.
         if self.progress.is_write_deadline_exceeded() {
             return Err(AbortedExchange::WriteDeadlineExceeded);
         }
         Ok(())
     }
 
-    /// Data or the end of the stream has arrived, whether or not the runtime has noticed it. A byte
-    /// that is there is lost: the connection must not be used after that.
+    /// Data or the end of the stream has arrived, whether or not the runtime has reported it. This
+    /// consumes a byte of the data: the connection must not be used after a positive result.
     fn is_readable(&self) -> bool {
         let socket = SockRef::from(&self.stream);
         !matches!((&*socket).read(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
@@ -121,7 +122,7 @@
         let filled_before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > filled_before {
-            // Here the order is decided: after this error the last byte is not written.
+            // This decides which came first: after the error, the last byte is never written.
             if self.progress.is_too_early() {
                 return Poll::Ready(Err(AbortedExchange::EarlyData.into()));
             }
--- a/src/proxy/upstream/transfer_pace.rs
+++ b/src/proxy/upstream/transfer_pace.rs
@@ -7,8 +7,8 @@
 /// request is allowed in any case.
 const MIN_BYTES_PER_SECOND: f64 = 40e3;
 
-/// The time spent waiting for a body and the bytes received in it. Time during which nobody waits
-/// for the body does not count.
+/// The time spent waiting for a body, and the bytes received of it. Time in which no chunk is awaited,
+/// because the receiving side is slower, does not count.
 pub struct TransferPace {
     /// The time that the body is allowed in addition to that of its bytes.
     base_timeout: Duration,
@@ -31,7 +31,7 @@
         self.received_bytes
     }
 
-    /// The next chunk is awaited from now on, if it was not before.
+    /// A chunk is awaited from now on, unless one already was.
     pub fn start_waiting(&mut self) {
         self.waiting_since.get_or_insert_with(Instant::now);
     }
