Split the limits into message sizes, process capacities and budgets, with units in the names

One file held three concerns, and its fields did not say what they count. Each has a module of its own now; the fields of ProcessLimits and Capacities name their units. No limit changes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -66,7 +66,7 @@
     let caps = Capacities::new(config.limits.share(successor), kept);
     let terms = Rc::new(std::mem::take(&mut config.snapshot));
     let figures = Metrics::new(&terms.proxy);
-    let engine = Engine::start(terms.clone(), config.seed, caps.backends, figures);
+    let engine = Engine::start(terms.clone(), config.seed, caps.backend_connections, figures);
     let (at, known) = (config.discovery, std::mem::take(&mut config.cached_endpoints));
     let discovery = Discovery::new(at, config.seed, &terms, engine.clone(), book.clone());
     engine.set_discovery(&discovery);
--- a/src/proxy/control/config.rs
+++ b/src/proxy/control/config.rs
@@ -412,7 +412,8 @@
             quantum: raw.quantum.unwrap_or(plain.quantum),
         };
         let memory = (file.limits.memory_mb.unwrap_or(MEMORY_MB) * f64::from(1 << 20)) as usize;
-        let limits = ProcessLimits { descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory };
+        let limits =
+            ProcessLimits { file_descriptors: file.limits.sockets.unwrap_or(SOCKETS), memory_bytes: memory };
         let (management, known, digest) = (None, RawEndpointList::default(), 0);
         let terms = SettingsSnapshot { settings, proxy: wire };
         Ok(Self {
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -109,9 +109,9 @@
             closing: watch::Sender::new(false),
             seat,
             relieved: Cell::new(false),
-            clients: ClientConnections::new(caps.clients),
+            clients: ClientConnections::new(caps.client_connections),
             in_hand: Cell::new(None),
-            bodies: Budget::new(caps.bodies),
+            bodies: Budget::new(caps.request_body_bytes),
         })
     }
 
@@ -208,9 +208,9 @@
 
     /// From now on it keeps to these caps.
     pub fn set_capacities(&self, caps: Capacities) {
-        self.clients.set_limit(caps.clients);
-        self.bodies.set_limit(caps.bodies);
-        self.engine.set_connection_limit(caps.backends);
+        self.clients.set_limit(caps.client_connections);
+        self.bodies.set_limit(caps.request_body_bytes);
+        self.engine.set_connection_limit(caps.backend_connections);
     }
 
     async fn sweep(&self) {
--- /dev/null
+++ b/src/proxy/limits/message_size.rs
@@ -0,0 +1,10 @@
+//! The largest HTTP messages that the proxy accepts, from either side.
+
+/// Largest body of a request or a response, in bytes: the largest size that deployments announce,
+/// with a margin.
+pub const MAX_BODY_BYTES: u64 = 40 << 20;
+/// Largest body of a request or a response, in bytes, that is buffered and so can be sent again. Of a
+/// larger one, this much is buffered before it is streamed.
+pub const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
+/// Largest head of a request or a response, in bytes.
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
