Give each concern of the client side a module: connections, shutdown, requests, responses

Cause: connections.rs held the state of a connection, the table and the socket, server.rs the listener, the shutdown and a reply function of 99 lines, request.rs the parsing of headers, the reading of bodies and the filter of headers; many names needed explaining.

Change: one module for each concern: client_connection, close_request, connection_table, client_socket, connection_task, server, lifecycle, shutdown_schedule, request_handler, request, request_head, request_error, forwarded_headers, response, response_body, framing. Server::reply becomes RequestHandler with a step for readiness, reading, a duplicate client request id, the submission to the engine, and the response. The parsed head and what is submitted to the engine are structs in place of tuples; a request id in use is a RequestError like the other rejections. The constants name what they bound. The unit tests of framing stand in a file of their own, with the same assertions.

--- /dev/null
+++ b/src/proxy/downstream/connection_task.rs
@@ -0,0 +1,105 @@
+//! The task that serves one client connection, until it ends, is evicted, times out or is closed by a
+//! shutdown.
+
+use super::client_socket::ClientSocket;
+use super::connection_table::{ConnectionSlot, ConnectionTable};
+use super::lifecycle::Lifecycle;
+use super::request_handler::{Admission, RequestHandler};
+use super::response::ClientResponse;
+use super::response_body::ResponseBody;
+use crate::proxy::limits::MAX_HEAD_BYTES;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::{HttpService, service_fn};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How long an evicted or timed out connection without a busy request may take to close.
+const EVICTED_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Serves one client connection.
+pub struct ConnectionTask {
+    /// Handles the requests.
+    pub handler: Rc<RequestHandler>,
+    /// Says when the connection is to close because of a shutdown.
+    pub lifecycle: Rc<Lifecycle>,
+    /// All connections.
+    pub connections: Rc<ConnectionTable>,
+    /// What happens to the requests of this connection.
+    pub admission: Admission,
+    /// The socket of the connection.
+    pub stream: Rc<TcpStream>,
+    /// The slot of the connection. It is released after the socket is closed.
+    pub slot: ConnectionSlot,
+}
+
+impl ConnectionTask {
+    /// Serves the connection until it is closed.
+    pub async fn run(self) {
+        let client = self.slot.connection();
+        let service = service_fn(|request| self.respond(request));
+        let socket = ClientSocket::new(self.stream.clone(), client.clone());
+        let connection = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(socket), service);
+        let mut connection = pin!(connection);
+        tokio::select! {
+            biased; // a request that has arrived is read before the connection is closed
+            () = client.serve_until_disconnect(connection.as_mut(), &self.stream) => return,
+            () = client.close_requested() => {
+                self.close(connection).await;
+                return;
+            }
+            () = self.closed_by_shutdown() => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        client.serve_until_disconnect(connection, &self.stream).await;
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Result<ClientResponse, Infallible> {
+        let mut response = self.handler.handle(request, self.slot.connection(), self.admission).await;
+        if self.closes_after(&response) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
+    }
+
+    /// Whether the connection is to close after this response. A client that sent a malformed request
+    /// is not served again on the same connection: the rest of what it sends may be anything, and each
+    /// attempt to read it has a cost.
+    fn closes_after(&self, response: &ClientResponse) -> bool {
+        self.admission == Admission::Reject
+            || response.status().is_client_error()
+            || self.lifecycle.is_last_response()
+            || self.connections.is_half_full()
+    }
+
+    /// Returns once a shutdown closes the connection, and no head is arriving.
+    async fn closed_by_shutdown(&self) {
+        self.lifecycle.connections_closing().await;
+        self.slot.connection().between_requests().await;
+    }
+
+    /// Closes a connection that was evicted or timed out. A request that becomes complete at the last
+    /// moment is still served.
+    async fn close<S>(&self, mut connection: Pin<&mut http1::Connection<TokioIo<ClientSocket>, S>>)
+    where
+        S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
+    {
+        connection.as_mut().graceful_shutdown();
+        let client = self.slot.connection();
+        loop {
+            let closed = client.serve_until_disconnect(connection.as_mut(), &self.stream);
+            let timed_out = tokio::time::timeout(EVICTED_CLOSE_TIMEOUT, closed).await.is_err();
+            if !timed_out || !client.is_busy() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/downstream/forwarded_headers.rs
@@ -0,0 +1,28 @@
+//! Which headers of a request or a response are forwarded: the end-to-end ones.
+
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
+use hyper::header::{TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+
+/// Removes the headers that concern only the connection on which they arrived: the hop-by-hop ones,
+/// those that `Connection` names, and the length, which the HTTP library states itself.
+pub fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+    for name in named_by_connection(&headers) {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection"] {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// The headers that `Connection` names as hop-by-hop. `Host` is forwarded even so, as a request is not
+/// valid without it.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
+    let names = values.flat_map(|value| value.split(','));
+    let names = names.filter_map(|name| name.trim().parse().ok());
+    names.filter(|name| *name != HOST).collect()
+}
--- a/src/proxy/downstream/framing.rs
+++ b/src/proxy/downstream/framing.rs
@@ -1,162 +1,166 @@
-//! Follows the framing of what a client sends, to tell a request whose length is given in two ways:
-//! what one side reads as a body may be a request to the other. The HTTP library settles it by
-//! itself, and does not say so.
+//! Follows the framing of the requests on a connection, to detect a request that states its length in
+//! two ways: what one side reads as a body may be a request to the other (request smuggling). The HTTP
+//! library settles on one of the two lengths itself, and does not report it.
 
 use std::collections::VecDeque;
 
-/// So much of a line is looked at: the headers that tell a length are shorter.
-const MOST_LINE: usize = 128;
-/// Requests that have been read ahead of their turn. Beyond that, all count as doubtful.
-const MOST_AHEAD: usize = 256;
+/// How many bytes of a line are looked at. The headers that state a length are shorter.
+const MAX_LINE_BYTES: usize = 128;
+/// How many heads may be read ahead of [`RequestFraming::next_is_ambiguous`]. Those beyond count as
+/// ambiguous.
+const MAX_HEADS_READ_AHEAD: usize = 256;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The part of a request that the next byte belongs to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Part {
-    /// The request line and headers.
+    /// The request line or a header.
+    #[default]
     Head,
-    /// So much of a body, or of a chunk.
-    Body(u64),
-    Chunk(u64),
-    /// The line end behind a chunk, the line with the size of one, the trailers.
+    /// A body of known length.
+    Body { remaining: u64 },
+    /// The data of a chunk.
+    ChunkData { remaining: u64 },
+    /// The end of the line behind the data of a chunk.
     ChunkEnd,
+    /// The line with the size of the next chunk.
     ChunkSize,
+    /// The trailers behind the last chunk.
     Trailers,
-    /// It can't be read; the library refuses it too.
-    Lost,
+    /// The framing is malformed. The HTTP library rejects it too.
+    Malformed,
 }
 
-/// Where the reading of a connection is.
-#[derive(Debug)]
-pub struct Framing {
+/// The headers of the current head that state a length.
+#[derive(Debug, Default)]
+struct LengthHeaders {
+    content_length: Option<u64>,
+    transfer_encoding: bool,
+}
+
+impl LengthHeaders {
+    fn is_ambiguous(&self) -> bool {
+        self.transfer_encoding && self.content_length.is_some()
+    }
+
+    /// The part that follows the head.
+    fn next_part(&self) -> Part {
+        match self.content_length {
+            _ if self.transfer_encoding => Part::ChunkSize,
+            Some(remaining) if remaining > 0 => Part::Body { remaining },
+            _ => Part::Head,
+        }
+    }
+
+    /// Records a header line if it states a length.
+    fn record(&mut self, line: &[u8]) {
+        let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+            return;
+        };
+        let name = &line[..colon];
+        let value = &line[colon + 1..];
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let length = std::str::from_utf8(value).unwrap_or_default().trim().parse();
+            self.content_length = Some(length.unwrap_or(u64::MAX));
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            self.transfer_encoding = true;
+        }
+    }
+}
+
+/// The framing of the requests on one connection, as far as they have arrived.
+#[derive(Debug, Default)]
+pub struct RequestFraming {
     part: Part,
+    /// The beginning of the current line, up to [`MAX_LINE_BYTES`].
     line: Vec<u8>,
-    /// Something of the head has come.
-    begun: bool,
-    length: Option<u64>,
-    chunked: bool,
-    doubtful: VecDeque<bool>,
+    /// A line of the current head has arrived; empty lines before it are skipped.
+    head_has_begun: bool,
+    length_headers: LengthHeaders,
+    /// For each head not yet asked for, in order of arrival, whether its length is ambiguous.
+    ambiguous: VecDeque<bool>,
 }
 
-impl Default for Framing {
-    fn default() -> Self {
-        let doubtful = VecDeque::new();
-        Self { part: Part::Head, line: Vec::new(), begun: false, length: None, chunked: false, doubtful }
+impl RequestFraming {
+    /// Whether the request whose turn it is states its length in two ways. A request whose head was
+    /// not seen counts as ambiguous.
+    pub fn next_is_ambiguous(&mut self) -> bool {
+        self.ambiguous.pop_front().unwrap_or(true)
     }
-}
 
-impl Framing {
-    /// Takes in what has come.
+    /// Follows the framing through `data`, which has arrived next.
     pub fn feed(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
             match self.part {
-                Part::Lost => return,
-                Part::Body(left) | Part::Chunk(left) => {
-                    let taken = usize::try_from(left).map_or(data.len(), |left| left.min(data.len()));
-                    data = &data[taken..];
-                    let left = left - taken as u64;
-                    self.part = match self.part {
-                        Part::Body(_) if left == 0 => Part::Head,
-                        Part::Body(_) => Part::Body(left),
-                        _ if left == 0 => Part::ChunkEnd,
-                        _ => Part::Chunk(left),
-                    };
+                Part::Malformed => return,
+                Part::Body { remaining } => {
+                    let remaining = skip(&mut data, remaining);
+                    self.part = if remaining == 0 { Part::Head } else { Part::Body { remaining } };
                 }
-                _ => {
-                    let end = data.iter().position(|b| *b == b'\n');
-                    let (text, rest) = data.split_at(end.unwrap_or(data.len()));
-                    let room = MOST_LINE - self.line.len().min(MOST_LINE);
-                    self.line.extend_from_slice(&text[..text.len().min(room)]);
-                    data = rest.get(1..).unwrap_or_default();
-                    if end.is_some() {
-                        let line = std::mem::take(&mut self.line);
-                        self.end_line(line.trim_ascii());
-                    }
+                Part::ChunkData { remaining } => {
+                    let remaining = skip(&mut data, remaining);
+                    self.part = if remaining == 0 { Part::ChunkEnd } else { Part::ChunkData { remaining } };
                 }
+                Part::Head | Part::ChunkEnd | Part::ChunkSize | Part::Trailers => self.feed_line(&mut data),
             }
         }
     }
 
-    fn end_line(&mut self, line: &[u8]) {
-        self.part = match self.part {
-            Part::Head if line.is_empty() && !self.begun => Part::Head,
-            Part::Head if line.is_empty() => self.end_head(),
-            Part::Head => {
-                self.header(line);
+    /// Takes the rest of the current line, or what has arrived of it, from the front of `data`.
+    fn feed_line(&mut self, data: &mut &[u8]) {
+        let line_end = data.iter().position(|byte| *byte == b'\n');
+        let text = &data[..line_end.unwrap_or(data.len())];
+        let capacity = MAX_LINE_BYTES.saturating_sub(self.line.len());
+        self.line.extend_from_slice(&text[..text.len().min(capacity)]);
+        if let Some(line_end) = line_end {
+            let line = std::mem::take(&mut self.line);
+            self.part = self.part_after_line(line.trim_ascii());
+            *data = &data[line_end + 1..];
+        } else {
+            *data = &[];
+        }
+    }
+
+    fn part_after_line(&mut self, line: &[u8]) -> Part {
+        match self.part {
+            Part::Head if !line.is_empty() => {
+                self.head_has_begun = true;
+                self.length_headers.record(line);
                 Part::Head
             }
-            Part::ChunkSize => {
-                let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
-                let size = std::str::from_utf8(digits).ok().and_then(|d| u64::from_str_radix(d, 16).ok());
-                size.map_or(Part::Lost, |size| if size == 0 { Part::Trailers } else { Part::Chunk(size) })
-            }
-            Part::Trailers if line.is_empty() => Part::Head,
+            Part::Head if self.head_has_begun => self.end_head(),
+            Part::ChunkSize => part_after_chunk_size(line),
             Part::ChunkEnd => Part::ChunkSize,
+            Part::Trailers if line.is_empty() => Part::Head,
             other => other,
-        };
-    }
-
-    fn header(&mut self, line: &[u8]) {
-        self.begun = true;
-        let mut parts = line.splitn(2, |b| *b == b':');
-        let (Some(name), Some(value)) = (parts.next(), parts.next()) else {
-            return;
-        };
-        if name.eq_ignore_ascii_case(b"content-length") {
-            let value = std::str::from_utf8(value).unwrap_or_default().trim().parse();
-            self.length = Some(value.unwrap_or(u64::MAX));
-        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            self.chunked = true;
         }
     }
 
     fn end_head(&mut self) -> Part {
-        let doubtful = self.chunked && self.length.is_some();
-        if self.doubtful.len() < MOST_AHEAD {
-            self.doubtful.push_back(doubtful);
-        }
-        self.begun = false;
-        match (std::mem::take(&mut self.chunked), self.length.take()) {
-            (true, _) => Part::ChunkSize,
-            (false, Some(length)) if length > 0 => Part::Body(length),
-            _ => Part::Head,
+        self.head_has_begun = false;
+        let length_headers = std::mem::take(&mut self.length_headers);
+        if self.ambiguous.len() < MAX_HEADS_READ_AHEAD {
+            self.ambiguous.push_back(length_headers.is_ambiguous());
         }
-    }
-
-    /// The length of the request that is up next was given in two ways, for all that is known.
-    pub fn next_is_doubtful(&mut self) -> bool {
-        self.doubtful.pop_front().unwrap_or(true)
+        length_headers.next_part()
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::Framing;
-
-    fn doubts(text: &str, piece: usize) -> Vec<bool> {
-        let mut framing = Framing::default();
-        text.as_bytes().chunks(piece).for_each(|piece| framing.feed(piece));
-        framing.doubtful.into()
-    }
-
-    #[test]
-    fn a_length_given_twice_is_told_in_pieces_of_any_size() {
-        let head = "POST /api HTTP/1.1\r\nHost: p\r\n";
-        let text = [
-            format!("\r\n{head}Content-Length: 30\r\n\r\ncontent-length: 1\r\n\r\n.........\r\n"),
-            format!("{head}Transfer-Encoding: chunked\r\n\r\n5;a=b\r\n\r\n\r\n0\r\n0\r\nA: b\r\n\r\n"),
-            format!("{head}transfer-encoding: chunked\r\nCONTENT-LENGTH:5\r\n\r\n0\r\n\r\n"),
-            format!("{head}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
-            format!("{head}X-Long: {}\r\n\r\n", "content-length: 5".repeat(100)),
-            format!("{head}Content-Length: 0\r\n\r\n"),
-            head.to_string() + "\r\n",
-        ]
-        .concat();
-        for piece in [1, 2, 3, 7, 64, text.len()] {
-            assert_eq!(doubts(&text, piece), [false, false, true, true, false, false, false], "{piece}");
-        }
-    }
+/// Skips up to `bytes` at the front of `data`, and returns how many are still to be skipped.
+fn skip(data: &mut &[u8], bytes: u64) -> u64 {
+    let skipped = usize::try_from(bytes).map_or(data.len(), |bytes| bytes.min(data.len()));
+    *data = &data[skipped..];
+    bytes - skipped as u64
+}
 
-    #[test]
-    fn what_was_not_seen_counts_as_doubtful() {
-        assert!(Framing::default().next_is_doubtful());
+fn part_after_chunk_size(line: &[u8]) -> Part {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    let digits = std::str::from_utf8(digits).unwrap_or_default();
+    match u64::from_str_radix(digits, 16) {
+        Ok(0) => Part::Trailers,
+        Ok(remaining) => Part::ChunkData { remaining },
+        Err(_) => Part::Malformed,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -1,7 +1,18 @@
-//! The side of the clients: their connections, requests and responses.
+//! The client side of the proxy: connections of clients, their requests and the responses to them.
 
-pub mod connections;
+mod client_connection;
+mod client_socket;
+mod close_request;
+mod connection_table;
+mod connection_task;
+mod forwarded_headers;
 mod framing;
-pub mod request;
-pub mod response;
+mod lifecycle;
+mod request;
+mod request_error;
+mod request_handler;
+mod request_head;
+mod response;
+mod response_body;
 pub mod server;
+mod shutdown_schedule;
--- /dev/null
+++ b/src/proxy/downstream/request_head.rs
@@ -0,0 +1,152 @@
+//! Parses the method and headers of a client's request into the form that the decision
+//! module sees.
+
+use super::request_error::RequestError;
+use crate::proxy::settings::SettingsSnapshot;
+use crate::{Effect, Request, RequestId, Time};
+use hyper::Method;
+use hyper::header::HeaderMap;
+
+/// Number of hexadecimal digits of a client request id.
+const CLIENT_REQUEST_ID_DIGITS: usize = 16;
+/// Unit of the `X-Remaining-Ms` header.
+const MILLISECONDS_PER_SECOND: Time = 1000.0;
+/// Parameters of the 64-bit FNV-1a hash.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x100_0000_01b3;
+
+/// What the method and headers of a request say.
+#[derive(Clone, Copy, Debug)]
+pub struct ParsedHead {
+    /// The id that the client gave the request, unique among its requests in flight.
+    pub client_request_id: u64,
+    /// The request as the decision module sees it, without an id (the engine assigns it) and as if its
+    /// body were buffered.
+    pub request: Request,
+}
+
+impl ParsedHead {
+    /// Parses the method and headers of a request by these settings.
+    ///
+    /// # Errors
+    ///
+    /// If a required header is missing, a header is repeated or malformed, or the method or the
+    /// idempotency key does not fit the class.
+    pub fn parse(
+        method: &Method,
+        headers: &HeaderMap,
+        settings: &SettingsSnapshot,
+    ) -> Result<Self, RequestError> {
+        single_value(headers, "host")?;
+        let client_request_id = client_request_id(headers)?;
+        let class_index = class_index(headers, &settings.proxy.classes)?;
+        let tenant = tenant_index(headers, &settings.proxy.tenants)?;
+        let class = &settings.settings.classes[class_index];
+        let timeout = timeout(headers, class.deadline)?;
+        let idempotency_key = single_value(headers, "idempotency-key")?;
+        check_method(method, class.effect)?;
+        check_idempotency_key(idempotency_key, class.effect)?;
+        let request = Request {
+            id: RequestId::default(),
+            class: class_index,
+            tenant,
+            key: session_key(headers),
+            timeout,
+            streaming_body: false,
+        };
+        Ok(Self { client_request_id, request })
+    }
+}
+
+fn invalid_header(name: &'static str, expected: &'static str) -> RequestError {
+    RequestError::InvalidHeader { name, expected }
+}
+
+/// The value of a header, or `None` if it is absent. A repeated header is rejected, as it is unknown
+/// which of the values is meant.
+fn single_value<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, RequestError> {
+    let invalid = || invalid_header(name, "one value, of plain text");
+    let mut values = headers.get_all(name).into_iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(invalid());
+    }
+    let text = value.to_str().map_err(|_| invalid())?;
+    Ok(Some(text.trim()))
+}
+
+fn client_request_id(headers: &HeaderMap) -> Result<u64, RequestError> {
+    let is_well_formed =
+        |id: &&str| id.len() == CLIENT_REQUEST_ID_DIGITS && id.bytes().all(|byte| byte.is_ascii_hexdigit());
+    single_value(headers, "x-txn")?
+        .filter(is_well_formed)
+        .and_then(|id| u64::from_str_radix(id, 16).ok())
+        .ok_or(invalid_header("X-Txn", "16 hex digits"))
+}
+
+fn index_of(name: &str, names: &[String]) -> Option<usize> {
+    names.iter().position(|candidate| candidate == name)
+}
+
+fn class_index(headers: &HeaderMap, classes: &[String]) -> Result<usize, RequestError> {
+    single_value(headers, "x-lane")?
+        .and_then(|name| index_of(name, classes))
+        .ok_or(invalid_header("X-Lane", "a known class"))
+}
+
+/// The index of the request's tenant. The header is ignored where the settings name no tenants.
+fn tenant_index(headers: &HeaderMap, tenants: &[String]) -> Result<Option<usize>, RequestError> {
+    match single_value(headers, "x-org")? {
+        Some(name) if !tenants.is_empty() => {
+            let index = index_of(name, tenants).ok_or(invalid_header("X-Org", "a known tenant"))?;
+            Ok(Some(index))
+        }
+        _ => Ok(None),
+    }
+}
+
+/// The time in seconds that the client waits for its response, at most the deadline of the class: a
+/// longer wait would keep timers for weeks.
+fn timeout(headers: &HeaderMap, class_deadline: Time) -> Result<Time, RequestError> {
+    let Some(text) = single_value(headers, "x-remaining-ms")? else {
+        return Ok(class_deadline);
+    };
+    let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    let milliseconds = is_digits.then(|| text.parse::<u32>().ok()).flatten();
+    let milliseconds = milliseconds.ok_or(invalid_header("X-Remaining-Ms", "whole milliseconds"))?;
+    Ok((Time::from(milliseconds) / MILLISECONDS_PER_SECOND).min(class_deadline))
+}
+
+fn check_method(method: &Method, effect: Effect) -> Result<(), RequestError> {
+    let is_allowed = match effect {
+        Effect::Safe => method == Method::GET || method == Method::HEAD,
+        Effect::Idempotent { .. } | Effect::Unsafe => method == Method::POST,
+    };
+    if is_allowed { Ok(()) } else { Err(RequestError::MethodNotAllowed) }
+}
+
+fn check_idempotency_key(key: Option<&str>, effect: Effect) -> Result<(), RequestError> {
+    match effect {
+        Effect::Idempotent { .. } if key.is_none_or(str::is_empty) => {
+            Err(invalid_header("Idempotency-Key", "a value, for this class"))
+        }
+        Effect::Unsafe if key.is_some() => Err(invalid_header("Idempotency-Key", "none, for this class")),
+        _ => Ok(()),
+    }
+}
+
+/// The ordering key of a request: the value of its cookie `sid` if that is a hexadecimal number, else
+/// the hash of the value.
+fn session_key(headers: &HeaderMap) -> Option<u64> {
+    let values = headers.get_all("cookie").into_iter().filter_map(|value| value.to_str().ok());
+    let cookies = values.flat_map(|value| value.split(';'));
+    let mut pairs = cookies.filter_map(|cookie| cookie.trim().split_once('='));
+    let (_, session_id) = pairs.find(|(name, _)| *name == "sid")?;
+    Some(u64::from_str_radix(session_id, 16).unwrap_or_else(|_| fnv1a(session_id)))
+}
+
+fn fnv1a(text: &str) -> u64 {
+    text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+}
--- a/src/proxy/downstream/response.rs
+++ b/src/proxy/downstream/response.rs
@@ -1,98 +1,71 @@
-//! Response bodies on their way to a client, and what is settled at their end: the metrics of the
-//! request and the state of the connection.
+//! The responses that clients get: those of backends, and those that the proxy makes itself.
 
-use super::connections::ClientConnection;
-use crate::proxy::metrics::OutstandingRequest;
-use crate::proxy::stream_error::StreamError;
-use crate::proxy::upstream::response_body::ResponseContent;
-use bytes::Bytes;
-use hyper::StatusCode;
-use hyper::body::{Body, Frame, SizeHint};
-use std::pin::Pin;
+use super::client_connection::ClientConnection;
+use super::forwarded_headers::forwarded_headers;
+use super::request_error::RequestError;
+use super::response_body::ResponseBody;
+use crate::Time;
+use crate::proxy::engine::FinalResponse;
+use crate::proxy::upstream::response_body::{BackendResponse, ResponseContent};
+use hyper::header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Response, StatusCode};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 
-/// The content on its way to the client, and what is to be done at its end.
-pub struct ResponseBody {
-    content: Option<ResponseContent>,
-    length: Option<u64>,
-    /// How the request is counted in the end, if it is.
-    counted: Option<(OutstandingRequest, StatusCode)>,
-    client: Rc<ClientConnection>,
-}
+/// A response to a client.
+pub type ClientResponse = Response<ResponseBody>;
 
-impl ResponseBody {
-    /// The content for a client, of this length if it is known.
-    pub fn new(content: ResponseContent, length: Option<u64>, client: Rc<ClientConnection>) -> Self {
-        let (content, length) = match content {
-            // Nothing at all: the length that a header tells, as for HEAD, stands.
-            ResponseContent::Buffered(whole) if whole.is_empty() => (None, Some(0)),
-            ResponseContent::Buffered(whole) => {
-                let length = whole.len() as u64;
-                (Some(ResponseContent::Buffered(whole)), Some(length))
-            }
-            flow => (Some(flow), length),
-        };
-        Self { content, length, counted: None, client }
-    }
+/// The load that a backend reports, which clients do not get.
+const LOAD_REPORT_HEADER: &str = "x-pressure";
 
-    /// The request counts as ended with this status once the content is through.
-    pub fn counts(&mut self, taken: OutstandingRequest, status: StatusCode) {
-        match self.content {
-            Some(ResponseContent::Streamed(_)) => self.counted = Some((taken, status)),
-            _ => taken.finish(status),
-        }
-    }
-
-    fn count(&mut self, cut: bool) {
-        if let Some((taken, status)) = self.counted.take() {
-            taken.finish(if cut { StatusCode::BAD_GATEWAY } else { status });
-        }
-    }
+/// A response with a plain text as its body.
+pub fn text(status: StatusCode, text: impl Into<String>, client: &Rc<ClientConnection>) -> ClientResponse {
+    let content = ResponseContent::Buffered(text.into().into());
+    let mut response = Response::new(ResponseBody::new(content, None, client.clone()));
+    *response.status_mut() = status;
+    response
 }
 
-impl Drop for ResponseBody {
-    fn drop(&mut self) {
-        self.client.response_finished();
-    }
+/// The response to a request that is rejected because of `error`.
+pub fn from_error(error: &RequestError, client: &Rc<ClientConnection>) -> ClientResponse {
+    text(error.status(), format!("{error}\n"), client)
 }
 
-impl Body for ResponseBody {
-    type Data = Bytes;
-    type Error = StreamError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        let next = match &mut self.content {
-            Some(ResponseContent::Streamed(flow)) => ready!(flow.poll_next(cx)),
-            Some(ResponseContent::Buffered(whole)) => Some(Ok(std::mem::take(whole))),
-            None => None,
-        };
-        if !matches!((&self.content, &next), (Some(ResponseContent::Streamed(_)), Some(Ok(_)))) {
-            self.content = None;
-        }
-        match &next {
-            Some(Ok(data)) => {
-                // A client counts as served with the last byte, not with the end that follows it.
-                let left = self.length.map(|length| length.saturating_sub(data.len() as u64));
-                self.length = left;
-                if left == Some(0) {
-                    self.count(false);
-                }
-            }
-            Some(Err(_)) => self.count(true),
-            None => self.count(false),
-        }
-        Poll::Ready(next.map(|next| next.map(Frame::data)))
+/// The response for the final response of the engine to a request with this method.
+pub fn from_final_response(
+    final_response: FinalResponse,
+    method: &Method,
+    client: &Rc<ClientConnection>,
+) -> ClientResponse {
+    match final_response {
+        FinalResponse::Success(response) => from_backend(response, method, client),
+        FinalResponse::Rejected(retry_after) => rejected(retry_after, client),
+        FinalResponse::Failed => text(StatusCode::BAD_GATEWAY, "failed\n", client),
     }
+}
 
-    fn is_end_stream(&self) -> bool {
-        self.content.is_none()
+fn from_backend(
+    backend_response: BackendResponse,
+    method: &Method,
+    client: &Rc<ClientConnection>,
+) -> ClientResponse {
+    let BackendResponse { content, length, headers } = backend_response;
+    let mut response = Response::new(ResponseBody::new(content, length, client.clone()));
+    // For HEAD, the header states the length of the body that GET would return.
+    let content_length = headers.get(CONTENT_LENGTH).filter(|_| method == Method::HEAD).cloned();
+    *response.headers_mut() = forwarded_headers(headers);
+    response.headers_mut().remove(LOAD_REPORT_HEADER);
+    if let Some(content_length) = content_length {
+        response.headers_mut().insert(CONTENT_LENGTH, content_length);
     }
+    response
+}
 
-    fn size_hint(&self) -> SizeHint {
-        self.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+/// The response to a request that the engine rejected; `retry_after` in seconds.
+fn rejected(retry_after: Option<Time>, client: &Rc<ClientConnection>) -> ClientResponse {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n", client);
+    let retry_after = retry_after.and_then(|seconds| HeaderValue::from_str(&format!("{seconds:.3}")).ok());
+    if let Some(retry_after) = retry_after {
+        response.headers_mut().insert(RETRY_AFTER, retry_after);
     }
+    response
 }
--- /dev/null
+++ b/src/proxy/downstream/response_body.rs
@@ -0,0 +1,127 @@
+//! The body of a response on its way to a client. It owns the outstanding request in the metrics until
+//! it ends or is dropped, and then notifies the connection that the response is finished.
+
+use super::client_connection::ClientConnection;
+use crate::proxy::metrics::OutstandingRequest;
+use crate::proxy::stream_error::StreamError;
+use crate::proxy::upstream::response_body::ResponseContent;
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::body::{Body, Frame, SizeHint};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+/// The result of a request, which is counted when its streamed response ends.
+struct PendingResult {
+    outstanding: OutstandingRequest,
+    status: StatusCode,
+}
+
+/// The body of a response to a client.
+pub struct ResponseBody {
+    /// What is still to be sent.
+    content: Option<ResponseContent>,
+    /// How many bytes are still to be sent, if the length is known.
+    remaining_bytes: Option<u64>,
+    pending_result: Option<PendingResult>,
+    client: Rc<ClientConnection>,
+}
+
+impl ResponseBody {
+    /// A body for a client. `length` is the length of streamed content in bytes, if it is known.
+    pub fn new(content: ResponseContent, length: Option<u64>, client: Rc<ClientConnection>) -> Self {
+        let remaining_bytes = match &content {
+            ResponseContent::Buffered(data) => Some(data.len() as u64),
+            ResponseContent::Streamed(_) => length,
+        };
+        // With no content at all, a Content-Length header stands as it is, as it must for HEAD.
+        let is_empty = matches!(&content, ResponseContent::Buffered(data) if data.is_empty());
+        let content = if is_empty { None } else { Some(content) };
+        Self { content, remaining_bytes, pending_result: None, client }
+    }
+
+    /// Counts the request with this status: at once if the body is buffered, else once it has ended.
+    pub fn count_at_end(&mut self, outstanding: OutstandingRequest, status: StatusCode) {
+        match self.content {
+            Some(ResponseContent::Streamed(_)) => {
+                self.pending_result = Some(PendingResult { outstanding, status });
+            }
+            _ => outstanding.finish(status),
+        }
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamError>>> {
+        match &mut self.content {
+            None => Poll::Ready(None),
+            Some(ResponseContent::Buffered(data)) => {
+                let data = std::mem::take(data);
+                self.content = None;
+                Poll::Ready(Some(Ok(data)))
+            }
+            Some(ResponseContent::Streamed(stream)) => {
+                let next = ready!(stream.poll_next(cx));
+                if !matches!(next, Some(Ok(_))) {
+                    self.content = None;
+                }
+                Poll::Ready(next)
+            }
+        }
+    }
+
+    /// Counts the request as complete when its last byte is sent, before the end of the body that
+    /// follows, or as failed if the response breaks off.
+    fn record_progress(&mut self, next: Option<&Result<Bytes, StreamError>>) {
+        match next {
+            Some(Ok(data)) => {
+                let sent = data.len() as u64;
+                self.remaining_bytes = self.remaining_bytes.map(|remaining| remaining.saturating_sub(sent));
+                if self.remaining_bytes == Some(0) {
+                    self.count_complete();
+                }
+            }
+            Some(Err(_)) => self.count_interrupted(),
+            None => self.count_complete(),
+        }
+    }
+
+    fn count_complete(&mut self) {
+        if let Some(PendingResult { outstanding, status }) = self.pending_result.take() {
+            outstanding.finish(status);
+        }
+    }
+
+    fn count_interrupted(&mut self) {
+        if let Some(PendingResult { outstanding, .. }) = self.pending_result.take() {
+            outstanding.finish(StatusCode::BAD_GATEWAY);
+        }
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        self.client.response_finished();
+    }
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = StreamError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+        let next = ready!(self.poll_next(cx));
+        self.record_progress(next.as_ref());
+        Poll::Ready(next.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.remaining_bytes.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
