--- a/src/proxy/downstream/client_connection.rs
+++ b/src/proxy/downstream/client_connection.rs
@@ -166,9 +166,10 @@
     }
 }
 
-/// What the table decides by.
+/// The conditions by which the table closes and evicts connections.
 impl ClientConnection {
-    /// Whether a request is complete, its response is not finished, and the client reads it.
+    /// Whether it has a complete request without a finished response, and the client reads what is
+    /// written.
     pub fn is_busy(&self) -> bool {
         self.awaits_response() && !self.is_write_timed_out()
     }
--- a/src/proxy/downstream/connection_task.rs
+++ b/src/proxy/downstream/connection_task.rs
@@ -27,7 +27,7 @@
 pub struct ConnectionTask {
     /// Handles the requests.
     pub handler: Rc<RequestHandler>,
-    /// Says when the connection is to close because of a shutdown.
+    /// Determines when the connection closes because of a shutdown.
     pub lifecycle: Rc<Lifecycle>,
     /// All connections.
     pub connections: Rc<ConnectionTable>,
--- a/src/proxy/downstream/request_handler.rs
+++ b/src/proxy/downstream/request_handler.rs
@@ -18,12 +18,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The path that is answered by the proxy itself.
+/// The path on which the proxy reports its readiness.
 const READINESS_PATH: &str = "/-/ready";
 /// How long a request waits for another one with the same client request id to end. A client whose
 /// connection broke sends its request again on another one, perhaps before the end of the first has
 /// been read here.
 const DUPLICATE_ID_TIMEOUT: Duration = Duration::from_millis(50);
+/// How often such a request checks whether the other one has ended.
 const DUPLICATE_ID_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// What happens to the requests of a connection.
@@ -132,8 +133,9 @@
         }
     }
 
-    /// What is left, in seconds, of the `timeout` of a request received then. During a shutdown it ends
-    /// when all responses must be out, which the engine enforces and the decision module must know.
+    /// How much of `timeout`, in seconds, is left to a request that was received at `received`. During a
+    /// shutdown it ends when all responses must be out: the engine enforces that, and the decision
+    /// module has to know it.
     fn time_left(&self, timeout: Time, received: Instant) -> Time {
         let timeout = timeout - received.elapsed().as_secs_f64();
         match self.lifecycle.shutdown() {
@@ -142,8 +144,8 @@
         }
     }
 
-    /// Submits a request to the engine, and waits for its final response. A streamed body is waited for
-    /// too, as the response may come before its end.
+    /// Submits a request to the engine, and waits for its final response. The response may come before
+    /// the end of a streamed body.
     async fn submit(
         &self,
         submission: Submission,
@@ -201,7 +203,8 @@
         self.client.request_received();
     }
 
-    /// The request in the metrics. It counts even if its response came before it was complete.
+    /// The request in the metrics. It is counted even if the response came before the request was
+    /// complete.
     fn into_outstanding(self) -> OutstandingRequest {
         self.outstanding.unwrap_or_else(|| self.class_metrics.request_started())
     }
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -179,8 +179,8 @@
         }
     }
 
-    /// Accepts the rest of the backlog, closes the listener, and serves the connections. Nothing comes
-    /// between the last accept and the close: a connection that arrived then would be reset.
+    /// Accepts the rest of the backlog, closes the listener, and serves the connections. The listener
+    /// is closed right after the last accept: a connection that arrived in between would be reset.
     fn serve_backlog(&self, listener: TcpListener) -> io::Result<()> {
         let listener = listener.into_std()?;
         let mut streams = Vec::new();
