Split the configuration into file format, validation, translation and environment

Change: a module for each; FileStamp is a struct, LoadMode (startup or reload) replaces AddressSource, the order of versions is checked in settings.rs with an error of its own.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,13 +3,13 @@
 #![forbid(unsafe_code)]
 
 use balancer_proxy::log;
-use balancer_proxy::proxy::control::config::{self, AddressSource, Config, ConfigError};
+use balancer_proxy::proxy::control::config::{Config, ConfigError, FileStamp, LoadMode};
 use balancer_proxy::proxy::control::discovery::Discovery;
 use balancer_proxy::proxy::control::instance_lock::InstanceLock;
 use balancer_proxy::proxy::control::maintenance::Maintenance;
 use balancer_proxy::proxy::control::maintenance_store::MaintenanceStore;
 use balancer_proxy::proxy::control::management::{self, MAX_MANAGEMENT_CONNECTIONS, Management};
-use balancer_proxy::proxy::control::reload::Reload;
+use balancer_proxy::proxy::control::reload::Reloader;
 use balancer_proxy::proxy::downstream::server::{self, Server};
 use balancer_proxy::proxy::engine::Engine;
 use balancer_proxy::proxy::limits::Capacities;
@@ -45,8 +45,8 @@
     // The handlers come first: a signal that finds none ends the program.
     let mut hangup = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
-    let stamp = config::file_stamp();
-    let mut config = Config::from_env(AddressSource::Environment)?;
+    let stamp = FileStamp::of_config_file();
+    let mut config = Config::load(LoadMode::Startup)?;
     let management = match config.management {
         Some(address) => Some(management::bind(address).await?),
         None => None,
@@ -77,12 +77,13 @@
         tokio::task::spawn_local(Management::new(server.clone(), maintenance).run(listener));
     }
     if successor {
-        discovery.fetch_once();
-        let _ = tokio::time::timeout(LIST_WITHIN, discovery.answered()).await; // else the known list holds
+        discovery.fetch_full_list();
+        let _ = tokio::time::timeout(LIST_WITHIN, discovery.first_response()).await; // else the known list holds
     }
     let listener = server::bind(config.listen, managed)?;
     log!("balancer-proxy: listening on {}", listener.local_addr()?);
-    let reload = Rc::new(Reload::new(&config, stamp, kept, server.clone(), engine, discovery, seat.clone()));
+    let reload =
+        Rc::new(Reloader::new(&config, stamp, kept, server.clone(), engine, discovery, seat.clone()));
     let signals = reload.clone();
     let reloading = async move {
         while hangup.recv().await.is_some() {
--- /dev/null
+++ b/src/proxy/control/config/error.rs
@@ -0,0 +1,53 @@
+//! Why a configuration cannot be used.
+
+use crate::proxy::settings::VersionError;
+use std::fmt::Display;
+use std::io;
+use thiserror::Error;
+
+/// Why a configuration cannot be used. Each message names the variable, file or field in question
+/// and fits on one line.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// A required environment variable is absent or not valid Unicode.
+    #[error("{0} is not set")]
+    VariableNotSet(&'static str),
+    /// The configuration file cannot be read.
+    #[error("cannot read {path}: {source}")]
+    UnreadableFile {
+        /// Path of the file.
+        path: String,
+        /// The error of the operating system.
+        source: io::Error,
+    },
+    /// The JSON is malformed, lacks a required field or has a field of another type.
+    #[error("{path}: {field}: {source}")]
+    InvalidJson {
+        /// Path of the file.
+        path: String,
+        /// Path of the field within the file.
+        field: String,
+        /// What is wrong, with line and column.
+        source: serde_json::Error,
+    },
+    /// A value is of the right type, but out of its range.
+    #[error("{field}: expected {expected}, got '{got}'")]
+    InvalidValue {
+        /// The environment variable, the file, or the path of the field within the file.
+        field: String,
+        /// The range of valid values.
+        expected: String,
+        /// The value found.
+        got: String,
+    },
+    /// The settings are not newer than those in force.
+    #[error(transparent)]
+    Version(#[from] VersionError),
+}
+
+impl ConfigError {
+    /// An [`ConfigError::InvalidValue`] from anything that can be displayed.
+    pub(super) fn invalid_value(field: impl Display, expected: impl Display, got: impl Display) -> Self {
+        Self::InvalidValue { field: field.to_string(), expected: expected.to_string(), got: got.to_string() }
+    }
+}
--- a/src/proxy/control/discovery.rs
+++ b/src/proxy/control/discovery.rs
@@ -172,7 +172,7 @@
     }
 
     /// Returns once it has answered.
-    pub async fn answered(&self) {
+    pub async fn first_response(&self) {
         // The sender is here, so that the wait can't fail.
         let _ = self.heard.subscribe().wait_for(|heard| *heard).await;
     }
@@ -207,7 +207,7 @@
     }
 
     /// Asks for the whole list once.
-    pub fn fetch_once(self: &Rc<Self>) {
+    pub fn fetch_full_list(self: &Rc<Self>) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
             let era = this.era.get();
--- a/src/proxy/control/reload.rs
+++ b/src/proxy/control/reload.rs
@@ -4,7 +4,7 @@
 //! A signal may reach one of two processes only. Each tells the other which file it goes by, and
 //! who sees another one there reads the file for itself, the same way.
 
-use super::config::{self, AddressSource, Config, ConfigError, FileStamp};
+use super::config::{Config, ConfigError, FileStamp, LoadMode};
 use super::discovery::Discovery;
 use super::instance_lock::InstanceLock;
 use crate::log;
@@ -26,7 +26,7 @@
 }
 
 /// Takes over what the file says, and shares the limits with the other process.
-pub struct Reload {
+pub struct Reloader {
     server: Rc<Server>,
     engine: Rc<Engine>,
     discovery: Rc<Discovery>,
@@ -45,7 +45,7 @@
     digest: Cell<u64>,
 }
 
-impl Reload {
+impl Reloader {
     /// One for what was started by this configuration, the file of which had this stamp.
     pub fn new(
         config: &Config,
@@ -67,7 +67,7 @@
             listen: config.listen,
             management: config.management,
             stamp: Cell::new(stamp),
-            digest: Cell::new(config.digest),
+            digest: Cell::new(config.file_digest),
         };
         reload.publish();
         reload
@@ -88,7 +88,9 @@
         self.engine.second_process(shared);
         let gone = self.beside.replace(shared) && !shared;
         // One file is read once, whatever is found in it: a bad one doesn't get better.
-        if (gone || seat.other_settings_differ(&self.edition())) && config::file_stamp() != self.stamp.get() {
+        if (gone || seat.other_settings_differ(&self.edition()))
+            && FileStamp::of_config_file() != self.stamp.get()
+        {
             self.read(Cause::Other);
         }
     }
@@ -99,9 +101,8 @@
 
     fn read(&self, cause: Cause) {
         // Before it is read: what comes meanwhile has another one.
-        self.stamp.set(config::file_stamp());
-        if let Err(error) = Config::from_env(AddressSource::File).and_then(|config| self.apply(config, cause))
-        {
+        self.stamp.set(FileStamp::of_config_file());
+        if let Err(error) = Config::load(LoadMode::Reload).and_then(|config| self.apply(config, cause)) {
             self.engine.metrics().settings_rejected();
             log!("balancer-proxy: not reloaded: {error}");
         }
@@ -112,7 +113,7 @@
         let mut terms = config.snapshot;
         terms.settings.zone = self.discovery.zone_index(&terms.proxy.zone);
         let old = self.engine.settings();
-        terms.check_follows(&old)?;
+        terms.check_supersedes(&old)?;
         let settled = terms != *old;
         if settled {
             self.engine.apply_settings(terms);
@@ -131,7 +132,7 @@
         if (config.listen, config.management) != (self.listen, self.management) {
             log!("balancer-proxy: listen and management stay as they are until the next start");
         }
-        self.digest.set(config.digest);
+        self.digest.set(config.file_digest);
         self.publish();
         Ok(())
     }
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -203,7 +203,7 @@
         state
             .endpoints
             .values()
-            .for_each(|e| e.set_timeouts(terms.proxy.connect_timeout, terms.proxy.idle_close));
+            .for_each(|e| e.set_timeouts(terms.proxy.connect_timeout, terms.proxy.idle_timeout));
         state.told.push_back(PendingEvent::Settings(terms));
         self.decide(state);
     }
@@ -220,7 +220,7 @@
 
     /// The time after news of a drain, or a ban, in which what was decided before may be sent.
     fn grace(&self) -> Time {
-        GRACE_USED * self.terms.borrow().proxy.drain_grace.as_secs_f64()
+        GRACE_USED * self.terms.borrow().proxy.drain_grace_period.as_secs_f64()
     }
 
     /// Whom to ask for the list.
@@ -286,7 +286,7 @@
         state.requests += 1;
         request.id = RequestId(state.requests);
         let terms = self.settings();
-        if state.open.len() >= terms.proxy.max_open {
+        if state.open.len() >= terms.proxy.max_open_requests {
             let _ = answer.send(FinalResponse::Rejected(None)); // the receiver is still here
             return Some((request.id, receiver));
         }
@@ -453,7 +453,7 @@
                 self.discovery.borrow().upgrade().into_iter().for_each(|d| d.set_watching(on))
             }
             Action::FetchEndpoints => {
-                self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch_once())
+                self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch_full_list())
             }
             Action::Log(text) => log!("{text}"),
         }
@@ -629,7 +629,7 @@
                     *address,
                     budget,
                     terms.proxy.connect_timeout,
-                    terms.proxy.idle_close,
+                    terms.proxy.idle_timeout,
                 );
                 new.set_maintenance_deadline(out);
                 Rc::new(new)
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -29,9 +29,9 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let wire = ProxySettings {
             connect_timeout: LONG,
-            idle_close: LONG,
-            drain_grace: Duration::from_millis(100),
-            max_open: 10,
+            idle_timeout: LONG,
+            drain_grace_period: Duration::from_millis(100),
+            max_open_requests: 10,
             ..ProxySettings::default()
         };
         let figures = Metrics::new(&wire);
