--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use balancer_proxy::proxy::control::maintenance::Maintenance;
 use balancer_proxy::proxy::control::maintenance_store::MaintenanceStore;
 use balancer_proxy::proxy::control::management::{self, MAX_MANAGEMENT_CONNECTIONS, Management};
-use balancer_proxy::proxy::control::reload::Reloader;
+use balancer_proxy::proxy::control::reload::{ReloadTargets, Reloader};
 use balancer_proxy::proxy::downstream::server::{self, Server};
 use balancer_proxy::proxy::engine::Engine;
 use balancer_proxy::proxy::limits::Capacities;
@@ -82,8 +82,8 @@
     }
     let listener = server::bind(config.listen, managed)?;
     log!("balancer-proxy: listening on {}", listener.local_addr()?);
-    let reload =
-        Rc::new(Reloader::new(&config, stamp, kept, server.clone(), engine, discovery, seat.clone()));
+    let targets = ReloadTargets { server: server.clone(), engine, discovery, instance_lock: seat.clone() };
+    let reload = Rc::new(Reloader::new(targets, &config, stamp, kept));
     let signals = reload.clone();
     let reloading = async move {
         while hangup.recv().await.is_some() {
