--- a/src/proxy/watch_event.rs
+++ b/src/proxy/watch_event.rs
@@ -1,26 +1,26 @@
-//! What discovery tells of the endpoint list, in the terms of the engine.
+//! Events of the watch on the endpoint list, as discovery sends them to the engine.
 
 use crate::Endpoint;
 use std::net::SocketAddr;
 
-/// WatchEvent of the list, as the engine hands it to the module.
+/// What the watch has brought.
 #[derive(Debug)]
 pub enum WatchEvent {
-    /// Entries that changed.
+    /// Endpoints that have changed; all others are as before.
     Changes(Vec<ListedEndpoint>),
-    /// All entries.
+    /// The full list: endpoints that are not in it are gone.
     Full(Vec<ListedEndpoint>),
-    /// All entries, as last had before the start.
+    /// The full list as it was cached before startup.
     Cached(Vec<ListedEndpoint>),
-    /// A call failed.
+    /// A call for the list has failed. Sent only if the decision module schedules the next one.
     Failed,
 }
 
-/// A backend of a list, and where it listens.
+/// A backend in the list, and its address.
 #[derive(Debug)]
 pub struct ListedEndpoint {
-    /// The module's part.
+    /// The part that the decision module reads.
     pub endpoint: Endpoint,
-    /// Its address.
+    /// Address of the backend.
     pub address: SocketAddr,
 }
