--- a/src/proxy/control/config/raw.rs
+++ b/src/proxy/control/config/raw.rs
@@ -159,10 +159,10 @@
 #[derive(Deserialize, PartialEq, Default)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum RawRegistryMode {
-    /// The proxy watches the list all the time.
+    /// Discovery pushes changes: the proxy watches the list all the time.
     #[default]
     Automatic,
-    /// The decision module starts and ends each watch.
+    /// The decision module polls the list: it starts and ends each watch.
     Subscribe,
 }
 
--- a/src/proxy/control/discovery/mod.rs
+++ b/src/proxy/control/discovery/mod.rs
@@ -182,40 +182,40 @@
             let call_start = Instant::now();
             match self.watch_call(&mut client).await {
                 Ok(list) => {
-                    self.last_call.set(LastCall::Succeeded);
                     self.apply_list(list);
                     if !self.needs_full_list() {
                         backoff.reset();
                         continue;
                     }
                 }
-                Err(error) => {
-                    self.last_call.set(LastCall::Failed);
-                    let must_poll = self.must_poll();
-                    if must_poll {
-                        // Before the module is notified, as it may start the next watch at once.
-                        *self.watch_task.borrow_mut() = None;
-                    }
+                Err(error) if self.must_poll() => {
+                    // Over before the module is notified, as that may start the next watch at once.
+                    *self.watch_task.borrow_mut() = None;
                     self.report_failure(&error);
-                    if must_poll {
-                        return;
-                    }
+                    return;
                 }
+                Err(error) => self.report_failure(&error),
             }
             tokio::time::sleep_until(backoff.next_call_at(call_start, &self.jitter)).await;
         }
     }
 
-    /// One call of the watch: for changes, or for the full list if that is needed.
+    /// Makes one call of the watch, for changes, or for the full list if that is needed. Its result
+    /// decides the timing of the next call.
     async fn watch_call(&self, client: &mut DiscoveryClient) -> Result<RawEndpointList, CallError> {
         let timing = self.last_call.get().next_timing();
         let response_timeout = self.jitter.apply(timing.response_timeout);
-        let max_wait = timing.max_change_wait.min(self.poll_limit());
-        let request = self
-            .list_generation
-            .get()
-            .map_or(ListRequest::Full, |generation| ListRequest::ChangesSince { generation, max_wait });
-        client.fetch(request, response_timeout).await
+        let request = match self.list_generation.get() {
+            Some(generation) => ListRequest::ChangesSince {
+                generation,
+                max_wait: timing.max_change_wait.min(self.poll_limit()),
+            },
+            None => ListRequest::Full,
+        };
+        let response = client.fetch(request, response_timeout).await;
+        let last_call = if response.is_ok() { LastCall::Succeeded } else { LastCall::Failed };
+        self.last_call.set(last_call);
+        response
     }
 
     /// Whether the decision module schedules the calls after a failure.
