--- a/src/proxy/control/discovery/mod.rs
+++ b/src/proxy/control/discovery/mod.rs
@@ -1,7 +1,7 @@
 //! Keeps the endpoint list of its listener up to date, by calls to discovery.
 //!
 //! Owns the watch, which is a chain of long-polling calls, the generation of the list and the ids that
-//! endpoint names have. It owes its listener a [`WatchEvent`] for each list that arrives and, where the
+//! endpoint names have. It sends its listener a [`WatchEvent`] for each list that arrives and, if the
 //! decision module schedules the calls, one for each call that fails.
 //!
 //! - `client`: one HTTP call
@@ -237,9 +237,9 @@
 
     /// Passes a list on to the listener.
     ///
-    /// Changes of a generation before that of the current list, or without a current list, come from a
-    /// discovery that has begun to count anew. They are passed on all the same, and the full list is
-    /// requested next.
+    /// Changes of a generation before that of the current list, or without a current list, show that
+    /// discovery has restarted its generation numbers. They are passed on all the same, and the full
+    /// list is requested next.
     fn apply_list(&self, list: RawEndpointList) {
         let current = self.list_generation.get();
         let is_consistent = list.reset || current.is_some_and(|current| list.generation >= current);
--- a/src/proxy/control/discovery/timing.rs
+++ b/src/proxy/control/discovery/timing.rs
@@ -3,8 +3,8 @@
 //! # The bound that they keep
 //!
 //! The protocol deems a proxy notified of a change 6 s after discovery had it and could be reached,
-//! whatever failed before. The worst case up to then is this chain: a call that is swallowed just
-//! before discovery returns, a backoff, a call whose response stops half way, another backoff, and a
+//! whatever failed before. The worst case up to then is this chain: a call that gets no response, made
+//! just before discovery returns; a backoff; a call that gets half a response; another backoff; and a
 //! call that succeeds.
 //!
 //! A call fails after at most its wait for a change plus its response timeout, the latter with
@@ -17,9 +17,9 @@
 //!
 //! "Pushed" means that this module decides when to call again, "polled" that the decision module does
 //! (its backoff is `WATCH_WAIT` there). "Generations restart" means that the successful response shows
-//! a discovery that has begun to count anew, so that the full list is fetched by one more call. A new
-//! address by SIGHUP is to be in effect within 4 s; its first call fetches the full list, which
-//! discovery does not hold back, so that it fails after 1.25 s. All in seconds:
+//! that discovery has restarted its generation numbers, so that one more call fetches the full list. A
+//! new address by SIGHUP is to be in effect within 4 s; the calls there fetch the full list, for which
+//! discovery does not wait, so that they fail after 1.25 s and 1.88 s. All in seconds:
 //!
 //! | worst case                                   | first call + backoff + second call + backoff | sum  |
 //! | -------------------------------------------- | -------------------------------------------- | ---- |
@@ -58,7 +58,7 @@
     CallTiming { max_change_wait: Duration::from_secs(1), response_timeout: Duration::from_secs(1) };
 
 /// Timing after a failure. The call returns soon even without a change, as it is to show whether
-/// discovery is back, and a call that is swallowed must fail soon. The agent may be slow then.
+/// discovery is back, and a call that gets no response must fail soon. The agent may be slow then.
 const TIMING_AFTER_FAILURE: CallTiming =
     CallTiming { max_change_wait: Duration::from_millis(100), response_timeout: Duration::from_millis(1500) };
 
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -1,7 +1,7 @@
 //! The settings in force, as one immutable snapshot that is replaced as a whole.
 //!
-//! Whoever serves a request keeps the snapshot that the request arrived with, so that a reload never
-//! changes a request half way.
+//! Each open request refers to the snapshot that it was accepted with, so that a reload never changes
+//! a request half way.
 
 use crate::{Settings, Time};
 use std::time::Duration;
