--- a/tests/decisions.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! The decisions of one balancer, through its public interface.
 
+#[path = "../common/mod.rs"]
 mod common;
 use balancer_proxy::*;
 use common::*;
