--- /dev/null
+++ b/tests/common/proxy_process.rs
@@ -0,0 +1,251 @@
+//! The proxy's program as a child process, and processes that replace one another on one address.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+use serde_json::{Value, json};
+
+use super::configuration::{configuration, configuration_with_management, default_settings, serving_list};
+use super::http::{HttpMessage, connect, exchange};
+use super::stub_server::{StubServer, silent_discovery};
+use super::temporary::{configuration_path, empty_folder};
+use super::waiting::{next_unique_number, wait_for};
+
+/// The command that runs the proxy's program, not yet started.
+pub struct ProxyCommand {
+    /// The program with its environment.
+    pub command: Command,
+    /// The configuration file that the environment names.
+    pub configuration_path: PathBuf,
+}
+
+/// The program with this configuration text, this discovery and a temporary folder of its own.
+pub fn proxy_command(configuration: &str, discovery: SocketAddr) -> ProxyCommand {
+    let number = next_unique_number();
+    let configuration_path = configuration_path(number);
+    std::fs::write(&configuration_path, configuration).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_balancer-proxy"));
+    command.env("RELAY_CONFIG", &configuration_path).env("RELAY_LISTEN", "127.0.0.1:0");
+    command.env("RELAY_DISCOVERY", discovery.to_string());
+    command.env("TMPDIR", empty_folder(number));
+    ProxyCommand { command, configuration_path }
+}
+
+/// A running proxy, which is killed when this is dropped.
+pub struct ProxyProcess {
+    /// The process.
+    pub child: Child,
+    /// The address for clients.
+    pub address: SocketAddr,
+    /// The management address, if the configuration asks for one.
+    pub management: Option<SocketAddr>,
+    /// The lines logged since the proxy listens.
+    pub log: Arc<Mutex<Vec<String>>>,
+    configuration_path: PathBuf,
+}
+
+impl ProxyProcess {
+    /// Starts a proxy with these settings and this cached endpoint list.
+    pub fn start(settings: &Value, cached_endpoints: &Value, discovery: SocketAddr) -> Self {
+        Self::with_configuration(&configuration(settings, cached_endpoints), discovery)
+    }
+
+    /// Starts a proxy with this configuration.
+    pub fn with_configuration(configuration: &Value, discovery: SocketAddr) -> Self {
+        Self::spawn(proxy_command(&configuration.to_string(), discovery))
+    }
+
+    /// Starts a proxy with default settings that knows these backends.
+    pub fn in_front_of(backends: &[&StubServer]) -> Self {
+        Self::start(&default_settings(), &serving_list(backends), silent_discovery().address)
+    }
+
+    /// Starts a proxy like [`ProxyProcess::in_front_of`], with a management address.
+    pub fn with_management(backends: &[&StubServer]) -> Self {
+        let configuration = configuration_with_management(&default_settings(), &serving_list(backends));
+        Self::with_configuration(&configuration, silent_discovery().address)
+    }
+
+    /// Starts a proxy that the system allows this number of descriptors, with the same limit in its
+    /// configuration.
+    pub fn with_descriptor_limit(configuration: &Value, discovery: SocketAddr, descriptors: usize) -> Self {
+        let mut configuration = configuration.clone();
+        configuration["limits"]["sockets"] = json!(descriptors);
+        let unlimited = proxy_command(&configuration.to_string(), discovery);
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors}; exec \"$0\"");
+        command.args(["-c", &script]).arg(unlimited.command.get_program());
+        for (name, value) in unlimited.command.get_envs() {
+            command.env(name, value.unwrap_or_default());
+        }
+        Self::spawn(ProxyCommand { command, ..unlimited })
+    }
+
+    /// Spawns the process and waits until it listens.
+    fn spawn(proxy_command: ProxyCommand) -> Self {
+        let ProxyCommand { mut command, configuration_path } = proxy_command;
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut stderr = BufReader::new(child.stderr.take().unwrap());
+        let mut management = None;
+        let address = loop {
+            let mut line = String::new();
+            assert!(stderr.read_line(&mut line).unwrap() > 0, "the proxy has exited");
+            let message = line.trim().strip_prefix("balancer-proxy: ").unwrap_or_default();
+            match message.split_once(" on ") {
+                Some(("listening", address)) => break address.parse().unwrap(),
+                Some(("management", address)) => management = Some(address.parse().unwrap()),
+                _ => {} // a warning
+            }
+        };
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines = log.clone();
+        // Read to the end, so that the proxy never blocks on a full pipe.
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                lines.lock().unwrap().push(line);
+            }
+        });
+        Self { child, address, management, log, configuration_path }
+    }
+
+    /// Opens a client connection.
+    pub fn connect(&self) -> BufReader<TcpStream> {
+        connect(self.address)
+    }
+
+    /// Sends a request on a connection of its own and returns the response.
+    pub fn exchange(&self, request: &str) -> HttpMessage {
+        exchange(&mut self.connect(), request)
+    }
+
+    /// Opens a connection to the management address.
+    pub fn connect_management(&self) -> BufReader<TcpStream> {
+        connect(self.management.expect("a management address"))
+    }
+
+    /// The response to a management call, up to the end of the connection.
+    pub fn management_call(&self, line: &str) -> String {
+        let mut stream = self.connect_management();
+        stream.get_mut().write_all(line.as_bytes()).unwrap();
+        let _ = stream.get_mut().shutdown(Shutdown::Write); // the proxy may have closed it already
+        let mut response = String::new();
+        stream.read_to_string(&mut response).unwrap();
+        response
+    }
+
+    /// The metrics, as the management call `stats` gives them.
+    pub fn stats(&self) -> Value {
+        let text = self.management_call("stats\n");
+        let stats = text.strip_suffix("\nEND\n").expect(&text);
+        serde_json::from_str(stats).unwrap()
+    }
+
+    /// The number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Replaces the configuration file atomically.
+    pub fn replace_configuration(&self, configuration: &Value) {
+        self.replace_configuration_text(&configuration.to_string());
+    }
+
+    /// Like [`ProxyProcess::replace_configuration`], by text that need not be valid.
+    pub fn replace_configuration_text(&self, text: &str) {
+        let new_file = self.configuration_path.with_extension("new");
+        std::fs::write(&new_file, text).unwrap();
+        std::fs::rename(new_file, &self.configuration_path).unwrap();
+    }
+
+    /// Sends a signal, given as an option of `kill`, such as `-TERM`.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Runs the function while the process is stopped by SIGSTOP, and lets the process go on.
+    pub fn while_stopped<T>(&self, function: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        wait_for("stopped process", || {
+            state().rsplit_once(") ").is_some_and(|(_, fields)| fields.starts_with('T'))
+        });
+        let result = function();
+        self.signal("-CONT");
+        result
+    }
+}
+
+impl Drop for ProxyProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An address and a state folder that an old and a new process share during an upgrade.
+pub struct SharedAddress {
+    listen: SocketAddr,
+    folder: PathBuf,
+}
+
+impl SharedAddress {
+    /// Chooses an address from a range from which the system never assigns one by itself.
+    pub fn new() -> Self {
+        let number = next_unique_number();
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let listen = SocketAddr::from(([127, 77, high, low], 20_000 + number as u16 % 10_000));
+        Self { listen, folder: empty_folder(number) }
+    }
+
+    /// The path of a state file that the processes share.
+    pub fn state_file(&self, extension: &str) -> PathBuf {
+        self.folder.join(format!("dewpier-{}", self.listen)).with_added_extension(extension)
+    }
+
+    /// Removes the state folder.
+    pub fn remove_folder(&self) {
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+
+    /// Starts a process with a management address of its own and a silent discovery.
+    pub fn start(&self, configuration: &Value) -> ProxyProcess {
+        self.start_with_discovery(configuration, silent_discovery().address)
+    }
+
+    /// Starts a process with a management address of its own.
+    pub fn start_with_discovery(&self, configuration: &Value, discovery: SocketAddr) -> ProxyProcess {
+        let mut configuration = configuration.clone();
+        configuration["management"] = json!("127.0.0.1:0");
+        ProxyProcess::spawn(self.proxy_command(&configuration, discovery))
+    }
+
+    /// Starts a process that shares the configuration file of another one.
+    pub fn start_with_configuration_of(&self, other: &ProxyProcess) -> ProxyProcess {
+        let ProxyCommand { mut command, .. } = self.proxy_command(&Value::Null, silent_discovery().address);
+        let configuration_path = other.configuration_path.clone();
+        command.env("RELAY_CONFIG", &configuration_path);
+        ProxyProcess::spawn(ProxyCommand { command, configuration_path })
+    }
+
+    /// Spawns a process without waiting until it listens.
+    pub fn spawn(&self, configuration: &Value, discovery: SocketAddr) -> Child {
+        self.proxy_command(configuration, discovery).command.stderr(Stdio::null()).spawn().unwrap()
+    }
+
+    fn proxy_command(&self, configuration: &Value, discovery: SocketAddr) -> ProxyCommand {
+        let mut proxy_command = proxy_command(&configuration.to_string(), discovery);
+        proxy_command.command.env("RELAY_LISTEN", self.listen.to_string());
+        proxy_command.command.env("TMPDIR", &self.folder);
+        proxy_command
+    }
+}
+
+impl Default for SharedAddress {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/tests/decision_invariants.rs
+++ b/tests/decision_invariants.rs
@@ -2,8 +2,9 @@
 //! shown to catch planted breaches.
 
 mod common;
+
 use balancer_proxy::*;
-use common::entry;
+use common::balancer_harness::{endpoint, request_class, tenant};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::HashMap;
@@ -155,9 +156,9 @@
                 if !harmless {
                     self.breach(format!("refused {id:?}, which may have run"));
                 }
-                self.answer(now, id.0);
+                self.record_final_response(now, id.0);
             }
-            Action::Fail { id } => self.answer(now, id.0),
+            Action::Fail { id } => self.record_final_response(now, id.0),
             Action::Cancel { .. } if !self.settings.cancellation_allowed => {
                 self.breach("cancel forbidden".into())
             }
@@ -166,7 +167,7 @@
         }
     }
 
-    fn answer(&mut self, now: Time, id: u64) {
+    fn record_final_response(&mut self, now: Time, id: u64) {
         match self.open.get_mut(&id) {
             Some(open) if !open.over => {
                 open.over = true;
@@ -217,13 +218,13 @@
     let keyed = |group, window| Effect::Idempotent { group, window };
     Settings {
         classes: vec![
-            class(Effect::Safe),
+            request_class(Effect::Safe),
             RequestClass { late_priority_weight: 0.3, ordered_by_key: true, ..class(Effect::Unsafe) },
             class(keyed(IdempotencyGroup::All, 0.6)),
             class(keyed(IdempotencyGroup::Zone, 0.5)),
             RequestClass { ordered_by_key: true, ..class(keyed(IdempotencyGroup::Cell, 0.4)) },
         ],
-        tenants: vec![common::tenant("a", 2.0), common::tenant("b", 100.0)],
+        tenants: vec![tenant("a", 2.0), tenant("b", 100.0)],
         over_quota_weight: 0.1,
         hedging_allowed: second_copies,
         cancellation_allowed: cancel,
@@ -253,7 +254,8 @@
     let mut now = 0.0;
     let mut timers: Vec<(Time, u64)> = Vec::new();
     let mut out: Vec<(u64, usize, u32)> = Vec::new();
-    let mut list: Vec<Endpoint> = (1..8).map(|i| Endpoint { cell: i % 3, zone: i % 2, ..entry(i) }).collect();
+    let mut list: Vec<Endpoint> =
+        (1..8).map(|i| Endpoint { cell: i % 3, zone: i % 2, ..endpoint(i) }).collect();
     let mut next = 0;
     let mut all = vec![Step::Full { gone: 0 }];
     all.extend_from_slice(steps);
@@ -392,9 +394,9 @@
 fn the_checker_catches_planted_breaches() {
     let plant = |class: usize, then: &[(Time, Action)]| {
         let mut check = Checker::new(settings(false, false, 0));
-        check.list.insert(1, Endpoint { cell: 1, ..entry(1) });
-        check.list.insert(2, Endpoint { cell: 2, ..entry(2) });
-        check.list.insert(3, Endpoint { status: Status::Draining, ..entry(3) });
+        check.list.insert(1, Endpoint { cell: 1, ..endpoint(1) });
+        check.list.insert(2, Endpoint { cell: 2, ..endpoint(2) });
+        check.list.insert(3, Endpoint { status: Status::Draining, ..endpoint(3) });
         for id in 1..3 {
             check.open.insert(id, Open { class, key: Some(9), deadline: 1.0, tries: vec![], over: id == 2 });
         }
@@ -417,7 +419,7 @@
     assert_eq!(plant(4, &late), ["two at once", "keyed call outside its group or window"]);
     // Order: the second of a key while the first is open, has an attempt out, or just timed out.
     let mut check = Checker::new(settings(true, true, 0));
-    check.list.insert(1, entry(1));
+    check.list.insert(1, endpoint(1));
     for id in 1..3 {
         check.open.insert(id, Open { class: 1, key: Some(9), deadline: 9.0, tries: vec![], over: false });
     }
@@ -432,7 +434,7 @@
     assert_eq!(check.breaches, ["order: the key has not rested"]);
     assert_eq!(check.out_of_order(0.51, 2), None);
     // Closing: a draining backend's connections left open, after the notice or a later outcome.
-    check.list.insert(1, Endpoint { status: Status::Draining, ..entry(1) });
+    check.list.insert(1, Endpoint { status: Status::Draining, ..endpoint(1) });
     check.used(1.0, 1);
     check.check_closed(1.05);
     check.action(1.05, &Action::CloseIdleConnections(BackendId(1)));
--- a/tests/endpoint_watch.rs
+++ b/tests/endpoint_watch.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
-use balancer_proxy::*;
-use common::sockets::*;
-use common::{Bench, plain, safe};
+use common::configuration::{
+    configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
+};
+use common::http::{read_message, response};
+use common::late_server::LateServer;
+use common::proxy_process::ProxyProcess;
+use common::stub_server::{Reply, StubServer};
+use common::waiting::wait_for;
 use serde_json::json;
 use socket2::SockRef;
 use std::io::{BufReader, Read, Write};
@@ -23,14 +28,14 @@
 fn failing(
     fault: impl Fn(&mut BufReader<TcpStream>) + Send + Sync + 'static,
     news: String,
-) -> (Played, Arc<Mutex<Vec<String>>>) {
+) -> (StubServer, Arc<Mutex<Vec<String>>>) {
     let calls: Arc<Mutex<Vec<String>>> = Arc::default();
     let seen = calls.clone();
-    let discovery = Played::raw(move |stream| {
-        while let Some(message) = read(stream) {
+    let discovery = StubServer::with_connection_handler(move |stream| {
+        while let Some(message) = read_message(stream) {
             let before = {
                 let mut seen = seen.lock().unwrap();
-                seen.push(message.first);
+                seen.push(message.start_line);
                 seen.len() - 1
             };
             match before {
@@ -80,17 +85,21 @@
     std::thread::scope(|scope| {
         for (name, fault) in faults {
             scope.spawn(move || {
-                let (old, new) = (Played::good("old"), Played::good("new"));
-                let entries = [entry("s-0", old.address, "DRAINING"), entry("s-1", new.address, "SERVING")];
+                let (old, new) = (StubServer::responding_with("old"), StubServer::responding_with("new"));
+                let entries = [
+                    listed_endpoint("s-0", old.address, "DRAINING"),
+                    listed_endpoint("s-1", new.address, "SERVING"),
+                ];
                 // Indented, as lists may come.
-                let news = serde_json::to_string_pretty(&list(2, false, &entries)).unwrap();
-                let (discovery, calls) = failing(fault, answer("200 OK", &news));
-                let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
+                let news = serde_json::to_string_pretty(&endpoint_list(2, false, &entries)).unwrap();
+                let (discovery, calls) = failing(fault, response("200 OK", &news));
+                let proxy =
+                    ProxyProcess::start(&default_settings(), &serving_list(&[&old]), discovery.address);
                 let start = Instant::now();
                 wait_for("list", || calls.lock().unwrap().len() >= 3);
                 assert!(start.elapsed() < Duration::from_secs(6), "{name}: {:?}", start.elapsed());
                 for _ in 0..5 {
-                    assert_eq!(proxy.ask(&request("look", 9000)).body, b"new", "{name}");
+                    assert_eq!(proxy.exchange(&request("look", 9000)).body, b"new", "{name}");
                 }
                 assert!(calls.lock().unwrap()[2].contains("since=2&"), "{name}");
             });
@@ -101,14 +110,14 @@
 /// A discovery that closes some calls, swallows one, just after which it has the news, begins the
 /// answer to the next and stops half way, and answers the one after that. Its first call of all is
 /// answered with what is known. Tells when calls came, and which ones.
-fn returning(closed: usize, half: &'static str, known: String, news: String) -> (Played, Calls) {
+fn returning(closed: usize, half: &'static str, known: String, news: String) -> (StubServer, Calls) {
     let calls: Calls = Arc::default();
     let seen = calls.clone();
-    let discovery = Played::raw(move |stream| {
-        while let Some(message) = read(stream) {
+    let discovery = StubServer::with_connection_handler(move |stream| {
+        while let Some(message) = read_message(stream) {
             let nth = {
                 let mut seen = seen.lock().unwrap();
-                seen.push((Instant::now(), message.first));
+                seen.push((Instant::now(), message.start_line));
                 seen.len()
             };
             match nth.checked_sub(closed + 2) {
@@ -135,21 +144,24 @@
     std::thread::scope(|scope| {
         for ((mode, closed), seed) in cases.into_iter().flat_map(|case| [1, 2, 3].map(|seed| (case, seed))) {
             scope.spawn(move || {
-                let (old, new) = (Played::good("old"), Played::good("new"));
-                let entries = [entry("s-0", old.address, "DRAINING"), entry("s-1", new.address, "SERVING")];
-                let news = answer("200 OK", &list(2, false, &entries).to_string());
-                let had = answer("200 OK", &known(&[&old]).to_string());
+                let (old, new) = (StubServer::responding_with("old"), StubServer::responding_with("new"));
+                let entries = [
+                    listed_endpoint("s-0", old.address, "DRAINING"),
+                    listed_endpoint("s-1", new.address, "SERVING"),
+                ];
+                let news = response("200 OK", &endpoint_list(2, false, &entries).to_string());
+                let had = response("200 OK", &serving_list(&[&old]).to_string());
                 let (discovery, calls) = returning(closed, HALVES[seed % 2], had, news);
-                let mut settings = settings();
+                let mut settings = default_settings();
                 settings["registry-mode"] = json!(mode);
                 settings["rules"]["ask-within"] = json!(60.0);
-                let mut config = config_of(&settings, &known(&[&old]));
+                let mut config = configuration(&settings, &serving_list(&[&old]));
                 config["seed"] = json!(format!("{seed:x}"));
-                let proxy = Proxy::with(&config, discovery.address);
+                let proxy = ProxyProcess::with_configuration(&config, discovery.address);
                 if mode == "subscribe" {
                     // It asks for the list when its discovery moves, and else some time within 30 s.
                     config["discovery"] = json!(discovery.address.to_string());
-                    proxy.configure(&config);
+                    proxy.replace_configuration(&config);
                     proxy.signal("-HUP");
                 }
                 wait_for("list", || calls.lock().unwrap().len() >= closed + 5);
@@ -157,7 +169,7 @@
                 let took = at(closed + 3) - at(closed + 1);
                 assert!(took < Duration::from_secs(6), "{mode}, {closed} closed, seed {seed}: {took:?}");
                 for _ in 0..5 {
-                    assert_eq!(proxy.ask(&request("look", 9000)).body, b"new", "{mode}");
+                    assert_eq!(proxy.exchange(&request("look", 9000)).body, b"new", "{mode}");
                 }
                 assert!(calls.lock().unwrap()[closed + 4].1.contains("since=2&"), "{mode}");
                 // Those that are refused do not become a stream of calls. One that is asked for may
@@ -175,13 +187,14 @@
 fn changes_that_count_anew_hold_and_the_whole_list_is_asked_for() {
     // The list had is of version 1; the one that tells of 0 has begun again.
     for (generation, whole) in [(0, true), (1, false), (2, false)] {
-        let (old, new) = (Played::good("old"), Played::good("new"));
-        let entries = [entry("s-0", old.address, "DRAINING"), entry("s-1", new.address, "SERVING")];
-        let news = answer("200 OK", &list(generation, false, &entries).to_string());
+        let (old, new) = (StubServer::responding_with("old"), StubServer::responding_with("new"));
+        let entries =
+            [listed_endpoint("s-0", old.address, "DRAINING"), listed_endpoint("s-1", new.address, "SERVING")];
+        let news = response("200 OK", &endpoint_list(generation, false, &entries).to_string());
         let (discovery, calls) = failing(|_| {}, news);
-        let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
+        let proxy = ProxyProcess::start(&default_settings(), &serving_list(&[&old]), discovery.address);
         wait_for("list", || calls.lock().unwrap().len() >= 3);
-        assert_eq!(proxy.ask(&request("look", 9000)).body, b"new", "{generation}");
+        assert_eq!(proxy.exchange(&request("look", 9000)).body, b"new", "{generation}");
         let next = calls.lock().unwrap()[2].clone();
         assert_eq!(next.starts_with("GET /api/targets HTTP"), whole, "{generation}: {next}");
     }
@@ -189,106 +202,33 @@
 
 #[test]
 fn a_call_decided_before_the_news_is_not_sent_after_its_grace() {
-    let backend = Late::new();
+    let backend = LateServer::with_full_backlog();
     // Its drain is told once the test says so.
     let drains = Arc::new(AtomicUsize::new(0));
     let told = drains.clone();
-    let news = list(2, false, &[entry("s-0", backend.address, "DRAINING")]).to_string();
-    let discovery = Played::new(move |_, message| {
-        if message.first.contains("since=2&") {
+    let news = endpoint_list(2, false, &[listed_endpoint("s-0", backend.address, "DRAINING")]).to_string();
+    let discovery = StubServer::new(move |_, message| {
+        if message.start_line.contains("since=2&") {
             told.store(2, Ordering::SeqCst);
-            return Play::Silence(std::sync::mpsc::channel().0);
+            return Reply::Hang;
         }
         while told.load(Ordering::SeqCst) == 0 {
             std::thread::sleep(Duration::from_millis(5));
         }
-        Play::Answer(answer("200 OK", &news))
+        Reply::Respond(response("200 OK", &news))
     });
-    let mut settings = settings();
+    let mut settings = default_settings();
     settings["caps"]["connect-timeout"] = json!(20.0);
-    let known = list(1, true, &[entry("s-0", backend.address, "SERVING")]);
-    let proxy = Proxy::start(&settings, &known, discovery.address);
+    let known = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
+    let proxy = ProxyProcess::start(&settings, &known, discovery.address);
     let mut stream = proxy.connect();
     stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
-    wait_for("call", || backend.called());
+    wait_for("call", || backend.has_pending_connection());
     drains.store(1, Ordering::SeqCst);
     wait_for("news", || drains.load(Ordering::SeqCst) == 2);
     // The grace is 1 s.
     std::thread::sleep(Duration::from_millis(1100));
-    let texts = backend.texts();
+    let texts = backend.accept_all();
     assert!(texts.is_empty(), "{texts:?}");
-    assert_eq!(read(&mut stream).expect("an answer").status(), 503);
-}
-
-#[test]
-fn a_call_for_the_list_that_failed_is_soon_made_again_however_rarely_it_must_be_asked_for() {
-    for ask_within in [1.0, 10.0, 60.0] {
-        for seed in 0..20 {
-            let settings = Settings { must_poll_endpoints: true, endpoint_poll_limit: ask_within, ..safe() };
-            let mut bench = Bench::seeded(seed, settings, &[common::entry(1)]);
-            bench.run_to(ask_within);
-            bench.event(Event::Endpoints(EndpointUpdate::Failed));
-            // What was missed counts as told 6 s after the watch fell silent, 2.3 s before this.
-            assert!(
-                plain(bench.run_to(ask_within + 1.6)).contains(&Action::WatchEndpoints(true)),
-                "{ask_within}"
-            );
-        }
-    }
-}
-
-/// The longest that a call takes to fail, the first time and after a failure.
-const CALL: [Time; 2] = [2.25, 1.98];
-
-#[test]
-fn two_calls_that_take_long_to_fail_leave_time_for_a_third_within_6_s() {
-    for ask_within in [1.0, 10.0, 60.0] {
-        for seed in 0..200 {
-            let settings = Settings { must_poll_endpoints: true, endpoint_poll_limit: ask_within, ..safe() };
-            let mut bench = Bench::seeded(seed, settings, &[common::entry(1)]);
-            bench.run_to(ask_within);
-            // So many fail at once before the one that is swallowed as discovery returns.
-            for refused in 0..10 {
-                let first = bench.now;
-                for _ in 0..refused {
-                    next_call(&mut bench);
-                }
-                let start = bench.now;
-                bench.run_to(start + CALL[refused.min(1)]);
-                next_call(&mut bench);
-                bench.run_to(bench.now + CALL[1]);
-                next_call(&mut bench);
-                let took = bench.now - start;
-                assert!(took < 5.25, "{ask_within}, seed {seed}, {refused} refused: {took}");
-                // The first of them follows soon, the others a second apart.
-                assert!(start - first >= 0.5 * refused.saturating_sub(1) as f64, "{start} {first}");
-                bench.event(Event::Endpoints(EndpointUpdate::Changes(&[])));
-                bench.run_to(bench.now + ask_within);
-            }
-        }
-    }
-}
-
-/// The call in progress fails, and the next one begins.
-fn next_call(bench: &mut Bench) {
-    bench.event(Event::Endpoints(EndpointUpdate::Failed));
-    let (at, _) = *bench.timers.last().expect("a timer");
-    assert!(plain(bench.run_to(at)).contains(&Action::WatchEndpoints(true)));
-}
-
-#[test]
-fn balancers_whose_calls_fail_at_the_same_time_do_not_call_again_together() {
-    let again = |seed| {
-        let settings = Settings { must_poll_endpoints: true, ..safe() };
-        let mut bench = Bench::seeded(seed, settings, &[common::entry(1)]);
-        bench.run_to(10.0);
-        [next_call(&mut bench), next_call(&mut bench)].map(|()| bench.now)
-    };
-    let mut times: Vec<[Time; 2]> = (0..200).map(again).collect();
-    for nth in 0..2 {
-        times.sort_by(|a, b| a[nth].total_cmp(&b[nth]));
-        // A third of them takes longer than a twentieth of a second.
-        let soonest = times.windows(67).map(|few| few[66][nth] - few[0][nth]).fold(f64::INFINITY, f64::min);
-        assert!(soonest > 0.05, "{nth}: {soonest}");
-    }
+    assert_eq!(read_message(&mut stream).expect("an answer").status(), 503);
 }
--- a/tests/faulty_backends.rs
+++ b/tests/faulty_backends.rs
@@ -2,7 +2,12 @@
 
 mod common;
 
-use common::sockets::*;
+use common::configuration::{default_settings, endpoint_list, listed_endpoint, request, serving_list};
+use common::http::read_message;
+use common::late_server::LateServer;
+use common::proxy_process::ProxyProcess;
+use common::stub_server::{Reply, StubServer, silent_discovery};
+use common::waiting::{TEST_TIMEOUT, wait_for};
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
@@ -14,8 +19,8 @@
 const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
 
 /// One that answers with these bytes, whatever they are, and keeps the connection.
-fn saying(bytes: &'static str) -> Played {
-    Played::new(move |_, _| Play::Answer(bytes.to_string()))
+fn saying(bytes: &'static str) -> StubServer {
+    StubServer::new(move |_, _| Reply::Respond(bytes.to_string()))
 }
 
 #[test]
@@ -37,43 +42,47 @@
         long,
     ] {
         let backend = saying(bytes);
-        let proxy = Proxy::before(&[&backend]);
+        let proxy = ProxyProcess::in_front_of(&[&backend]);
         let start = Instant::now();
-        let status = proxy.ask(&request("order", 19_000)).status();
+        let status = proxy.exchange(&request("order", 19_000)).status();
         assert!(status != 200 && status != 429 && status != 503, "{status} for {bytes:.60}");
         // Far sooner than the 19 s that the client would wait.
         assert!(start.elapsed() < Duration::from_secs(10), "{:?} for {bytes:.60}", start.elapsed());
-        assert_eq!(backend.count(), 1, "{bytes:.60}");
+        assert_eq!(backend.request_count(), 1, "{bytes:.60}");
     }
 }
 
 #[test]
 fn what_comes_behind_a_good_answer_is_not_taken_for_the_next_one() {
     for extra in ["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "\u{1}noise"] {
-        let backend = Played::new(move |before, _| match before {
-            0 => Play::AnswerThen(GOOD.to_string(), Duration::from_millis(5), extra.to_string()),
-            _ => Play::Answer(GOOD.to_string()),
+        let backend = StubServer::new(move |before, _| match before {
+            0 => Reply::RespondInParts {
+                first: GOOD.to_string(),
+                pause: Duration::from_millis(5),
+                rest: extra.to_string(),
+            },
+            _ => Reply::Respond(GOOD.to_string()),
         });
-        let proxy = Proxy::before(&[&backend]);
+        let proxy = ProxyProcess::in_front_of(&[&backend]);
         for _ in 0..2 {
-            let reply = proxy.ask(&request("order", 9000));
+            let reply = proxy.exchange(&request("order", 9000));
             assert_eq!((reply.status(), reply.body.as_slice()), (200, b"hello".as_slice()), "{extra}");
         }
-        assert_eq!(backend.connections.load(Ordering::SeqCst), 2, "{extra}");
+        assert_eq!(backend.connection_count(), 2, "{extra}");
     }
 }
 
 #[test]
 fn a_kept_connection_that_ends_under_a_request_may_hide_that_it_ran() {
-    let backend = Played::new(|before, _| match before {
-        0 => Play::Answer(GOOD.to_string()),
-        _ => Play::Close,
+    let backend = StubServer::new(|before, _| match before {
+        0 => Reply::Respond(GOOD.to_string()),
+        _ => Reply::Close,
     });
-    let proxy = Proxy::before(&[&backend]);
-    assert_eq!(proxy.ask(&request("order", 9000)).status(), 200);
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    assert_eq!(proxy.exchange(&request("order", 9000)).status(), 200);
     std::thread::sleep(Duration::from_millis(100)); // until the connection has settled
-    assert_eq!(proxy.ask(&request("order", 9000)).status(), 502);
-    assert_eq!((backend.count(), backend.connections.load(Ordering::SeqCst)), (2, 1));
+    assert_eq!(proxy.exchange(&request("order", 9000)).status(), 502);
+    assert_eq!((backend.request_count(), backend.connection_count()), (2, 1));
 }
 
 #[test]
@@ -82,8 +91,8 @@
     // whether all of that had come by then. It is held back for a moment: mostly it has not.
     let (told, ahead) = channel();
     let told = Mutex::new(told);
-    let backend = Played::raw(move |stream| {
-        if read(stream).is_none() {
+    let backend = StubServer::with_connection_handler(move |stream| {
+        if read_message(stream).is_none() {
             return;
         }
         stream.get_mut().write_all(GOOD.as_bytes()).unwrap();
@@ -96,12 +105,12 @@
         let _ = stream.read_to_end(&mut come); // all there is now
         told.lock().unwrap().send(!come.ends_with(b"body")).unwrap();
     });
-    let proxy = Proxy::before(&[&backend]);
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
     let (mut kept, mut seen) = (false, 0);
     for _ in 0..500 {
-        let reply = proxy.ask(&request("order", 9000));
+        let reply = proxy.exchange(&request("order", 9000));
         // Over a connection that was kept, unless that was spoilt and went.
-        kept = !kept || ahead.recv_timeout(LONG).unwrap();
+        kept = !kept || ahead.recv_timeout(TEST_TIMEOUT).unwrap();
         if kept {
             assert_eq!((reply.status(), reply.body.as_slice()), (200, b"hello".as_slice()));
             seen += 1;
@@ -117,12 +126,16 @@
 #[test]
 fn what_comes_ahead_of_an_answer_is_skipped() {
     // The answer may follow long after: it has not begun with them.
-    let backend = Played::new(move |_, _| {
+    let backend = StubServer::new(move |_, _| {
         let ahead = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
-        Play::AnswerThen(ahead.to_string(), Duration::from_millis(1500), GOOD.to_string())
+        Reply::RespondInParts {
+            first: ahead.to_string(),
+            pause: Duration::from_millis(1500),
+            rest: GOOD.to_string(),
+        }
     });
-    let proxy = Proxy::before(&[&backend]);
-    let reply = proxy.ask(&request("order", 19_000));
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let reply = proxy.exchange(&request("order", 19_000));
     assert_eq!((reply.status(), reply.body.as_slice()), (200, b"hello".as_slice()));
 }
 
@@ -130,9 +143,9 @@
 fn a_report_that_cannot_be_read_is_ignored() {
     for report in ["{", "[]", "{\"avg_ms\":\"x\"}", "{\"avg_ms\":-5}", "{\"avg_ms\":1e999}"] {
         let text = format!("HTTP/1.1 200 OK\r\nX-Pressure: {report}\r\nContent-Length: 5\r\n\r\nhello");
-        let backend = Played::new(move |_, _| Play::Answer(text.clone()));
-        let proxy = Proxy::before(&[&backend]);
-        assert_eq!(proxy.ask(&request("order", 9000)).status(), 200, "{report}");
+        let backend = StubServer::new(move |_, _| Reply::Respond(text.clone()));
+        let proxy = ProxyProcess::in_front_of(&[&backend]);
+        assert_eq!(proxy.exchange(&request("order", 9000)).status(), 200, "{report}");
     }
 }
 
@@ -145,7 +158,7 @@
         for stream in listener.incoming().map_while(Result::ok) {
             std::thread::spawn(move || {
                 let mut stream = BufReader::with_capacity(4096, stream);
-                if read(&mut stream).is_some() {
+                if read_message(&mut stream).is_some() {
                     stream.get_mut().write_all(GOOD.as_bytes()).unwrap();
                     // Dropped with something unread, which resets it.
                     let _ = stream.get_mut().read(&mut [0]);
@@ -153,21 +166,21 @@
             });
         }
     });
-    let known = list(1, true, &[entry("s-1", address, "SERVING")]);
-    let mut settings = settings();
+    let known = endpoint_list(1, true, &[listed_endpoint("s-1", address, "SERVING")]);
+    let mut settings = default_settings();
     settings["caps"]["max-attempts"] = json!(1);
-    let proxy = Proxy::start(&settings, &known, quiet().address);
+    let proxy = ProxyProcess::start(&settings, &known, silent_discovery().address);
     // The last byte is held back for a moment only: on a busy machine the reset may come later.
     wait_for("second answer on a kept connection", || {
-        assert_eq!(proxy.ask(&request("order", 9000)).status(), 200);
+        assert_eq!(proxy.exchange(&request("order", 9000)).status(), 200);
         std::thread::sleep(Duration::from_millis(100));
-        proxy.ask(&request("order", 9000)).status() == 200
+        proxy.exchange(&request("order", 9000)).status() == 200
     });
 }
 
 /// Settings of an entry whose requests have one attempt each, and must be answered in `aim` seconds.
 fn entry_with(aim: f64) -> serde_json::Value {
-    let mut settings = settings();
+    let mut settings = default_settings();
     settings["tier"] = json!(0);
     settings["caps"]["max-attempts"] = json!(1);
     for class in settings["classes"].as_array_mut().unwrap() {
@@ -176,23 +189,23 @@
     settings
 }
 
-/// Backends that answer until `stuck` is set, and then not before `LONG`, or until it is taken back.
-fn sticking<const N: usize>(stuck: &Arc<AtomicBool>, took: Duration) -> [Played; N] {
+/// Backends that answer until `stuck` is set, and then not before `TEST_TIMEOUT`, or until it is taken back.
+fn sticking<const N: usize>(stuck: &Arc<AtomicBool>, took: Duration) -> [StubServer; N] {
     std::array::from_fn(|_| {
         let stuck = stuck.clone();
-        Played::new(move |_, _| {
+        StubServer::new(move |_, _| {
             std::thread::sleep(took);
             let start = Instant::now();
-            while stuck.load(Ordering::SeqCst) && start.elapsed() < LONG {
+            while stuck.load(Ordering::SeqCst) && start.elapsed() < TEST_TIMEOUT {
                 std::thread::sleep(Duration::from_millis(5));
             }
-            Play::Answer(GOOD.to_string())
+            Reply::Respond(GOOD.to_string())
         })
     })
 }
 
-fn total(backends: &[Played]) -> usize {
-    backends.iter().map(Played::count).sum()
+fn total(backends: &[StubServer]) -> usize {
+    backends.iter().map(StubServer::request_count).sum()
 }
 
 #[test]
@@ -201,13 +214,14 @@
     let stuck = Arc::new(AtomicBool::new(false));
     let [bad] = sticking(&stuck, Duration::from_millis(50));
     let [good] = sticking(&Arc::default(), Duration::from_millis(50));
-    let proxy = Proxy::start(&entry_with(20.0), &known(&[&bad, &good]), quiet().address);
-    let ask = || proxy.ask(&request("order", 19_000)).status();
-    wait_for("answer of each", || ask() == 200 && bad.count() > 1 && good.count() > 1);
+    let proxy =
+        ProxyProcess::start(&entry_with(20.0), &serving_list(&[&bad, &good]), silent_discovery().address);
+    let ask = || proxy.exchange(&request("order", 19_000)).status();
+    wait_for("answer of each", || ask() == 200 && bad.request_count() > 1 && good.request_count() > 1);
     stuck.store(true, Ordering::SeqCst);
     std::thread::scope(|scope| {
-        let before = bad.count();
-        while bad.count() == before {
+        let before = bad.request_count();
+        while bad.request_count() == before {
             scope.spawn(ask);
             std::thread::sleep(Duration::from_millis(200));
         }
@@ -216,7 +230,7 @@
             let asked = [(); 3].map(|()| scope.spawn(ask));
             assert!(asked.into_iter().all(|asked| asked.join().unwrap() == 200));
         }
-        assert_eq!(bad.count(), before + 1);
+        assert_eq!(bad.request_count(), before + 1);
         stuck.store(false, Ordering::SeqCst);
     });
 }
@@ -224,11 +238,12 @@
 #[test]
 fn a_few_calls_a_backend_are_no_overload_however_far_beyond_the_usual() {
     let stuck = Arc::new(AtomicBool::new(false));
-    let backends: [Played; 4] = sticking(&stuck, Duration::ZERO);
+    let backends: [StubServer; 4] = sticking(&stuck, Duration::ZERO);
     let mut settings = entry_with(6.0);
     settings["n-instances"] = json!(2);
-    let proxy = Proxy::start(&settings, &known(&backends.each_ref()), quiet().address);
-    let ask = || proxy.ask(&request("order", 19_000)).status();
+    let proxy =
+        ProxyProcess::start(&settings, &serving_list(&backends.each_ref()), silent_discovery().address);
+    let ask = || proxy.exchange(&request("order", 19_000)).status();
     (0..30).for_each(|_| assert_eq!(ask(), 200));
     stuck.store(true, Ordering::SeqCst);
     std::thread::scope(|scope| {
@@ -251,9 +266,13 @@
 #[test]
 fn a_jam_that_passes_soon_costs_no_refusals() {
     let stuck = Arc::new(AtomicBool::new(false));
-    let backends: [Played; 1] = sticking(&stuck, Duration::ZERO);
-    let proxy = Proxy::start(&entry_with(20.0), &known(&backends.each_ref()), quiet().address);
-    let ask = || proxy.ask(&request("order", 19_000)).status();
+    let backends: [StubServer; 1] = sticking(&stuck, Duration::ZERO);
+    let proxy = ProxyProcess::start(
+        &entry_with(20.0),
+        &serving_list(&backends.each_ref()),
+        silent_discovery().address,
+    );
+    let ask = || proxy.exchange(&request("order", 19_000)).status();
     (0..30).for_each(|_| assert_eq!(ask(), 200));
     stuck.store(true, Ordering::SeqCst);
     std::thread::scope(|scope| {
@@ -271,11 +290,15 @@
 #[test]
 fn a_jam_that_lasts_is_answered_long_before_the_client_gives_up() {
     let stuck = Arc::new(AtomicBool::new(false));
-    let backends: [Played; 1] = sticking(&stuck, Duration::ZERO);
-    let proxy = Proxy::start(&entry_with(4.0), &known(&backends.each_ref()), quiet().address);
+    let backends: [StubServer; 1] = sticking(&stuck, Duration::ZERO);
+    let proxy = ProxyProcess::start(
+        &entry_with(4.0),
+        &serving_list(&backends.each_ref()),
+        silent_discovery().address,
+    );
     let ask = || {
         let start = Instant::now();
-        let reply = proxy.ask(&request("order", 19_000));
+        let reply = proxy.exchange(&request("order", 19_000));
         (reply.status(), reply.header("retry-after").is_some(), start.elapsed())
     };
     (0..30).for_each(|_| assert_eq!(ask().0, 200));
@@ -296,18 +319,18 @@
 #[test]
 fn a_connection_that_alone_is_late_does_not_cost_its_attempt() {
     // The system drops the first call for a connection, and makes it again only after a second.
-    let backend = Late::new();
-    let mut settings = settings();
+    let backend = LateServer::with_full_backlog();
+    let mut settings = default_settings();
     settings["caps"]["connect-timeout"] = json!(0.8);
     settings["caps"]["max-attempts"] = json!(1);
-    let known = list(1, true, &[common::sockets::entry("s-0", backend.address, "SERVING")]);
-    let proxy = Proxy::start(&settings, &known, quiet().address);
+    let known = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
+    let proxy = ProxyProcess::start(&settings, &known, silent_discovery().address);
     let mut client = proxy.connect();
     client.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
-    wait_for("call", || backend.called());
+    wait_for("call", || backend.has_pending_connection());
     drop(backend.accept()); // there is room from here on
     let mut stream = backend.accept();
-    assert!(read(&mut stream).is_some());
+    assert!(read_message(&mut stream).is_some());
     stream.get_mut().write_all(GOOD.as_bytes()).unwrap();
-    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
 }
--- /dev/null
+++ b/tests/queued_client_disconnects.rs
@@ -0,0 +1,283 @@
+//! Clients that disconnect while their request is queued in the proxy: behind another request of the
+//! connection, of the ordering key or of the same id, or for capacity. It is then never forwarded.
+
+mod common;
+
+use common::client_disconnect::{
+    Disconnect, begin_request, proxy_with_cancellation, received_of_class, wait_for_no_open_request,
+    wait_until_input_is_handled,
+};
+use common::configuration::{
+    configuration_with_management, default_settings, endpoint_list, listed_endpoint, request, serving_list,
+};
+use common::http::{HttpMessage, read_message, response};
+use common::late_server::LateServer;
+use common::proxy_process::ProxyProcess;
+use common::socket_table::{CLOSE_WAIT, sockets_to_port};
+use common::stub_server::{StubServer, silent_discovery};
+use common::waiting::{TEST_TIMEOUT, wait_for};
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A proxy whose class `look` keeps the order of a key, with one request of that class in flight.
+struct OccupiedKey {
+    proxy: ProxyProcess,
+    /// Holds its response to the first request until it is released.
+    backend: StubServer,
+    /// The connection whose client waits for the first response.
+    first_client: BufReader<TcpStream>,
+    first_response: HeldResponse,
+}
+
+/// The response that the backend holds.
+struct HeldResponse {
+    release: Sender<()>,
+    written: Receiver<()>,
+}
+
+impl HeldResponse {
+    /// Lets the backend respond, and returns when it has written the response.
+    fn write(self) {
+        self.release.send(()).unwrap();
+        self.written.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+
+    /// Writes the response before or after the disconnect.
+    fn write_and<T>(self, response_first: bool, disconnect: impl FnOnce() -> T) -> T {
+        if response_first {
+            self.write();
+            return disconnect();
+        }
+        let result = disconnect();
+        self.write();
+        result
+    }
+}
+
+/// A backend that holds its first response, on whichever connection.
+fn backend_with_held_response() -> (StubServer, HeldResponse) {
+    let (release, released) = channel::<()>();
+    let (report_write, written) = channel();
+    let (released, report_write) = (Mutex::new(released), Mutex::new(report_write));
+    let requests: Arc<Mutex<Vec<HttpMessage>>> = Arc::default();
+    let received = requests.clone();
+    let mut backend = StubServer::with_connection_handler(move |stream| {
+        while let Some(message) = read_message(stream) {
+            let is_first = {
+                let mut received = received.lock().unwrap();
+                received.push(message);
+                received.len() == 1
+            };
+            if is_first {
+                let _ = released.lock().unwrap().recv_timeout(TEST_TIMEOUT);
+            }
+            let _ = stream.get_mut().write_all(response("200 OK", "hello").as_bytes());
+            if is_first {
+                let _ = report_write.lock().unwrap().send(());
+            }
+        }
+    });
+    backend.requests = requests;
+    (backend, HeldResponse { release, written })
+}
+
+impl OccupiedKey {
+    fn new(cancel: bool, max_sockets: u64) -> Self {
+        let (backend, first_response) = backend_with_held_response();
+        let mut settings = default_settings();
+        settings["caps"]["cancel"] = json!(cancel);
+        settings["classes"][0]["fifo-by-key"] = json!(true);
+        let mut configuration = configuration_with_management(&settings, &serving_list(&[&backend]));
+        configuration["limits"]["sockets"] = json!(max_sockets);
+        let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
+        let first_client = begin_request(&proxy, &request("look", 20_000));
+        wait_for("attempt", || backend.request_count() == 1);
+        Self { proxy, backend, first_client, first_response }
+    }
+}
+
+/// The limit on sockets where the test does not need a low one.
+const AMPLE_SOCKETS: u64 = 1024;
+
+#[test]
+fn does_not_forward_a_request_behind_one_that_the_proxy_responds_to_itself() {
+    for disconnect in Disconnect::ALL {
+        let backend = StubServer::responding_with("hello");
+        let proxy = proxy_with_cancellation(true, &serving_list(&[&backend]));
+
+        let readable_stream = proxy.while_stopped(|| {
+            let both = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n".to_string()
+                + &disconnect.written_text(&request("order", 9000));
+            disconnect.disconnect(begin_request(&proxy, &both))
+        });
+        wait_until_input_is_handled(&proxy);
+
+        assert_eq!(received_of_class(&backend, "order"), 0, "{disconnect:?}");
+        drop(readable_stream);
+    }
+}
+
+#[test]
+fn does_not_forward_a_pipelined_request_whose_client_disconnected() {
+    for cancel in [true, false] {
+        for disconnect in Disconnect::ALL {
+            for response_first in [true, false] {
+                let OccupiedKey { proxy, backend, mut first_client, first_response } =
+                    OccupiedKey::new(cancel, AMPLE_SOCKETS);
+
+                let readable_stream = proxy.while_stopped(|| {
+                    let text = disconnect.written_text(&request("order", 20_000));
+                    first_client.get_mut().write_all(text.as_bytes()).unwrap();
+                    first_response.write_and(response_first, || disconnect.disconnect(first_client))
+                });
+                wait_until_input_is_handled(&proxy);
+
+                assert_eq!(
+                    received_of_class(&backend, "order"),
+                    0,
+                    "{disconnect:?}, cancel {cancel}, {response_first}"
+                );
+                drop(readable_stream);
+            }
+        }
+    }
+}
+
+fn disconnects_while_the_key_is_occupied(cancel: bool, disconnect: Disconnect, response_first: bool) {
+    let OccupiedKey { proxy, backend, mut first_client, first_response } =
+        OccupiedKey::new(cancel, AMPLE_SOCKETS);
+    let second_client = begin_request(&proxy, &disconnect.written_text(&request("look", 20_000)));
+    wait_for("second request", || proxy.stats()["outstanding"] == 2);
+
+    let readable_stream = proxy
+        .while_stopped(|| first_response.write_and(response_first, || disconnect.disconnect(second_client)));
+
+    assert_eq!(read_message(&mut first_client).expect("a response").status(), 200);
+    wait_until_input_is_handled(&proxy);
+    let case = format!("{disconnect:?}, cancel {cancel}, {response_first}");
+    assert_eq!(received_of_class(&backend, "look"), 1, "{case}");
+    assert_eq!(received_of_class(&backend, "order"), 0, "{case}");
+    // The key is free for the next request.
+    assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
+    drop(readable_stream);
+}
+
+#[test]
+fn does_not_forward_a_request_queued_for_its_key_whose_client_disconnected() {
+    for cancel in [true, false] {
+        for disconnect in Disconnect::ALL {
+            for response_first in [true, false] {
+                disconnects_while_the_key_is_occupied(cancel, disconnect, response_first);
+            }
+        }
+    }
+}
+
+#[test]
+fn does_not_forward_a_request_queued_for_its_id_whose_client_disconnected() {
+    for disconnect in Disconnect::ALL {
+        for response_first in [true, false] {
+            let OccupiedKey { proxy, backend, mut first_client, first_response } =
+                OccupiedKey::new(true, AMPLE_SOCKETS);
+            let id_in_use = backend.requests.lock().unwrap()[0].header("x-txn").unwrap().to_string();
+            let text = request("order", 20_000);
+            let own_id = text.split_once("X-Txn: ").unwrap().1.split_once('\r').unwrap().0;
+            let text = disconnect.written_text(&text.replace(own_id, &id_in_use));
+            let second_client = begin_request(&proxy, &text);
+            wait_for("second request", || {
+                let stats = proxy.stats();
+                stats["outstanding"] == 2 || stats["results"]["order"]["aborted"] == 1
+            });
+
+            let readable_stream = proxy.while_stopped(|| {
+                first_response.write_and(response_first, || disconnect.disconnect(second_client))
+            });
+
+            assert_eq!(read_message(&mut first_client).expect("a response").status(), 200);
+            wait_until_input_is_handled(&proxy);
+            assert_eq!(received_of_class(&backend, "order"), 0, "{disconnect:?}, {response_first}");
+            drop(readable_stream);
+        }
+    }
+}
+
+/// Opens connections with a request each until the proxy rejects one for lack of capacity. Returns
+/// those that wait behind the first, and the rejected one.
+fn fill_client_connections(
+    proxy: &ProxyProcess,
+    first_client: BufReader<TcpStream>,
+) -> (Vec<BufReader<TcpStream>>, BufReader<TcpStream>) {
+    let mut waiting = vec![first_client];
+    let is_full = || proxy.stats()["results"]["look"]["declined"] == 1;
+    while !is_full() {
+        waiting.push(begin_request(proxy, &request("look", 20_000)));
+        wait_for("admitted request", || proxy.stats()["outstanding"] == waiting.len() || is_full());
+    }
+    let rejected = waiting.pop().unwrap();
+    (waiting, rejected)
+}
+
+fn disconnects_while_connections_are_at_their_limit(disconnect: Disconnect) {
+    let OccupiedKey { proxy, backend, first_client, first_response } = OccupiedKey::new(true, 64);
+    // The limit is reached by requests that wait behind the first, and by connections without one.
+    let (mut waiting, rejected) = fill_client_connections(&proxy, first_client);
+    let without_request: Vec<_> = (0..waiting.len() / 7 + 2).map(|_| proxy.connect()).collect();
+    let awaits_close = |port| sockets_to_port(port, CLOSE_WAIT) == 1;
+
+    let (readable_stream, mut remaining_client) = proxy.while_stopped(|| {
+        // Two clients come, one of which disconnects. Then there is capacity for both, as others have
+        // disconnected, and the connections without a request have been idle for long.
+        let (mut stream, mut remaining_client) = (proxy.connect(), proxy.connect());
+        let port = stream.get_ref().local_addr().unwrap().port();
+        stream.get_mut().write_all(disconnect.written_text(&request("order", 20_000)).as_bytes()).unwrap();
+        remaining_client.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+        let readable_stream = disconnect.disconnect(stream);
+        assert!(disconnect.resets() || awaits_close(port));
+        std::thread::sleep(Duration::from_millis(700));
+        waiting.truncate(1);
+        (readable_stream, remaining_client)
+    });
+
+    assert_eq!(read_message(&mut remaining_client).expect("a response").status(), 200, "{disconnect:?}");
+    first_response.write();
+    assert_eq!(read_message(&mut waiting[0]).expect("a response").status(), 200);
+    drop((rejected, without_request));
+    wait_for_no_open_request(&proxy);
+    assert_eq!(received_of_class(&backend, "order"), 1, "{disconnect:?}");
+    drop(readable_stream);
+}
+
+#[test]
+fn does_not_forward_a_request_whose_client_disconnected_before_its_connection_was_accepted() {
+    for disconnect in Disconnect::ALL {
+        disconnects_while_connections_are_at_their_limit(disconnect);
+    }
+}
+
+#[test]
+fn does_not_forward_a_queued_request_whose_client_disconnected_during_graceful_shutdown() {
+    for disconnect in Disconnect::WITHOUT_PIPELINING {
+        let backend = LateServer::with_full_backlog();
+        let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
+        let mut proxy = proxy_with_cancellation(false, &cached_list);
+        let connecting = begin_request(&proxy, &request("order", 20_000));
+        wait_for("connection attempt", || backend.has_pending_connection());
+
+        // Another request is in the listener's backlog, its client gone, as the signal comes.
+        let readable_streams = proxy.while_stopped(|| {
+            let in_backlog = begin_request(&proxy, &request("order", 20_000));
+            proxy.signal("-TERM");
+            (disconnect.disconnect(connecting), disconnect.disconnect(in_backlog))
+        });
+        let received = backend.accept_all();
+
+        assert!(received.is_empty(), "{disconnect:?}: {received:?}");
+        wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
+        assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+        drop(readable_streams);
+    }
+}
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -4,7 +4,11 @@
 
 use balancer_proxy::proxy::metrics::Metrics;
 use balancer_proxy::proxy::settings::ProxySettings;
-use common::sockets::*;
+use common::configuration::{configuration, default_settings, request, request_with_framing, serving_list};
+use common::http::{HttpMessage, exchange, read_head, read_message, response};
+use common::proxy_process::{ProxyProcess, SharedAddress};
+use common::stub_server::{Reply, StubServer, silent_discovery};
+use common::waiting::{TEST_TIMEOUT, wait_for};
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -14,28 +18,28 @@
 use std::time::{Duration, Instant};
 
 /// The configuration of a managed proxy, with this version of its settings.
-fn config(version: u64, backends: &[&Played]) -> Value {
-    let mut config = config_of(&settings(), &known(backends));
+fn config(version: u64, backends: &[&StubServer]) -> Value {
+    let mut config = configuration(&default_settings(), &serving_list(backends));
     config["management"] = json!("127.0.0.1:0");
     config["settings"]["version"] = json!(version);
     config
 }
 
 fn named(name: &str, effect: &str) -> Value {
-    let mut class = settings()["classes"][0].clone();
+    let mut class = default_settings()["classes"][0].clone();
     (class["name"], class["effect"]) = (json!(name), json!(effect));
     class
 }
 
 /// Version, times taken over, files refused.
-fn told(proxy: &Proxy) -> Vec<Option<u64>> {
-    let figures = proxy.figures();
+fn told(proxy: &ProxyProcess) -> Vec<Option<u64>> {
+    let figures = proxy.stats();
     ["version", "changed", "refused"].map(|name| figures["settings"][name].as_u64()).to_vec()
 }
 
-fn reload(proxy: &Proxy, config: &Value) {
+fn reload(proxy: &ProxyProcess, config: &Value) {
     let before = told(proxy);
-    proxy.configure(config);
+    proxy.replace_configuration(config);
     proxy.signal("-HUP");
     wait_for("change", || told(proxy) != before);
 }
@@ -47,18 +51,18 @@
     let (held, broke) = (Arc::new(Mutex::new(held)), Arc::new(AtomicBool::new(false)));
     let backends = [0, 1].map(|_| {
         let (held, broke) = (held.clone(), broke.clone());
-        Played::new(move |_, message| match message.header("x-lane") {
-            Some("look") if !broke.swap(true, Ordering::SeqCst) => Play::Close,
+        StubServer::new(move |_, message| match message.header("x-lane") {
+            Some("look") if !broke.swap(true, Ordering::SeqCst) => Reply::Close,
             Some("order") if message.body == b"held" => {
-                held.lock().unwrap().recv_timeout(LONG).unwrap();
-                Play::Answer(answer("200 OK", "held"))
+                held.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+                Reply::Respond(response("200 OK", "held"))
             }
-            _ => Play::Answer(answer("200 OK", "hello")),
+            _ => Reply::Respond(response("200 OK", "hello")),
         })
     });
-    let connections = || backends.iter().map(|b| b.connections.load(Ordering::SeqCst)).sum::<usize>();
+    let connections = || backends.iter().map(|b| b.connection_count()).sum::<usize>();
     let mut config = config(1, &[&backends[0], &backends[1]]);
-    let proxy = Proxy::with(&config, quiet().address);
+    let proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
     assert_eq!(told(&proxy), [Some(1), Some(0), Some(0)]);
     let begin = |text: &str| {
         let mut stream = proxy.connect();
@@ -67,14 +71,14 @@
     };
     // Their bodies are asked for, so that their heads have been read.
     let mut coming = ["save", "order"].map(|class| {
-        let text = with_body(class, "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+        let text = request_with_framing(class, "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
         let mut stream = begin(&text);
         assert_eq!(read_head(&mut stream).unwrap().status(), 100);
         stream
     });
     let mut waiting = begin(&request("order", 9000).replace("body", "held"));
     wait_for("attempt", || connections() == 1);
-    let mut streamed = begin(&with_body("order", "Content-Length: 200000\r\n\r\n"));
+    let mut streamed = begin(&request_with_framing("order", "Content-Length: 200000\r\n\r\n"));
     streamed.get_mut().write_all(&[b'x'; 100_000]).unwrap();
     wait_for("attempt", || connections() == 2);
     let mut broken = begin(&request("look", 4000));
@@ -86,35 +90,38 @@
     config["settings"]["caps"]["max-attempts"] = json!(1);
     reload(&proxy, &config);
     assert_eq!(told(&proxy), [Some(2), Some(1), Some(0)]);
-    // Unknown now, and known by another place.
+    // Unknown now, and known by another shared_address.
     for (stream, status) in coming.iter_mut().zip([400, 200]) {
         stream.get_mut().write_all(b"body").unwrap();
-        let reply = read(stream).unwrap();
+        let reply = read_message(stream).unwrap();
         assert_eq!(reply.status(), status, "{}", String::from_utf8_lossy(&reply.body));
     }
     release.send(()).unwrap();
-    assert_eq!(read(&mut waiting).unwrap().body, b"held");
+    assert_eq!(read_message(&mut waiting).unwrap().body, b"held");
     streamed.get_mut().write_all(&[b'x'; 100_000]).unwrap();
-    assert_eq!(read(&mut streamed).unwrap().status(), 200);
-    assert_eq!(read(&mut broken).unwrap().status(), 200, "its second attempt, of its class's four");
+    assert_eq!(read_message(&mut streamed).unwrap().status(), 200);
+    assert_eq!(read_message(&mut broken).unwrap().status(), 200, "its second attempt, of its class's four");
     let other = request("order", 9000).replace("X-Org: acme", "X-Org: other");
-    assert_eq!((proxy.ask(&other).status(), proxy.ask(&request("save", 9000)).status()), (200, 400));
-    let counts = |class: &str| proxy.figures()["results"][class]["succeeded"].clone();
+    assert_eq!(
+        (proxy.exchange(&other).status(), proxy.exchange(&request("save", 9000)).status()),
+        (200, 400)
+    );
+    let counts = |class: &str| proxy.stats()["results"][class]["succeeded"].clone();
     assert_eq!((counts("order"), counts("look"), counts("save")), (json!(4), json!(1), Value::Null));
     // Back in force, it counts on.
-    config["settings"] = settings();
+    config["settings"] = default_settings();
     config["settings"]["version"] = json!(3);
     reload(&proxy, &config);
-    assert_eq!(proxy.ask(&request("look", 9000)).status(), 200);
+    assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
     assert_eq!((counts("order"), counts("look"), counts("gaze")), (json!(4), json!(2), Value::Null));
-    assert_eq!(proxy.figures()["outstanding"], json!(0));
+    assert_eq!(proxy.stats()["outstanding"], json!(0));
 }
 
 #[test]
 fn a_bad_file_changes_nothing_and_its_field_is_named() {
-    let backend = Played::good("hello");
+    let backend = StubServer::responding_with("hello");
     let good = config(7, &[&backend]);
-    let proxy = Proxy::with(&good, quiet().address);
+    let proxy = ProxyProcess::with_configuration(&good, silent_discovery().address);
     let with = |path: &str, value: Value| {
         let mut config = good.clone();
         config["settings"]["version"] = json!(8);
@@ -145,34 +152,37 @@
     let others = [(same, "settings.version: expected more than 7"), (long, "at most 16777216 bytes")];
     let mut refused = 0;
     for (text, field) in cut.chain(wrong).chain(others) {
-        proxy.configure_as(&text);
+        proxy.replace_configuration_text(&text);
         proxy.signal("-HUP");
         refused += 1;
         wait_for(field, || told(&proxy)[2] == Some(refused));
         let named = || proxy.log.lock().unwrap().last().is_some_and(|line| line.contains(field));
         wait_for(field, named);
         assert_eq!(told(&proxy)[..2], [Some(7), Some(0)], "{field}");
-        assert_eq!(proxy.ask(&request("save", 9000)).status(), 200, "{field}");
+        assert_eq!(proxy.exchange(&request("save", 9000)).status(), 200, "{field}");
     }
     // The same again is no change; a later one is.
-    proxy.configure(&good);
+    proxy.replace_configuration(&good);
     proxy.signal("-HUP");
-    proxy.configure_as(&with("/settings/caps/max-open", json!(10)));
+    proxy.replace_configuration_text(&with("/settings/caps/max-open", json!(10)));
     proxy.signal("-HUP");
     wait_for("change", || told(&proxy) == [Some(8), Some(1), Some(refused)]);
 }
 
 #[test]
 fn a_burst_of_signals_ends_at_the_last_file_and_every_request_is_answered() {
-    let backends = ["zero", "one"].map(Played::good);
-    let proxy = Proxy::with(&config(0, &[&backends[0], &backends[1]]), quiet().address);
+    let backends = ["zero", "one"].map(StubServer::responding_with);
+    let proxy = ProxyProcess::with_configuration(
+        &config(0, &[&backends[0], &backends[1]]),
+        silent_discovery().address,
+    );
     let done = AtomicBool::new(false);
     std::thread::scope(|scope| {
         let ask = || {
             let mut stream = proxy.connect();
             let mut asked = 0;
             while !done.load(Ordering::SeqCst) {
-                assert_eq!(ask(&mut stream, &request("look", 9000)).status(), 200);
+                assert_eq!(exchange(&mut stream, &request("look", 9000)).status(), 200);
                 asked += 1;
             }
             asked
@@ -184,13 +194,13 @@
             config["settings"]["n-instances"] = json!(1 + version % 5);
             let text = config.to_string();
             // Every third is torn.
-            proxy.configure_as(if version % 3 == 0 { &text[..text.len() / 2] } else { &text });
+            proxy.replace_configuration_text(if version % 3 == 0 { &text[..text.len() / 2] } else { &text });
             proxy.signal("-HUP");
         }
         wait_for("last", || told(&proxy)[0] == Some(200));
         done.store(true, Ordering::SeqCst);
         let asked: u64 = clients.into_iter().map(|client| client.join().unwrap()).sum();
-        let figures = proxy.figures();
+        let figures = proxy.stats();
         assert_eq!(figures["results"]["look"], json!({"succeeded": asked, "declined": 0, "aborted": 0}));
         assert_eq!(figures["outstanding"], json!(0));
     });
@@ -198,40 +208,40 @@
 
 #[test]
 fn lower_limits_hold_for_connections_that_are_open_and_break_no_request() {
-    let (backend, release) = Played::held("hello");
+    let (backend, release) = StubServer::holding_first_response("hello");
     let mut config = config(1, &[&backend]);
-    let proxy = Proxy::with(&config, quiet().address);
+    let proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
     let mut waiting = proxy.connect();
     waiting.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
-    wait_for("attempt", || backend.count() == 1);
+    wait_for("attempt", || backend.request_count() == 1);
     let mut idle: Vec<_> = (0..80).map(|_| proxy.connect()).collect();
-    idle.iter_mut().for_each(|stream| assert_eq!(ask(stream, &request("look", 9000)).status(), 200));
-    assert!(proxy.held() > 80);
+    idle.iter_mut().for_each(|stream| assert_eq!(exchange(stream, &request("look", 9000)).status(), 200));
+    assert!(proxy.open_descriptors() > 80);
     config["limits"]["sockets"] = json!(90);
-    proxy.configure(&config);
+    proxy.replace_configuration(&config);
     proxy.signal("-HUP");
     // The settings are as they were.
-    wait_for("room", || proxy.held() <= 70 && told(&proxy) == [Some(1), Some(0), Some(0)]);
+    wait_for("room", || proxy.open_descriptors() <= 70 && told(&proxy) == [Some(1), Some(0), Some(0)]);
     release.send(()).unwrap();
-    assert_eq!(read(&mut waiting).unwrap().status(), 200);
+    assert_eq!(read_message(&mut waiting).unwrap().status(), 200);
 }
 
 #[test]
 fn zones_keep_their_numbers_and_bans_hold() {
-    let backends = ["zero", "one", "two"].map(Played::good);
+    let backends = ["zero", "one", "two"].map(StubServer::responding_with);
     let mut config = config(1, &[&backends[0], &backends[1], &backends[2]]);
     config["known"]["instances"][1]["zone"] = json!("b");
     config["settings"]["zones"] = json!(["a", "b"]);
     config["settings"]["costs"] = json!({"cross-zone": 1.0});
-    let proxy = Proxy::with(&config, quiet().address);
+    let proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
     // A member of its own zone that is slow for once may stand back.
     let goes_to = |names: &[&[u8]]| {
-        let bodies: Vec<_> = (0..20).map(|_| proxy.ask(&request("order", 9000)).body).collect();
+        let bodies: Vec<_> = (0..20).map(|_| proxy.exchange(&request("order", 9000)).body).collect();
         assert!(bodies.iter().filter(|body| names.contains(&&***body)).count() > 10, "{bodies:?}");
         bodies
     };
     goes_to(&[b"zero", b"two"]);
-    assert!(proxy.call("maint-on s-0\n").starts_with("OK"));
+    assert!(proxy.management_call("maint-on s-0\n").starts_with("OK"));
     for (version, zones, zone, to) in [
         (2, json!(["b", "a"]), "a", b"two"),
         (3, json!(["new", "b"]), "a", b"two"),
@@ -241,91 +251,91 @@
         config["settings"]["version"] = json!(version);
         reload(&proxy, &config);
         assert!(!goes_to(&[to]).contains(&b"zero".to_vec()));
-        assert!(proxy.figures()["ejected"].as_u64() >= Some(1));
+        assert!(proxy.stats()["ejected"].as_u64() >= Some(1));
     }
 }
 
 #[test]
 fn the_list_is_watched_at_once_where_it_need_not_be_asked_for_any_more() {
-    let backend = Played::good("hello");
-    let discovery = quiet();
+    let backend = StubServer::responding_with("hello");
+    let discovery = silent_discovery();
     let mut config = config(1, &[&backend]);
     config["settings"]["registry-mode"] = json!("subscribe");
     config["settings"]["rules"]["ask-within"] = json!(600.0);
-    let proxy = Proxy::with(&config, discovery.address);
-    assert_eq!(proxy.ask(&request("look", 9000)).status(), 200);
-    assert_eq!(discovery.count(), 0, "its time is minutes away");
+    let proxy = ProxyProcess::with_configuration(&config, discovery.address);
+    assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
+    assert_eq!(discovery.request_count(), 0, "its time is minutes away");
     config["settings"]["registry-mode"] = json!("automatic");
     config["settings"]["version"] = json!(2);
     reload(&proxy, &config);
-    wait_for("watch", || discovery.count() == 1);
+    wait_for("watch", || discovery.request_count() == 1);
     config["settings"]["registry-mode"] = json!("subscribe");
     config["settings"]["rules"]["ask-within"] = json!(0.05);
     config["settings"]["version"] = json!(3);
     reload(&proxy, &config);
-    assert_eq!(discovery.count(), 1, "the watch that is on stays");
-    let asks = |m: &Message| m.first.contains("timeout_ms=50 ");
+    assert_eq!(discovery.request_count(), 1, "the watch that is on stays");
+    let asks = |m: &HttpMessage| m.start_line.contains("timeout_ms=50 ");
     wait_for("another", || discovery.requests.lock().unwrap().iter().any(asks));
 }
 
 #[test]
 fn two_processes_agree_by_one_signal_and_after_one_is_killed() {
-    let backend = Played::good("hello");
-    let place = Place::new();
-    let mut old = place.start(&config(1, &[&backend]));
-    let new = place.start_beside(&old);
-    wait_for("ready", || new.call("status\n").starts_with("OK"));
-    let agree = |proxies: &[&Proxy], version| {
+    let backend = StubServer::responding_with("hello");
+    let shared_address = SharedAddress::new();
+    let mut old = shared_address.start(&config(1, &[&backend]));
+    let new = shared_address.start_with_configuration_of(&old);
+    wait_for("ready", || new.management_call("status\n").starts_with("OK"));
+    let agree = |proxies: &[&ProxyProcess], version| {
         let begun = Instant::now();
         wait_for("agreement", || proxies.iter().all(|proxy| told(proxy)[0] == Some(version)));
         assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
     };
     for (version, signalled) in [(2, &old), (3, &new)] {
-        old.configure(&config(version, &[&backend]));
+        old.replace_configuration(&config(version, &[&backend]));
         signalled.signal("-HUP");
         agree(&[&old, &new], version);
     }
     assert_eq!((told(&old), told(&new)), (vec![Some(3), Some(2), Some(0)], vec![Some(3), Some(2), Some(0)]));
     // The other one finds the file torn, then whole.
-    old.configure(&config(4, &[&backend]));
-    new.stands_still(|| {
+    old.replace_configuration(&config(4, &[&backend]));
+    new.while_stopped(|| {
         old.signal("-HUP");
         agree(&[&old], 4);
-        old.configure_as("{");
+        old.replace_configuration_text("{");
     });
     wait_for("refusal", || told(&new) == [Some(3), Some(2), Some(1)]);
     std::thread::sleep(Duration::from_millis(350)); // three looks, at a file that is no better
     assert_eq!(told(&new), [Some(3), Some(2), Some(1)]);
-    old.configure(&config(4, &[&backend]));
+    old.replace_configuration(&config(4, &[&backend]));
     agree(&[&old, &new], 4);
     // The signal dies with the process that had it.
     old.signal("-STOP");
-    old.configure(&config(5, &[&backend]));
+    old.replace_configuration(&config(5, &[&backend]));
     old.signal("-HUP");
     old.child.kill().unwrap();
     old.child.wait().unwrap();
     agree(&[&new], 5);
-    let next = place.start_beside(&old);
-    wait_for("ready", || next.call("status\n").starts_with("OK"));
+    let next = shared_address.start_with_configuration_of(&old);
+    wait_for("ready", || next.management_call("status\n").starts_with("OK"));
     assert_eq!((told(&next), told(&new)), (vec![Some(5), Some(0), Some(0)], vec![Some(5), Some(4), Some(1)]));
 }
 
 #[test]
 fn a_stop_waits_as_long_as_open_requests_may() {
-    let (backend, release) = Played::held("hello");
+    let (backend, release) = StubServer::holding_first_response("hello");
     let mut config = config(1, &[&backend]);
-    let mut proxy = Proxy::with(&config, quiet().address);
+    let mut proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
     let mut waiting = proxy.connect();
     waiting.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
-    wait_for("attempt", || backend.count() == 1);
+    wait_for("attempt", || backend.request_count() == 1);
     config["settings"]["classes"] = json!([{"name": "look", "effect": "free", "hard-limit": 0.2}]);
     config["settings"]["version"] = json!(2);
     reload(&proxy, &config);
     proxy.signal("-TERM");
-    wait_for("stop", || proxy.call("status\n").starts_with("ERR"));
+    wait_for("stop", || proxy.management_call("status\n").starts_with("ERR"));
     std::thread::sleep(Duration::from_millis(1500)); // 0.2 + 0.7 s are long over, 3 + 0.7 s are not
     release.send(()).unwrap();
-    assert_eq!(read(&mut waiting).unwrap().status(), 200);
+    assert_eq!(read_message(&mut waiting).unwrap().status(), 200);
     wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
 }
 
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use balancer_proxy::*;
-use common::*;
+use common::balancer_harness::request_class;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -47,7 +47,7 @@
             latency_objective: 2.0,
             deadline: 4.0,
             late_priority_weight: 0.5,
-            ..class(Effect::Safe)
+            ..request_class(Effect::Safe)
         }],
         slow_start_initial_capacity: fleet.cold_share,
         slow_start_duration: 8.8,
