--- a/tests/common/balancer_harness.rs
+++ b/tests/common/balancer_harness.rs
@@ -123,6 +123,20 @@
         timed_actions
     }
 
+    /// Advances the clock like [`BalancerHarness::advance_to`]; returns the attempts that are sent.
+    pub fn sends_until(&mut self, end: Time) -> Vec<(u64, u32)> {
+        sends(&without_times(self.advance_to(end)))
+    }
+
+    /// A request of the first class arrives, with a timeout of 2 s; returns the backend of its first
+    /// attempt.
+    ///
+    /// # Panics
+    /// If the request is not sent at once.
+    pub fn send(&mut self, id: u64) -> u32 {
+        sends(&self.request(id))[0].1
+    }
+
     /// The index of the earliest timer, if that is due by `end`.
     fn next_timer_until(&self, end: Time) -> Option<usize> {
         (0..self.timers.len())
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -1,147 +1,189 @@
 //! Admission: load shedding at the entry tier, quotas and priority weights.
 
+use std::collections::{BTreeSet, VecDeque};
+
 use crate::common::balancer_harness::{
     BalancerHarness, endpoint, endpoints, is_rejected, request_class, safe_settings, sends, tenant,
     without_times,
 };
 use balancer_proxy::*;
 
+/// Settings of a balancer at the entry tier, the only one that sheds load.
+fn entry_settings(instance_count: usize) -> Settings {
+    Settings { tier: 0, instance_count, ..safe_settings() }
+}
+
+/// The number of these requests that are sent at once, while none gets a response.
+fn admitted_at_once(harness: &mut BalancerHarness, ids: std::ops::Range<u64>) -> usize {
+    ids.map(|id| sends(&harness.request(id)).len()).sum()
+}
+
 #[test]
-fn the_entry_sheds_in_a_jam_and_inner_balancers_never() {
+fn only_the_entry_tier_sheds_load() {
     for tier in [0, 1] {
         let mut harness = BalancerHarness::new(Settings { tier, ..safe_settings() }, &endpoints(4));
         for id in 0..100 {
             harness.serve(id, 0.05);
         }
-        let mut shed = 0;
+
+        let mut rejected = 0;
         for id in 1000..1200 {
-            assert!(!is_rejected(&harness.request(id), id), "it waits for a while");
+            assert!(!is_rejected(&harness.request(id), id), "it is queued for a while");
             let actions = without_times(harness.advance_to(harness.now + 0.005));
-            shed += actions.iter().filter(|a| matches!(a, Action::Reject { .. })).count();
+            rejected += actions.iter().filter(|action| matches!(action, Action::Reject { .. })).count();
         }
-        if tier == 0 { assert!(shed > 50, "{shed}") } else { assert_eq!(shed, 0) }
+
+        if tier == 0 { assert!(rejected > 50, "{rejected}") } else { assert_eq!(rejected, 0) }
     }
 }
 
-/// The entry with two balancers before four backends, which answer all calls alike: traffic of
-/// `usual` calls a second for a while, then twice that for 5 s. Returns how many of the latter
-/// were not sent at once.
-fn held_back_when_traffic_doubles(usual: f64) -> usize {
-    let mut harness =
-        BalancerHarness::new(Settings { tier: 0, instance_count: 2, ..safe_settings() }, &endpoints(4));
-    let took = 0.24;
-    let mut out = std::collections::VecDeque::<(Time, u64, u32)>::new();
-    let mut held_back = 0;
-    let (early, late) = ((40.0 * usual) as u64, (10.0 * usual) as u64);
-    for id in 0..early + late {
-        let next = harness.now + if id < early { 1.0 / usual } else { 0.5 / usual };
+/// An attempt in flight.
+struct InFlight {
+    ends_at: Time,
+    id: u64,
+    backend: u32,
+    duration: Time,
+}
+
+/// The entry tier with two balancers and four backends of equal response times: some time with
+/// `usual_rate` requests a second, then 5 s with twice that. Returns how many of the latter were not
+/// sent at once.
+fn queued_when_traffic_doubles(usual_rate: f64) -> usize {
+    const RESPONSE_TIME: Time = 0.24;
+    let mut harness = BalancerHarness::new(entry_settings(2), &endpoints(4));
+    let mut in_flight = VecDeque::<InFlight>::new();
+    let mut queued = 0;
+    let (usual_requests, doubled_requests) = ((40.0 * usual_rate) as u64, (10.0 * usual_rate) as u64);
+    for id in 0..usual_requests + doubled_requests {
+        let is_doubled = id >= usual_requests;
+        let next = harness.now + if is_doubled { 0.5 / usual_rate } else { 1.0 / usual_rate };
         let mut actions = harness.request(id);
-        held_back += usize::from(id >= early && sends(&actions).is_empty());
-        while let Some(&(at, done, to)) = out.front().filter(|o| o.0 <= next) {
-            actions.extend(without_times(harness.advance_to(at)));
-            out.pop_front();
-            actions.extend(harness.end_attempt(done, 0, to, Outcome::Success, took));
+        queued += usize::from(is_doubled && sends(&actions).is_empty());
+        while in_flight.front().is_some_and(|attempt| attempt.ends_at <= next) {
+            let attempt = in_flight.pop_front().unwrap();
+            actions.extend(without_times(harness.advance_to(attempt.ends_at)));
+            let InFlight { id, backend, duration, .. } = attempt;
+            actions.extend(harness.end_attempt(id, 0, backend, Outcome::Success, duration));
         }
         actions.extend(without_times(harness.advance_to(next)));
-        out.extend(sends(&actions).into_iter().map(|(id, to)| (harness.now + took, id, to)));
+        in_flight.extend(sends(&actions).into_iter().map(|(id, backend)| InFlight {
+            ends_at: harness.now + RESPONSE_TIME,
+            id,
+            backend,
+            duration: RESPONSE_TIME,
+        }));
     }
-    held_back
+    queued
 }
 
 #[test]
-fn a_few_calls_at_each_backend_are_no_pressure() {
-    // What a stopped balancer leaves to the other one, on a small day at the entry: 7 calls each.
-    assert_eq!(held_back_when_traffic_doubles(28.0), 0);
+fn admits_doubled_traffic_of_a_few_requests_per_backend() {
+    // What a stopped balancer leaves to the other one, on a small site at the entry tier: 7 requests
+    // in flight at each backend.
+    assert_eq!(queued_when_traffic_doubles(28.0), 0);
 }
 
-#[test]
-fn calls_at_stand_ins_count_as_pressure() {
-    let settings = Settings {
-        tier: 0,
+/// Settings with which a backend that is warming up gets next to nothing.
+fn long_slow_start_settings(instance_count: usize) -> Settings {
+    Settings {
         slow_start_duration: 1000.0,
         slow_start_initial_capacity: 0.01,
-        ..safe_settings()
-    };
+        ..entry_settings(instance_count)
+    }
+}
+
+#[test]
+fn requests_at_substitutes_of_warming_members_count_as_load() {
     let mut list = endpoints(12);
-    let mut harness = BalancerHarness::new(Settings { instance_count: 4, ..settings }, &list);
-    let members: std::collections::BTreeSet<u32> = (0..200).map(|id| harness.serve(id, 0.05)).collect();
+    let mut harness = BalancerHarness::new(long_slow_start_settings(4), &list);
+    let members: BTreeSet<u32> = (0..200).map(|id| harness.serve(id, 0.05)).collect();
     assert!(members.len() < 12, "{members:?}");
-    // All members are cold from now on, so that others take nearly every call.
-    let now = harness.now;
-    list.iter_mut().filter(|e| members.contains(&e.id.0)).for_each(|e| e.started_at = Some(now));
+    // All members are warming up from now on, so that substitutes get nearly every request.
+    for endpoint in list.iter_mut().filter(|endpoint| members.contains(&endpoint.id.0)) {
+        endpoint.started_at = Some(harness.now);
+    }
     harness.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
-    let out: usize = (1000..1200).map(|id| sends(&harness.request(id)).len()).sum();
-    assert!(out < 60, "{out} of 200 calls sent, with none answered");
+
+    let sent = admitted_at_once(&mut harness, 1000..1200);
+
+    assert!(sent < 60, "{sent} of 200 requests sent, without any response");
 }
 
 #[test]
-fn fast_cold_members_do_not_hide_a_jam_at_all_others() {
-    let settings = Settings {
-        tier: 0,
-        instance_count: 1,
-        slow_start_duration: 1000.0,
-        slow_start_initial_capacity: 0.01,
-        ..safe_settings()
-    };
+fn fast_warming_members_do_not_hide_an_overload_of_all_others() {
     let mut list = endpoints(6);
-    let mut harness = BalancerHarness::new(settings, &list);
+    let mut harness = BalancerHarness::new(long_slow_start_settings(1), &list);
     for id in 0..200 {
         harness.serve(id, 0.05);
     }
-    let now = harness.now;
-    list[3..].iter_mut().for_each(|e| e.started_at = Some(now));
+    for endpoint in &mut list[3..] {
+        endpoint.started_at = Some(harness.now);
+    }
     harness.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
-    // The warm half answers eight times slower; the cold half gets next to nothing.
+    // The warm half responds sixteen times slower; the other half gets next to nothing.
     for id in 300..315 {
         harness.serve(id, 0.8);
     }
-    let out: usize = (1000..1200).map(|id| sends(&harness.request(id)).len()).sum();
-    assert!(out < 100, "{out} of 200 calls sent, with none answered");
+
+    let sent = admitted_at_once(&mut harness, 1000..1200);
+
+    assert!(sent < 100, "{sent} of 200 requests sent, without any response");
 }
 
-#[test]
-fn pressure_does_not_cut_repeats_of_calls_that_could_not_connect() {
-    let mut harness =
-        BalancerHarness::new(Settings { tier: 0, instance_count: 1, ..safe_settings() }, &endpoints(3));
-    let mut out = std::collections::VecDeque::<(Time, u64, u32, Time)>::new();
-    // A hundred a second for a while, answered after 0.05 s or 0.2 s; then no answers come.
-    for id in 0..540 {
-        let took = if id % 2 == 0 { 0.05 } else { 0.2 };
-        out.extend(
-            sends(&harness.request(id)).into_iter().map(|(id, to)| (harness.now + took, id, to, took)),
-        );
+/// A hundred requests a second, with responses after 0.05 s or 0.2 s for 5 s, then none for 0.4 s.
+/// Returns what is in flight then.
+fn stop_responding_under_load(harness: &mut BalancerHarness) -> VecDeque<InFlight> {
+    let mut in_flight = VecDeque::<InFlight>::new();
+    for request in 0..540 {
+        let duration = if request % 2 == 0 { 0.05 } else { 0.2 };
+        let ends_at = harness.now + duration;
+        let sent = sends(&harness.request(request));
+        in_flight.extend(sent.into_iter().map(|(id, backend)| InFlight { ends_at, id, backend, duration }));
         harness.advance_to(harness.now + 0.01);
-        out.make_contiguous().sort_by(|x, y| x.0.total_cmp(&y.0));
-        while let Some((_, done, to, took)) = out.front().copied().filter(|o| id < 500 && o.0 <= harness.now)
-        {
-            out.pop_front();
-            let actions = harness.end_attempt(done, 0, to, Outcome::Success, took);
+        in_flight.make_contiguous().sort_by(|left, right| left.ends_at.total_cmp(&right.ends_at));
+        while request < 500 && in_flight.front().is_some_and(|attempt| attempt.ends_at <= harness.now) {
+            let InFlight { id, backend, duration, .. } = in_flight.pop_front().unwrap();
+            let actions = harness.end_attempt(id, 0, backend, Outcome::Success, duration);
             harness.end_cancelled_attempts(&actions);
         }
     }
-    assert!(sends(&harness.request(1000)).is_empty(), "there is pressure, as it waits at the entry");
-    let unreached: Vec<(u64, u32)> = out.iter().rev().take(10).map(|o| (o.1, o.2)).collect();
-    for (id, to) in &unreached {
-        harness.end_attempt(*id, 0, *to, Outcome::NoConnection, 0.001);
+    in_flight
+}
+
+#[test]
+fn overload_does_not_lower_the_retry_probability_of_failed_connections() {
+    let mut harness = BalancerHarness::new(entry_settings(1), &endpoints(3));
+    let in_flight = stop_responding_under_load(&mut harness);
+    assert!(sends(&harness.request(1000)).is_empty(), "there is overload, as it is queued at the entry");
+
+    let unconnected: Vec<&InFlight> = in_flight.iter().rev().take(10).collect();
+    for attempt in &unconnected {
+        harness.end_attempt(attempt.id, 0, attempt.backend, Outcome::NoConnection, 0.001);
     }
     harness.advance_to(harness.now + 0.6);
-    let again = unreached.iter().filter(|(id, _)| harness.attempts[id].len() > 1).count();
-    assert!(again >= 8, "{again} of 10 sent again");
+
+    let retried = unconnected.iter().filter(|attempt| harness.attempts[&attempt.id].len() > 1).count();
+    assert!(retried >= 8, "{retried} of 10 retried");
+}
+
+/// The class and the tenant of a request, which take turns.
+fn class_and_tenant(id: u64) -> (usize, usize) {
+    (id as usize % 2, id as usize / 2 % 2)
 }
 
 #[test]
-fn least_worth_and_over_share_go_first() {
-    let mut settings = safe_settings();
-    settings.tier = 0;
+fn sheds_requests_of_low_weight_and_of_tenants_over_quota_first() {
+    let mut settings = Settings { tier: 0, ..safe_settings() };
     settings.classes.push(RequestClass { priority_weight: 10.0, ..request_class(Effect::Safe) });
     settings.tenants = vec![tenant("small", 1.0), tenant("large", 1000.0)];
     settings.over_quota_weight = 0.01;
     let mut harness = BalancerHarness::new(settings, &endpoints(4));
-    let mut shed = [[0; 2]; 2];
-    let mut waiting = std::collections::VecDeque::<(u64, u32, Time)>::new();
-    let kind = |round: u64| (round as usize % 2, round as usize / 2 % 2);
+
+    // Rejections by class and tenant.
+    let mut rejected = [[0; 2]; 2];
+    let mut in_flight = VecDeque::<(u64, u32, Time)>::new();
     for round in 0..4000u64 {
-        let (class, tenant) = kind(round);
+        let (class, tenant) = class_and_tenant(round);
         let request = Request {
             id: RequestId(round),
             class,
@@ -151,78 +193,84 @@
             streaming_body: false,
         };
         let mut actions = harness.handle(Event::Request(request));
-        // One fleet that answers in turn: all of what comes at first, then seven in ten.
+        // All backends together respond in turn: to all that arrives at first, then to seven in ten.
         if (round < 500 || round % 10 < 7)
-            && let Some((id, to, sent)) = waiting.pop_front()
+            && let Some((id, backend, sent_at)) = in_flight.pop_front()
         {
-            let took = harness.now - sent;
-            actions.extend(harness.end_attempt(id, 0, to, Outcome::Success, took.max(0.001)));
+            let duration = (harness.now - sent_at).max(0.001);
+            actions.extend(harness.end_attempt(id, 0, backend, Outcome::Success, duration));
         }
         actions.extend(without_times(harness.advance_to(harness.now + 0.005)));
         actions.extend(harness.end_cancelled_attempts(&actions.clone()));
-        waiting.extend(sends(&actions).into_iter().map(|(id, to)| (id, to, harness.now)));
-        for id in
-            actions.iter().filter_map(|a| if let Action::Reject { id, .. } = a { Some(id.0) } else { None })
-        {
-            let (class, tenant) = kind(id);
-            shed[class][tenant] += usize::from(id > 500);
+        in_flight.extend(sends(&actions).into_iter().map(|(id, backend)| (id, backend, harness.now)));
+        for action in &actions {
+            if let Action::Reject { id, .. } = action {
+                let (class, tenant) = class_and_tenant(id.0);
+                rejected[class][tenant] += usize::from(id.0 > 500);
+            }
         }
     }
-    assert!(shed[0][0] >= shed[0][1] && shed[0][1] >= shed[1][1], "{shed:?}");
-    assert!(shed[0][0] > 2 * shed[1][1], "{shed:?}");
+
+    assert!(rejected[0][0] >= rejected[0][1] && rejected[0][1] >= rejected[1][1], "{rejected:?}");
+    assert!(rejected[0][0] > 2 * rejected[1][1], "{rejected:?}");
 }
 
 #[test]
-fn hung_backends_do_not_make_the_entry_shed() {
-    // Guards against calls stuck at a few bad backends passing for an overload of the fleet.
-    let mut settings = safe_settings();
-    (settings.tier, settings.hedging_allowed) = (0, false);
+fn hung_backends_do_not_make_the_entry_tier_shed_load() {
+    // Guards against requests stuck at a few outliers that pass for an overload of all backends.
+    let settings = Settings { tier: 0, hedging_allowed: false, ..safe_settings() };
     let mut harness = BalancerHarness::new(settings, &endpoints(8));
     for id in 0..60 {
         harness.serve(id, 0.02);
     }
-    let mut shed = 0;
+
+    let mut rejected = 0;
     for id in 100..400 {
         let actions = harness.request(id);
-        shed += usize::from(is_rejected(&actions, id));
-        let seen = without_times(harness.advance_to(harness.now + 0.01));
-        harness.end_cancelled_attempts(&seen);
-        // Backends 1 to 6 answer nothing; the others as usual.
-        if let Some((_, to)) = sends(&actions).first().filter(|s| s.1 > 6) {
-            harness.end_attempt(id, 0, *to, Outcome::Success, 0.01);
+        rejected += usize::from(is_rejected(&actions, id));
+        let timed_actions = without_times(harness.advance_to(harness.now + 0.01));
+        harness.end_cancelled_attempts(&timed_actions);
+        // Backends 1 to 6 never respond; the others do as usual.
+        if let Some((_, backend)) = sends(&actions).first().filter(|(_, backend)| *backend > 6) {
+            harness.end_attempt(id, 0, *backend, Outcome::Success, 0.01);
         }
     }
-    assert!(shed < 60, "{shed} of 300");
+
+    assert!(rejected < 60, "{rejected} of 300");
 }
 
 #[test]
-fn a_call_that_cannot_be_answered_in_time_is_refused() {
-    // Guards against work for calls whose caller gives up before it is done.
+fn rejects_a_request_whose_timeout_is_below_the_usual_response_time() {
+    // Guards against work for requests whose client gives up before it is done.
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(4));
     for id in 0..30 {
         harness.serve(id, 0.1);
     }
+
     assert!(is_rejected(&harness.request_with_timeout(100, 0.05), 100));
     assert!(!is_rejected(&harness.request_with_timeout(101, 0.09), 101));
 }
 
-/// How many of forty requests that come at once are let in at once, by a balancer that knows what
-/// is usual.
-fn let_in(beside: &[bool]) -> usize {
-    let settings = Settings { tier: 0, instance_count: 1, ..safe_settings() };
-    let mut harness = BalancerHarness::new(settings, &[endpoint(1), endpoint(2)]);
+/// How many of forty requests that arrive together are sent at once, by a balancer that knows the
+/// usual load and has been notified of these changes of a second process.
+fn admitted_after(second_process_running: &[bool]) -> usize {
+    let mut harness = BalancerHarness::new(entry_settings(1), &[endpoint(1), endpoint(2)]);
     for id in 0..100 {
         harness.serve(id, 0.1);
     }
-    beside.iter().for_each(|beside| drop(harness.handle(Event::SecondProcess(*beside))));
-    (1000..1040).map(|id| sends(&harness.request(id)).len()).sum()
+    for running in second_process_running {
+        harness.handle(Event::SecondProcess(*running));
+    }
+    admitted_at_once(&mut harness, 1000..1040)
 }
 
 #[test]
-fn two_processes_side_by_side_let_in_no_more_than_one() {
-    let alone = let_in(&[]);
+fn two_processes_together_admit_no_more_than_one() {
+    let alone = admitted_after(&[]);
     assert!((10..40).contains(&alone), "{alone}");
-    let half = let_in(&[true]);
+
+    let half = admitted_after(&[true]);
+
     assert!(2 * half <= alone + 1 && half > 0, "{half} beside another, {alone} alone");
-    assert_eq!(let_in(&[true, true, false]), alone);
+    assert_eq!(admitted_after(&[true, true, false]), alone);
 }
--- a/tests/decisions/edge_cases.rs
+++ b/tests/decisions/edge_cases.rs
@@ -5,9 +5,9 @@
 };
 use balancer_proxy::*;
 
-#[test]
-fn zero_settings_are_survived() {
-    let zero = Settings {
+/// Settings in which every number that may be zero is zero.
+fn zero_settings() -> Settings {
+    Settings {
         classes: vec![RequestClass {
             latency_objective: 0.0,
             deadline: 0.0,
@@ -25,11 +25,16 @@
         quantum: 0.0,
         must_poll_endpoints: true,
         ..Settings::default()
-    };
+    }
+}
+
+#[test]
+fn rejects_requests_and_sets_finite_timers_with_zero_settings() {
     let mut list = endpoints(3);
     list[0].weight = 0.0;
     list[1].started_at = Some(0.0);
-    let mut harness = BalancerHarness::new(zero, &list);
+    let mut harness = BalancerHarness::new(zero_settings(), &list);
+
     for id in 0..20 {
         let request = Request {
             id: RequestId(id),
@@ -40,16 +45,17 @@
             streaming_body: false,
         };
         let actions = harness.handle(Event::Request(request));
-        assert!(is_rejected(&actions, id), "no aim, no worth: nothing to wait for");
+        assert!(is_rejected(&actions, id), "no latency objective and no weight: nothing to wait for");
     }
     harness.handle(Event::Endpoints(EndpointUpdate::Failed));
+
     assert_eq!(harness.balancer.open_requests(), 0);
     assert!(harness.timers.iter().all(|(at, _)| at.is_finite()));
 }
 
 #[test]
-fn a_class_without_an_aim_is_still_served() {
-    // Guards against a memory of no length, over which every rate is not a number.
+fn serves_a_class_without_a_latency_objective() {
+    // Guards against rates over a window of length zero, which are not a number.
     let mut settings = safe_settings();
     settings.quantum = 0.0;
     settings.classes[0].latency_objective = 0.0;
@@ -58,20 +64,22 @@
     for id in 0..20 {
         harness.serve(id, 0.1);
     }
+
     assert_eq!(sends(&harness.request(100)).len(), 1);
 }
 
 #[test]
-fn the_same_events_give_the_same_actions() {
-    let play = |seed| {
+fn the_same_seed_and_events_give_the_same_actions() {
+    let actions_with_seed = |seed| {
         let mut harness = BalancerHarness::with_seed(seed, safe_settings(), &endpoints(9));
-        let mut log = Vec::new();
+        let mut actions = Vec::new();
         for id in 0..200 {
-            log.extend(harness.request(id));
-            log.extend(without_times(harness.advance_to(harness.now + 0.03)));
+            actions.extend(harness.request(id));
+            actions.extend(without_times(harness.advance_to(harness.now + 0.03)));
         }
-        log
+        actions
     };
-    assert_eq!(play(5), play(5));
-    assert_ne!(play(5), play(6));
+
+    assert_eq!(actions_with_seed(5), actions_with_seed(5));
+    assert_ne!(actions_with_seed(5), actions_with_seed(6));
 }
--- a/tests/decisions/endpoint_list.rs
+++ b/tests/decisions/endpoint_list.rs
@@ -6,16 +6,15 @@
 use balancer_proxy::*;
 
 #[test]
-fn nothing_new_goes_to_a_backend_that_drains_or_is_gone() {
+fn sends_nothing_to_a_draining_or_removed_backend() {
     for status in [Status::Draining, Status::Removed] {
         let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1)]);
         harness.request(1);
         harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[Endpoint { status, ..endpoint(1) }])));
-        // Also when it is a held call's only choice.
-        let to = BackendId(1);
+
         let ended = EndedAttempt {
             id: RequestId(1),
-            backend: to,
+            backend: BackendId(1),
             attempt: 0,
             outcome: Outcome::Rejected,
             duration: 0.1,
@@ -23,145 +22,180 @@
             report: None,
         };
         harness.handle(Event::AttemptEnded(ended));
-        assert_eq!(sends(&without_times(harness.advance_to(0.9))), []);
+
+        // Neither the retry, though there is no other backend, nor a new request.
+        assert_eq!(harness.sends_until(0.9), []);
         let actions = harness.request(2);
         assert_eq!(sends(&actions), []);
     }
+}
+
+#[test]
+fn sends_nothing_to_a_backend_that_a_full_list_lacks() {
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(2));
+
     harness.handle(Event::Endpoints(EndpointUpdate::Full(&[endpoint(2)])));
+
     for id in 0..20 {
-        assert_eq!(sends(&harness.request(id)), [(id, 2)], "what a full list lacks is gone");
+        assert_eq!(sends(&harness.request(id)), [(id, 2)], "what a full list lacks is removed");
     }
 }
 
 #[test]
-fn idle_connections_to_a_draining_backend_are_closed() {
-    let mut settings = safe_settings();
-    settings.idle_close_limit = Some(0.5);
+fn closes_idle_connections_to_a_draining_backend() {
+    let settings = Settings { idle_close_limit: Some(0.5), ..safe_settings() };
     let mut harness = BalancerHarness::new(settings, &endpoints(1));
     harness.request(1);
-    let drains = Endpoint { status: Status::Draining, ..endpoint(1) };
+    let draining = Endpoint { status: Status::Draining, ..endpoint(1) };
     let close = Action::CloseIdleConnections(BackendId(1));
-    assert!(
-        harness
-            .handle(Event::Endpoints(EndpointUpdate::Changes(std::slice::from_ref(&drains))))
-            .contains(&close)
-    );
+
+    let actions = harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[draining])));
+
+    assert!(actions.contains(&close));
     harness.advance_to(0.1);
     assert!(
         harness.end_attempt(1, 0, 1, Outcome::Success, 0.1).contains(&close),
-        "what was out at the notice"
+        "the connection that was in use at the notification"
     );
+}
+
+#[test]
+fn keeps_idle_connections_to_a_draining_backend_without_an_idle_close_limit() {
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(1));
+    let draining = Endpoint { status: Status::Draining, ..endpoint(1) };
+
     assert_eq!(
-        harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[drains]))),
+        harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[draining]))),
         [],
-        "only where it is asked for"
+        "only where the settings ask for it"
     );
 }
 
+fn polling_settings() -> Settings {
+    Settings { must_poll_endpoints: true, ..safe_settings() }
+}
+
 #[test]
-fn the_list_is_asked_for_and_asked_again() {
-    let mut settings = safe_settings();
-    settings.must_poll_endpoints = true;
+fn polls_with_backoff_and_keeps_the_last_list_while_polls_fail() {
+    let settings = polling_settings();
     let mut harness = BalancerHarness::new(settings.clone(), &endpoints(3));
-    let asked = harness.advance_to(settings.endpoint_poll_limit);
-    assert_eq!(asked.len(), 1);
-    assert_eq!(asked[0].1, Action::WatchEndpoints(true));
-    let mut last = 0.0;
+
+    let polls = harness.advance_to(settings.endpoint_poll_limit);
+
+    assert_eq!(polls.len(), 1);
+    assert_eq!(polls[0].1, Action::WatchEndpoints(true));
+    let mut last_delay = 0.0;
     for round in 0..6 {
         let start = harness.now;
         harness.handle(Event::Endpoints(EndpointUpdate::Failed));
-        let mut again = harness.advance_to(start + 2.0 * settings.endpoint_poll_limit);
-        again.retain(|(_, a)| matches!(a, Action::WatchEndpoints(true)));
-        assert_eq!(again.len(), 1, "asked once after each refusal");
-        let wait = again[0].0 - start;
-        assert!(wait > 0.0 && wait < 1.5 * settings.endpoint_poll_limit, "{wait}");
+        let mut polls = harness.advance_to(start + 2.0 * settings.endpoint_poll_limit);
+        polls.retain(|(_, action)| matches!(action, Action::WatchEndpoints(true)));
+        assert_eq!(polls.len(), 1, "one poll after each failure");
+        let delay = polls[0].0 - start;
+        assert!(delay > 0.0 && delay < 1.5 * settings.endpoint_poll_limit, "{delay}");
         if round > 3 {
-            assert!(wait > last * 0.3, "waits don't shrink beyond their spread");
+            assert!(delay > last_delay * 0.3, "delays don't shrink beyond their jitter");
         }
-        last = wait;
-        assert!(sends(&harness.request(round))[0].1 <= 3, "the last list is kept");
+        last_delay = delay;
+        assert!(sends(&harness.request(round))[0].1 <= 3, "the last list is cached");
     }
-    // Balancers that start together do not ask together.
-    let mut times: Vec<Time> = (0..20)
-        .map(|seed| BalancerHarness::with_seed(seed, settings.clone(), &endpoints(3)).advance_to(10.0)[0].0)
+}
+
+#[test]
+fn balancers_started_together_poll_at_different_times() {
+    let mut first_polls: Vec<Time> = (0..20)
+        .map(|seed| BalancerHarness::with_seed(seed, polling_settings(), &endpoints(3)).advance_to(10.0)[0].0)
         .collect();
-    times.sort_by(f64::total_cmp);
-    assert!(times[19] - times[0] > 2.0);
+
+    first_polls.sort_by(f64::total_cmp);
+    assert!(first_polls[19] - first_polls[0] > 2.0);
+}
+
+/// Values of `endpoint_poll_limit`, in seconds.
+const POLL_LIMITS: [Time; 3] = [1.0, 10.0, 60.0];
+
+/// A balancer whose first poll is in progress.
+fn harness_with_first_poll(seed: u64, endpoint_poll_limit: Time) -> BalancerHarness {
+    let settings = Settings { endpoint_poll_limit, ..polling_settings() };
+    let mut harness = BalancerHarness::with_seed(seed, settings, &[endpoint(1)]);
+    harness.advance_to(endpoint_poll_limit);
+    harness
 }
 
 #[test]
-fn a_call_for_the_list_that_failed_is_soon_made_again_however_rarely_it_must_be_asked_for() {
-    for ask_within in [1.0, 10.0, 60.0] {
+fn repeats_a_failed_poll_soon_however_long_the_poll_limit() {
+    for poll_limit in POLL_LIMITS {
         for seed in 0..20 {
-            let settings =
-                Settings { must_poll_endpoints: true, endpoint_poll_limit: ask_within, ..safe_settings() };
-            let mut harness = BalancerHarness::with_seed(seed, settings, &[endpoint(1)]);
-            harness.advance_to(ask_within);
+            let mut harness = harness_with_first_poll(seed, poll_limit);
+
             harness.handle(Event::Endpoints(EndpointUpdate::Failed));
-            // What was missed counts as told 6 s after the watch fell silent, 2.3 s before this.
+
+            // A missed event counts as notified 6 s after the watch went silent, 2.3 s before this.
             assert!(
-                without_times(harness.advance_to(ask_within + 1.6)).contains(&Action::WatchEndpoints(true)),
-                "{ask_within}"
+                without_times(harness.advance_to(poll_limit + 1.6)).contains(&Action::WatchEndpoints(true)),
+                "{poll_limit}"
             );
         }
     }
 }
 
-/// The longest that a call takes to fail, the first time and after a failure.
-const CALL: [Time; 2] = [2.25, 1.98];
+/// The longest time in seconds that a poll takes to fail, the first one and one after a failure.
+const MAX_POLL_DURATION: [Time; 2] = [2.25, 1.98];
 
 #[test]
-fn two_calls_that_take_long_to_fail_leave_time_for_a_third_within_6_s() {
-    for ask_within in [1.0, 10.0, 60.0] {
+fn two_polls_that_fail_slowly_leave_time_for_a_third_within_6_s() {
+    for poll_limit in POLL_LIMITS {
         for seed in 0..200 {
-            let settings =
-                Settings { must_poll_endpoints: true, endpoint_poll_limit: ask_within, ..safe_settings() };
-            let mut harness = BalancerHarness::with_seed(seed, settings, &[endpoint(1)]);
-            harness.advance_to(ask_within);
-            // So many fail at once before the one that is swallowed as discovery returns.
-            for refused in 0..10 {
+            let mut harness = harness_with_first_poll(seed, poll_limit);
+            // This many polls fail at once before the one that gets no response as discovery returns.
+            for failed_at_once in 0..10 {
                 let first = harness.now;
-                for _ in 0..refused {
-                    next_call(&mut harness);
+                for _ in 0..failed_at_once {
+                    fail_poll_and_await_next(&mut harness);
                 }
                 let start = harness.now;
-                harness.advance_to(start + CALL[refused.min(1)]);
-                next_call(&mut harness);
-                harness.advance_to(harness.now + CALL[1]);
-                next_call(&mut harness);
-                let took = harness.now - start;
-                assert!(took < 5.25, "{ask_within}, seed {seed}, {refused} refused: {took}");
+
+                harness.advance_to(start + MAX_POLL_DURATION[failed_at_once.min(1)]);
+                fail_poll_and_await_next(&mut harness);
+                harness.advance_to(harness.now + MAX_POLL_DURATION[1]);
+                fail_poll_and_await_next(&mut harness);
+
+                let elapsed = harness.now - start;
+                assert!(elapsed < 5.25, "{poll_limit}, seed {seed}, {failed_at_once} failed: {elapsed}");
                 // The first of them follows soon, the others a second apart.
-                assert!(start - first >= 0.5 * refused.saturating_sub(1) as f64, "{start} {first}");
+                assert!(start - first >= 0.5 * failed_at_once.saturating_sub(1) as f64, "{start} {first}");
                 harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[])));
-                harness.advance_to(harness.now + ask_within);
+                harness.advance_to(harness.now + poll_limit);
             }
         }
     }
 }
 
-/// The call in progress fails, and the next one begins.
-fn next_call(harness: &mut BalancerHarness) {
+/// Fails the poll in progress and advances to the start of the next one.
+fn fail_poll_and_await_next(harness: &mut BalancerHarness) {
     harness.handle(Event::Endpoints(EndpointUpdate::Failed));
-    let (at, _) = *harness.timers.last().expect("a timer");
-    assert!(without_times(harness.advance_to(at)).contains(&Action::WatchEndpoints(true)));
+    let (due, _) = *harness.timers.last().expect("a timer");
+    assert!(without_times(harness.advance_to(due)).contains(&Action::WatchEndpoints(true)));
 }
 
 #[test]
-fn balancers_whose_calls_fail_at_the_same_time_do_not_call_again_together() {
-    let again = |seed| {
-        let settings = Settings { must_poll_endpoints: true, ..safe_settings() };
-        let mut harness = BalancerHarness::with_seed(seed, settings, &[endpoint(1)]);
-        harness.advance_to(10.0);
-        [next_call(&mut harness), next_call(&mut harness)].map(|()| harness.now)
+fn balancers_whose_polls_fail_together_repeat_them_at_different_times() {
+    let repeat_times = |seed| {
+        let mut harness = harness_with_first_poll(seed, Settings::default().endpoint_poll_limit);
+        [0, 1].map(|_| {
+            fail_poll_and_await_next(&mut harness);
+            harness.now
+        })
     };
-    let mut times: Vec<[Time; 2]> = (0..200).map(again).collect();
-    for nth in 0..2 {
-        times.sort_by(|a, b| a[nth].total_cmp(&b[nth]));
-        // A third of them takes longer than a twentieth of a second.
-        let soonest = times.windows(67).map(|few| few[66][nth] - few[0][nth]).fold(f64::INFINITY, f64::min);
-        assert!(soonest > 0.05, "{nth}: {soonest}");
+    let mut times: Vec<[Time; 2]> = (0..200).map(repeat_times).collect();
+
+    for repeat in 0..2 {
+        times.sort_by(|left, right| left[repeat].total_cmp(&right[repeat]));
+        // Any third of them is spread over more than a twentieth of a second.
+        let shortest_spread = times
+            .windows(67)
+            .map(|window| window[66][repeat] - window[0][repeat])
+            .fold(f64::INFINITY, f64::min);
+        assert!(shortest_spread > 0.05, "{repeat}: {shortest_spread}");
     }
 }
--- a/tests/decisions/final_response.rs
+++ b/tests/decisions/final_response.rs
@@ -6,113 +6,143 @@
 };
 use balancer_proxy::*;
 
+/// The outcomes of an attempt without a response that the client could get.
+const FAILURES: [Outcome; 6] = [
+    Outcome::Error,
+    Outcome::Rejected,
+    Outcome::Timeout,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::NotSent,
+];
+
 #[test]
-fn outcomes_by_effect() {
-    use Outcome::*;
-    let keyed = |group| Effect::Idempotent { group, window: 5.0 };
-    // After the failure of the only attempt with the last attempt used: may it be refused?
+fn rejects_after_the_last_attempt_only_if_the_client_may_retry() {
+    let idempotent = |group| Effect::Idempotent { group, window: 5.0 };
+    // For each of `FAILURES`, whether the client may retry the request.
     let cases = [
         (Effect::Safe, [true; 6]),
-        (keyed(IdempotencyGroup::All), [true; 6]),
-        (keyed(IdempotencyGroup::Zone), [false, true, false, true, false, true]),
-        (keyed(IdempotencyGroup::Cell), [false, true, false, true, false, true]),
+        (idempotent(IdempotencyGroup::All), [true; 6]),
+        (idempotent(IdempotencyGroup::Zone), [false, true, false, true, false, true]),
+        (idempotent(IdempotencyGroup::Cell), [false, true, false, true, false, true]),
         (Effect::Unsafe, [false, true, false, true, false, true]),
     ];
-    for (effect, harmless) in cases {
-        for (outcome, harmless) in
-            [Error, Rejected, Timeout, NoConnection, Reset, NotSent].into_iter().zip(harmless)
-        {
-            let mut settings = settings_with_effect(effect);
-            settings.max_attempts = 1;
+    for (effect, retries_allowed) in cases {
+        for (outcome, retry_allowed) in FAILURES.into_iter().zip(retries_allowed) {
+            let settings = Settings { max_attempts: 1, ..settings_with_effect(effect) };
             let mut harness = BalancerHarness::new(settings, &endpoints(3));
-            let to = sends(&harness.request(1))[0].1;
+            let backend = harness.send(1);
             harness.now = 0.1;
-            let actions = harness.end_attempt(1, 0, to, outcome, 0.1);
-            assert_eq!(is_rejected(&actions, 1), harmless, "{effect:?} {outcome:?}");
-            assert_eq!(is_failed(&actions, 1), !harmless, "{effect:?} {outcome:?}");
-            assert_eq!(harness.advance_to(5.0), [], "nothing after the end");
+
+            let actions = harness.end_attempt(1, 0, backend, outcome, 0.1);
+
+            assert_eq!(is_rejected(&actions, 1), retry_allowed, "{effect:?} {outcome:?}");
+            assert_eq!(is_failed(&actions, 1), !retry_allowed, "{effect:?} {outcome:?}");
+            assert_eq!(harness.advance_to(5.0), [], "nothing after the final response");
         }
     }
 }
 
 #[test]
-fn the_answer_is_out_before_the_client_gives_up() {
+fn responds_just_before_the_timeout_of_the_client() {
     let mut settings = safe_settings();
     settings.classes[0].late_priority_weight = 0.5;
     let mut harness = BalancerHarness::new(settings, &endpoints(3));
+
     harness.request_with_timeout(1, 1.5);
-    let seen = harness.advance_to(3.0);
-    let answers: Vec<Time> = seen
+    let timed_actions = harness.advance_to(3.0);
+
+    let response_times: Vec<Time> = timed_actions
         .iter()
-        .filter(|(_, a)| matches!(a, Action::Reject { .. } | Action::Fail { .. }))
-        .map(|(t, _)| *t)
+        .filter(|(_, action)| matches!(action, Action::Reject { .. } | Action::Fail { .. }))
+        .map(|(at, _)| *at)
         .collect();
-    assert_eq!(answers.len(), 1);
-    assert!(answers[0] < 1.5 && answers[0] > 1.4);
+    assert_eq!(response_times.len(), 1);
+    assert!(response_times[0] < 1.5 && response_times[0] > 1.4);
     assert_eq!(harness.balancer.open_requests(), 0);
-    // Late outcomes of the ended request are counted, not answered.
+    // A late outcome of the finished request is counted and causes no action.
     assert_eq!(harness.end_attempt(1, 0, 1, Outcome::Timeout, 1.5), []);
 }
 
 #[test]
-fn a_call_without_worth_is_ended_at_its_aim() {
+fn rejects_at_the_latency_objective_a_request_that_is_worthless_later() {
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(3));
+
     harness.request_with_timeout(1, 1.9);
-    let seen = harness.advance_to(3.0);
-    assert!(seen.iter().any(|(t, a)| is_rejected(std::slice::from_ref(a), 1) && (*t - 1.0).abs() < 0.01));
+    let timed_actions = harness.advance_to(3.0);
+
+    assert!(
+        timed_actions
+            .iter()
+            .any(|(at, action)| is_rejected(std::slice::from_ref(action), 1) && (*at - 1.0).abs() < 0.01)
+    );
 }
 
 #[test]
-fn no_time_left_and_no_backend_are_refused() {
+fn rejects_a_request_whose_time_is_up_on_arrival() {
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(3));
+
     assert!(is_rejected(&harness.request_with_timeout(1, 0.0), 1));
     assert!(is_rejected(&harness.request_with_timeout(2, -1.0), 2));
+}
+
+#[test]
+fn rejects_a_request_when_there_is_no_backend() {
     let mut harness = BalancerHarness::new(safe_settings(), &[]);
+
     let mut actions = harness.request(3);
     actions.extend(without_times(harness.advance_to(3.0)));
+
     assert!(is_rejected(&actions, 3));
     assert_eq!(sends(&actions), []);
 }
 
 #[test]
-fn a_refusal_after_an_attempt_tells_when_to_come_back() {
-    for (max_retry_after, told) in [(2.0, true), (0.0, false)] {
-        let mut harness = BalancerHarness::new(
-            Settings { max_retry_after, max_attempts: 1, ..safe_settings() },
-            &endpoints(1),
-        );
+fn rejects_with_retry_after_where_the_settings_allow_it() {
+    for (max_retry_after, expected) in [(2.0, true), (0.0, false)] {
+        let settings = Settings { max_retry_after, max_attempts: 1, ..safe_settings() };
+        let mut harness = BalancerHarness::new(settings, &endpoints(1));
         harness.request(1);
+
         let actions = harness.end_attempt(1, 0, 1, Outcome::Rejected, 0.01);
-        let wait = actions.iter().find_map(|a| match a {
+
+        let retry_after = actions.iter().find_map(|action| match action {
             Action::Reject { retry_after, .. } => Some(*retry_after),
             _ => None,
         });
-        let wait = wait.expect("refused at once");
-        assert_eq!(wait.is_some_and(|w| w > 0.0 && w <= max_retry_after), told, "{wait:?}");
+        let retry_after = retry_after.expect("rejected at once");
+        assert_eq!(
+            retry_after.is_some_and(|seconds| seconds > 0.0 && seconds <= max_retry_after),
+            expected,
+            "{retry_after:?}"
+        );
     }
 }
 
 #[test]
-fn losers_are_cancelled_where_that_is_allowed_and_else_withdrawn() {
+fn cancels_or_withdraws_the_other_attempts_after_a_success() {
     let id = RequestId(1);
-    for (cancel, end) in
+    for (cancellation_allowed, expected) in
         [(true, Action::Cancel { id, attempt: 0 }), (false, Action::Withdraw { id, attempt: 0 })]
     {
-        let mut settings = safe_settings();
-        settings.cancellation_allowed = cancel;
+        let settings = Settings { cancellation_allowed, ..safe_settings() };
         let mut harness = BalancerHarness::new(settings, &endpoints(4));
         harness.request(1);
-        let second = sends(&without_times(harness.advance_to(0.5)))[0].1;
-        let actions = harness.end_attempt(1, 1, second, Outcome::Success, 0.1);
-        assert_eq!(actions, [end]);
+        let second_backend = harness.sends_until(0.5)[0].1;
+
+        let actions = harness.end_attempt(1, 1, second_backend, Outcome::Success, 0.1);
+
+        assert_eq!(actions, [expected]);
     }
 }
 
 #[test]
-fn a_started_stream_is_the_callers() {
+fn takes_no_action_after_a_response_has_started() {
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(4));
     harness.request(1);
+
     let actions = harness.handle(Event::ResponseStarted { id: RequestId(1), attempt: 0 });
+
     assert_eq!(actions, []);
     assert_eq!(harness.advance_to(5.0), []);
 }
--- a/tests/decisions/maintenance.rs
+++ b/tests/decisions/maintenance.rs
@@ -1,132 +1,157 @@
 //! Backends in maintenance get no request, and return through slow start.
 
+use std::collections::BTreeSet;
+use std::ops::Range;
+
 use crate::common::balancer_harness::{
-    BalancerHarness, endpoint, is_rejected, safe_settings, sends, without_times,
+    BalancerHarness, endpoint, endpoints, is_rejected, safe_settings, sends, without_times,
 };
 use balancer_proxy::*;
-use std::collections::BTreeSet;
 
-fn maintain(harness: &mut BalancerHarness, id: u32, out: bool) -> Vec<Action> {
-    harness.handle(Event::Maintenance { backend: BackendId(id), out })
+fn start_maintenance(harness: &mut BalancerHarness, id: u32) -> Vec<Action> {
+    harness.handle(Event::Maintenance { backend: BackendId(id), out: true })
+}
+
+fn end_maintenance(harness: &mut BalancerHarness, id: u32) -> Vec<Action> {
+    harness.handle(Event::Maintenance { backend: BackendId(id), out: false })
+}
+
+/// Sends ten requests at once in each of these rounds, ends them unevenly, so that none is retried,
+/// and returns the backends that they were sent to.
+fn send_rounds(harness: &mut BalancerHarness, rounds: Range<u64>) -> Vec<u32> {
+    rounds.flat_map(|round| send_ten_requests(harness, 10 * round)).collect()
+}
+
+fn send_ten_requests(harness: &mut BalancerHarness, first_id: u64) -> Vec<u32> {
+    let backends: Vec<u32> = (first_id..first_id + 10).map(|id| harness.send(id)).collect();
+    for (index, (id, backend)) in (first_id..).zip(&backends).enumerate() {
+        if index % 5 == 0 {
+            harness.advance_to(harness.now + 0.05);
+        }
+        let duration = if index < 5 { 0.05 } else { 0.1 };
+        harness.end_attempt(id, 0, *backend, Outcome::Success, duration);
+    }
+    backends
+}
+
+fn count_of_first_backend(backends: &[u32]) -> usize {
+    backends.iter().filter(|backend| **backend == 1).count()
 }
 
 #[test]
-fn a_backend_that_is_out_gets_nothing_whatever_the_list_says() {
+fn sends_nothing_to_a_backend_in_maintenance_whatever_the_list_says() {
     let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1), endpoint(2)]);
     harness.serve(1, 0.01);
-    assert_eq!(maintain(&mut harness, 1, true), [Action::CloseIdleConnections(BackendId(1))]);
-    assert_eq!(maintain(&mut harness, 1, true), [], "once is enough");
+
+    assert_eq!(start_maintenance(&mut harness, 1), [Action::CloseIdleConnections(BackendId(1))]);
+    assert_eq!(start_maintenance(&mut harness, 1), [], "once is enough");
+
     assert_eq!((harness.balancer.backends_listed(), harness.balancer.backends_avoided()), (2, 1));
-    let gone = Endpoint { status: Status::Removed, ..endpoint(1) };
+    let removed = Endpoint { status: Status::Removed, ..endpoint(1) };
     let restarted = Endpoint { started_at: Some(0.0), ..endpoint(1) };
-    for (i, update) in [
+    let updates = [
         EndpointUpdate::Changes(&[restarted]),
         EndpointUpdate::Full(&[endpoint(2)]),
-        EndpointUpdate::Changes(&[gone]),
+        EndpointUpdate::Changes(&[removed]),
         EndpointUpdate::Full(&[endpoint(1), endpoint(2)]),
-    ]
-    .into_iter()
-    .enumerate()
-    {
+    ];
+    for (update, first_id) in updates.into_iter().zip((100..).step_by(100)) {
         harness.handle(Event::Endpoints(update));
-        for id in 0..20 {
-            assert_eq!(harness.serve(100 * (i as u64 + 1) + id, 0.01), 2, "{update:?}");
+        for id in first_id..first_id + 20 {
+            assert_eq!(harness.serve(id, 0.01), 2, "{update:?}");
         }
     }
-    // Nor does a repeat, though it has nowhere else to go.
+    // Nor is a retry sent to it, though there is no other backend.
     let actions = harness.request(1000);
     assert_eq!(sends(&actions), [(1000, 2)]);
-    let mut seen = harness.end_attempt(1000, 0, 2, Outcome::Reset, 0.01);
-    seen.extend(without_times(harness.advance_to(harness.now + 3.0)));
-    assert!(sends(&seen).is_empty() && is_rejected(&seen, 1000), "{seen:?}");
+    let mut actions = harness.end_attempt(1000, 0, 2, Outcome::Reset, 0.01);
+    actions.extend(without_times(harness.advance_to(harness.now + 3.0)));
+
+    assert!(sends(&actions).is_empty() && is_rejected(&actions, 1000), "{actions:?}");
 }
 
 #[test]
-fn a_backend_that_was_never_told_of_may_be_out() {
+fn maintenance_holds_for_a_backend_that_is_listed_later() {
     let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(2)]);
-    maintain(&mut harness, 1, true);
+
+    start_maintenance(&mut harness, 1);
     harness.handle(Event::Endpoints(EndpointUpdate::Full(&[endpoint(1), endpoint(2)])));
+
     for id in 0..20 {
         assert_eq!(harness.serve(id, 0.01), 2);
     }
 }
 
-/// Ten calls at once, answered unevenly, so that none is repeated; how many of them went to the
-/// first backend.
-fn ten(harness: &mut BalancerHarness, from: u64) -> usize {
-    ten_to(harness, from).into_iter().filter(|to| *to == 1).count()
-}
-
-/// Where they went.
-fn ten_to(harness: &mut BalancerHarness, from: u64) -> Vec<u32> {
-    let to: Vec<u32> = (from..from + 10).map(|id| sends(&harness.request(id))[0].1).collect();
-    for (i, (id, to)) in (from..).zip(&to).enumerate() {
-        if i % 5 == 0 {
-            harness.advance_to(harness.now + 0.05);
-        }
-        let took = if i < 5 { 0.05 } else { 0.1 };
-        harness.end_attempt(id, 0, *to, Outcome::Success, took);
-    }
-    to
+fn slow_start_settings() -> Settings {
+    Settings { slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe_settings() }
 }
 
 #[test]
-fn one_call_brings_it_back_as_a_cold_one_that_is_soon_used() {
-    let settings =
-        Settings { slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe_settings() };
-    // The list shows no start, one from before it went, or one since then.
-    for (started, cold) in [(None, true), (Some(-60.0), true), (Some(2.5), false)] {
-        let entries = [Endpoint { started_at: started.filter(|s| *s < 0.0), ..endpoint(1) }, endpoint(2)];
-        let mut harness = BalancerHarness::new(settings.clone(), &entries);
-        let before: usize = (0..20).map(|i| ten(&mut harness, 10 * i)).sum();
-        maintain(&mut harness, 1, true);
-        let meanwhile: usize = (20..220).map(|i| ten(&mut harness, 10 * i)).sum();
+fn a_backend_returns_from_maintenance_through_slow_start_unless_restarted_meanwhile() {
+    // The list shows no start, one from before the maintenance, or one during it.
+    for (started_at, warms_up) in [(None, true), (Some(-60.0), true), (Some(2.5), false)] {
+        let started_before = started_at.filter(|time| *time < 0.0);
+        let list = [Endpoint { started_at: started_before, ..endpoint(1) }, endpoint(2)];
+        let mut harness = BalancerHarness::new(slow_start_settings(), &list);
+        let before = count_of_first_backend(&send_rounds(&mut harness, 0..20));
+        start_maintenance(&mut harness, 1);
+        let meanwhile = count_of_first_backend(&send_rounds(&mut harness, 20..220));
         assert_eq!(meanwhile, 0);
-        harness.handle(Event::Endpoints(EndpointUpdate::Full(&[
-            Endpoint { started_at: started, ..endpoint(1) },
-            endpoint(2),
-        ])));
-        maintain(&mut harness, 1, true);
-        maintain(&mut harness, 1, false);
-        maintain(&mut harness, 1, false);
-        let after: usize = (220..240).map(|i| ten(&mut harness, 10 * i)).sum();
-        assert!(after > 0, "within two seconds it is used");
-        assert_eq!(3 * after < before, cold, "{after} against {before}, started {started:?}");
+        let list = [Endpoint { started_at, ..endpoint(1) }, endpoint(2)];
+        harness.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
+
+        start_maintenance(&mut harness, 1);
+        end_maintenance(&mut harness, 1);
+        end_maintenance(&mut harness, 1);
+
+        let after = count_of_first_backend(&send_rounds(&mut harness, 220..240));
+        assert!(after > 0, "it is used within two seconds");
+        assert_eq!(3 * after < before, warms_up, "{after} against {before}, started {started_at:?}");
     }
 }
 
 #[test]
-fn a_member_is_one_again_whatever_was_dealt_meanwhile() {
-    // Twelve backends, four to each of three balancers; one of them goes and others come meanwhile.
-    let entries: Vec<Endpoint> = (1..=12).map(endpoint).collect();
-    let settings = Settings { instance_count: 3, slow_start_duration: 1.0, ..safe_settings() };
-    for me in 0..3 {
-        let mut harness = BalancerHarness::new(Settings { instance_index: me, ..settings.clone() }, &entries);
-        let tens = (0..20).flat_map(|i| ten_to(&mut harness, 10 * i));
-        let used: BTreeSet<u32> = tens.collect();
-        assert!(used.len() < 12, "{used:?}");
-        for (member, gone) in used.into_iter().flat_map(|m| (1..=12).map(move |gone| (m, gone))) {
-            let mut harness =
-                BalancerHarness::new(Settings { instance_index: me, ..settings.clone() }, &entries);
-            (0..20).for_each(|i| drop(ten_to(&mut harness, 10 * i)));
-            maintain(&mut harness, member, true);
-            let others: Vec<Endpoint> = entries.iter().filter(|e| e.id.0 != gone).cloned().collect();
+fn a_member_is_in_the_subset_again_whatever_changed_during_its_maintenance() {
+    // Twelve backends, four to each of three balancers; one of them is removed and others come
+    // during the maintenance of a member.
+    let list = endpoints(12);
+    for instance_index in 0..3 {
+        let settings =
+            Settings { instance_count: 3, instance_index, slow_start_duration: 1.0, ..safe_settings() };
+        let mut harness = BalancerHarness::new(settings.clone(), &list);
+        let members: BTreeSet<u32> = send_rounds(&mut harness, 0..20).into_iter().collect();
+        assert!(members.len() < 12, "{members:?}");
+        for (member, removed) in
+            members.into_iter().flat_map(|member| (1..=12).map(move |removed| (member, removed)))
+        {
+            let mut harness = BalancerHarness::new(settings.clone(), &list);
+            send_rounds(&mut harness, 0..20);
+            start_maintenance(&mut harness, member);
+            let others: Vec<Endpoint> =
+                list.iter().filter(|endpoint| endpoint.id.0 != removed).cloned().collect();
             harness.handle(Event::Endpoints(EndpointUpdate::Full(&others)));
-            (20..40).for_each(|i| drop(ten_to(&mut harness, 10 * i)));
-            maintain(&mut harness, member, false);
-            // One that went itself is back a little later, and others in shared_address of the rest.
-            let new = (20..24).map(endpoint).chain([endpoint(member)]);
-            let new: Vec<Endpoint> = others.iter().filter(|e| e.id.0 != member).cloned().chain(new).collect();
-            harness.handle(Event::Endpoints(EndpointUpdate::Full(&new)));
-            let mut after = (40..80).flat_map(|i| ten_to(&mut harness, 10 * i));
-            assert!(after.any(|to| to == member), "{member} at {me}, {gone} gone");
+            send_rounds(&mut harness, 20..40);
+            end_maintenance(&mut harness, member);
+            // A member that was removed itself is listed again a little later, with new ones.
+            let listed_anew = (20..24).map(endpoint).chain([endpoint(member)]);
+            let others = others.iter().filter(|endpoint| endpoint.id.0 != member).cloned();
+            let list_after: Vec<Endpoint> = others.chain(listed_anew).collect();
+            harness.handle(Event::Endpoints(EndpointUpdate::Full(&list_after)));
+
+            let after = send_rounds(&mut harness, 40..80);
+
+            let mut after = after.into_iter();
+            assert!(
+                after.any(|backend| backend == member),
+                "{member} at {instance_index}, {removed} removed"
+            );
         }
     }
 }
 
 #[test]
-fn a_stand_in_that_was_used_is_used_again() {
-    // One balancer of many; its members are cold when calls come, so that others stand in.
+fn a_substitute_of_warming_members_is_used_again_after_its_maintenance() {
+    // One balancer of many, whose members are warming up, so that substitutes are used.
     let settings = Settings {
         instance_count: 20,
         slow_start_duration: 2.0,
@@ -134,31 +159,35 @@
         connections_have_cost: true,
         ..safe_settings()
     };
-    let entries: Vec<Endpoint> = (1..=12).map(endpoint).collect();
-    let mut harness = BalancerHarness::new(settings.clone(), &entries);
-    let members: BTreeSet<u32> = (0..40).flat_map(|i| ten_to(&mut harness, 10 * i)).collect();
-    let started = Some(harness.now);
-    let cold =
-        |e: &Endpoint| Endpoint { started_at: started.filter(|_| members.contains(&e.id.0)), ..e.clone() };
-    let cold: Vec<Endpoint> = entries.iter().map(cold).collect();
-    harness.handle(Event::Endpoints(EndpointUpdate::Full(&cold)));
-    let to: Vec<u32> = (40..60).flat_map(|i| ten_to(&mut harness, 10 * i)).collect();
-    let stand_in = *to.iter().find(|to| !members.contains(to)).expect("one that stands in");
-    maintain(&mut harness, stand_in, true);
-    (60..90).for_each(|i| drop(ten_to(&mut harness, 10 * i)));
-    maintain(&mut harness, stand_in, false);
-    let mut after = (90..130).flat_map(|i| ten_to(&mut harness, 10 * i));
-    assert!(after.any(|to| to == stand_in), "{stand_in}, members {members:?}");
+    let mut list = endpoints(12);
+    let mut harness = BalancerHarness::new(settings, &list);
+    let members: BTreeSet<u32> = send_rounds(&mut harness, 0..40).into_iter().collect();
+    for endpoint in list.iter_mut().filter(|endpoint| members.contains(&endpoint.id.0)) {
+        endpoint.started_at = Some(harness.now);
+    }
+    harness.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
+    let backends = send_rounds(&mut harness, 40..60);
+    let substitute = *backends.iter().find(|backend| !members.contains(backend)).expect("a substitute");
+
+    start_maintenance(&mut harness, substitute);
+    send_rounds(&mut harness, 60..90);
+    end_maintenance(&mut harness, substitute);
+
+    let mut after = send_rounds(&mut harness, 90..130).into_iter();
+    assert!(after.any(|backend| backend == substitute), "{substitute}, members {members:?}");
 }
 
 #[test]
-fn a_return_that_was_no_absence_changes_nothing() {
-    let settings =
-        Settings { slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe_settings() };
-    let mut harness = BalancerHarness::new(settings.clone(), &[endpoint(1), endpoint(2)]);
-    let mut other = BalancerHarness::new(settings, &[endpoint(1), endpoint(2)]);
-    assert_eq!(maintain(&mut harness, 1, false), []);
-    for i in 0..20 {
-        assert_eq!(ten(&mut harness, 10 * i), ten(&mut other, 10 * i));
+fn ending_a_maintenance_that_never_started_changes_nothing() {
+    let mut harness = BalancerHarness::new(slow_start_settings(), &[endpoint(1), endpoint(2)]);
+    let mut other = BalancerHarness::new(slow_start_settings(), &[endpoint(1), endpoint(2)]);
+
+    assert_eq!(end_maintenance(&mut harness, 1), []);
+
+    for round in 0..20 {
+        assert_eq!(
+            count_of_first_backend(&send_rounds(&mut harness, round..round + 1)),
+            count_of_first_backend(&send_rounds(&mut other, round..round + 1))
+        );
     }
 }
--- a/tests/decisions/outlier_detection.rs
+++ b/tests/decisions/outlier_detection.rs
@@ -1,46 +1,48 @@
 //! Outlier detection: backends that fail fast or never respond get few requests.
 
-use crate::common::balancer_harness::{BalancerHarness, endpoints, safe_settings, sends};
+use crate::common::balancer_harness::{BalancerHarness, endpoints, safe_settings};
 use balancer_proxy::*;
 
+fn harness_with_one_attempt() -> BalancerHarness {
+    BalancerHarness::new(Settings { max_attempts: 1, ..safe_settings() }, &endpoints(2))
+}
+
 #[test]
-fn a_fast_failing_backend_is_shunned() {
-    // It looks idle to a count of calls in flight.
-    let mut settings = safe_settings();
-    settings.max_attempts = 1;
-    let mut harness = BalancerHarness::new(settings, &endpoints(2));
-    let mut bad = 0;
+fn avoids_a_backend_that_fails_fast_and_returns_to_it_later() {
+    // Counted by requests in flight alone, it looks idle.
+    let mut harness = harness_with_one_attempt();
+    let mut sent_to_outlier = 0;
     for id in 0..200 {
-        let to = sends(&harness.request(id))[0].1;
+        let backend = harness.send(id);
         harness.now += 0.02;
-        if to == 1 {
-            bad += 1;
+        if backend == 1 {
+            sent_to_outlier += 1;
             harness.end_attempt(id, 0, 1, Outcome::Error, 0.001);
         } else {
             harness.end_attempt(id, 0, 2, Outcome::Success, 0.02);
         }
     }
-    assert!(bad < 20, "{bad}");
-    // Forgiven after a while: it is tried again.
+    assert!(sent_to_outlier < 20, "{sent_to_outlier}");
+
     harness.advance_to(harness.now + 60.0);
-    let again = (0..50).filter(|id| harness.serve(1000 + id, 0.01 + 0.02 * (id % 3) as f64) == 1).count();
-    assert!(again > 10, "{again}");
+
+    let sent_after_recovery =
+        (0..50).filter(|id| harness.serve(1000 + id, 0.01 + 0.02 * (id % 3) as f64) == 1).count();
+    assert!(sent_after_recovery > 10, "{sent_after_recovery}");
 }
 
 #[test]
-fn a_hung_backend_is_noticed() {
-    // Its time-outs arrive when the call has ended; they were once lost to the health count.
-    let mut settings = safe_settings();
-    settings.max_attempts = 1;
-    let mut harness = BalancerHarness::new(settings, &endpoints(2));
+fn avoids_a_backend_that_never_responds() {
+    // Regression: its timeouts arrive when the request has ended, and were not counted.
+    let mut harness = harness_with_one_attempt();
     for id in 0..20 {
         harness.serve(id, 0.01 + 0.01 * (id % 3) as f64);
     }
-    let mut hung = 0;
+
+    let mut sent_to_outlier = 0;
     for id in 1000..1040 {
-        let to = sends(&harness.request(id))[0].1;
-        if to == 1 {
-            hung += 1;
+        if harness.send(id) == 1 {
+            sent_to_outlier += 1;
             harness.advance_to(harness.now + 1.1);
             harness.end_attempt(id, 0, 1, Outcome::Timeout, 1.0);
         } else {
@@ -48,5 +50,6 @@
             harness.end_attempt(id, 0, 2, Outcome::Success, 0.02);
         }
     }
-    assert!(hung <= 5, "{hung} of 40 went to the backend that answers none");
+
+    assert!(sent_to_outlier <= 5, "{sent_to_outlier} of 40 were sent to the backend that never responds");
 }
--- a/tests/decisions/retransmission.rs
+++ b/tests/decisions/retransmission.rs
@@ -1,84 +1,97 @@
 //! Retries: the retransmission probability, the doubling timers, and what the effect of a class allows.
 
 use crate::common::balancer_harness::{
-    BalancerHarness, endpoint, endpoints, is_failed, is_rejected, safe_settings, sends, settings_with_effect,
-    without_times,
+    BalancerHarness, endpoint, endpoints, is_failed, is_rejected, safe_settings, settings_with_effect,
 };
 use balancer_proxy::*;
 
+/// When attempts were sent, in seconds after `start`.
+fn send_times(timed_actions: &[(Time, Action)], start: Time) -> Vec<Time> {
+    let is_send = |action: &Action| matches!(action, Action::Send { .. });
+    timed_actions.iter().filter(|(_, action)| is_send(action)).map(|(at, _)| *at - start).collect()
+}
+
 #[test]
-fn a_lone_call_is_always_repeated() {
-    // Guards against the quiet balancer's break: rate x T1 far under one.
+fn always_retries_a_request_that_is_alone() {
+    // Regression: a balancer with little traffic, whose send rate times T1 is far below one, did not.
     for seed in 0..300 {
         let mut harness = BalancerHarness::with_seed(seed, safe_settings(), &endpoints(4));
         harness.advance_to(0.5);
+
         harness.request(1);
-        assert_eq!(sends(&without_times(harness.advance_to(0.96))).len(), 1, "seed {seed}");
+
+        assert_eq!(harness.sends_until(0.96).len(), 1, "seed {seed}");
     }
 }
 
 #[test]
-fn many_unanswered_calls_cut_repeats_to_the_least_chance() {
-    // The send rate is that of one short burst, so by Little's law these calls wait for long.
-    let mut repeated = 0;
-    let mut fired = 0;
+fn retries_with_the_least_probability_when_many_requests_are_unanswered() {
+    // The send rate is that of one short burst, so by Little's law these requests wait for long.
+    let mut retries = 0;
+    let mut timers_fired = 0;
     for seed in 0..200 {
         let mut harness = BalancerHarness::with_seed(seed, safe_settings(), &endpoints(4));
         for id in 0..40 {
             harness.request_with_timeout(id, 100.0);
             harness.now += 0.1;
         }
-        // By the time they fire, 40 calls wait where 10 a second are sent: far beyond T1.
+        // When these timers fire, 40 requests wait where 10 a second are sent: far beyond T1.
         harness.timers.retain(|(at, _)| *at > 3.9);
-        fired += harness.timers.iter().filter(|(at, _)| *at < 4.4).count();
-        let seen = harness.advance_to(4.4);
-        repeated += seen.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count();
+        timers_fired += harness.timers.iter().filter(|(at, _)| *at < 4.4).count();
+        retries += send_times(&harness.advance_to(4.4), 0.0).len();
     }
-    let share = repeated as f64 / fired as f64;
+
+    let share = retries as f64 / timers_fired as f64;
     assert!(share < 0.5, "{share}");
-    assert!(share > 0.0, "p never falls to nothing");
+    assert!(share > 0.0, "p never falls to zero");
 }
 
 #[test]
-fn firings_double() {
-    // A safe call of one second's aim without history: T1 is 0.4 s, spread by a tenth.
+fn first_timer_without_history_follows_the_latency_objective() {
+    // A safe request with a latency objective of 1 s: T1 is 0.4 s, spread by a tenth.
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(8));
+
     harness.request(1);
-    let seen = harness.advance_to(2.0);
-    let times: Vec<Time> =
-        seen.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).map(|(t, _)| *t).collect();
-    assert_eq!(times.len(), 1, "3 x T1 is beyond the aim: {times:?}");
+    let times = send_times(&harness.advance_to(2.0), 0.0);
+
+    assert_eq!(times.len(), 1, "3 x T1 is beyond the latency objective: {times:?}");
     assert!((0.36..=0.44).contains(&times[0]));
-    // With history T1 is short, and the next firing comes 2 x T1 after the first.
+}
+
+#[test]
+fn retry_timers_double() {
+    // With a history of short responses T1 is short.
     let mut harness = BalancerHarness::new(safe_settings(), &endpoints(8));
     for id in 0..50 {
         harness.serve(100 + id, 0.05);
     }
     harness.advance_to(60.0);
     let start = harness.now;
+
     harness.request(1);
-    let seen = harness.advance_to(start + 1.0);
-    let times: Vec<Time> =
-        seen.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).map(|(t, _)| *t - start).collect();
+    let times = send_times(&harness.advance_to(start + 1.0), start);
+
     assert_eq!(times.len(), 3, "{times:?}");
-    assert!(times[0] > 0.05 && times[0] < 0.1, "just over the normal answer time: {times:?}");
+    assert!(times[0] > 0.05 && times[0] < 0.1, "just over the normal response time: {times:?}");
     assert!((2.2..4.0).contains(&(times[1] / times[0])), "{times:?}");
     assert!((1.8..2.9).contains(&(times[2] / times[1])), "{times:?}");
 }
 
 #[test]
-fn a_repeat_goes_to_another_backend() {
+fn retries_at_another_backend() {
     for seed in 0..20 {
         let mut harness = BalancerHarness::with_seed(seed, safe_settings(), &endpoints(6));
-        let first = sends(&harness.request(1))[0].1;
-        let second = sends(&without_times(harness.advance_to(0.5)))[0].1;
+
+        let first = harness.send(1);
+        let second = harness.sends_until(0.5)[0].1;
+
         assert_ne!(first, second);
     }
 }
 
 #[test]
-fn no_copy_while_the_backend_answers_others() {
-    // Guards against doubling the work of calls that are merely long.
+fn does_not_hedge_while_the_backend_responds_to_later_requests() {
+    // Guards against doubling the work of requests that merely take long.
     let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1)]);
     harness.request(1);
     harness.now = 0.1;
@@ -86,18 +99,23 @@
     harness.now = 0.2;
     harness.end_attempt(2, 0, 1, Outcome::Success, 0.1);
     harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[endpoint(2)])));
-    assert_eq!(sends(&without_times(harness.advance_to(0.5))), []);
-    // Without that answer the copy goes out.
+
+    assert_eq!(harness.sends_until(0.5), []);
+}
+
+#[test]
+fn hedges_while_the_backend_does_not_respond() {
     let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1)]);
     harness.request(1);
     harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[endpoint(2)])));
-    assert_eq!(sends(&without_times(harness.advance_to(0.5))), [(1, 2)]);
+
+    assert_eq!(harness.sends_until(0.5), [(1, 2)]);
 }
 
 #[test]
-fn a_call_left_out_by_a_backend_that_answered_others_is_copied_in_the_end() {
-    // Guards against calls that wait for all their time at a backend that answered one more call
-    // and fell silent, or on a connection that stands still.
+fn hedges_at_the_second_timer_a_request_overtaken_by_a_later_response() {
+    // Guards against requests that wait for their whole timeout at a backend that sent one more
+    // response and then hung, or on a connection that is stuck.
     let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1)]);
     for id in 100..200 {
         harness.serve(id, 0.05);
@@ -106,87 +124,128 @@
     harness.request(1);
     harness.request(2);
     harness.advance_to(sent + 0.03);
+
     harness.end_attempt(2, 0, 1, Outcome::Success, 0.03);
     harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[endpoint(2)])));
-    // T1 is a little over 0.05: one firing passes, the next sends the copy.
-    assert_eq!(sends(&without_times(harness.advance_to(sent + 0.1))), []);
-    assert_eq!(sends(&without_times(harness.advance_to(sent + 0.3))), [(1, 2)]);
+
+    // T1 is a little over 0.05 s: one timer passes, the next sends the hedged request.
+    assert_eq!(harness.sends_until(sent + 0.1), []);
+    assert_eq!(harness.sends_until(sent + 0.3), [(1, 2)]);
 }
 
 #[test]
-fn attempts_are_bounded_and_copies_may_be_forbidden() {
-    let mut settings = safe_settings();
-    settings.max_attempts = 1;
+fn sends_at_most_max_attempts() {
+    let settings = Settings { max_attempts: 1, ..safe_settings() };
     let mut harness = BalancerHarness::new(settings, &endpoints(4));
+
     harness.request(1);
-    assert_eq!(sends(&without_times(harness.advance_to(0.9))), []);
-    let mut settings = safe_settings();
-    settings.hedging_allowed = false;
-    let mut harness = BalancerHarness::new(settings.clone(), &endpoints(4));
-    let to = sends(&harness.request(1))[0].1;
-    assert_eq!(sends(&without_times(harness.advance_to(0.2))), []);
-    harness.end_attempt(1, 0, to, Outcome::Error, 0.2);
-    assert_eq!(
-        sends(&without_times(harness.advance_to(0.5))).len(),
-        1,
-        "a failed one is repeated at its firing"
-    );
-    settings.max_attempts = 0;
+
+    assert_eq!(harness.sends_until(0.9), []);
+}
+
+#[test]
+fn rejects_at_once_when_no_attempt_is_allowed() {
+    let settings = Settings { max_attempts: 0, hedging_allowed: false, ..safe_settings() };
     let mut harness = BalancerHarness::new(settings, &endpoints(4));
+
     assert!(is_rejected(&harness.request(1), 1));
 }
 
 #[test]
-fn an_unsafe_call_is_sent_again_only_if_it_never_ran() {
-    for (outcome, again) in
+fn retries_only_failed_attempts_when_hedging_is_not_allowed() {
+    let settings = Settings { hedging_allowed: false, ..safe_settings() };
+    let mut harness = BalancerHarness::new(settings, &endpoints(4));
+    let backend = harness.send(1);
+    assert_eq!(harness.sends_until(0.2), []);
+
+    harness.end_attempt(1, 0, backend, Outcome::Error, 0.2);
+
+    assert_eq!(harness.sends_until(0.5).len(), 1, "a failed attempt is retried at the next timer");
+}
+
+#[test]
+fn retries_an_unsafe_request_only_if_no_attempt_can_have_run() {
+    for (outcome, retries) in
         [(Outcome::Rejected, 1), (Outcome::NoConnection, 1), (Outcome::Error, 0), (Outcome::Reset, 0)]
     {
         let mut harness = BalancerHarness::new(settings_with_effect(Effect::Unsafe), &endpoints(4));
-        let to = sends(&harness.request(1))[0].1;
+        let backend = harness.send(1);
         harness.now = 0.1;
-        let actions = harness.end_attempt(1, 0, to, outcome, 0.1);
-        assert_eq!(is_failed(&actions, 1), again == 0, "nothing to wait for");
-        assert_eq!(sends(&without_times(harness.advance_to(0.5))).len(), again, "{outcome:?}");
+
+        let actions = harness.end_attempt(1, 0, backend, outcome, 0.1);
+
+        assert_eq!(is_failed(&actions, 1), retries == 0, "nothing to wait for");
+        assert_eq!(harness.sends_until(0.5).len(), retries, "{outcome:?}");
     }
+}
+
+#[test]
+fn does_not_hedge_an_unsafe_request() {
     let mut harness = BalancerHarness::new(settings_with_effect(Effect::Unsafe), &endpoints(4));
+
     harness.request(1);
-    assert_eq!(sends(&without_times(harness.advance_to(0.9))), [], "no copy of what may be running");
+
+    assert_eq!(harness.sends_until(0.9), [], "the first attempt may be running");
+}
+
+/// A balancer before two zones of two cells with two backends each, with a class of idempotent
+/// requests.
+fn idempotent_harness(seed: u64, group: IdempotencyGroup, window: Time) -> BalancerHarness {
+    let endpoints: Vec<Endpoint> =
+        (0..8).map(|index| Endpoint { cell: index % 4, zone: index % 2, ..endpoint(index + 1) }).collect();
+    let settings = settings_with_effect(Effect::Idempotent { group, window });
+    BalancerHarness::with_seed(seed, settings, &endpoints)
+}
+
+#[test]
+fn retries_an_idempotent_request_inside_the_cell_of_its_key() {
+    for seed in 0..30 {
+        let mut harness = idempotent_harness(seed, IdempotencyGroup::Cell, 5.0);
+
+        let first = harness.send(1);
+        let retries = harness.sends_until(0.5);
+
+        assert_eq!(retries.len(), 1, "the other member of the cell, in the subset or not");
+        assert_eq!(retries[0].1 % 4, first % 4);
+    }
 }
 
 #[test]
-fn a_keyed_call_is_repeated_inside_its_cell_and_window_only() {
-    let list: Vec<Endpoint> =
-        (0..8).map(|i| Endpoint { cell: i % 4, zone: i % 2, ..endpoint(i + 1) }).collect();
+fn does_not_retry_an_idempotent_request_after_the_window_of_its_key() {
     for seed in 0..30 {
-        let effect = Effect::Idempotent { group: IdempotencyGroup::Cell, window: 5.0 };
-        let mut harness = BalancerHarness::with_seed(seed, settings_with_effect(effect), &list);
-        let first = sends(&harness.request(1))[0].1;
-        let again = sends(&without_times(harness.advance_to(0.5)));
-        assert_eq!(again.len(), 1, "the other member of the cell, in the subset or not");
-        assert_eq!(again[0].1 % 4, first % 4);
-        let effect = Effect::Idempotent { group: IdempotencyGroup::Cell, window: 0.2 };
-        let mut harness = BalancerHarness::with_seed(seed, settings_with_effect(effect), &list);
+        let mut harness = idempotent_harness(seed, IdempotencyGroup::Cell, 0.2);
+
         harness.request(1);
-        assert_eq!(sends(&without_times(harness.advance_to(0.9))), [], "the cell has forgotten it");
-        let effect = Effect::Idempotent { group: IdempotencyGroup::Zone, window: 5.0 };
-        let mut harness = BalancerHarness::with_seed(seed, settings_with_effect(effect), &list);
-        let first = sends(&harness.request(1))[0].1;
-        assert!(sends(&without_times(harness.advance_to(0.5))).iter().all(|(_, to)| to % 2 == first % 2));
+
+        assert_eq!(harness.sends_until(0.9), [], "the cell has forgotten the key");
     }
 }
 
 #[test]
-fn own_repeats_are_not_pressure() {
-    // Guards against a quiet balancer whose call's own copies cut its further repeats.
-    let mut third = 0;
+fn retries_an_idempotent_request_inside_the_zone_of_its_key() {
+    for seed in 0..30 {
+        let mut harness = idempotent_harness(seed, IdempotencyGroup::Zone, 5.0);
+
+        let first = harness.send(1);
+
+        assert!(harness.sends_until(0.5).iter().all(|(_, backend)| backend % 2 == first % 2));
+    }
+}
+
+#[test]
+fn own_attempts_do_not_lower_the_retry_probability_of_their_request() {
+    // Guards against a balancer with little traffic where a request's attempts cut its further ones.
+    let mut requests_with_three_retries = 0;
     for seed in 0..100 {
         let mut harness = BalancerHarness::with_seed(seed, safe_settings(), &endpoints(8));
         for id in 0..50 {
             harness.serve(100 + id, 0.05);
         }
         harness.advance_to(60.0);
+
         harness.request(1);
-        third += usize::from(sends(&without_times(harness.advance_to(60.5))).len() == 3);
+
+        requests_with_three_retries += usize::from(harness.sends_until(60.5).len() == 3);
     }
-    assert!(third > 90, "{third}");
+    assert!(requests_with_three_retries > 90, "{requests_with_three_retries}");
 }
