Sort the socket tests by behaviour, and name them after it

forwarding.rs and faulty_backends.rs mixed forwarding, connection reuse, load shedding, startup, shutdown and the watch of discovery. Each has a file now, and test names state the behaviour and its condition. Every assertion stays.

--- a/tests/connection_limits.rs
+++ b/tests/connection_limits.rs
@@ -1,4 +1,4 @@
-//! Crowds that connect and finish nothing, where there is little room.
+//! Many connections without a complete request, where there is little capacity for connections.
 
 mod common;
 
@@ -16,34 +16,36 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-/// A proxy with room for some twenty connections of clients.
-fn small(backend: &StubServer) -> ProxyProcess {
-    let mut config = configuration(&default_settings(), &serving_list(&[backend]));
-    config["limits"]["sockets"] = json!(64);
-    ProxyProcess::with_configuration(&config, silent_discovery().address)
+/// A proxy with capacity for some twenty client connections.
+fn proxy_with_few_sockets(backend: &StubServer) -> ProxyProcess {
+    let mut configuration = configuration(&default_settings(), &serving_list(&[backend]));
+    configuration["limits"]["sockets"] = json!(64);
+    ProxyProcess::with_configuration(&configuration, silent_discovery().address)
 }
 
-fn mute(proxy: &ProxyProcess, count: usize) -> Vec<BufReader<TcpStream>> {
+fn open_connections(proxy: &ProxyProcess, count: usize) -> Vec<BufReader<TcpStream>> {
     (0..count).map(|_| proxy.connect()).collect()
 }
 
 #[test]
-fn a_request_is_served_amid_more_mute_connections_than_there_is_room_for() {
+fn serves_requests_among_more_idle_connections_than_the_limit() {
     let backend = StubServer::responding_with("hello");
-    let proxy = small(&backend);
-    let crowd = mute(&proxy, 60);
-    std::thread::sleep(Duration::from_millis(1600)); // until they have been silent for long enough
+    let proxy = proxy_with_few_sockets(&backend);
+    let idle = open_connections(&proxy, 60);
+    std::thread::sleep(Duration::from_millis(1600)); // until they have been idle for long enough
+
     for _ in 0..10 {
         assert_eq!(proxy.exchange(&request("order", 9000)).status(), 200);
     }
-    drop(crowd);
+
+    drop(idle);
 }
 
 #[test]
-fn a_request_that_comes_as_its_idle_connection_is_chosen_to_go_is_answered() {
+fn responds_to_a_request_that_arrives_as_its_idle_connection_is_chosen_for_closing() {
     let backend = StubServer::responding_with("hello");
-    let proxy = small(&backend);
-    // All but full of connections that may be closed, for they have been idle for 2 s.
+    let proxy = proxy_with_few_sockets(&backend);
+    // Near the limit with connections that may be closed, as they have been idle for 2 s.
     let mut idle: Vec<_> = (0..10)
         .map(|_| {
             let mut stream = proxy.connect();
@@ -52,101 +54,123 @@
         })
         .collect();
     std::thread::sleep(Duration::from_millis(2200));
+
     proxy.signal("-STOP");
-    // Newcomers first, so that room is made before the requests are read.
-    let crowd = mute(&proxy, 40);
+    // New connections first, so that idle ones are closed before the requests are read.
+    let new = open_connections(&proxy, 40);
     for stream in &mut idle {
         stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
     }
     proxy.signal("-CONT");
+
     for stream in &mut idle {
-        assert_eq!(read_message(stream).expect("an answer").status(), 200);
+        assert_eq!(read_message(stream).expect("a response").status(), 200);
     }
-    drop(crowd);
+    drop(new);
 }
 
 #[test]
-fn while_room_is_short_connections_are_closed_behind_their_answers() {
+fn closes_connections_behind_their_responses_near_the_limit() {
     let backend = StubServer::responding_with("hello");
-    let proxy = small(&backend);
+    let proxy = proxy_with_few_sockets(&backend);
     let closes =
         |proxy: &ProxyProcess| proxy.exchange(&request("look", 9000)).header("connection") == Some("close");
     assert!(!closes(&proxy));
-    let crowd = mute(&proxy, 15);
+
+    let idle = open_connections(&proxy, 15);
     wait_for("close", || closes(&proxy));
-    drop(crowd);
-    wait_for("room", || !closes(&proxy));
+
+    drop(idle);
+    wait_for("capacity", || !closes(&proxy));
 }
 
 #[test]
-fn a_request_that_comes_whole_as_its_connection_is_closed_for_want_of_room_is_answered() {
-    // The answers take longer than a connection that is closed is waited for.
+fn responds_to_every_request_completed_as_its_connection_is_closed_for_lack_of_capacity() {
+    // The responses take longer than the proxy waits for a connection that it closes.
     let backend = StubServer::new(|_, _| {
         std::thread::sleep(Duration::from_millis(600));
         Reply::Respond(response("200 OK", "hello"))
     });
-    let proxy = small(&backend);
-    let writers: Vec<_> = (0..18)
-        .map(|i| {
+    let proxy = proxy_with_few_sockets(&backend);
+    let clients: Vec<_> = (0..18)
+        .map(|index| {
             let mut stream = proxy.connect();
             let text = request("order", 9000);
             stream.get_mut().write_all(&text.as_bytes()[..text.len() - 1]).unwrap();
             std::thread::spawn(move || {
-                std::thread::sleep(Duration::from_millis(550 + 20 * i));
+                std::thread::sleep(Duration::from_millis(550 + 20 * index));
                 let _ = stream.get_mut().write_all(&text.as_bytes()[text.len() - 1..]);
                 read_message(&mut stream).is_some_and(|reply| reply.status() == 200)
             })
         })
         .collect();
-    // One after the other presses an older one out.
-    let crowd: Vec<_> = (0..60)
+
+    // Each of them displaces an older one.
+    let new: Vec<_> = (0..60)
         .map(|_| {
             std::thread::sleep(Duration::from_millis(15));
             proxy.connect()
         })
         .collect();
-    let served = writers.into_iter().map(|w| w.join().unwrap()).filter(|served| *served).count();
-    assert_eq!(served, backend.request_count(), "what has been sent on is answered");
+
+    let served = clients.into_iter().map(|client| client.join().unwrap()).filter(|served| *served).count();
+    assert_eq!(served, backend.request_count(), "what has been forwarded gets its response");
     assert!(served > 0);
-    drop(crowd);
+    drop(new);
 }
 
-/// A discovery that swallows all calls until it is told that it is up. Then it has the list.
-fn down_at_first(up: Arc<AtomicBool>, list: String) -> StubServer {
-    StubServer::new(move |_, message| match up.load(Ordering::SeqCst) {
-        true if !message.start_line.contains("since=2&") => Reply::Respond(response("200 OK", &list)),
-        _ => Reply::Hang,
+/// A discovery that sends no response until it is up. Then it has the list.
+fn discovery_that_is_down_at_first(is_up: Arc<AtomicBool>, list: String) -> StubServer {
+    StubServer::new(move |_, message| {
+        if is_up.load(Ordering::SeqCst) && !message.start_line.contains("since=2&") {
+            Reply::Respond(response("200 OK", &list))
+        } else {
+            Reply::Hang
+        }
     })
 }
 
-/// ClientConnections take all the room, having `asked` or never said a word. Then many more come in one moment,
-/// and so many callers of the second address, if there is one, just as discovery returns.
-fn crowd_at_the_return(asked: bool, callers: Option<usize>) {
+/// Who fills the descriptors of the proxy as discovery returns.
+#[derive(Clone, Copy, Debug)]
+struct Clients {
+    /// Whether the connections that are idle before have had a request.
+    had_request: bool,
+    /// Connections to the management address, if there is one.
+    management_calls: Option<usize>,
+}
+
+/// Idle connections use up the capacity. Then many more come at once, also to the management address,
+/// if there is one, just as discovery returns.
+fn reaches_discovery_as_it_returns(clients: Clients) {
+    let Clients { had_request, management_calls } = clients;
     let (old, new) = (StubServer::responding_with("old"), StubServer::responding_with("new"));
-    let entries =
+    let endpoints =
         [listed_endpoint("s-0", old.address, "DRAINING"), listed_endpoint("s-1", new.address, "SERVING")];
-    let up = Arc::new(AtomicBool::new(false));
-    let discovery = down_at_first(up.clone(), endpoint_list(2, true, &entries).to_string());
-    let mut config = configuration(&default_settings(), &serving_list(&[&old]));
-    if callers.is_some() {
-        config["management"] = json!("127.0.0.1:0");
+    let is_up = Arc::new(AtomicBool::new(false));
+    let list = endpoint_list(2, true, &endpoints).to_string();
+    let discovery = discovery_that_is_down_at_first(is_up.clone(), list);
+    let mut configuration = configuration(&default_settings(), &serving_list(&[&old]));
+    if management_calls.is_some() {
+        configuration["management"] = json!("127.0.0.1:0");
     }
-    let proxy = ProxyProcess::with_descriptor_limit(&config, discovery.address, 64);
-    let mut resting = mute(&proxy, 24);
-    for stream in resting.iter_mut().filter(|_| asked) {
+    let proxy = ProxyProcess::with_descriptor_limit(&configuration, discovery.address, 64);
+    let mut idle = open_connections(&proxy, 24);
+    for stream in idle.iter_mut().filter(|_| had_request) {
         let _ = stream.get_mut().write_all(request("look", 9000).as_bytes());
-        let _ = read_message(stream); // it may be refused, for want of room
+        let _ = read_message(stream); // it may be rejected for lack of capacity
     }
     std::thread::sleep(Duration::from_millis(2200)); // until they may be closed
+
     proxy.signal("-STOP");
-    let crowd = mute(&proxy, 100);
-    let callers: Vec<_> = (0..callers.unwrap_or(0)).map(|_| proxy.connect_management()).collect();
-    up.store(true, Ordering::SeqCst);
+    let new_connections = open_connections(&proxy, 100);
+    let management: Vec<_> = (0..management_calls.unwrap_or(0)).map(|_| proxy.connect_management()).collect();
+    is_up.store(true, Ordering::SeqCst);
     let start = Instant::now();
     proxy.signal("-CONT");
-    let had = |m: &HttpMessage| m.start_line.contains("since=2&");
-    wait_for("list", || discovery.requests.lock().unwrap().iter().any(had));
-    assert!(start.elapsed() < Duration::from_secs(6), "asked {asked}: {:?}", start.elapsed());
+
+    let is_next_watch = |call: &HttpMessage| call.start_line.contains("since=2&");
+    wait_for("list", || discovery.requests.lock().unwrap().iter().any(is_next_watch));
+    assert!(start.elapsed() < Duration::from_secs(6), "{clients:?}: {:?}", start.elapsed());
     for _ in 0..3 {
         assert_eq!(proxy.exchange(&request("order", 9000)).body, b"new");
     }
@@ -154,33 +178,36 @@
         assert!(proxy.management_call("status\n").starts_with("OK"));
     }
     let log = proxy.log.lock().unwrap().join("\n");
-    assert!(!log.contains("os error 24"), "asked {asked}: {log}");
-    drop((resting, crowd, callers));
+    assert!(!log.contains("os error 24"), "{clients:?}: {log}");
+    drop((idle, new_connections, management));
 }
 
 #[test]
-fn clients_that_fill_all_descriptors_do_not_keep_out_discovery_as_it_returns() {
+fn reaches_discovery_as_it_returns_while_clients_fill_all_descriptors() {
     std::thread::scope(|scope| {
-        for asked in [false, true] {
-            scope.spawn(move || crowd_at_the_return(asked, None));
+        for had_request in [false, true] {
+            let clients = Clients { had_request, management_calls: None };
+            scope.spawn(move || reaches_discovery_as_it_returns(clients));
         }
     });
 }
 
 #[test]
-fn nor_do_callers_of_the_second_address_with_them() {
+fn reaches_discovery_as_it_returns_while_clients_and_management_calls_fill_all_descriptors() {
     std::thread::scope(|scope| {
-        for asked in [false, true] {
-            scope.spawn(move || crowd_at_the_return(asked, Some(60)));
+        for had_request in [false, true] {
+            let clients = Clients { had_request, management_calls: Some(60) };
+            scope.spawn(move || reaches_discovery_as_it_returns(clients));
         }
     });
 }
 
 #[test]
-fn callers_of_the_second_address_that_come_in_one_moment_are_all_answered() {
+fn responds_to_all_management_calls_that_arrive_at_once() {
     let proxy = ProxyProcess::with_management(&[&StubServer::responding_with("hello")]);
+
     proxy.signal("-STOP");
-    let callers: Vec<_> = (0..50)
+    let calls: Vec<_> = (0..50)
         .map(|_| {
             let mut stream = proxy.connect_management();
             stream.get_mut().write_all(b"status\n").unwrap();
@@ -188,7 +215,8 @@
         })
         .collect();
     proxy.signal("-CONT");
-    for mut stream in callers {
+
+    for mut stream in calls {
         let mut line = String::new();
         stream.read_line(&mut line).unwrap();
         assert_eq!(line, "OK ready\n");
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -1,5 +1,5 @@
-//! The planned stop: whatever has come whole on an open connection before the process is gone has
-//! its answer, and what is still coming is waited for.
+//! Graceful shutdown by SIGTERM: what has arrived completely on an open connection before the process
+//! is gone gets a response, and what is still arriving is waited for.
 
 mod common;
 
@@ -11,62 +11,149 @@
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::process::{Child, Stdio};
-use std::sync::mpsc::channel;
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-fn ended(child: &mut Child) -> Option<i32> {
+const READINESS_REQUEST: &str = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n";
+
+fn exit_code(child: &mut Child) -> Option<i32> {
     wait_for("exit", || child.try_wait().unwrap().is_some());
     child.wait().unwrap().code()
 }
 
+/// Sends a signal, given as an option of `kill`; returns whether that worked.
+#[must_use]
+fn send_signal(child: &Child, signal: &str) -> bool {
+    Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap().success()
+}
+
 /// Waits until the proxy closes its idle connections, this one among them.
-fn closing(idle: &mut BufReader<TcpStream>) {
+fn wait_for_idle_close(idle: &mut BufReader<TcpStream>) {
     assert_eq!(idle.read(&mut [0]).unwrap(), 0);
 }
 
 #[test]
-fn what_is_coming_when_idle_connections_are_closed_is_answered() {
+fn serves_requests_on_old_and_new_connections_after_sigterm() {
+    let (backend, release) = StubServer::holding_first_response("hello");
+    let mut proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut idle = proxy.connect();
+    assert_eq!(exchange(&mut idle, READINESS_REQUEST).status(), 200);
+    let mut busy = proxy.connect();
+    busy.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    wait_for("attempt", || backend.request_count() == 1);
+
+    proxy.signal("-TERM");
+    wait_for("graceful shutdown", || proxy.exchange(READINESS_REQUEST).status() == 503);
+    let (mut new, mut unused) = (proxy.connect(), proxy.connect());
+
+    // Each connection is served more than once, and is then closed.
+    for _ in 0..2 {
+        for stream in [&mut idle, &mut new] {
+            assert_eq!(exchange(stream, &request("look", 20_000)).status(), 200);
+        }
+    }
+    for stream in [&mut idle, &mut new, &mut unused] {
+        assert!(read_message(stream).is_none(), "an idle connection is closed");
+    }
+    release.send(()).unwrap();
+    assert_eq!(read_message(&mut busy).expect("a response").status(), 200);
+    wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
+    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn keeps_idle_connections_open_until_a_proxy_restarted_before_is_back() {
+    // In a rolling restart the proxy before was seen to be back up to 2.2 s after the next signal.
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut idle = proxy.connect();
+    assert_eq!(exchange(&mut idle, &request("look", 9000)).status(), 200);
+
+    let signalled = Instant::now();
+    proxy.signal("-TERM");
+    wait_for("graceful shutdown", || proxy.exchange(READINESS_REQUEST).status() == 503);
+
+    assert_eq!(exchange(&mut idle, &request("look", 9000)).status(), 200);
+    assert!(read_message(&mut idle).is_none(), "an idle connection is closed in the end");
+    let elapsed = signalled.elapsed();
+    assert!(elapsed >= Duration::from_millis(2200), "closed after {elapsed:?}");
+}
+
+#[test]
+fn exits_although_a_request_never_arrives_completely() {
+    let backend = StubServer::responding_with("hello");
+    let mut proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut slow = proxy.connect();
+    slow.get_mut().write_all(request("look", 9000).strip_suffix("dy").unwrap().as_bytes()).unwrap();
+    // The response on a later connection shows that this one has been accepted.
+    assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
+
+    proxy.signal("-TERM");
+
+    wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
+    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+}
+
+/// A request that is arriving as the idle connections are closed.
+struct PartialRequest {
+    class: &'static str,
+    /// Whether an earlier request was served on the connection.
+    after_another: bool,
+    /// The number of bytes that arrive late.
+    missing: usize,
+}
+
+/// The end of a head, of a later head, and of bodies.
+const PARTIAL_REQUESTS: [PartialRequest; 4] = [
+    PartialRequest { class: "look", after_another: false, missing: 30 },
+    PartialRequest { class: "look", after_another: true, missing: 30 },
+    PartialRequest { class: "order", after_another: false, missing: 1 },
+    PartialRequest { class: "save", after_another: true, missing: 1 },
+];
+
+#[test]
+fn responds_to_requests_still_arriving_when_idle_connections_are_closed() {
     let backend = StubServer::responding_with("hello");
     let mut proxy = ProxyProcess::in_front_of(&[&backend]);
     let mut idle = proxy.connect();
     assert_eq!(exchange(&mut idle, &request("look", 9000)).status(), 200);
-    // A part of a first head, of a later one, and of a body.
-    let cases = [(false, "look", 30), (true, "look", 30), (false, "order", 1), (true, "save", 1)];
     proxy.signal("-TERM");
-    // They have 2.4 s to come; the idle connections are closed 2.4 s after the signal.
+    // They have 2.4 s to arrive; the idle connections are closed 2.4 s after the signal.
     std::thread::sleep(Duration::from_millis(1500));
-    let mut coming = cases.map(|(asked, class, missing)| {
+    let mut arriving = PARTIAL_REQUESTS.map(|partial| {
         let mut stream = proxy.connect();
-        if asked {
+        if partial.after_another {
             assert_eq!(exchange(&mut stream, &request("look", 9000)).status(), 200);
         }
-        let text = request(class, 20_000).into_bytes();
-        let (first, rest) = text.split_at(text.len() - missing);
+        let text = request(partial.class, 20_000).into_bytes();
+        let (first, rest) = text.split_at(text.len() - partial.missing);
         stream.get_mut().write_all(first).unwrap();
-        (stream, rest.to_vec(), class, asked)
+        (stream, rest.to_vec(), partial)
     });
-    closing(&mut idle);
-    // By now a process that saw nothing under way would have gone.
+
+    wait_for_idle_close(&mut idle);
+    // By now a process without an open request would have exited.
     std::thread::sleep(Duration::from_millis(700));
-    for (stream, rest, class, asked) in &mut coming {
+
+    for (stream, rest, partial) in &mut arriving {
+        let case = format!("{}, after another {}", partial.class, partial.after_another);
         let written = stream.get_mut().write_all(rest);
-        let reply =
-            read_message(stream).unwrap_or_else(|| panic!("{class}, {asked}: no answer, {written:?}"));
-        assert!([200, 503].contains(&reply.status()), "{class}, {asked}: {}", reply.start_line);
-        assert_eq!(reply.header("connection"), Some("close"), "{class}, {asked}");
+        let reply = read_message(stream).unwrap_or_else(|| panic!("{case}: no response, {written:?}"));
+        assert!([200, 503].contains(&reply.status()), "{case}: {}", reply.start_line);
+        assert_eq!(reply.header("connection"), Some("close"), "{case}");
     }
-    assert_eq!(ended(&mut proxy.child), Some(0));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
 }
 
 #[test]
-fn what_lies_in_the_listener_at_the_last_look_is_answered() {
-    // Which comes first, a last accept or the end of accepting, is drawn anew each time.
+fn responds_to_requests_in_the_listeners_backlog_when_accepting_ends() {
+    // Whether a last accept or the end of accepting comes first is drawn anew each time.
     for _ in 0..6 {
         let backend = StubServer::responding_with("hello");
         let mut proxy = ProxyProcess::in_front_of(&[&backend]);
         proxy.signal("-TERM");
         std::thread::sleep(Duration::from_millis(200));
+
         proxy.signal("-STOP");
         let clients: Vec<_> = (0..5)
             .map(|_| {
@@ -75,49 +162,51 @@
                 stream
             })
             .collect();
-        // Connections are taken for 2.4 s after the signal.
+        // Connections are accepted for 2.4 s after the signal.
         std::thread::sleep(Duration::from_millis(2400));
         proxy.signal("-CONT");
+
         for mut stream in clients {
-            let reply = read_message(&mut stream).expect("an answer");
+            let reply = read_message(&mut stream).expect("a response");
             assert!([200, 503].contains(&reply.status()), "{}", reply.start_line);
         }
-        assert_eq!(ended(&mut proxy.child), Some(0));
+        assert_eq!(exit_code(&mut proxy.child), Some(0));
     }
 }
 
 #[test]
-fn a_request_that_outlasts_the_process_is_answered_before_it_goes() {
-    let (ends, _end) = channel();
-    let backend = StubServer::new(move |_, _| Reply::HangAndReport(ends.clone()));
+fn fails_requests_that_would_outlast_the_process_before_it_exits() {
+    let backend = StubServer::new(move |_, _| Reply::Hang);
     let mut proxy = ProxyProcess::in_front_of(&[&backend]);
-    let mut whole = proxy.connect();
-    whole.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
-    // A long body that comes whole only later.
+    let mut buffered = proxy.connect();
+    buffered.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    // A long body, which is complete only later.
     let mut streamed = proxy.connect();
     let body = vec![b'x'; 100_000];
     let head = request_with_framing("save", &format!("Content-Length: {}\r\n\r\n", body.len() + 1));
     streamed.get_mut().write_all(head.as_bytes()).unwrap();
     streamed.get_mut().write_all(&body).unwrap();
     wait_for("attempt", || backend.request_count() == 1);
+
     let start = Instant::now();
     proxy.signal("-TERM");
-    // Neither ends the stop, nor puts it off.
+    // Neither ends the graceful shutdown, nor delays it.
     proxy.signal("-TERM");
     proxy.signal("-HUP");
     streamed.get_mut().write_all(b"x").unwrap();
-    for stream in [&mut whole, &mut streamed] {
-        let reply = read_message(stream).expect("an answer");
+
+    for stream in [&mut buffered, &mut streamed] {
+        let reply = read_message(stream).expect("a response");
         assert!(reply.status() >= 500, "{}", reply.start_line);
         assert_eq!(reply.header("connection"), Some("close"));
     }
-    // Long before its deadline, as SIGKILL would come 3.7 s after the signal.
+    // Long before their deadline, as SIGKILL would come 3.7 s after the signal.
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
-    assert_eq!(ended(&mut proxy.child), Some(0));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
 }
 
 #[test]
-fn an_answer_that_is_read_only_after_the_process_has_gone_arrives() {
+fn a_response_read_only_after_the_process_has_exited_is_complete() {
     let text: &'static str = "x".repeat(60_000).leak();
     let backend = StubServer::responding_with(text);
     let mut proxy = ProxyProcess::in_front_of(&[&backend]);
@@ -126,37 +215,34 @@
         stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
     }
     wait_for("attempts", || backend.request_count() == 3);
+
     proxy.signal("-TERM");
-    assert_eq!(ended(&mut proxy.child), Some(0));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
+
     for stream in &mut streams {
-        assert_eq!(read_message(stream).expect("an answer").body.len(), 60_000);
+        assert_eq!(read_message(stream).expect("a response").body.len(), 60_000);
     }
 }
 
 #[test]
-fn a_stop_before_it_is_ready_is_a_planned_one() {
+fn sigterm_before_readiness_is_a_graceful_shutdown() {
     let backend = StubServer::responding_with("hello");
     let shared_address = SharedAddress::new();
-    let config = configuration(&default_settings(), &serving_list(&[&backend]));
-    let _old = shared_address.start(&config);
-    // Beside another one it waits for a list before it listens, and this discovery is silent.
+    let mut configuration = configuration(&default_settings(), &serving_list(&[&backend]));
+    let _old = shared_address.start(&configuration);
+    // While another process runs, it waits for a list before it listens, and this discovery is silent.
     let silent = silent_discovery();
-    let mut config = config;
-    config["management"] = json!("127.0.0.1:0");
-    let mut next = shared_address.spawn(&config, silent.address);
-    wait_for("call", || silent.request_count() > 0);
-    assert!(
-        std::process::Command::new("kill")
-            .args(["-TERM", &next.id().to_string()])
-            .status()
-            .unwrap()
-            .success()
-    );
-    assert_eq!(ended(&mut next), Some(0));
+    configuration["management"] = json!("127.0.0.1:0");
+    let mut next = shared_address.spawn(&configuration, silent.address);
+    wait_for("poll", || silent.request_count() > 0);
+
+    assert!(send_signal(&next, "-TERM"));
+
+    assert_eq!(exit_code(&mut next), Some(0));
 }
 
 #[test]
-fn a_log_that_nobody_reads_any_more_ends_nothing() {
+fn goes_on_when_nobody_reads_its_log() {
     let backend = StubServer::responding_with("hello");
     let configuration = configuration(&default_settings(), &serving_list(&[&backend]));
     let ProxyCommand { mut command, configuration_path } =
@@ -167,22 +253,15 @@
     log.read_line(&mut line).unwrap();
     let address = line.trim().strip_prefix("balancer-proxy: listening on ").unwrap().parse().unwrap();
     drop(log);
-    let signal = |name: &str| {
-        assert!(
-            std::process::Command::new("kill")
-                .args([name, &child.id().to_string()])
-                .status()
-                .unwrap()
-                .success()
-        );
-    };
-    // It has something to complain of each time.
+
+    // Each reload logs an error.
     std::fs::write(&configuration_path, "{").unwrap();
     for _ in 0..3 {
-        signal("-HUP");
+        assert!(send_signal(&child, "-HUP"));
         std::thread::sleep(Duration::from_millis(100));
         assert_eq!(exchange(&mut connect(address), &request("look", 9000)).status(), 200);
     }
-    signal("-TERM");
-    assert_eq!(ended(&mut child), Some(0));
+    assert!(send_signal(&child, "-TERM"));
+
+    assert_eq!(exit_code(&mut child), Some(0));
 }
--- /dev/null
+++ b/tests/startup_configuration.rs
@@ -0,0 +1,59 @@
+//! The configuration file at startup: invalid files, defaults and unknown keys.
+
+mod common;
+
+use common::configuration::{configuration, default_settings, endpoint_list, request, serving_list};
+use common::http::response;
+use common::proxy_process::{ProxyProcess, proxy_command};
+use common::stub_server::{Reply, StubServer, silent_discovery};
+use serde_json::json;
+
+#[test]
+fn exits_with_one_log_line_on_an_invalid_configuration() {
+    let mut missing = default_settings();
+    missing.as_object_mut().unwrap().remove("classes");
+    let mut wrong_type = default_settings();
+    wrong_type["rules"]["cold"] = json!("soon");
+    let mut negative = default_settings();
+    negative["classes"][0]["on-time"] = json!(-1);
+    let empty_list = endpoint_list(1, true, &[]);
+    let invalid_configurations = [missing, wrong_type, negative]
+        .map(|settings| configuration(&settings, &empty_list).to_string())
+        .into_iter()
+        .chain(["{".to_string()]);
+    for text in invalid_configurations {
+        let output = proxy_command(&text, silent_discovery().address).command.output().unwrap();
+
+        let log = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert!(log.starts_with("balancer-proxy: ") && log.lines().count() == 1, "{log}");
+    }
+}
+
+#[test]
+fn absent_keys_have_defaults_and_unknown_keys_are_skipped() {
+    let backend = StubServer::new(|_, message| {
+        if message.start_line.starts_with("GET") {
+            Reply::Respond(response("200 OK", "hello"))
+        } else {
+            Reply::Close
+        }
+    });
+    let classes = json!([{"name": "look", "effect": "free"}, {"name": "order"},
+                         {"name": "save", "effect": "unheard-of", "new": {"a": 1}}]);
+    let settings = json!({"classes": classes, "new": [1], "caps": {"new": true}, "rules": {"new": 1}});
+    let minimal = json!({"settings": settings, "known": serving_list(&[&backend]), "new": null});
+    let proxy = ProxyProcess::with_configuration(&minimal, silent_discovery().address);
+    let status_of_class = |class| {
+        let text = request(class, 900).replace("Idempotency-Key: 5c0f6e1a\r\n", "");
+        proxy.exchange(&text).status()
+    };
+
+    assert_eq!(status_of_class("look"), 200);
+    // Where the effect is absent or unknown, a second attempt might do harm.
+    for class in ["order", "save"] {
+        let before = backend.request_count();
+        assert_eq!(status_of_class(class), 502);
+        assert_eq!(backend.request_count(), before + 1);
+    }
+}
