--- /dev/null
+++ b/tests/decision_invariants/checker.rs
@@ -0,0 +1,244 @@
+//! A checker of the decision module's invariants, which sees only its events and actions.
+
+use balancer_proxy::*;
+use std::collections::HashMap;
+
+/// An attempt of a request, as seen from outside.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub cell: u32,
+    pub zone: u32,
+    pub sent_at: Time,
+    /// `None` while the attempt is in flight.
+    pub outcome: Option<Outcome>,
+    /// When the attempt ended; 0 while it is in flight.
+    pub ended_at: Time,
+}
+
+impl Attempt {
+    fn is_in_flight(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    fn may_have_run(&self) -> bool {
+        !matches!(self.outcome, Some(Outcome::Rejected | Outcome::NoConnection | Outcome::NotSent))
+    }
+
+    /// Whether the backend may still be at work on the attempt after its end.
+    fn may_still_run(&self) -> bool {
+        matches!(self.outcome, Some(Outcome::Timeout | Outcome::Reset | Outcome::Cancelled))
+    }
+}
+
+/// A request, as seen from outside.
+pub struct ObservedRequest {
+    pub class: usize,
+    pub key: Option<u64>,
+    pub deadline: Time,
+    pub attempts: Vec<Attempt>,
+    /// Whether it has its final response, or its client has disconnected.
+    pub is_finished: bool,
+}
+
+impl ObservedRequest {
+    /// A request without attempts.
+    pub fn new(class: usize, key: Option<u64>, deadline: Time) -> Self {
+        Self { class, key, deadline, attempts: vec![], is_finished: false }
+    }
+}
+
+/// Records a violation for each action that breaks an invariant.
+pub struct Checker {
+    settings: Settings,
+    /// All requests by their ids, which rise in the order of arrival.
+    pub requests: HashMap<u64, ObservedRequest>,
+    /// The endpoint list, by backend id.
+    pub list: HashMap<u32, Endpoint>,
+    /// Draining backends whose idle connections must be closed, since their notification or last use.
+    pub unclosed_since: HashMap<u32, Time>,
+    /// What has been violated, in words.
+    pub violations: Vec<String>,
+}
+
+impl Checker {
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            requests: HashMap::new(),
+            list: HashMap::new(),
+            unclosed_since: HashMap::new(),
+            violations: vec![],
+        }
+    }
+
+    pub fn record(&mut self, violation: impl Into<String>) {
+        self.violations.push(violation.into());
+    }
+
+    /// The violation, if any, of the order of its key if this request is sent now.
+    pub fn order_violation(&self, now: Time, id: u64) -> Option<&'static str> {
+        let is_ordered = |request: &&ObservedRequest| {
+            self.settings.classes[request.class].ordered_by_key && request.key.is_some()
+        };
+        let key = self.requests.get(&id).filter(is_ordered)?.key;
+        let is_earlier = |(other, request): &(&u64, &ObservedRequest)| {
+            **other < id && is_ordered(request) && request.key == key
+        };
+        for (_, earlier) in self.requests.iter().filter(is_earlier) {
+            if !earlier.is_finished || earlier.attempts.iter().any(Attempt::is_in_flight) {
+                return Some("order: an earlier request is not finished");
+            }
+            let key_rests = |attempt: &Attempt| {
+                attempt.may_still_run() && now < attempt.ended_at + self.settings.key_rest_duration
+            };
+            if earlier.attempts.iter().any(key_rests) {
+                return Some("order: the key has not rested");
+            }
+        }
+        None
+    }
+
+    /// A backend was notified of or used: if it is draining, its idle connections must be closed.
+    pub fn backend_notified_or_used(&mut self, now: Time, backend: u32) {
+        if self.list.get(&backend).is_some_and(|endpoint| endpoint.status == Status::Draining) {
+            self.unclosed_since.insert(backend, now);
+        } else {
+            self.unclosed_since.remove(&backend);
+        }
+    }
+
+    /// Checks that idle connections to draining backends are closed in time.
+    pub fn check_idle_connections(&mut self, now: Time) {
+        let limit = self.settings.idle_close_limit.unwrap_or(f64::INFINITY);
+        if self.unclosed_since.values().any(|since| now > since + limit) {
+            self.unclosed_since.clear();
+            self.record("drain: connections left open");
+        }
+    }
+
+    /// Checks an action of the balancer.
+    pub fn check_action(&mut self, now: Time, action: &Action) {
+        match action {
+            Action::CloseIdleConnections(backend) => {
+                self.unclosed_since.remove(&backend.0);
+            }
+            Action::Send { id, backend, timeout, write_within } => {
+                self.check_send_times(*timeout, *write_within);
+                self.check_send(now, *id, *backend, *write_within);
+            }
+            Action::Reject { id, .. } => {
+                if !self.client_may_retry(id.0) {
+                    self.record(format!("rejected {id:?}, which may have run"));
+                }
+                self.check_final_response(now, id.0);
+            }
+            Action::Fail { id } => self.check_final_response(now, id.0),
+            Action::Cancel { .. } if !self.settings.cancellation_allowed => {
+                self.record("cancellation is not allowed");
+            }
+            Action::SetTimer { at, .. } if !at.is_finite() => self.record("timer without a finite time"),
+            _ => {}
+        }
+    }
+
+    fn check_send_times(&mut self, timeout: Time, write_within: Time) {
+        if !timeout.is_finite() || timeout <= 0.0 || write_within <= 0.0 || write_within > timeout {
+            self.record(format!("timeout {timeout}, to be written within {write_within}"));
+        }
+    }
+
+    fn check_send(&mut self, now: Time, id: RequestId, backend: BackendId, write_within: Time) {
+        let Some(endpoint) = self.list.get(&backend.0).cloned() else {
+            return self.record(format!("sent to unknown {backend:?}"));
+        };
+        if endpoint.status != Status::InService {
+            self.record(format!("drain: sent to {backend:?}"));
+        }
+        if let Some(violation) = self.order_violation(now, id.0) {
+            self.record(violation);
+        }
+        let Some(request) = self.requests.get_mut(&id.0) else {
+            return self.record(format!("sent unknown {id:?}"));
+        };
+        let violations = attempt_violations(&self.settings, request, &endpoint, now + write_within);
+        request.attempts.push(Attempt {
+            cell: endpoint.cell,
+            zone: endpoint.zone,
+            sent_at: now,
+            outcome: None,
+            ended_at: 0.0,
+        });
+        for violation in violations {
+            self.record(violation);
+        }
+    }
+
+    /// Whether a retry by the client does no harm.
+    fn client_may_retry(&self, id: u64) -> bool {
+        self.requests.get(&id).is_some_and(|request| {
+            let may_run_twice = matches!(
+                self.settings.classes[request.class].effect,
+                Effect::Safe | Effect::Idempotent { group: IdempotencyGroup::All, .. }
+            );
+            may_run_twice || !request.attempts.iter().any(Attempt::may_have_run)
+        })
+    }
+
+    fn check_final_response(&mut self, now: Time, id: u64) {
+        match self.requests.get_mut(&id) {
+            Some(request) if !request.is_finished => {
+                request.is_finished = true;
+                if now > request.deadline {
+                    self.record(format!("{id} has a late final response"));
+                }
+            }
+            _ => self.record(format!("{id} has a second final response, or is unknown")),
+        }
+    }
+
+    /// Checks that each request has its final response.
+    pub fn check_all_finished(&mut self) {
+        let is_open = |(_, request): &(&u64, &ObservedRequest)| !request.is_finished;
+        let open_ids: Vec<u64> = self.requests.iter().filter(is_open).map(|(id, _)| *id).collect();
+        for id in open_ids {
+            self.record(format!("{id} has no final response"));
+        }
+    }
+}
+
+/// What is violated by a further attempt of the request at this endpoint, written by `written_by`.
+fn attempt_violations(
+    settings: &Settings,
+    request: &ObservedRequest,
+    endpoint: &Endpoint,
+    written_by: Time,
+) -> Vec<&'static str> {
+    let mut violations = Vec::new();
+    if request.is_finished {
+        violations.push("sent after the end");
+    }
+    if request.attempts.len() >= settings.max_attempts {
+        violations.push("too many attempts");
+    }
+    if !settings.hedging_allowed && request.attempts.iter().any(Attempt::is_in_flight) {
+        violations.push("hedging is not allowed");
+    }
+    if let Some(first) = request.attempts.iter().find(|attempt| attempt.may_have_run()) {
+        match settings.classes[request.class].effect {
+            Effect::Safe => {}
+            Effect::Unsafe => violations.push("second attempt of an unsafe request"),
+            Effect::Idempotent { group, window } => {
+                let is_in_group = match group {
+                    IdempotencyGroup::All => true,
+                    IdempotencyGroup::Zone => first.zone == endpoint.zone,
+                    IdempotencyGroup::Cell => first.cell == endpoint.cell,
+                };
+                // An attempt that waits for its connection must not be written later either.
+                if !is_in_group || written_by > first.sent_at + window {
+                    violations.push("retry outside the group or window of its key");
+                }
+            }
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/tests/decision_invariants/main.rs
@@ -0,0 +1,135 @@
+//! The invariants of the decision module, checked from outside on random legal sequences of events,
+//! with a checker that is shown to find planted violations.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod checker;
+mod random_events;
+
+use balancer_proxy::*;
+use checker::{Checker, ObservedRequest};
+use common::balancer_harness::endpoint;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use random_events::{settings, step, violations_of};
+
+#[test]
+fn invariants_hold_on_random_event_sequences() {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let sequences =
+        (prop::collection::vec(step(), 1..150), any::<bool>(), any::<bool>(), 0..2usize, any::<u64>());
+
+    runner
+        .run(&sequences, |(steps, hedging_allowed, cancellation_allowed, tier, seed)| {
+            let settings = settings(hedging_allowed, cancellation_allowed, tier);
+            let violations = violations_of(&steps, settings, seed);
+            prop_assert!(violations.is_empty(), "{violations:?}");
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// The request that planted violations are about.
+const REQUEST: RequestId = RequestId(1);
+/// The indices of classes in the settings.
+const SAFE: usize = 0;
+const ORDERED_UNSAFE: usize = 1;
+const IDEMPOTENT_IN_CELL: usize = 4;
+
+fn send(id: RequestId, backend: u32) -> Action {
+    Action::Send { id, backend: BackendId(backend), timeout: 0.5, write_within: 0.5 }
+}
+
+/// The violations that the checker finds in these timed actions. Backends 1 and 2 are in cells 1 and
+/// 2, backend 3 is draining; request 1 is open until 1 s, request 2 is finished.
+fn violations_in(class: usize, timed_actions: &[(Time, Action)]) -> Vec<String> {
+    let mut checker = Checker::new(settings(false, false, 0));
+    checker.list.insert(1, Endpoint { cell: 1, ..endpoint(1) });
+    checker.list.insert(2, Endpoint { cell: 2, ..endpoint(2) });
+    checker.list.insert(3, Endpoint { status: Status::Draining, ..endpoint(3) });
+    let request = || ObservedRequest::new(class, Some(9), 1.0);
+    checker.requests.insert(1, request());
+    checker.requests.insert(2, ObservedRequest { is_finished: true, ..request() });
+    for (now, action) in timed_actions {
+        checker.check_action(*now, action);
+    }
+    checker.check_all_finished();
+    checker.violations
+}
+
+#[test]
+fn the_checker_finds_missing_late_and_repeated_final_responses() {
+    let reject = Action::Reject { id: REQUEST, retry_after: None };
+    let fail = || Action::Fail { id: REQUEST };
+
+    assert_eq!(violations_in(SAFE, &[(0.0, send(REQUEST, 1)), (0.5, reject)]).len(), 0);
+    assert_eq!(violations_in(SAFE, &[(0.0, send(REQUEST, 1))]), ["1 has no final response"]);
+    assert_eq!(violations_in(SAFE, &[(1.5, fail())]), ["1 has a late final response"]);
+    assert_eq!(violations_in(SAFE, &[(0.1, fail()), (0.2, fail())]).len(), 1);
+    assert_eq!(violations_in(SAFE, &[(0.1, fail()), (0.2, send(REQUEST, 1))]), ["sent after the end"]);
+}
+
+#[test]
+fn the_checker_finds_attempts_that_are_not_allowed() {
+    let fail = || Action::Fail { id: REQUEST };
+
+    assert!(violations_in(SAFE, &[(0.1, send(REQUEST, 3)), (0.2, fail())])[0].starts_with("drain"));
+    let hedged = [(0.0, send(REQUEST, 1)), (0.1, send(REQUEST, 2)), (0.2, fail())];
+    assert_eq!(
+        violations_in(ORDERED_UNSAFE, &hedged),
+        ["hedging is not allowed", "second attempt of an unsafe request"]
+    );
+    assert_eq!(
+        violations_in(IDEMPOTENT_IN_CELL, &hedged),
+        ["hedging is not allowed", "retry outside the group or window of its key"]
+    );
+    let after_window = [(0.0, send(REQUEST, 1)), (0.5, send(REQUEST, 1)), (0.6, fail())];
+    assert_eq!(
+        violations_in(IDEMPOTENT_IN_CELL, &after_window),
+        ["hedging is not allowed", "retry outside the group or window of its key"]
+    );
+    let rejected = [(0.0, send(REQUEST, 1)), (0.6, Action::Reject { id: REQUEST, retry_after: None })];
+    assert!(violations_in(ORDERED_UNSAFE, &rejected)[0].contains("which may have run"));
+}
+
+#[test]
+fn the_checker_finds_requests_of_a_key_out_of_order_or_before_the_key_has_rested() {
+    let mut checker = Checker::new(settings(true, true, 0));
+    checker.list.insert(1, endpoint(1));
+    for id in 1..3 {
+        checker.requests.insert(id, ObservedRequest::new(ORDERED_UNSAFE, Some(9), 9.0));
+    }
+
+    checker.check_action(0.0, &send(REQUEST, 1));
+    assert_eq!(checker.order_violation(0.1, 2), Some("order: an earlier request is not finished"));
+    checker.check_action(0.2, &Action::Fail { id: REQUEST });
+    assert_eq!(checker.order_violation(0.2, 2), Some("order: an earlier request is not finished"));
+
+    let first_attempt = &mut checker.requests.get_mut(&1).unwrap().attempts[0];
+    first_attempt.outcome = Some(Outcome::Timeout);
+    first_attempt.ended_at = 0.3;
+    checker.check_action(0.4, &send(RequestId(2), 1));
+    assert_eq!(checker.violations, ["order: the key has not rested"]);
+    assert_eq!(checker.order_violation(0.51, 2), None);
+}
+
+#[test]
+fn the_checker_finds_idle_connections_to_a_draining_backend_left_open() {
+    let mut checker = Checker::new(settings(true, true, 0));
+    checker.list.insert(1, Endpoint { status: Status::Draining, ..endpoint(1) });
+
+    // After the notification.
+    checker.backend_notified_or_used(1.0, 1);
+    checker.check_idle_connections(1.05);
+    checker.check_action(1.05, &Action::CloseIdleConnections(BackendId(1)));
+    checker.check_idle_connections(1.2);
+    assert_eq!(checker.violations.len(), 0);
+
+    // After a later outcome.
+    checker.backend_notified_or_used(1.3, 1);
+    checker.check_idle_connections(1.5);
+    assert_eq!(checker.violations, ["drain: connections left open"]);
+}
--- /dev/null
+++ b/tests/decision_invariants/random_events.rs
@@ -0,0 +1,256 @@
+//! Random legal sequences of events, played to a balancer under the eyes of the checker.
+
+use balancer_proxy::*;
+use proptest::prelude::*;
+
+use crate::checker::{Checker, ObservedRequest};
+use crate::common::balancer_harness::{endpoint, request_class, tenant};
+
+const BACKENDS: u32 = 7;
+/// The time after the last step in which every request must end, in seconds.
+const FINAL_WAIT: Time = 5.0;
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Success,
+    Outcome::Error,
+    Outcome::Rejected,
+    Outcome::Timeout,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::NotSent,
+];
+
+const STATUSES: [Status; 3] = [Status::InService, Status::Draining, Status::Removed];
+
+/// A step of a random sequence. Indices are taken modulo the number of what they select.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A request arrives; key 0 stands for no key.
+    Request { class: usize, tenant: usize, key: u64, timeout: Time },
+    /// An attempt in flight ends.
+    EndAttempt { attempt: usize, outcome: Outcome },
+    /// A client disconnects, also after the end of its request.
+    Disconnect { request: usize },
+    /// Time passes, and timers fire.
+    Wait(Time),
+    /// An endpoint changes.
+    ChangeEndpoint { backend: u32, status: Status, is_restarted: bool },
+    /// A full list without one backend arrives.
+    FullList { without: u32 },
+    /// A poll of the endpoint list fails.
+    PollFailed,
+}
+
+/// Generates one step.
+pub fn step() -> impl Strategy<Value = Step> {
+    let request = (0..5usize, 0..2usize, 0..3u64, -0.1..2.0f64)
+        .prop_map(|(class, tenant, key, timeout)| Step::Request { class, tenant, key, timeout });
+    let end_attempt = (0..50usize, 0..8usize)
+        .prop_map(|(attempt, outcome)| Step::EndAttempt { attempt, outcome: OUTCOMES[outcome] });
+    let change_endpoint =
+        (1..=BACKENDS, 0..3usize, any::<bool>()).prop_map(|(backend, status, is_restarted)| {
+            Step::ChangeEndpoint { backend, status: STATUSES[status], is_restarted }
+        });
+    prop_oneof![
+        6 => request,
+        6 => end_attempt,
+        1 => (0..50usize).prop_map(|request| Step::Disconnect { request }),
+        8 => (0.0..0.3f64).prop_map(Step::Wait),
+        2 => change_endpoint,
+        1 => (1..=BACKENDS).prop_map(|without| Step::FullList { without }),
+        1 => Just(Step::PollFailed),
+    ]
+}
+
+/// Settings with classes of every effect, two of which keep the order of a key.
+pub fn settings(hedging_allowed: bool, cancellation_allowed: bool, tier: usize) -> Settings {
+    let class = |effect| RequestClass { latency_objective: 0.8, ..request_class(effect) };
+    let idempotent = |group, window| Effect::Idempotent { group, window };
+    Settings {
+        classes: vec![
+            class(Effect::Safe),
+            RequestClass { late_priority_weight: 0.3, ordered_by_key: true, ..class(Effect::Unsafe) },
+            class(idempotent(IdempotencyGroup::All, 0.6)),
+            class(idempotent(IdempotencyGroup::Zone, 0.5)),
+            RequestClass { ordered_by_key: true, ..class(idempotent(IdempotencyGroup::Cell, 0.4)) },
+        ],
+        tenants: vec![tenant("a", 2.0), tenant("b", 100.0)],
+        over_quota_weight: 0.1,
+        hedging_allowed,
+        cancellation_allowed,
+        tier,
+        max_attempts: 3,
+        max_retry_after: 1.0,
+        must_poll_endpoints: true,
+        key_rest_duration: 0.2,
+        idle_close_limit: Some(0.1),
+        ..Settings::default()
+    }
+}
+
+/// An attempt in flight.
+struct InFlight {
+    id: u64,
+    attempt: usize,
+    backend: u32,
+}
+
+/// A balancer on virtual time with its checker.
+struct Simulation {
+    balancer: Balancer,
+    checker: Checker,
+    now: Time,
+    /// When each timer is due, and its token.
+    timers: Vec<(Time, u64)>,
+    in_flight: Vec<InFlight>,
+    list: Vec<Endpoint>,
+    last_request: u64,
+}
+
+/// Plays the steps and lets every request end; returns what was violated.
+pub fn violations_of(steps: &[Step], settings: Settings, seed: u64) -> Vec<String> {
+    let mut simulation = Simulation {
+        checker: Checker::new(settings.clone()),
+        balancer: Balancer::new(0.0, seed, settings),
+        now: 0.0,
+        timers: Vec::new(),
+        in_flight: Vec::new(),
+        list: (1..=BACKENDS).map(|id| Endpoint { cell: id % 3, zone: id % 2, ..endpoint(id) }).collect(),
+        last_request: 0,
+    };
+    simulation.send_full_list(0);
+    for step in steps {
+        simulation.play(step);
+    }
+    simulation.wait(FINAL_WAIT);
+    simulation.checker.check_all_finished();
+    if simulation.balancer.open_requests() > 0 {
+        simulation.checker.record("finished requests are still open in the balancer");
+    }
+    simulation.checker.violations
+}
+
+impl Simulation {
+    fn play(&mut self, step: &Step) {
+        match *step {
+            Step::Request { class, tenant, key, timeout } => self.request(class, tenant, key, timeout),
+            Step::EndAttempt { attempt, outcome } => self.end_attempt(attempt, outcome),
+            Step::Disconnect { request } => self.disconnect(request),
+            Step::Wait(duration) => self.wait(duration),
+            Step::ChangeEndpoint { backend, status, is_restarted } => {
+                self.change_endpoint(backend, status, is_restarted);
+            }
+            Step::FullList { without } => self.send_full_list(without),
+            Step::PollFailed => self.handle(Event::Endpoints(EndpointUpdate::Failed)),
+        }
+    }
+
+    /// Passes an event to the balancer, and checks its actions.
+    fn handle(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        self.checker.check_idle_connections(self.now);
+        for action in &actions {
+            self.checker.check_action(self.now, action);
+            match action {
+                Action::SetTimer { at, token } => self.timers.push((*at, *token)),
+                Action::Send { id, backend, .. } => {
+                    let request = self.checker.requests.get(&id.0);
+                    let attempt = request.map_or(0, |request| request.attempts.len() - 1);
+                    self.in_flight.push(InFlight { id: id.0, attempt, backend: backend.0 });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn request(&mut self, class: usize, tenant: usize, key: u64, timeout: Time) {
+        self.last_request += 1;
+        let key = (key > 0).then_some(key);
+        let deadline = self.now + timeout.max(0.0);
+        self.checker.requests.insert(self.last_request, ObservedRequest::new(class, key, deadline));
+        self.handle(Event::Request(Request {
+            id: RequestId(self.last_request),
+            class,
+            tenant: Some(tenant),
+            key,
+            timeout,
+            streaming_body: false,
+        }));
+    }
+
+    fn end_attempt(&mut self, index: usize, outcome: Outcome) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let InFlight { id, attempt, backend } = self.in_flight.remove(index % self.in_flight.len());
+        self.checker.backend_notified_or_used(self.now, backend);
+        let request = self.checker.requests.get_mut(&id).unwrap();
+        request.is_finished |= outcome == Outcome::Success;
+        let request_finished = request.is_finished;
+        let observed = &mut request.attempts[attempt];
+        observed.outcome = Some(outcome);
+        observed.ended_at = self.now;
+        let duration = self.now - observed.sent_at;
+        self.handle(Event::AttemptEnded(EndedAttempt {
+            id: RequestId(id),
+            backend: BackendId(backend),
+            attempt,
+            outcome,
+            duration,
+            request_finished,
+            report: None,
+        }));
+    }
+
+    fn disconnect(&mut self, index: usize) {
+        if self.last_request == 0 {
+            return;
+        }
+        let id = 1 + index as u64 % self.last_request;
+        self.checker.requests.get_mut(&id).unwrap().is_finished = true;
+        self.handle(Event::ClientDisconnected(RequestId(id)));
+    }
+
+    fn wait(&mut self, duration: Time) {
+        let end = self.now + duration;
+        while let Some(index) = self.next_timer_until(end) {
+            let (due, token) = self.timers.remove(index);
+            self.now = due.max(self.now);
+            self.handle(Event::Timer(token));
+        }
+        self.now = end;
+    }
+
+    /// The index of the earliest timer, if that is due by `end`.
+    fn next_timer_until(&self, end: Time) -> Option<usize> {
+        (0..self.timers.len())
+            .filter(|index| self.timers[*index].0 <= end)
+            .min_by(|left, right| self.timers[*left].0.total_cmp(&self.timers[*right].0))
+    }
+
+    fn change_endpoint(&mut self, backend: u32, status: Status, is_restarted: bool) {
+        let endpoint = &mut self.list[backend as usize - 1];
+        endpoint.status = status;
+        endpoint.started_at = is_restarted.then_some(self.now);
+        let changed = endpoint.clone();
+        self.checker.list.insert(backend, changed.clone());
+        self.checker.backend_notified_or_used(self.now, backend);
+        self.handle(Event::Endpoints(EndpointUpdate::Changes(&[changed])));
+    }
+
+    /// Sends a full list without this backend, or with all for 0.
+    fn send_full_list(&mut self, without: u32) {
+        let list: Vec<_> = self.list.iter().filter(|endpoint| endpoint.id.0 != without).cloned().collect();
+        for endpoint in self.checker.list.values_mut() {
+            endpoint.status = Status::Removed;
+        }
+        self.checker.unclosed_since.clear();
+        for endpoint in &list {
+            self.checker.list.insert(endpoint.id.0, endpoint.clone());
+            self.checker.backend_notified_or_used(self.now, endpoint.id.0);
+        }
+        self.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
+    }
+}
--- a/tests/endpoint_churn.rs
+++ b/tests/endpoint_churn.rs
@@ -1,5 +1,5 @@
-//! Backends that are replaced by ever new ones: what is gone is forgotten, and no sooner than
-//! nothing can name it any more.
+//! Backends that are replaced again and again: removed ones are forgotten, and not before the last
+//! reference to them is gone.
 
 mod common;
 
@@ -14,30 +14,38 @@
 use common::stub_server::{Reply, StubServer};
 use common::waiting::{TEST_TIMEOUT, next_unique_number, wait_for_disconnect};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
+/// Interval at which a test evaluates a condition of the engine.
+const CONDITION_INTERVAL: Duration = Duration::from_millis(20);
+
 fn listed(id: u32, address: SocketAddr) -> ListedEndpoint {
     ListedEndpoint { endpoint: endpoint(id), address }
 }
 
+/// An engine whose discovery notifies it of removed backends, with a short grace period.
+fn start_engine() -> Rc<Engine> {
+    let proxy = ProxySettings {
+        connect_timeout: TEST_TIMEOUT,
+        idle_close: TEST_TIMEOUT,
+        drain_grace: Duration::from_millis(100),
+        max_open: 10,
+        ..ProxySettings::default()
+    };
+    let metrics = Metrics::new(&proxy);
+    Engine::start(SettingsSnapshot { settings: safe_settings(), proxy }.into(), 1, 10, metrics)
+}
+
 #[test]
-fn the_engine_forgets_a_backend_that_is_gone_once_no_attempt_is_out() {
-    let (ended, end) = channel();
-    let silent = StubServer::new(move |_, _| Reply::HangAndReport(ended.clone()));
+fn the_engine_forgets_a_removed_backend_once_no_attempt_is_in_flight() {
+    let (report_disconnect, disconnected) = channel();
+    let backend = StubServer::new(move |_, _| Reply::HangAndReport(report_disconnect.clone()));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let wire = ProxySettings {
-            connect_timeout: TEST_TIMEOUT,
-            idle_close: TEST_TIMEOUT,
-            drain_grace: Duration::from_millis(100),
-            max_open: 10,
-            ..ProxySettings::default()
-        };
-        let figures = Metrics::new(&wire);
-        let engine =
-            Engine::start(SettingsSnapshot { settings: safe_settings(), proxy: wire }.into(), 1, 10, figures);
-        engine.on_watch_event(WatchEvent::Full(vec![listed(1, silent.address)]));
+        let engine = start_engine();
+        engine.on_watch_event(WatchEvent::Full(vec![listed(1, backend.address)]));
         let payload = ForwardedRequest {
             method: hyper::Method::GET,
             uri: "/api".parse().unwrap(),
@@ -46,50 +54,54 @@
         };
         let request = Request { timeout: 20.0, ..Request::default() };
         let id = next_unique_number() as u64;
-        let (id, _answer) = engine.submit(id, request, payload).unwrap();
-        let pause = || tokio::time::sleep(Duration::from_millis(20));
-        while silent.request_count() == 0 {
+        let (id, _response) = engine.submit(id, request, payload).unwrap();
+        let pause = || tokio::time::sleep(CONDITION_INTERVAL);
+        while backend.request_count() == 0 {
             pause().await;
         }
-        for new in 2..50 {
-            engine.on_watch_event(WatchEvent::Full(vec![listed(new, silent.address)]));
+
+        for id in 2..50 {
+            engine.on_watch_event(WatchEvent::Full(vec![listed(id, backend.address)]));
         }
-        // Long enough for the grace and the next sweep, over and over.
-        let mut waits = 0;
+
+        // Many times the grace period and the interval of the next sweep.
+        let mut pauses = 0;
         while (2..49).any(|id| engine.is_referenced(BackendId(id))) {
             pause().await;
-            waits += 1;
-            assert!(waits < 1000, "they are not forgotten");
+            pauses += 1;
+            assert!(pauses < 1000, "they are not forgotten");
         }
         assert!(engine.is_referenced(BackendId(49)), "the one that is listed");
-        assert!(engine.is_referenced(BackendId(1)), "the one with an attempt out");
+        assert!(engine.is_referenced(BackendId(1)), "the one with an attempt in flight");
         engine.client_disconnected(id);
         while engine.is_referenced(BackendId(1)) {
             pause().await;
-            waits += 1;
-            assert!(waits < 2000, "it is not forgotten");
+            pauses += 1;
+            assert!(pauses < 2000, "it is not forgotten");
         }
     });
-    wait_for_disconnect(&end);
+    wait_for_disconnect(&disconnected);
 }
 
 #[test]
-fn the_module_forgets_backends_that_are_gone_and_keeps_count_of_those_with_calls() {
+fn the_decision_module_forgets_removed_backends_without_attempts_in_flight() {
     let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1)]);
     let first = sends(&harness.request(1));
     assert_eq!(first, [(1, 1)]);
-    for new in 2..500 {
-        harness.handle(Event::Endpoints(EndpointUpdate::Full(&[endpoint(new), endpoint(1000 + new)])));
-        // Calls go on meanwhile, and their places are not mixed up.
+
+    for id in 2..500 {
+        harness.handle(Event::Endpoints(EndpointUpdate::Full(&[endpoint(id), endpoint(1000 + id)])));
+        // Requests go on meanwhile, and are attributed to the right backends.
         harness.now += 0.01;
-        let id = u64::from(new);
-        let to = sends(&harness.request(id))[0].1;
-        assert!(to == new || to == 1000 + new, "{to} at {new}");
-        let over = harness.end_attempt(id, 0, to, Outcome::Success, 0.01);
-        assert!(!is_rejected(&over, id));
+        let request = u64::from(id);
+        let backend = sends(&harness.request(request))[0].1;
+        assert!(backend == id || backend == 1000 + id, "{backend} at {id}");
+        let actions = harness.end_attempt(request, 0, backend, Outcome::Success, 0.01);
+        assert!(!is_rejected(&actions, request));
     }
+
     assert!(harness.balancer.backends_known() <= 5, "{}", harness.balancer.backends_known());
-    // The first call's backend is known until its attempt has ended.
+    // The backend of the first request is known until its attempt has ended.
     assert!(harness.balancer.backends_known() > 2);
     harness.end_attempt(1, 0, 1, Outcome::Success, 1.0);
     harness.handle(Event::Endpoints(EndpointUpdate::Changes(&[])));
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -1,9 +1,9 @@
-//! Backends taken out by hand: what the module decides, and the calls from outside.
+//! Maintenance of backends by management calls.
 
 mod common;
 
 use common::configuration::{
-    configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
+    configuration_with_management, default_settings, endpoint_list, listed_endpoint, request, serving_list,
 };
 use common::http::{read_message, response};
 use common::late_server::LateServer;
@@ -15,20 +15,23 @@
 use std::time::Duration;
 
 #[test]
-fn calls_take_a_backend_out_and_put_it_back() {
+fn management_calls_start_and_end_maintenance() {
     let backends = ["zero", "one"].map(StubServer::responding_with);
     let proxy = ProxyProcess::with_management(&[&backends[0], &backends[1]]);
     assert!(proxy.management_call("maint-on s-7\n").starts_with("ERR"));
     assert!(proxy.management_call("maint-off s-7\n").starts_with("ERR"));
     assert!(proxy.management_call("maint-on\n").starts_with("ERR"));
     assert!(proxy.management_call("maint-on s-0 s-1\n").starts_with("ERR"));
+
     for _ in 0..2 {
         assert!(proxy.management_call("maint-on s-0\n").starts_with("OK"));
     }
-    assert_eq!((proxy.stats()["discovered"].clone(), proxy.stats()["ejected"].clone()), (json!(2), json!(1)));
+    let stats = proxy.stats();
+    assert_eq!((stats["discovered"].clone(), stats["ejected"].clone()), (json!(2), json!(1)));
     for _ in 0..10 {
         assert_eq!(proxy.exchange(&request("look", 9000)).body, b"one");
     }
+
     for _ in 0..2 {
         assert!(proxy.management_call("maint-off s-0\n").starts_with("OK"));
     }
@@ -37,38 +40,41 @@
 }
 
 #[test]
-fn an_id_that_is_no_longer_listed_is_not_unheard_of() {
+fn accepts_maintenance_of_a_backend_that_is_no_longer_listed() {
     let backends = ["zero", "one"].map(StubServer::responding_with);
-    let gone = endpoint_list(2, false, &[listed_endpoint("s-0", backends[0].address, "DELETED")]).to_string();
-    let discovery = StubServer::new(move |before, _| match before {
-        0 => Reply::Respond(response("200 OK", &gone)),
+    let removal =
+        endpoint_list(2, false, &[listed_endpoint("s-0", backends[0].address, "DELETED")]).to_string();
+    let discovery = StubServer::new(move |earlier_calls, _| match earlier_calls {
+        0 => Reply::Respond(response("200 OK", &removal)),
         _ => Reply::Hang,
     });
-    let mut config = configuration(&default_settings(), &serving_list(&[&backends[0], &backends[1]]));
-    config["management"] = json!("127.0.0.1:0");
-    let proxy = ProxyProcess::with_configuration(&config, discovery.address);
+    let cached_list = serving_list(&[&backends[0], &backends[1]]);
+    let configuration = configuration_with_management(&default_settings(), &cached_list);
+    let proxy = ProxyProcess::with_configuration(&configuration, discovery.address);
     wait_for("list", || proxy.stats()["discovered"] == json!(1));
+
     assert!(proxy.management_call("maint-on s-0\n").starts_with("OK"));
     assert!(proxy.management_call("maint-off s-0\n").starts_with("OK"));
 }
 
 #[test]
-fn a_call_decided_before_a_ban_is_not_sent_after_its_grace() {
+fn does_not_send_a_request_placed_before_maintenance_after_the_grace_period() {
     let backend = LateServer::with_full_backlog();
     let mut settings = default_settings();
     settings["caps"]["connect-timeout"] = json!(20.0);
-    let known = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
-    let mut config = configuration(&settings, &known);
-    config["management"] = json!("127.0.0.1:0");
-    let proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
+    let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
+    let configuration = configuration_with_management(&settings, &cached_list);
+    let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
     let mut stream = proxy.connect();
     stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
-    wait_for("call", || backend.has_pending_connection());
+    wait_for("connection attempt", || backend.has_pending_connection());
+
     assert!(proxy.management_call("maint-on s-0\n").starts_with("OK"));
-    // The grace is 1 s.
+    // The grace period is 1 s.
     std::thread::sleep(Duration::from_millis(1100));
-    let texts = backend.accept_all();
-    assert!(texts.is_empty(), "{texts:?}");
-    assert_eq!(read_message(&mut stream).expect("an answer").status(), 503);
+    let received = backend.accept_all();
+
+    assert!(received.is_empty(), "{received:?}");
+    assert_eq!(read_message(&mut stream).expect("a response").status(), 503);
     assert_eq!(proxy.stats()["forwards"], 0);
 }
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -1,13 +1,15 @@
-//! The second address, from outside: calls, what is no call, and the figures.
+//! The management address: its calls, invalid calls and the metrics.
 
 mod common;
 
-use common::configuration::{configuration, default_settings, endpoint_list, listed_endpoint, request};
+use common::configuration::{
+    configuration_with_management, default_settings, endpoint_list, listed_endpoint, request,
+};
 use common::http::response;
 use common::proxy_process::ProxyProcess;
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::{wait_for, wait_for_disconnect};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -15,129 +17,149 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-fn results(figures: &Value, class: &str) -> Vec<u64> {
-    ["succeeded", "declined", "aborted"].map(|end| figures["results"][class][end].as_u64().unwrap()).to_vec()
+/// The requests of a class that succeeded, were rejected and failed.
+fn results(stats: &Value, class: &str) -> Vec<u64> {
+    ["succeeded", "declined", "aborted"].map(|end| stats["results"][class][end].as_u64().unwrap()).to_vec()
+}
+
+fn count(stats: &Value, name: &str) -> u64 {
+    stats[name].as_u64().unwrap()
+}
+
+/// Everything that arrives until the end of the connection.
+fn read_to_end(stream: &mut BufReader<TcpStream>) -> String {
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text); // it may have been reset
+    text
 }
 
 #[test]
-fn without_the_setting_nothing_listens() {
+fn listens_on_no_management_address_without_the_setting() {
     let backend = StubServer::responding_with("hello");
+
     let proxy = ProxyProcess::in_front_of(&[&backend]);
+
     assert_eq!(proxy.management, None);
 }
 
 #[test]
-fn calls_are_answered_and_all_else_gets_err() {
+fn responds_to_calls_and_to_anything_else_with_err() {
     let backend = StubServer::responding_with("hello");
     let proxy = ProxyProcess::with_management(&[&backend]);
+    let mut invalid_utf8 = proxy.connect_management();
+    invalid_utf8.get_mut().write_all(b"\xff\xfe status\n").unwrap();
+
     assert!(proxy.management_call("status\n").starts_with("OK"));
     assert!(proxy.management_call("status\r\n").starts_with("OK"));
     let long = "status ".repeat(200);
-    for bad in ["\n", "status now\n", "STATUS\n", "stat", "statistics\n", "stats\0\n", "\u{e9}\n", &long] {
-        assert!(proxy.management_call(bad).starts_with("ERR"), "{bad:?}");
+    let invalid_calls =
+        ["\n", "status now\n", "STATUS\n", "stat", "statistics\n", "stats\0\n", "\u{e9}\n", &long];
+    for call in invalid_calls {
+        assert!(proxy.management_call(call).starts_with("ERR"), "{call:?}");
     }
-    let mut garbled = proxy.connect_management();
-    garbled.get_mut().write_all(b"\xff\xfe status\n").unwrap();
-    assert!(ended(&mut garbled).starts_with("ERR"));
-}
-
-/// All that comes until the end of the connection.
-fn ended(stream: &mut BufReader<TcpStream>) -> String {
-    let mut text = String::new();
-    let _ = stream.read_to_string(&mut text); // it may have been reset
-    text
+    assert!(read_to_end(&mut invalid_utf8).starts_with("ERR"));
 }
 
 #[test]
-fn callers_that_say_nothing_or_half_a_call_delay_nobody_and_are_closed() {
+fn closes_connections_without_a_complete_call_which_delay_no_other() {
     let backend = StubServer::responding_with("hello");
     let proxy = ProxyProcess::with_management(&[&backend]);
     let start = Instant::now();
-    let mute: Vec<_> = (0..100)
-        .map(|i| {
+    let incomplete: Vec<_> = (0..100)
+        .map(|index| {
             let mut stream = proxy.connect_management();
-            stream.get_mut().write_all(if i % 2 == 0 { b"" } else { b"stat" }).unwrap();
+            stream.get_mut().write_all(if index % 2 == 0 { b"" } else { b"stat" }).unwrap();
             stream
         })
         .collect();
+
     assert!(proxy.management_call("status\n").starts_with("OK"));
-    for mut stream in mute {
-        let told = ended(&mut stream);
-        assert!(told.is_empty() || told.starts_with("ERR"), "{told}");
+
+    for mut stream in incomplete {
+        let reply = read_to_end(&mut stream);
+        assert!(reply.is_empty() || reply.starts_with("ERR"), "{reply}");
     }
     assert!(start.elapsed() < Duration::from_secs(15), "{:?}", start.elapsed());
     assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
 }
 
 #[test]
-fn a_proxy_without_a_list_is_not_ready() {
-    let mut config = configuration(&default_settings(), &endpoint_list(0, true, &[]));
-    config["management"] = json!("127.0.0.1:0");
-    let proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
+fn is_not_ready_without_an_endpoint_list() {
+    let empty_list = endpoint_list(0, true, &[]);
+    let configuration = configuration_with_management(&default_settings(), &empty_list);
+    let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
+
     assert!(proxy.management_call("status\n").starts_with("ERR"));
 }
 
 #[test]
-fn the_figures_are_what_clients_and_backends_saw() {
-    // Answers, fails, then never answers.
-    let (ended, end) = channel();
-    let backend = StubServer::new(move |before, _| match before {
+fn metrics_count_what_clients_and_backends_saw() {
+    // Responds, fails, then never responds.
+    let (report_disconnect, disconnected) = channel();
+    let backend = StubServer::new(move |earlier_requests, _| match earlier_requests {
         0 | 1 => Reply::Respond(response("200 OK", "hello")),
         2 => Reply::Respond(response("500 Internal Server Error", "")),
-        _ => Reply::HangAndReport(ended.clone()),
+        _ => Reply::HangAndReport(report_disconnect.clone()),
     });
     let proxy = ProxyProcess::with_management(&[&backend]);
-    let none = proxy.stats();
+    let stats = proxy.stats();
     for class in ["look", "save", "order"] {
-        assert_eq!(results(&none, class), [0, 0, 0]);
+        assert_eq!(results(&stats, class), [0, 0, 0]);
     }
-    let count = |figures: &Value, name: &str| figures[name].as_u64().unwrap();
     let names = ["outstanding", "forwards", "discovered", "ejected"];
-    assert_eq!(names.map(|name| count(&none, name)), [0, 0, 1, 0]);
+    assert_eq!(names.map(|name| count(&stats, name)), [0, 0, 1, 0]);
+
     assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
     assert_eq!(proxy.exchange(&request("save", 9000)).status(), 200);
     assert_eq!(proxy.exchange(&request("order", 9000)).status(), 502);
-    // What is improper is no request.
-    assert_eq!(proxy.exchange(&request("order", 9000).replace("X-Lane: order", "X-Lane: no")).status(), 400);
-    let mut leaving = proxy.connect();
-    leaving.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    // An invalid request is not counted.
+    let invalid = request("order", 9000).replace("X-Lane: order", "X-Lane: no");
+    assert_eq!(proxy.exchange(&invalid).status(), 400);
+    let mut disconnecting = proxy.connect();
+    disconnecting.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
     wait_for("attempt", || backend.request_count() == 4);
     wait_for("count", || count(&proxy.stats(), "forwards") == 4);
     assert_eq!(count(&proxy.stats(), "outstanding"), 1);
-    drop(leaving);
-    wait_for_disconnect(&end);
+    drop(disconnecting);
+    wait_for_disconnect(&disconnected);
     wait_for("end", || count(&proxy.stats(), "outstanding") == 0);
-    // Nobody is there for it to be sent to.
+
+    // The client that disconnected got no response to count.
+    let stats = proxy.stats();
+    assert_eq!(results(&stats, "look"), [1, 0, 0]);
+    assert_eq!(results(&stats, "save"), [1, 0, 0]);
+    assert_eq!(results(&stats, "order"), [0, 0, 1]);
+}
+
+#[test]
+fn metrics_count_a_request_that_reached_no_backend_as_rejected() {
     let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let figures = proxy.stats();
-    assert_eq!(results(&figures, "look"), [1, 0, 0]);
-    assert_eq!(results(&figures, "save"), [1, 0, 0]);
-    assert_eq!(results(&figures, "order"), [0, 0, 1]);
-    let mut config = configuration(
-        &default_settings(),
-        &endpoint_list(1, true, &[listed_endpoint("s-1", closed, "SERVING")]),
-    );
-    config["management"] = json!("127.0.0.1:0");
-    let proxy = ProxyProcess::with_configuration(&config, silent_discovery().address);
+    let cached_list = endpoint_list(1, true, &[listed_endpoint("s-1", closed, "SERVING")]);
+    let configuration = configuration_with_management(&default_settings(), &cached_list);
+    let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
+
     assert_eq!(proxy.exchange(&request("order", 1000)).status(), 503);
-    let figures = proxy.stats();
-    assert_eq!((results(&figures, "order"), count(&figures, "forwards")), (vec![0, 1, 0], 0));
+
+    let stats = proxy.stats();
+    assert_eq!((results(&stats, "order"), count(&stats, "forwards")), (vec![0, 1, 0], 0));
 }
 
 #[test]
-fn copies_count_as_forwards_and_their_request_once() {
-    // The first attempt breaks, wherever it goes; the next one is answered.
-    let all = Arc::new(AtomicUsize::new(0));
-    let backends = [all.clone(), all].map(|all| {
-        StubServer::new(move |_, _| match all.fetch_add(1, Ordering::SeqCst) {
+fn metrics_count_each_attempt_as_forwarded_and_their_request_once() {
+    // The first attempt fails, wherever it is sent; the next one gets a response.
+    let attempts = Arc::new(AtomicUsize::new(0));
+    let backends = [attempts.clone(), attempts].map(|attempts| {
+        StubServer::new(move |_, _| match attempts.fetch_add(1, Ordering::SeqCst) {
             0 => Reply::Close,
             _ => Reply::Respond(response("200 OK", "hello")),
         })
     });
     let proxy = ProxyProcess::with_management(&[&backends[0], &backends[1]]);
+
     assert_eq!(proxy.exchange(&request("look", 4000)).status(), 200);
-    let figures = proxy.stats();
+
+    let stats = proxy.stats();
     assert_eq!(backends[0].request_count() + backends[1].request_count(), 2);
-    assert_eq!(figures["forwards"].as_u64(), Some(2));
-    assert_eq!(results(&figures, "look"), [1, 0, 0]);
+    assert_eq!(stats["forwards"].as_u64(), Some(2));
+    assert_eq!(results(&stats, "look"), [1, 0, 0]);
 }
--- a/tests/race_conditions.rs
+++ b/tests/race_conditions.rs
@@ -1,5 +1,5 @@
-//! Two ends in one beat: the process stands still while both come about, and goes on to find them.
-//! Whichever it takes for the first, each request has one answer, one outcome and one count.
+//! Two events that end a request at the same moment: both happen while the process is stopped. Whichever
+//! the proxy handles first, each request has one final response, one outcome and one count.
 
 mod common;
 
@@ -13,120 +13,149 @@
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::sync::Mutex;
-use std::sync::mpsc::channel;
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
 
-/// A request with so many milliseconds left, and what is to happen while the process stands still.
-fn play(left: u64, class: &str, meanwhile: impl FnOnce(&dyn Fn(), &mut Option<BufReader<TcpStream>>)) {
-    let (release, held) = channel::<()>();
-    let held = Mutex::new(held);
-    let (done, answered) = channel();
-    let done = Mutex::new(done);
-    let backend = StubServer::with_connection_handler(move |stream| {
-        while read_message(stream).is_some() {
-            let _ = held.lock().unwrap().recv_timeout(TEST_TIMEOUT);
-            let _ = stream.get_mut().write_all(response("200 OK", "hello").as_bytes());
-            let _ = done.lock().unwrap().send(());
-        }
-    });
-    let proxy = ProxyProcess::with_management(&[&backend]);
-    let mut stream = Some(proxy.connect());
-    stream.as_mut().unwrap().get_mut().write_all(request(class, left).as_bytes()).unwrap();
-    wait_for("attempt", || proxy.stats()["forwards"] == 1);
-    proxy.signal("-STOP");
-    let answers = || {
-        release.send(()).unwrap();
-        answered.recv_timeout(TEST_TIMEOUT).unwrap();
-    };
-    meanwhile(&answers, &mut stream);
-    proxy.signal("-CONT");
-    let status = stream.as_mut().map(|stream| read_message(stream).expect("an answer").status());
-    wait_for("end", || proxy.stats()["outstanding"] == 0);
-    let counted = proxy.stats()["results"][class].clone();
-    let counts: Vec<_> =
-        ["succeeded", "declined", "aborted"].map(|kind| counted[kind].as_u64().unwrap()).into();
-    match status {
-        Some(200) => assert_eq!(counts, [1, 0, 0]),
-        Some(429 | 503) => assert_eq!(counts, [0, 1, 0]),
-        Some(_) => assert_eq!(counts, [0, 0, 1]),
-        // A client that has left is counted once or not at all.
-        None => assert!(counts.iter().sum::<u64>() <= 1),
+/// The deadline of a request that expires while the process is stopped for [`PAST_SHORT_DEADLINE`].
+const SHORT_DEADLINE_MS: u64 = 1000;
+const PAST_SHORT_DEADLINE: Duration = Duration::from_millis(1200);
+/// The deadline of a request that does not expire during a test.
+const LONG_DEADLINE_MS: u64 = 9000;
+
+/// An unsafe request in flight at a backend that holds its responses.
+struct RequestInFlight {
+    proxy: ProxyProcess,
+    /// The client's connection, while it is open.
+    client: Option<BufReader<TcpStream>>,
+    release_response: Sender<()>,
+    response_written: Receiver<()>,
+}
+
+impl RequestInFlight {
+    fn start(remaining_ms: u64) -> Self {
+        let (release_response, released) = channel::<()>();
+        let (report_write, response_written) = channel();
+        let (released, report_write) = (Mutex::new(released), Mutex::new(report_write));
+        let backend = StubServer::with_connection_handler(move |stream| {
+            while read_message(stream).is_some() {
+                let _ = released.lock().unwrap().recv_timeout(TEST_TIMEOUT);
+                let _ = stream.get_mut().write_all(response("200 OK", "hello").as_bytes());
+                let _ = report_write.lock().unwrap().send(());
+            }
+        });
+        let proxy = ProxyProcess::with_management(&[&backend]);
+        let mut client = proxy.connect();
+        client.get_mut().write_all(request("order", remaining_ms).as_bytes()).unwrap();
+        wait_for("attempt", || proxy.stats()["forwards"] == 1);
+        Self { proxy, client: Some(client), release_response, response_written }
+    }
+
+    /// Lets the backend respond, and returns when the response has been written.
+    fn respond(&mut self) {
+        self.release_response.send(()).unwrap();
+        self.response_written.recv_timeout(TEST_TIMEOUT).unwrap();
     }
-    assert_eq!(proxy.stats()["forwards"], json!(1), "an unsafe request goes out once");
-    // Nothing more comes of it on its connection, and the proxy goes on.
-    drop(release);
-    if let Some(mut stream) = stream {
-        let mut ready = || exchange(&mut stream, "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status();
-        assert_eq!(ready(), 200);
+
+    fn disconnect_client(&mut self) {
+        self.client = None;
+    }
+
+    /// Stops the process while these events happen, and checks that the request ended once.
+    fn check_single_end(mut self, events: impl FnOnce(&mut Self)) {
+        self.proxy.signal("-STOP");
+        events(&mut self);
+        self.proxy.signal("-CONT");
+        let Self { proxy, mut client, release_response, .. } = self;
+        let status = client.as_mut().map(|stream| read_message(stream).expect("a response").status());
+        wait_for("end", || proxy.stats()["outstanding"] == 0);
+
+        let results = proxy.stats()["results"]["order"].clone();
+        let counts: Vec<_> =
+            ["succeeded", "declined", "aborted"].map(|kind| results[kind].as_u64().unwrap()).into();
+        match status {
+            Some(200) => assert_eq!(counts, [1, 0, 0]),
+            Some(429 | 503) => assert_eq!(counts, [0, 1, 0]),
+            Some(_) => assert_eq!(counts, [0, 0, 1]),
+            // A client that has disconnected is counted once or not at all.
+            None => assert!(counts.iter().sum::<u64>() <= 1),
+        }
+        assert_eq!(proxy.stats()["forwards"], json!(1), "an unsafe request has one attempt");
+        // Nothing more comes of it on its connection, and the proxy goes on.
+        drop(release_response);
+        if let Some(mut stream) = client {
+            let readiness_request = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n";
+            assert_eq!(exchange(&mut stream, readiness_request).status(), 200);
+        }
+        assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
     }
-    assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
 }
 
 #[test]
-fn an_answer_that_comes_as_the_time_of_its_request_ends() {
-    play(1000, "order", |answers, _| {
-        answers();
-        std::thread::sleep(Duration::from_millis(1200));
+fn a_request_ends_once_when_its_response_arrives_at_its_deadline() {
+    RequestInFlight::start(SHORT_DEADLINE_MS).check_single_end(|request| {
+        request.respond();
+        std::thread::sleep(PAST_SHORT_DEADLINE);
     });
-    play(1000, "order", |answers, _| {
-        std::thread::sleep(Duration::from_millis(1200));
-        answers();
+    RequestInFlight::start(SHORT_DEADLINE_MS).check_single_end(|request| {
+        std::thread::sleep(PAST_SHORT_DEADLINE);
+        request.respond();
     });
 }
 
 #[test]
-fn an_answer_that_comes_as_its_client_leaves() {
-    play(9000, "order", |answers, stream| {
-        answers();
-        *stream = None;
+fn a_request_ends_once_when_its_response_arrives_as_the_client_disconnects() {
+    RequestInFlight::start(LONG_DEADLINE_MS).check_single_end(|request| {
+        request.respond();
+        request.disconnect_client();
     });
-    play(9000, "order", |answers, stream| {
-        *stream = None;
-        answers();
+    RequestInFlight::start(LONG_DEADLINE_MS).check_single_end(|request| {
+        request.disconnect_client();
+        request.respond();
     });
 }
 
 #[test]
-fn a_client_that_leaves_as_the_time_of_its_request_ends() {
-    play(1000, "order", |_, stream| {
-        *stream = None;
-        std::thread::sleep(Duration::from_millis(1200));
+fn a_request_ends_once_when_the_client_disconnects_at_its_deadline() {
+    RequestInFlight::start(SHORT_DEADLINE_MS).check_single_end(|request| {
+        request.disconnect_client();
+        std::thread::sleep(PAST_SHORT_DEADLINE);
     });
 }
 
 #[test]
-fn a_keyed_repeat_whose_connection_comes_up_after_its_window_is_never_written() {
-    // The first attempt breaks off, wherever it went; the repeat's connection is late.
-    let (late, breaking) = (LateServer::with_full_backlog(), StubServer::new(|_, _| Reply::Close));
+fn does_not_send_a_retry_over_a_connection_established_after_the_window_of_its_key() {
+    // The first attempt fails, wherever it is sent; the connection of the retry is established late.
+    let late = LateServer::with_full_backlog();
+    let failing = StubServer::new(|_, _| Reply::Close);
     let mut settings = default_settings();
     settings["caps"]["connect-timeout"] = json!(20.0);
     settings["classes"][1]["window"] = json!(2.0);
-    let entries = [
-        listed_endpoint("s-0", late.address, "SERVING"),
-        listed_endpoint("s-1", breaking.address, "SERVING"),
-    ];
-    let mut crossed = 0;
-    // Which of the two members is the first is drawn; that it is the late one each time is next to
+    let endpoints =
+        [listed_endpoint("s-0", late.address, "SERVING"), listed_endpoint("s-1", failing.address, "SERVING")];
+    let cached_list = endpoint_list(1, true, &endpoints);
+    let mut retries_seen = 0;
+    // Which of the two members comes first is drawn; that it is the late one each time is next to
     // impossible.
     for _ in 0..20 {
-        let proxy =
-            ProxyProcess::start(&settings, &endpoint_list(1, true, &entries), silent_discovery().address);
-        let before = breaking.request_count();
+        let proxy = ProxyProcess::start(&settings, &cached_list, silent_discovery().address);
+        let failed_before = failing.request_count();
         let mut stream = proxy.connect();
-        // Its timer fires 1.6 s after it came, well inside the window, and it has 4 s in all.
+        // Its timer fires 1.6 s after its arrival, well inside the window, and it has 4 s in all.
         stream.get_mut().write_all(request("save", 4000).as_bytes()).unwrap();
-        wait_for("attempt", || late.has_pending_connection());
-        if breaking.request_count() == before {
+        wait_for("connection attempt", || late.has_pending_connection());
+        if failing.request_count() == failed_before {
             continue; // the late one was the first: it would be written in time
         }
-        crossed += 1;
-        // The repeat is given up at the end of the window, with the request's time not over.
-        let start = std::time::Instant::now();
-        let status = read_message(&mut stream).expect("an answer").status();
-        assert_eq!(status, 503, "a repeat of it by its client does no harm");
+        retries_seen += 1;
+
+        // The retry is given up at the end of the window, before the deadline of the request.
+        let start = Instant::now();
+        let status = read_message(&mut stream).expect("a response").status();
+
+        assert_eq!(status, 503, "a retry by the client does no harm");
         assert!(start.elapsed() < Duration::from_millis(1200), "{:?}", start.elapsed());
         assert_eq!(late.accept_all(), Vec::<String>::new());
         break;
     }
-    assert_eq!(crossed, 1);
+    assert_eq!(retries_seen, 1);
 }
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -1,128 +1,148 @@
-//! Readiness after a start: discovery can't hold it up, whatever it does, also where many start at once.
+//! Readiness after a start: discovery cannot delay it, whatever it does, also where many proxies start
+//! at once.
 
 mod common;
 
-use common::configuration::{configuration, default_settings, endpoint_list, request, serving_list};
+use common::configuration::{
+    configuration, configuration_with_management, default_settings, endpoint_list, request, serving_list,
+};
 use common::http::response;
 use common::late_server::LateServer;
 use common::proxy_process::{ProxyProcess, SharedAddress};
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
-use serde_json::{Value, json};
-use std::net::SocketAddr;
-use std::sync::Barrier;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
 
-/// A proxy must be ready so soon after its start.
-const READY_WITHIN: Duration = Duration::from_secs(10);
+/// A proxy must be ready this long after its start.
+const MAX_TIME_TO_READINESS: Duration = Duration::from_secs(10);
 
-/// Both of the words that it is ready with; a request is served then.
+/// Starts one proxy.
+type Start = Box<dyn Fn() -> ProxyProcess + Send + Sync>;
+
+/// Whether the proxy reports that it is ready, to clients and at its management address, if any.
 fn is_ready(proxy: &ProxyProcess) -> bool {
     let ready = proxy.exchange("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n").status() == 200;
     ready && (proxy.management.is_none() || proxy.management_call("status\n").starts_with("OK"))
 }
 
-/// An address that refuses connections.
-fn refusing() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// An address on which nothing listens.
+fn closed_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-/// A discovery that takes its time for each answer, longer than a start may wait.
-fn slow(list: String) -> StubServer {
+/// A discovery whose responses take longer than a start may wait.
+fn slow_discovery(list: String) -> StubServer {
     StubServer::new(move |_, _| {
         std::thread::sleep(Duration::from_secs(4));
         Reply::Respond(response("200 OK", &list))
     })
 }
 
-/// Starts all of these in one moment. Returns how long each took to be ready, and the processes.
-fn start_all(starts: Vec<Box<dyn Fn() -> ProxyProcess + Send + Sync>>) -> Vec<(Duration, ProxyProcess)> {
-    let (together, begun) = (Barrier::new(starts.len()), Mutex::new(Vec::new()));
+/// A proxy that was started, and how long it took to be ready.
+struct StartedProxy {
+    proxy: ProxyProcess,
+    time_to_readiness: Duration,
+}
+
+/// Starts all of these at the same moment.
+fn start_all(starts: &[Start]) -> Vec<StartedProxy> {
+    let (barrier, started) = (Barrier::new(starts.len()), Mutex::new(Vec::new()));
     std::thread::scope(|scope| {
-        for start in &starts {
+        for start in starts {
             scope.spawn(|| {
-                together.wait();
-                let began = Instant::now();
+                barrier.wait();
+                let begun = Instant::now();
                 let proxy = start();
                 wait_for("readiness", || is_ready(&proxy));
-                begun.lock().unwrap().push((began.elapsed(), proxy));
+                let time_to_readiness = begun.elapsed();
+                started.lock().unwrap().push(StartedProxy { proxy, time_to_readiness });
             });
         }
     });
-    begun.into_inner().unwrap()
-}
-
-fn with_management(mut config: Value) -> Value {
-    config["management"] = json!("127.0.0.1:0");
-    config
+    started.into_inner().unwrap()
 }
 
 #[test]
-fn proxies_that_start_at_once_are_ready_in_time_whatever_discovery_does() {
+fn proxies_started_at_once_are_ready_in_time_whatever_discovery_does() {
     let backend = StubServer::responding_with("hello");
-    let config = configuration(&default_settings(), &serving_list(&[&backend]));
+    let cached_list = serving_list(&[&backend]);
+    let without_management = configuration(&default_settings(), &cached_list);
+    let with_management = configuration_with_management(&default_settings(), &cached_list);
     let (silent, late) = (silent_discovery(), LateServer::with_full_backlog());
-    let slow = slow(serving_list(&[&backend]).to_string());
-    // It refuses, says nothing, is slow, or its connections don't come up.
-    let discoveries = [refusing(), silent.address, slow.address, late.address];
-    let mut starts: Vec<Box<dyn Fn() -> ProxyProcess + Send + Sync>> = Vec::new();
-    let places: Vec<_> = (0..8).map(|_| Arc::new(SharedAddress::new())).collect();
-    // Those that take over from another process ask discovery first, and others have been killed.
-    let before: Vec<_> = places.iter().map(|shared_address| shared_address.start(&config)).collect();
-    before.iter().for_each(|old| wait_for("readiness", || is_ready(old)));
-    for (nth, mut old) in before.into_iter().enumerate() {
-        let (config, shared_address, at) = (config.clone(), places[nth].clone(), discoveries[nth % 4]);
-        if nth < 4 {
+    let slow = slow_discovery(cached_list.to_string());
+    let discoveries = [closed_address(), silent.address, slow.address, late.address];
+    let mut starts: Vec<Start> = Vec::new();
+    // Four proxies start after another one was killed, and four while another one still runs: these
+    // ask discovery first.
+    let shared_addresses: Vec<_> = (0..8).map(|_| Arc::new(SharedAddress::new())).collect();
+    let old_proxies: Vec<_> =
+        shared_addresses.iter().map(|shared_address| shared_address.start(&without_management)).collect();
+    for old in &old_proxies {
+        wait_for("readiness", || is_ready(old));
+    }
+    for (index, mut old) in old_proxies.into_iter().enumerate() {
+        let shared_address = shared_addresses[index].clone();
+        let (configuration, discovery) = (without_management.clone(), discoveries[index % 4]);
+        if index < 4 {
             old.child.kill().unwrap();
             old.child.wait().unwrap();
-            starts.push(Box::new(move || shared_address.start_with_discovery(&config, at)));
+            starts.push(Box::new(move || shared_address.start_with_discovery(&configuration, discovery)));
         } else {
             let old = Mutex::new(Some(old));
             starts.push(Box::new(move || {
-                let next = shared_address.start_with_discovery(&config, at);
-                // It listens: the one before is not needed any more, nor may it answer for this one.
+                let next = shared_address.start_with_discovery(&configuration, discovery);
+                // It listens. The old one may not respond in its place.
                 drop(old.lock().unwrap().take());
                 next
             }));
         }
     }
-    for nth in 0..16 {
-        let at = discoveries[nth % 4];
-        let config = if nth < 8 { config.clone() } else { with_management(config.clone()) };
-        starts.push(Box::new(move || ProxyProcess::with_configuration(&config, at)));
+    for index in 0..16 {
+        let discovery = discoveries[index % 4];
+        let configuration = if index < 8 { without_management.clone() } else { with_management.clone() };
+        starts.push(Box::new(move || ProxyProcess::with_configuration(&configuration, discovery)));
     }
-    for (took, proxy) in start_all(starts) {
-        assert!(took < READY_WITHIN, "{took:?}");
+
+    let started = start_all(&starts);
+
+    for StartedProxy { proxy, time_to_readiness } in started {
+        assert!(time_to_readiness < MAX_TIME_TO_READINESS, "{time_to_readiness:?}");
         assert_eq!(proxy.exchange(&request("look", 9000)).body, b"hello");
     }
 }
 
 #[test]
-fn a_proxy_that_has_never_had_a_list_is_ready_as_soon_as_discovery_tells_it() {
+fn a_proxy_without_a_cached_list_is_ready_soon_after_discovery_returns() {
     let backend = StubServer::responding_with("hello");
-    for mode in ["automatic", "subscribe"] {
-        let up = Arc::new(AtomicBool::new(false));
-        let (told, whole) = (up.clone(), serving_list(&[&backend]).to_string());
-        let discovery = StubServer::new(move |_, message| match told.load(Ordering::SeqCst) {
-            true if !message.start_line.contains("since=1&") => Reply::Respond(response("200 OK", &whole)),
-            true => Reply::Hang,
-            false => Reply::Close,
+    for registry_mode in ["automatic", "subscribe"] {
+        let is_up = Arc::new(AtomicBool::new(false));
+        let (may_respond, full_list) = (is_up.clone(), serving_list(&[&backend]).to_string());
+        let discovery = StubServer::new(move |_, message| {
+            if !may_respond.load(Ordering::SeqCst) {
+                Reply::Close
+            } else if message.start_line.contains("since=1&") {
+                Reply::Hang
+            } else {
+                Reply::Respond(response("200 OK", &full_list))
+            }
         });
         let mut settings = default_settings();
-        settings["registry-mode"] = json!(mode);
+        settings["registry-mode"] = json!(registry_mode);
         settings["rules"]["ask-within"] = json!(2.0);
-        let proxy = ProxyProcess::with_configuration(
-            &with_management(configuration(&settings, &endpoint_list(0, true, &[]))),
-            discovery.address,
-        );
+        let configuration = configuration_with_management(&settings, &endpoint_list(0, true, &[]));
+        let proxy = ProxyProcess::with_configuration(&configuration, discovery.address);
         wait_for("calls", || discovery.request_count() >= 3);
-        assert!(!is_ready(&proxy) && proxy.management_call("status\n").starts_with("ERR"), "{mode}");
+        assert!(!is_ready(&proxy) && proxy.management_call("status\n").starts_with("ERR"), "{registry_mode}");
+
         let returned = Instant::now();
-        up.store(true, Ordering::SeqCst);
+        is_up.store(true, Ordering::SeqCst);
         wait_for("readiness", || is_ready(&proxy));
-        assert!(returned.elapsed() < Duration::from_secs(6), "{mode}: {:?}", returned.elapsed());
-        assert_eq!(proxy.exchange(&request("look", 9000)).body, b"hello", "{mode}");
+
+        assert!(returned.elapsed() < Duration::from_secs(6), "{registry_mode}: {:?}", returned.elapsed());
+        assert_eq!(proxy.exchange(&request("look", 9000)).body, b"hello", "{registry_mode}");
     }
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,4 +1,5 @@
-//! Settings that change while the module runs: whole, between two events, and nothing is lost.
+//! Settings that change while the decision module runs: all at once, between two events, and nothing is
+//! lost.
 
 mod common;
 
@@ -8,96 +9,116 @@
 };
 use std::collections::BTreeSet;
 
-fn named(name: &str, effect: Effect) -> RequestClass {
+fn named_class(name: &str, effect: Effect) -> RequestClass {
     RequestClass { name: name.to_string(), ..request_class(effect) }
 }
 
-fn keyed(window: Time) -> Effect {
-    Effect::Idempotent { group: IdempotencyGroup::All, window }
+fn request_of_class(id: u64, class: usize) -> Request {
+    Request { id: RequestId(id), class, timeout: 2.0, ..Request::default() }
 }
 
-fn of_class(id: u64, class: usize) -> Request {
-    Request { id: RequestId(id), class, timeout: 2.0, ..Request::default() }
+/// The time from the arrival of a request to its first retry. Its client disconnects afterwards.
+fn time_to_first_retry(harness: &mut BalancerHarness, id: u64, class: usize) -> Time {
+    let start = harness.now;
+    harness.handle(Event::Request(request_of_class(id, class)));
+    let timed_actions = harness.advance_to(start + 1.5);
+    let is_send = |action: &Action| matches!(action, Action::Send { id: sent, .. } if sent.0 == id);
+    let first_retry = timed_actions.iter().find(|(_, action)| is_send(action));
+    let (sent_at, _) = first_retry.expect("a request that is alone is retried");
+    harness.handle(Event::ClientDisconnected(RequestId(id)));
+    sent_at - start
 }
 
 #[test]
-fn what_was_learnt_of_a_class_stays_with_its_name() {
-    let classes = vec![named("a", Effect::Safe), named("b", Effect::Safe)];
+fn the_estimates_of_a_class_stay_with_its_name() {
+    let classes = vec![named_class("a", Effect::Safe), named_class("b", Effect::Safe)];
     let before = Settings { classes: classes.clone(), ..safe_settings() };
     let mut harness = BalancerHarness::new(before.clone(), &[endpoint(1), endpoint(2)]);
     for id in 0..50 {
         harness.serve(id, 0.05);
     }
-    // Its first repeat comes soon after the 0.05 s that it takes; one of an unknown class much later.
-    let first_repeat = |harness: &mut BalancerHarness, id, class| {
-        let begun = harness.now;
-        harness.handle(Event::Request(of_class(id, class)));
-        let seen = harness.advance_to(begun + 1.5);
-        let sent =
-            |(at, a): &(Time, Action)| matches!(a, Action::Send { id: i, .. } if i.0 == id).then_some(*at);
-        let repeat = seen.iter().find_map(sent).expect("a lone call is repeated") - begun;
-        harness.handle(Event::ClientDisconnected(RequestId(id)));
-        repeat
-    };
-    assert!(first_repeat(&mut harness, 100, 0) < 0.2);
-    let after = Settings { classes: vec![named("new", Effect::Safe), classes[0].clone()], ..before };
+    // The first retry follows soon after the usual 0.05 s; that of an unknown class much later.
+    assert!(time_to_first_retry(&mut harness, 100, 0) < 0.2);
+
+    let after = Settings { classes: vec![named_class("new", Effect::Safe), classes[0].clone()], ..before };
     harness.handle(Event::Settings(&after));
-    assert!(first_repeat(&mut harness, 101, 1) < 0.2);
-    assert!(first_repeat(&mut harness, 102, 0) > 0.4);
+
+    assert!(time_to_first_retry(&mut harness, 101, 1) < 0.2);
+    assert!(time_to_first_retry(&mut harness, 102, 0) > 0.4);
 }
 
-#[test]
-fn calls_end_by_the_settings_that_they_came_with() {
+/// A request arrives under some settings, which change before its attempt ends.
+struct SettingsChange {
+    on_arrival: Settings,
+    afterwards: Settings,
+    outcome: Outcome,
+    is_retried: bool,
+}
+
+fn settings_changes() -> Vec<SettingsChange> {
+    let idempotent = Effect::Idempotent { group: IdempotencyGroup::All, window: 5.0 };
     let with = |effect, max_attempts| Settings {
-        classes: vec![named("a", effect)],
+        classes: vec![named_class("a", effect)],
         max_attempts,
         ..safe_settings()
     };
-    for (came, then, outcome, repeated) in [
-        (with(keyed(5.0), 4), with(Effect::Unsafe, 4), Outcome::Reset, true),
-        (with(Effect::Unsafe, 4), with(Effect::Safe, 4), Outcome::Reset, false),
-        (with(Effect::Safe, 4), with(Effect::Safe, 1), Outcome::Reset, true),
-        (with(Effect::Safe, 1), with(Effect::Safe, 4), Outcome::Reset, false),
-        // Its class is no more.
-        (
-            with(Effect::Safe, 4),
-            Settings { classes: vec![named("b", Effect::Unsafe)], ..safe_settings() },
-            Outcome::Reset,
-            true,
-        ),
-        (with(Effect::Safe, 4), Settings { classes: vec![], ..safe_settings() }, Outcome::Timeout, true),
-    ] {
-        let mut harness = BalancerHarness::new(came, &[endpoint(1), endpoint(2)]);
-        let (_, to) = sends(&harness.handle(Event::Request(of_class(1, 0))))[0];
-        harness.handle(Event::Settings(&then));
-        let mut seen = harness.end_attempt(1, 0, to, outcome, 0.1);
-        seen.extend(without_times(harness.advance_to(5.0)));
-        assert_eq!(!sends(&seen).is_empty(), repeated, "{then:?}");
-        assert_eq!(
-            seen.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count(),
-            1
-        );
+    let without_class_a = Settings { classes: vec![named_class("b", Effect::Unsafe)], ..safe_settings() };
+    let without_classes = Settings { classes: vec![], ..safe_settings() };
+    let change = |on_arrival, afterwards, outcome, is_retried| SettingsChange {
+        on_arrival,
+        afterwards,
+        outcome,
+        is_retried,
+    };
+    vec![
+        change(with(idempotent, 4), with(Effect::Unsafe, 4), Outcome::Reset, true),
+        change(with(Effect::Unsafe, 4), with(Effect::Safe, 4), Outcome::Reset, false),
+        change(with(Effect::Safe, 4), with(Effect::Safe, 1), Outcome::Reset, true),
+        change(with(Effect::Safe, 1), with(Effect::Safe, 4), Outcome::Reset, false),
+        change(with(Effect::Safe, 4), without_class_a, Outcome::Reset, true),
+        change(with(Effect::Safe, 4), without_classes, Outcome::Timeout, true),
+    ]
+}
+
+#[test]
+fn a_request_ends_by_the_settings_in_force_on_its_arrival() {
+    for SettingsChange { on_arrival, afterwards, outcome, is_retried } in settings_changes() {
+        let mut harness = BalancerHarness::new(on_arrival, &[endpoint(1), endpoint(2)]);
+        let (_, backend) = sends(&harness.handle(Event::Request(request_of_class(1, 0))))[0];
+
+        harness.handle(Event::Settings(&afterwards));
+        let mut actions = harness.end_attempt(1, 0, backend, outcome, 0.1);
+        actions.extend(without_times(harness.advance_to(5.0)));
+
+        assert_eq!(!sends(&actions).is_empty(), is_retried, "{afterwards:?}");
+        let is_final = |action: &&Action| matches!(action, Action::Reject { .. } | Action::Fail { .. });
+        assert_eq!(actions.iter().filter(is_final).count(), 1);
         assert_eq!(harness.balancer.open_requests(), 0);
     }
 }
 
 #[test]
-fn a_tenants_used_share_stays_with_its_name() {
-    let mut settings =
-        Settings { tier: 0, tenants: vec![tenant("x", 1.0), tenant("y", 1.0)], ..safe_settings() };
-    settings.over_quota_weight = 0.5;
+fn the_used_quota_of_a_tenant_stays_with_its_name() {
+    let mut settings = Settings {
+        tier: 0,
+        tenants: vec![tenant("x", 1.0), tenant("y", 1.0)],
+        over_quota_weight: 0.5,
+        ..safe_settings()
+    };
     let mut harness = BalancerHarness::new(settings.clone(), &[endpoint(1), endpoint(2)]);
-    let ask = |harness: &mut BalancerHarness, id, tenant| {
-        harness.handle(Event::Request(Request { tenant: Some(tenant), ..of_class(id, 0) }))
+    let send_for_tenant = |harness: &mut BalancerHarness, id, tenant| {
+        harness.handle(Event::Request(Request { tenant: Some(tenant), ..request_of_class(id, 0) }))
     };
-    assert_eq!(sends(&ask(&mut harness, 1, 0)).len(), 1);
-    // Open calls of tenants that are no more, or have another shared_address, end as ever.
+    assert_eq!(sends(&send_for_tenant(&mut harness, 1, 0)).len(), 1);
+
+    // Open requests of tenants that are removed, or have another index, end as ever.
     settings.tenants = vec![tenant("z", 1.0), tenant("x", 1.0)];
     harness.handle(Event::Settings(&settings));
-    assert_eq!(sends(&ask(&mut harness, 2, 1)).len(), 1);
+    assert_eq!(sends(&send_for_tenant(&mut harness, 2, 1)).len(), 1);
     settings.tenants.clear();
     harness.handle(Event::Settings(&settings));
     harness.advance_to(5.0);
+
     assert_eq!(harness.balancer.open_requests(), 0);
 }
 
@@ -105,45 +126,65 @@
     harness.balancer.members().map(|id| id.0).collect()
 }
 
+/// The number of backends and of balancers.
+struct FleetSize {
+    backends: u32,
+    balancers: usize,
+}
+
+const FLEET_SIZES: [FleetSize; 6] = [
+    FleetSize { backends: 17, balancers: 40 },
+    FleetSize { backends: 17, balancers: 41 },
+    FleetSize { backends: 60, balancers: 300 },
+    FleetSize { backends: 5, balancers: 7 },
+    FleetSize { backends: 15, balancers: 3 },
+    FleetSize { backends: 40, balancers: 12 },
+];
+
 #[test]
-fn one_balancer_more_or_less_moves_few_subsets_and_leaves_no_backend_out() {
-    for (listed, instances) in [(17, 40), (17, 41), (60, 300), (5, 7), (15, 3), (40, 12)] {
-        let list: Vec<_> = (0..listed).map(|i| endpoint(100 + 7 * i)).collect();
+fn adding_or_removing_a_balancer_moves_few_members_and_leaves_no_backend_out() {
+    for FleetSize { backends, balancers } in FLEET_SIZES {
+        let list: Vec<_> = (0..backends).map(|index| endpoint(100 + 7 * index)).collect();
         let settings =
-            |me, instances| Settings { instance_index: me, instance_count: instances, ..safe_settings() };
-        let mut fleet: Vec<_> =
-            (0..instances).map(|me| BalancerHarness::new(settings(me, instances), &list)).collect();
-        for now in [instances + 1, instances, instances - 1] {
+            |instance_index, instance_count| Settings { instance_index, instance_count, ..safe_settings() };
+        let start = |index, count| BalancerHarness::new(settings(index, count), &list);
+        let mut fleet: Vec<_> = (0..balancers).map(|index| start(index, balancers)).collect();
+        for count in [balancers + 1, balancers, balancers - 1] {
             let before: Vec<_> = fleet.iter().map(subset).collect();
-            fleet.truncate(now);
-            for (me, harness) in fleet.iter_mut().enumerate() {
-                harness.handle(Event::Settings(&settings(me, now)));
+
+            fleet.truncate(count);
+            for (index, harness) in fleet.iter_mut().enumerate() {
+                harness.handle(Event::Settings(&settings(index, count)));
             }
-            fleet.extend((fleet.len()..now).map(|me| BalancerHarness::new(settings(me, now), &list)));
-            let all: BTreeSet<_> = fleet.iter().flat_map(subset).collect();
-            assert_eq!(all.len(), listed as usize, "{listed} listed, {now} balancers");
-            let moved: usize =
-                fleet.iter().zip(&before).map(|(b, was)| was.difference(&subset(b)).count()).sum();
+            fleet.extend((fleet.len()..count).map(|index| start(index, count)));
+
+            let used: BTreeSet<_> = fleet.iter().flat_map(subset).collect();
+            assert_eq!(used.len(), backends as usize, "{backends} listed, {count} balancers");
+            let moved_members = |(harness, subset_before): (&BalancerHarness, &BTreeSet<u32>)| {
+                subset_before.difference(&subset(harness)).count()
+            };
+            let moved: usize = fleet.iter().zip(&before).map(moved_members).sum();
             let members: usize = before.iter().map(BTreeSet::len).sum();
-            // Where subsets are as large as ever none moves; else arcs of the ring shift against one another.
-            let same = fleet[0].balancer.members().count() == before[0].len();
+            // Where subsets keep their size none moves; else arcs of the ring shift against one another.
+            let same_size = fleet[0].balancer.members().count() == before[0].len();
             assert!(
-                moved * 3 <= members * 2 && (!same || moved == 0),
-                "{listed}, {now}: {moved} of {members}"
+                moved * 3 <= members * 2 && (!same_size || moved == 0),
+                "{backends}, {count}: {moved} of {members}"
             );
         }
     }
 }
 
 #[test]
-fn the_same_settings_again_change_nothing() {
+fn applying_the_same_settings_again_changes_nothing() {
     let list: Vec<_> = (0..9).map(endpoint).collect();
     let settings = Settings { instance_count: 4, instance_index: 1, ..safe_settings() };
-    let (mut one, mut two) =
-        (BalancerHarness::new(settings.clone(), &list), BalancerHarness::new(settings.clone(), &list));
+    let mut unchanged = BalancerHarness::new(settings.clone(), &list);
+    let mut reloaded = BalancerHarness::new(settings.clone(), &list);
+
     for id in 0..200 {
-        assert_eq!(one.serve(id, 0.05), two.serve(id, 0.05));
-        assert!(two.handle(Event::Settings(&settings)).is_empty());
-        assert_eq!(subset(&one), subset(&two));
+        assert_eq!(unchanged.serve(id, 0.05), reloaded.serve(id, 0.05));
+        assert!(reloaded.handle(Event::Settings(&settings)).is_empty());
+        assert_eq!(subset(&unchanged), subset(&reloaded));
     }
 }
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -1,5 +1,5 @@
-//! Cold backends under the sum of what all balancers send: a small fleet of the real module, in
-//! which every call is served, on virtual time.
+//! Backends that are warming up under the requests of all balancers together: a small fleet of the real
+//! decision module on virtual time, in which every request is served.
 
 mod common;
 
@@ -11,246 +11,374 @@
 use std::collections::BinaryHeap;
 
 const BACKENDS: usize = 20;
-/// What a warm backend can do, in requests a second.
-const STARTED: Time = 30.0;
+/// The distance between the ids of two backends.
+const ID_STEP: u32 = 7919;
+/// When some backends start, in seconds.
+const START_TIME: Time = 30.0;
+/// The time constant of the request rates that backends report, in seconds.
+const REPORTED_RATE_TIME_CONSTANT: Time = 2.0;
+/// The number of seeds that each fleet is simulated with.
+const SEEDS: u64 = 40;
 
-/// One fleet, and what happens to it.
+/// A fleet, its load and the backends that start.
 #[derive(Clone, Copy, Debug)]
 struct Fleet {
     balancers: usize,
-    /// Part of what all backends can do that is asked for.
+    /// The requests that arrive, as a fraction of the capacity of all backends.
     load: f64,
-    /// Every fifth balancer gets so many times the traffic of the others.
+    /// Every fifth balancer gets this many times the traffic of the others.
     skew: f64,
     /// Backends that start at the same time.
-    cold: usize,
-    /// The balancers start then too.
-    fresh: bool,
+    started_backends: usize,
+    /// Whether the balancers start at that time too.
+    balancers_start_too: bool,
     tier: usize,
-    /// What a warm backend can do, in requests a second.
+    /// The capacity of a backend that is warm, in requests per second.
     capacity: f64,
-    cold_share: f64,
-    tip_after: Time,
-    /// Answers tell what their backend serves.
-    reports: bool,
+    initial_capacity: f64,
+    /// The overload window, in seconds.
+    overload_window: Time,
+    /// Whether responses report the request rate of their backend.
+    has_load_reports: bool,
 }
 
-enum Due {
+impl Fleet {
+    fn settings(&self) -> Settings {
+        Settings {
+            classes: vec![RequestClass {
+                latency_objective: 2.0,
+                deadline: 4.0,
+                late_priority_weight: 0.5,
+                ..request_class(Effect::Safe)
+            }],
+            slow_start_initial_capacity: self.initial_capacity,
+            slow_start_duration: 8.8,
+            slow_start_overload_multiple: 3.0,
+            slow_start_overload_window: self.overload_window,
+            max_attempts: 6,
+            connections_have_cost: true,
+            ..Settings::default()
+        }
+    }
+
+    /// The settings of one of its balancers.
+    fn settings_of(&self, balancer: usize) -> Settings {
+        Settings {
+            instance_index: balancer,
+            instance_count: self.balancers,
+            tier: self.tier,
+            ..self.settings()
+        }
+    }
+
+    /// The share of the traffic that a balancer gets, relative to the others.
+    fn traffic_weight(&self, balancer: usize) -> f64 {
+        if balancer.is_multiple_of(5) { self.skew } else { 1.0 }
+    }
+
+    /// The requests per second that arrive at a balancer.
+    fn request_rate(&self, balancer: usize) -> f64 {
+        let weights: f64 = (0..self.balancers).map(|other| self.traffic_weight(other)).sum();
+        self.load * self.capacity * BACKENDS as f64 * self.traffic_weight(balancer) / weights
+    }
+
+    /// When the balancers start.
+    fn balancer_start_time(&self) -> Time {
+        if self.balancers_start_too { START_TIME } else { 0.0 }
+    }
+
+    /// The number of requests in the overload window that starts this long after a backend's start, at
+    /// which the settings regard the backend as overloaded.
+    fn overload_limit(&self, window_start: Time) -> f64 {
+        const STEPS: i32 = 50;
+        let settings = self.settings();
+        let ramp = |age: Time| {
+            settings.slow_start_initial_capacity
+                + (1.0 - settings.slow_start_initial_capacity)
+                    * (age / settings.slow_start_duration).clamp(0.0, 1.0)
+        };
+        let window = settings.slow_start_overload_window;
+        let age_at = |step: i32| window_start + window * f64::from(step) / f64::from(STEPS);
+        let mean = (0..STEPS).map(|step| ramp(age_at(step))).sum::<f64>() / f64::from(STEPS);
+        settings.slow_start_overload_multiple * self.capacity * mean * window
+    }
+}
+
+/// What happens next at a balancer.
+enum SimulatedEvent {
     Arrival,
     Timer(u64),
-    EndedAttempt(EndedAttempt),
+    AttemptEnded(EndedAttempt),
 }
 
-fn settings(fleet: Fleet) -> Settings {
-    Settings {
-        classes: vec![RequestClass {
-            latency_objective: 2.0,
-            deadline: 4.0,
-            late_priority_weight: 0.5,
-            ..request_class(Effect::Safe)
-        }],
-        slow_start_initial_capacity: fleet.cold_share,
-        slow_start_duration: 8.8,
-        slow_start_overload_multiple: 3.0,
-        slow_start_overload_window: fleet.tip_after,
-        max_attempts: 6,
-        connections_have_cost: true,
-        ..Settings::default()
-    }
+/// The request rate that a backend reports, decayed exponentially.
+#[derive(Clone, Copy)]
+struct ReportedRate {
+    requests_per_second: f64,
+    updated_at: Time,
 }
 
-/// What the settings allow a cold backend in the window that begins so long after its start.
-fn allowed(settings: &Settings, capacity: f64, begun: Time) -> f64 {
-    let ramp = |age: Time| {
-        settings.slow_start_initial_capacity
-            + (1.0 - settings.slow_start_initial_capacity)
-                * (age / settings.slow_start_duration).clamp(0.0, 1.0)
-    };
-    let steps = 50;
-    let mean: f64 = (0..steps)
-        .map(|i| ramp(begun + settings.slow_start_overload_window * f64::from(i) / 50.0))
-        .sum::<f64>()
-        / 50.0;
-    settings.slow_start_overload_multiple * capacity * mean * settings.slow_start_overload_window
+/// A fleet on virtual time.
+struct Simulation {
+    fleet: Fleet,
+    rng: SmallRng,
+    balancers: Vec<Balancer>,
+    /// The balancer and the event of each entry of the queue.
+    events: Vec<(usize, SimulatedEvent)>,
+    /// The times of the events in whole nanoseconds, so that they sort, and their indices.
+    queue: BinaryHeap<Reverse<(u64, usize)>>,
+    requests: u64,
+    reported_rates: Vec<ReportedRate>,
+    /// When requests were sent to each of the started backends.
+    sent_to_started: Vec<Vec<Time>>,
 }
 
-/// Plays the fleet; returns the worst window of any cold backend against what makes it fall, and
-/// what the cold ones got of what their ramp can do, both as ratios.
-fn play(fleet: Fleet, seed: u64) -> (f64, f64) {
-    let (capacity, took_mean) = (fleet.capacity, 2.0 / fleet.capacity);
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let list: Vec<_> =
-        (0..BACKENDS as u32).map(|i| Endpoint { id: BackendId(i * 7919), ..Endpoint::default() }).collect();
-    let mut after = list.clone();
-    after[..fleet.cold].iter_mut().for_each(|e| e.started_at = Some(STARTED));
-    let begin = if fleet.fresh { STARTED } else { 0.0 };
-    let end = STARTED + settings(fleet).slow_start_duration;
-    let weight = |i: usize| if i.is_multiple_of(5) { fleet.skew } else { 1.0 };
-    let weights: f64 = (0..fleet.balancers).map(weight).sum();
-    let mut balancers: Vec<_> = (0..fleet.balancers)
-        .map(|me| {
-            let settings = Settings {
-                instance_index: me,
-                instance_count: fleet.balancers,
-                tier: fleet.tier,
-                ..settings(fleet)
-            };
-            Balancer::new(begin, seed * 1000 + me as u64, settings)
-        })
+/// The endpoint list, with the start of the backends that start if `started`.
+fn endpoint_list(fleet: &Fleet, started: bool) -> Vec<Endpoint> {
+    let mut list: Vec<_> = (0..BACKENDS as u32)
+        .map(|index| Endpoint { id: BackendId(index * ID_STEP), ..Endpoint::default() })
         .collect();
-    let mut queue = BinaryHeap::new();
-    let mut dues: Vec<(usize, Due)> = Vec::new();
-    // In whole nanoseconds, so that they sort.
-    let set = |queue: &mut BinaryHeap<_>, dues: &mut Vec<_>, at: Time, i: usize, due: Due| {
-        queue.push(Reverse(((at * 1e9) as u64, dues.len())));
-        dues.push((i, due));
-    };
-    let mut told = false;
-    let mut sent: Vec<Vec<Time>> = vec![Vec::new(); fleet.cold];
-    let mut actions = Vec::new();
-    let mut requests = 0;
-    // A rate of each backend, over some two seconds, in answers as they end.
-    let mut rates = vec![(0.0, begin); BACKENDS];
-    for i in 0..fleet.balancers {
-        let first = if fleet.fresh { &after } else { &list };
-        balancers[i].handle(begin, Event::Endpoints(EndpointUpdate::Full(first)), &mut actions);
-        set(&mut queue, &mut dues, begin + rng.random::<f64>() * 0.01, i, Due::Arrival);
+    if started {
+        for endpoint in &mut list[..fleet.started_backends] {
+            endpoint.started_at = Some(START_TIME);
+        }
     }
-    actions.clear();
-    while let Some(Reverse((at, number))) = queue.pop() {
-        let now = at as f64 / 1e9;
-        if now > end {
-            break;
+    list
+}
+
+fn backend_index(id: BackendId) -> usize {
+    (id.0 / ID_STEP) as usize
+}
+
+impl Simulation {
+    fn new(fleet: Fleet, seed: u64) -> Self {
+        let start = fleet.balancer_start_time();
+        let new_balancer = |index| Balancer::new(start, seed * 1000 + index as u64, fleet.settings_of(index));
+        let initial_rate = ReportedRate { requests_per_second: 0.0, updated_at: start };
+        let mut simulation = Self {
+            fleet,
+            rng: SmallRng::seed_from_u64(seed),
+            balancers: (0..fleet.balancers).map(new_balancer).collect(),
+            events: Vec::new(),
+            queue: BinaryHeap::new(),
+            requests: 0,
+            reported_rates: vec![initial_rate; BACKENDS],
+            sent_to_started: vec![Vec::new(); fleet.started_backends],
+        };
+        let list = endpoint_list(&fleet, fleet.balancers_start_too);
+        for balancer in 0..fleet.balancers {
+            let event = Event::Endpoints(EndpointUpdate::Full(&list));
+            simulation.balancers[balancer].handle(start, event, &mut Vec::new());
+            let first_arrival = start + simulation.rng.random::<f64>() * 0.01;
+            simulation.schedule(first_arrival, balancer, SimulatedEvent::Arrival);
         }
-        if now >= STARTED && !told {
-            told = true;
-            for balancer in &mut balancers {
-                balancer.handle(
-                    now,
-                    Event::Endpoints(EndpointUpdate::Changes(&after[..fleet.cold])),
-                    &mut actions,
-                );
+        simulation
+    }
+
+    fn schedule(&mut self, at: Time, balancer: usize, event: SimulatedEvent) {
+        self.queue.push(Reverse(((at * 1e9) as u64, self.events.len())));
+        self.events.push((balancer, event));
+    }
+
+    /// Runs until the started backends are warm.
+    fn run(&mut self) {
+        let end = START_TIME + self.fleet.settings().slow_start_duration;
+        let started_list = endpoint_list(&self.fleet, true);
+        let mut are_notified = false;
+        while let Some(Reverse((nanoseconds, index))) = self.queue.pop() {
+            let now = nanoseconds as f64 / 1e9;
+            if now > end {
+                break;
+            }
+            let mut actions = Vec::new();
+            if now >= START_TIME && !are_notified {
+                are_notified = true;
+                let started = &started_list[..self.fleet.started_backends];
+                for balancer in &mut self.balancers {
+                    let event = Event::Endpoints(EndpointUpdate::Changes(started));
+                    balancer.handle(now, event, &mut actions);
+                }
+            }
+            let balancer = self.handle_event(now, index, &mut actions);
+            for action in actions {
+                self.perform(now, balancer, &action);
             }
         }
-        let (i, due) = &dues[number];
-        let i = *i;
-        match due {
-            Due::Arrival => {
-                let rate = fleet.load * capacity * BACKENDS as f64 * weight(i) / weights;
-                let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
-                set(&mut queue, &mut dues, now + gap, i, Due::Arrival);
-                requests += 1;
-                let request = Request { id: RequestId(requests), timeout: 4.0, ..Request::default() };
-                balancers[i].handle(now, Event::Request(request), &mut actions);
+    }
+
+    /// Passes an event to its balancer, which is returned.
+    fn handle_event(&mut self, now: Time, index: usize, actions: &mut Vec<Action>) -> usize {
+        let (balancer, ref event) = self.events[index];
+        match *event {
+            SimulatedEvent::Arrival => {
+                let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.fleet.request_rate(balancer);
+                self.schedule(now + gap, balancer, SimulatedEvent::Arrival);
+                self.requests += 1;
+                let request = Request { id: RequestId(self.requests), timeout: 4.0, ..Request::default() };
+                self.balancers[balancer].handle(now, Event::Request(request), actions);
+            }
+            SimulatedEvent::Timer(token) => {
+                self.balancers[balancer].handle(now, Event::Timer(token), actions);
             }
-            Due::Timer(token) => balancers[i].handle(now, Event::Timer(*token), &mut actions),
-            Due::EndedAttempt(ended) => {
-                let (rate, at) = &mut rates[(ended.backend.0 / 7919) as usize];
-                *rate = *rate * (-(now - *at) / 2.0).exp() + 0.5;
-                *at = now;
-                let report = fleet
-                    .reports
-                    .then_some(LoadReport { service_time: None, requests_per_second: Some(*rate) });
-                balancers[i].handle(
-                    now,
-                    Event::AttemptEnded(EndedAttempt { report, ..*ended }),
-                    &mut actions,
-                );
+            SimulatedEvent::AttemptEnded(ended) => {
+                let report = self.update_load_report(now, ended.backend);
+                let ended = EndedAttempt { report, ..ended };
+                self.balancers[balancer].handle(now, Event::AttemptEnded(ended), actions);
             }
         }
-        for action in std::mem::take(&mut actions) {
-            match action {
-                Action::SetTimer { at, token } => set(&mut queue, &mut dues, at, i, Due::Timer(token)),
-                Action::Send { id, backend, .. } => {
-                    let cold = (backend.0 / 7919) as usize;
-                    if cold < fleet.cold && now >= STARTED {
-                        sent[cold].push(now);
-                    }
-                    let took = took_mean * (0.5 + rng.random::<f64>());
-                    let outcome = Outcome::Success;
-                    let ended = EndedAttempt {
-                        id,
-                        backend,
-                        attempt: 0,
-                        outcome,
-                        duration: took,
-                        request_finished: true,
-                        report: None,
-                    };
-                    set(&mut queue, &mut dues, now + took, i, Due::EndedAttempt(ended));
+        balancer
+    }
+
+    /// Counts a response of a backend; returns its load report, if backends send any.
+    fn update_load_report(&mut self, now: Time, backend: BackendId) -> Option<LoadReport> {
+        let rate = &mut self.reported_rates[backend_index(backend)];
+        let decay = (-(now - rate.updated_at) / REPORTED_RATE_TIME_CONSTANT).exp();
+        rate.requests_per_second = rate.requests_per_second * decay + 1.0 / REPORTED_RATE_TIME_CONSTANT;
+        rate.updated_at = now;
+        let requests_per_second = Some(rate.requests_per_second);
+        self.fleet.has_load_reports.then_some(LoadReport { service_time: None, requests_per_second })
+    }
+
+    /// Performs an action of a balancer; each request is served.
+    fn perform(&mut self, now: Time, balancer: usize, action: &Action) {
+        match *action {
+            Action::SetTimer { at, token } => self.schedule(at, balancer, SimulatedEvent::Timer(token)),
+            Action::Send { id, backend, .. } => {
+                let sent_to = self.sent_to_started.get_mut(backend_index(backend));
+                if let Some(sent) = sent_to.filter(|_| now >= START_TIME) {
+                    sent.push(now);
                 }
-                _ => {}
+                let mean_duration = 2.0 / self.fleet.capacity;
+                let duration = mean_duration * (0.5 + self.rng.random::<f64>());
+                let ended = EndedAttempt {
+                    id,
+                    backend,
+                    attempt: 0,
+                    outcome: Outcome::Success,
+                    duration,
+                    request_finished: true,
+                    report: None,
+                };
+                self.schedule(now + duration, balancer, SimulatedEvent::AttemptEnded(ended));
             }
+            _ => {}
         }
     }
-    let settings = settings(fleet);
-    let (mut worst, mut used): (f64, f64) = (0.0, 0.0);
-    for sent in &sent {
-        for (i, from) in sent.iter().enumerate() {
-            let count =
-                sent[i..].iter().take_while(|at| **at < from + settings.slow_start_overload_window).count();
-            let most = allowed(&settings, capacity, from - STARTED);
-            worst = worst.max(count as f64 / (most + 2.0 * most.sqrt() + 2.0));
+
+    fn load_of_started(&self) -> WarmUpLoad {
+        let settings = self.fleet.settings();
+        let window = settings.slow_start_overload_window;
+        let served_while_warming =
+            self.fleet.capacity * settings.slow_start_duration * (1.0 + settings.slow_start_initial_capacity)
+                / 2.0;
+        let mut load = WarmUpLoad { worst_window: 0.0, used_capacity: 0.0 };
+        for sent in &self.sent_to_started {
+            for (index, start) in sent.iter().enumerate() {
+                let count = sent[index..].iter().take_while(|at| **at < start + window).count();
+                let limit = self.fleet.overload_limit(start - START_TIME);
+                // Beyond the limit by chance, as arrivals are random.
+                let limit_with_chance = limit + 2.0 * limit.sqrt() + 2.0;
+                load.worst_window = load.worst_window.max(count as f64 / limit_with_chance);
+            }
+            load.used_capacity +=
+                sent.len() as f64 / served_while_warming / self.fleet.started_backends as f64;
         }
-        let can =
-            capacity * settings.slow_start_duration * (1.0 + settings.slow_start_initial_capacity) / 2.0;
-        used += sent.len() as f64 / can / fleet.cold as f64;
+        load
     }
-    (worst, used)
 }
 
-/// The worst window and the mean use over many seeds.
-fn played(fleet: Fleet) -> (f64, f64) {
-    const SEEDS: u64 = 40;
-    let all: Vec<_> = (0..SEEDS).map(|seed| play(fleet, seed)).collect();
-    let worst = all.iter().map(|(worst, _)| *worst).fold(0.0, f64::max);
-    (worst, all.iter().map(|(_, used)| used).sum::<f64>() / SEEDS as f64)
+/// What backends got while they were warming up.
+struct WarmUpLoad {
+    /// The worst overload window of any of them, as a fraction of what overloads the backend.
+    worst_window: f64,
+    /// What they got on average, as a fraction of what they can do while they are warming up.
+    used_capacity: f64,
 }
 
-/// Near full load, with windows of 1 s and a tenth of the capacity at first: chance weighs most there.
-const NEAR_FULL: Fleet = Fleet {
+/// Simulates the fleet with many seeds; returns the worst window of all and the mean of the use.
+fn simulate(fleet: Fleet) -> WarmUpLoad {
+    let mut load = WarmUpLoad { worst_window: 0.0, used_capacity: 0.0 };
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(fleet, seed);
+        simulation.run();
+        let load_with_seed = simulation.load_of_started();
+        load.worst_window = load.worst_window.max(load_with_seed.worst_window);
+        load.used_capacity += load_with_seed.used_capacity / SEEDS as f64;
+    }
+    load
+}
+
+/// Near full load, with windows of 1 s and a tenth of the capacity at first: chance matters most there.
+const NEAR_FULL_LOAD: Fleet = Fleet {
     balancers: 20,
     load: 0.95,
     skew: 1.0,
-    cold: 1,
-    fresh: false,
+    started_backends: 1,
+    balancers_start_too: false,
     tier: 1,
     capacity: 10.0,
-    cold_share: 0.1,
-    tip_after: 1.0,
-    reports: false,
+    initial_capacity: 0.1,
+    overload_window: 1.0,
+    has_load_reports: false,
 };
 
-#[test]
-fn no_cold_backend_is_pushed_over_by_the_sum_of_all_balancers() {
+/// Fleets at an inner tier that differ in size, skew, load reports and what starts.
+fn inner_tier_fleets() -> Vec<Fleet> {
     let mut fleets = Vec::new();
     for balancers in [20, 30] {
         for skew in [1.0, 5.0, 10.0] {
-            for reports in [false, true] {
-                for (cold, fresh) in [(1, false), (2, false), (14, false), (2, true), (14, true)] {
-                    fleets.push(Fleet { balancers, skew, cold, fresh, reports, ..NEAR_FULL });
+            for has_load_reports in [false, true] {
+                for (started_backends, balancers_start_too) in
+                    [(1, false), (2, false), (14, false), (2, true), (14, true)]
+                {
+                    fleets.push(Fleet {
+                        balancers,
+                        skew,
+                        started_backends,
+                        balancers_start_too,
+                        has_load_reports,
+                        ..NEAR_FULL_LOAD
+                    });
                 }
             }
         }
     }
-    // At the entry, and with other figures in the settings.
-    for fleet in [NEAR_FULL, Fleet { skew: 5.0, cold: 14, fresh: true, ..NEAR_FULL }] {
+    fleets
+}
+
+/// Fleets at the entry tier, and with other slow start settings.
+fn other_fleets() -> Vec<Fleet> {
+    let many_started = Fleet { skew: 5.0, started_backends: 14, balancers_start_too: true, ..NEAR_FULL_LOAD };
+    let mut fleets = Vec::new();
+    for fleet in [NEAR_FULL_LOAD, many_started] {
         fleets.push(Fleet { tier: 0, ..fleet });
-        fleets.push(Fleet { cold_share: 0.31, tip_after: 2.0, reports: true, ..fleet });
+        fleets.push(Fleet { initial_capacity: 0.31, overload_window: 2.0, has_load_reports: true, ..fleet });
     }
+    fleets
+}
+
+#[test]
+fn all_balancers_together_overload_no_backend_that_is_warming_up() {
+    let fleets = inner_tier_fleets().into_iter().chain(other_fleets());
+
     std::thread::scope(|scope| {
-        let play = |fleet| move || (fleet, played(fleet));
-        let plays: Vec<_> = fleets.into_iter().map(|fleet| scope.spawn(play(fleet))).collect();
-        for (fleet, (worst, used)) in plays.into_iter().map(|play| play.join().unwrap()) {
-            assert!(worst <= 1.0, "{worst:.2} of what makes it fall, {used:.2} of its ramp: {fleet:?}");
+        let simulations: Vec<_> = fleets.map(|fleet| scope.spawn(move || (fleet, simulate(fleet)))).collect();
+        for simulation in simulations {
+            let (fleet, load) = simulation.join().unwrap();
+            let WarmUpLoad { worst_window, used_capacity } = load;
+            assert!(
+                worst_window <= 1.0,
+                "{worst_window:.2} of an overload, {used_capacity:.2} of its capacity: {fleet:?}"
+            );
         }
     });
 }
 
 #[test]
-fn a_cold_backend_is_used_as_far_as_its_ramp_goes_where_rates_are_reported() {
+fn a_backend_that_is_warming_up_is_used_to_capacity_where_rates_are_reported() {
     for balancers in [20, 30] {
-        let (_, used) = played(Fleet { balancers, reports: true, ..NEAR_FULL });
-        assert!(used >= 1.0, "{used:.2} of what its ramp can do");
+        let load = simulate(Fleet { balancers, has_load_reports: true, ..NEAR_FULL_LOAD });
+
+        assert!(load.used_capacity >= 1.0, "{:.2} of its capacity", load.used_capacity);
     }
 }
