Write once what several socket tests did by themselves

Beginning a request, the proxy with few sockets, the readiness request and the wait for an exit code stood in several test files.

--- a/tests/client_disconnects.rs
+++ b/tests/client_disconnects.rs
@@ -12,7 +12,7 @@
 use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
 use balancer_proxy::proxy::upstream::pool::ConnectionPool;
 use common::client_disconnect::{
-    Disconnect, begin_request, proxy_with_cancellation, received_of_class, wait_for_no_open_request,
+    Disconnect, proxy_with_cancellation, received_of_class, wait_for_no_open_request,
     wait_until_input_is_handled,
 };
 use common::configuration::{endpoint_list, listed_endpoint, request, request_with_framing, serving_list};
@@ -41,7 +41,7 @@
     let backend = LateServer::with_full_backlog();
     let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
     let proxy = proxy_with_cancellation(cancel, &cached_list);
-    let stream = begin_request(&proxy, &disconnect.written_text(&request("order", 20_000)));
+    let stream = proxy.begin_request(&disconnect.written_text(&request("order", 20_000)));
     wait_for("connection attempt", || backend.has_pending_connection());
     assert_eq!(proxy.stats()["outstanding"], 1);
 
@@ -93,7 +93,7 @@
         let proxy = proxy_with_cancellation(cancel, &serving_list(&[&backend]));
         let length = 5 << 20;
         let head = request_with_framing("order", &format!("Content-Length: {length}\r\n\r\n"));
-        let mut stream = begin_request(&proxy, &head);
+        let mut stream = proxy.begin_request(&head);
         let port = stream.get_ref().local_addr().unwrap().port();
         stream.get_mut().write_all(&vec![b'x'; length]).unwrap();
         wait_for("attempt", || backend.connection_count() == 1);
@@ -121,7 +121,7 @@
             let backends = [0, 1].map(|_| StubServer::new(move |_, _| Reply::Respond(rejection())));
             let proxy = proxy_with_cancellation(cancel, &serving_list(&[&backends[0], &backends[1]]));
             // Its next timer is due 0.4 s after its arrival.
-            let stream = begin_request(&proxy, &request("order", 1000));
+            let stream = proxy.begin_request(&request("order", 1000));
             let attempts = || backends[0].request_count() + backends[1].request_count();
             wait_for("attempt", || attempts() == 1);
 
@@ -202,7 +202,7 @@
     });
     let proxy = proxy_with_cancellation(cancel, &serving_list(&[&backends[0], &backends[1]]));
     // Its next timer is due 0.8 s after its arrival, plus or minus a tenth.
-    let stream = begin_request(&proxy, &request("look", 2000));
+    let stream = proxy.begin_request(&request("look", 2000));
     let attempts = || received_of_class(&backends[0], "look") + received_of_class(&backends[1], "look");
     wait_for("attempt", || attempts() == 1);
 
@@ -237,7 +237,7 @@
     for cancel in [true, false] {
         let backends = [0, 1].map(|_| StubServer::new(|_, _| Reply::Hang));
         let proxy = proxy_with_cancellation(cancel, &serving_list(&[&backends[0], &backends[1]]));
-        let stream = begin_request(&proxy, &request("look", 2000));
+        let stream = proxy.begin_request(&request("look", 2000));
         let attempts = || backends[0].request_count() + backends[1].request_count();
         wait_for("attempt", || attempts() == 1);
 
@@ -263,7 +263,7 @@
             listed_endpoint(&format!("s-{index}"), address, "SERVING")
         });
         let proxy = proxy_with_cancellation(cancel, &endpoint_list(1, true, &endpoints));
-        let stream = begin_request(&proxy, &request("order", 1000));
+        let stream = proxy.begin_request(&request("order", 1000));
         // A connection over loopback fails before the next management call gets its response.
         wait_for("attempt", || proxy.stats()["outstanding"] == 1);
         assert_eq!(proxy.stats()["outstanding"], 1);
@@ -290,7 +290,7 @@
     let mut backend = LateServer::with_empty_backlog();
     let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
     let proxy = proxy_with_cancellation(cancel, &cached_list);
-    let mut first_client = begin_request(&proxy, &request("look", 9000));
+    let mut first_client = proxy.begin_request(&request("look", 9000));
     let mut pooled_connection = backend.accept();
     read_message(&mut pooled_connection).expect("a request");
     pooled_connection.get_mut().write_all(response("200 OK", "hello").as_bytes()).unwrap();
@@ -299,7 +299,7 @@
     backend.fill_backlog();
     // The next request begins on the pooled connection; what is lost with it is still buffered.
     let head = request_with_framing("order", "Content-Length: 200000\r\n\r\n");
-    let mut stream = begin_request(&proxy, &head);
+    let mut stream = proxy.begin_request(&head);
     let port = stream.get_ref().local_addr().unwrap().port();
     stream.get_mut().write_all(&[b'x'; (64 << 10) + 1]).unwrap();
     read_head(&mut pooled_connection).expect("a head");
@@ -350,7 +350,7 @@
             let (report_close, closed) = channel();
             let backends = [report_close.clone(), report_close].map(incomplete_backend);
             let proxy = proxy_with_cancellation(cancel, &serving_list(&[&backends[0], &backends[1]]));
-            let mut stream = begin_request(&proxy, &request("look", 1000));
+            let mut stream = proxy.begin_request(&request("look", 1000));
             assert_eq!(read_head(&mut stream).expect("a head").status(), 200);
             let forwards_before = proxy.stats()["forwards"].clone();
 
--- a/tests/common/client_disconnect.rs
+++ b/tests/common/client_disconnect.rs
@@ -1,6 +1,6 @@
 //! The ways in which a client can disconnect, and what tests of disconnects share.
 
-use std::io::{BufReader, Write};
+use std::io::BufReader;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -87,13 +87,6 @@
     ProxyProcess::with_configuration(&configuration, silent_discovery().address)
 }
 
-/// Opens a client connection and writes this text.
-pub fn begin_request(proxy: &ProxyProcess, text: &str) -> BufReader<TcpStream> {
-    let mut stream = proxy.connect();
-    stream.get_mut().write_all(text.as_bytes()).unwrap();
-    stream
-}
-
 /// The number of complete requests of this class that the backend has received.
 pub fn received_of_class(backend: &StubServer, class: &str) -> usize {
     let requests = backend.requests.lock().unwrap();
--- a/tests/common/configuration.rs
+++ b/tests/common/configuration.rs
@@ -58,6 +58,9 @@
     endpoint_list(1, true, &backends.iter().enumerate().map(listed).collect::<Vec<_>>())
 }
 
+/// A request that the proxy responds to itself: with 200 if it is ready, else with 503.
+pub const READINESS_REQUEST: &str = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n";
+
 /// A request of a class of [`default_settings`], with a short body.
 pub fn request(class: &str, remaining_ms: u64) -> String {
     let id = next_unique_number();
--- a/tests/common/proxy_process.rs
+++ b/tests/common/proxy_process.rs
@@ -69,6 +69,13 @@
         Self::with_configuration(&configuration, silent_discovery().address)
     }
 
+    /// Starts a proxy like [`ProxyProcess::in_front_of`], with this limit on its sockets.
+    pub fn with_socket_limit(backends: &[&StubServer], sockets: usize) -> Self {
+        let mut configuration = configuration(&default_settings(), &serving_list(backends));
+        configuration["limits"]["sockets"] = json!(sockets);
+        Self::with_configuration(&configuration, silent_discovery().address)
+    }
+
     /// Starts a proxy that the system allows this number of descriptors, with the same limit in its
     /// configuration.
     pub fn with_descriptor_limit(configuration: &Value, discovery: SocketAddr, descriptors: usize) -> Self {
@@ -116,6 +123,13 @@
         connect(self.address)
     }
 
+    /// Opens a client connection and writes this text, a request or a part of one.
+    pub fn begin_request(&self, text: &str) -> BufReader<TcpStream> {
+        let mut stream = self.connect();
+        stream.get_mut().write_all(text.as_bytes()).unwrap();
+        stream
+    }
+
     /// Sends a request on a connection of its own and returns the response.
     pub fn exchange(&self, request: &str) -> HttpMessage {
         exchange(&mut self.connect(), request)
@@ -179,6 +193,12 @@
     }
 }
 
+/// Waits until the process has exited; returns its exit code, if it was not killed by a signal.
+pub fn exit_code(child: &mut Child) -> Option<i32> {
+    wait_for("exit", || child.try_wait().unwrap().is_some());
+    child.wait().unwrap().code()
+}
+
 impl Drop for ProxyProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/tests/connection_limits.rs
+++ b/tests/connection_limits.rs
@@ -7,7 +7,7 @@
 };
 use common::http::{HttpMessage, exchange, read_message, response};
 use common::proxy_process::ProxyProcess;
-use common::stub_server::{Reply, StubServer, silent_discovery};
+use common::stub_server::{Reply, StubServer};
 use common::waiting::wait_for;
 use serde_json::json;
 use std::io::{BufRead, BufReader, Write};
@@ -18,9 +18,7 @@
 
 /// A proxy with capacity for some twenty client connections.
 fn proxy_with_few_sockets(backend: &StubServer) -> ProxyProcess {
-    let mut configuration = configuration(&default_settings(), &serving_list(&[backend]));
-    configuration["limits"]["sockets"] = json!(64);
-    ProxyProcess::with_configuration(&configuration, silent_discovery().address)
+    ProxyProcess::with_socket_limit(&[backend], 64)
 }
 
 fn open_connections(proxy: &ProxyProcess, count: usize) -> Vec<BufReader<TcpStream>> {
--- a/tests/discovery_reload.rs
+++ b/tests/discovery_reload.rs
@@ -6,7 +6,7 @@
     configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
 };
 use common::http::response;
-use common::proxy_process::ProxyProcess;
+use common::proxy_process::{ProxyProcess, exit_code};
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::{TEST_TIMEOUT, wait_for};
 use serde_json::json;
@@ -57,8 +57,7 @@
     }
     proxy.signal("-TERM");
     proxy.signal("-HUP");
-    wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
-    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
 }
 
 /// Moves a proxy by SIGHUP to a discovery that leaves the first call without a response and sends half
--- a/tests/endpoint_watch.rs
+++ b/tests/endpoint_watch.rs
@@ -282,8 +282,7 @@
     settings["caps"]["connect-timeout"] = json!(20.0);
     let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
     let proxy = ProxyProcess::start(&settings, &cached_list, discovery.address);
-    let mut stream = proxy.connect();
-    stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    let mut stream = proxy.begin_request(&request("order", 9000));
     wait_for("connection attempt", || backend.has_pending_connection());
 
     is_draining.store(true, Ordering::SeqCst);
--- a/tests/faulty_backends.rs
+++ b/tests/faulty_backends.rs
@@ -87,8 +87,7 @@
     settings["caps"]["max-attempts"] = json!(1);
     let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
     let proxy = ProxyProcess::start(&settings, &cached_list, silent_discovery().address);
-    let mut client = proxy.connect();
-    client.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    let mut client = proxy.begin_request(&request("order", 9000));
     wait_for("connection attempt", || backend.has_pending_connection());
 
     drop(backend.accept()); // the backlog has capacity from here on
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -10,11 +10,10 @@
 use balancer_proxy::proxy::upstream::attempt::attempt;
 use balancer_proxy::proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
 use balancer_proxy::proxy::upstream::pool::ConnectionPool;
-use common::configuration::{default_settings, endpoint_list, listed_endpoint, request};
+use common::configuration::{READINESS_REQUEST, default_settings, endpoint_list, listed_endpoint, request};
 use common::proxy_process::ProxyProcess;
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::{TEST_TIMEOUT, wait_for, wait_for_disconnect};
-use std::io::Write;
 use std::net::TcpListener;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
@@ -23,7 +22,7 @@
 fn forwards_a_request_and_its_response_unchanged() {
     let backend = StubServer::responding_with("hello");
     let proxy = ProxyProcess::in_front_of(&[&backend]);
-    assert_eq!(proxy.exchange("GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    assert_eq!(proxy.exchange(READINESS_REQUEST).status(), 200);
     let text = request("save", 9000);
 
     let received_response = proxy.exchange(&text);
@@ -79,8 +78,7 @@
     let (report_disconnect, disconnected) = channel();
     let backend = StubServer::new(move |_, _| Reply::HangAndReport(report_disconnect.clone()));
     let proxy = ProxyProcess::in_front_of(&[&backend]);
-    let mut client = proxy.connect();
-    client.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    let client = proxy.begin_request(&request("order", 20_000));
     wait_for("attempt", || backend.request_count() == 1);
 
     let start = Instant::now();
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
-use common::configuration::{configuration, default_settings, request, request_with_framing, serving_list};
+use common::configuration::{
+    READINESS_REQUEST, configuration, default_settings, request, request_with_framing, serving_list,
+};
 use common::http::{connect, exchange, read_message};
-use common::proxy_process::{ProxyCommand, ProxyProcess, SharedAddress, proxy_command};
+use common::proxy_process::{ProxyCommand, ProxyProcess, SharedAddress, exit_code, proxy_command};
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::json;
@@ -14,13 +16,6 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-const READINESS_REQUEST: &str = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n";
-
-fn exit_code(child: &mut Child) -> Option<i32> {
-    wait_for("exit", || child.try_wait().unwrap().is_some());
-    child.wait().unwrap().code()
-}
-
 /// Sends a signal, given as an option of `kill`; returns whether that worked.
 #[must_use]
 fn send_signal(child: &Child, signal: &str) -> bool {
@@ -38,8 +33,7 @@
     let mut proxy = ProxyProcess::in_front_of(&[&backend]);
     let mut idle = proxy.connect();
     assert_eq!(exchange(&mut idle, READINESS_REQUEST).status(), 200);
-    let mut busy = proxy.connect();
-    busy.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    let mut busy = proxy.begin_request(&request("order", 20_000));
     wait_for("attempt", || backend.request_count() == 1);
 
     proxy.signal("-TERM");
@@ -57,8 +51,7 @@
     }
     release.send(()).unwrap();
     assert_eq!(read_message(&mut busy).expect("a response").status(), 200);
-    wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
-    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
 }
 
 #[test]
@@ -83,15 +76,13 @@
 fn exits_although_a_request_never_arrives_completely() {
     let backend = StubServer::responding_with("hello");
     let mut proxy = ProxyProcess::in_front_of(&[&backend]);
-    let mut slow = proxy.connect();
-    slow.get_mut().write_all(request("look", 9000).strip_suffix("dy").unwrap().as_bytes()).unwrap();
+    let _incomplete = proxy.begin_request(request("look", 9000).strip_suffix("dy").unwrap());
     // The response on a later connection shows that this one has been accepted.
     assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
 
     proxy.signal("-TERM");
 
-    wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
-    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
 }
 
 /// A request that is arriving as the idle connections are closed.
@@ -155,13 +146,7 @@
         std::thread::sleep(Duration::from_millis(200));
 
         proxy.signal("-STOP");
-        let clients: Vec<_> = (0..5)
-            .map(|_| {
-                let mut stream = proxy.connect();
-                stream.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
-                stream
-            })
-            .collect();
+        let clients: Vec<_> = (0..5).map(|_| proxy.begin_request(&request("order", 20_000))).collect();
         // Connections are accepted for 2.4 s after the signal.
         std::thread::sleep(Duration::from_millis(2400));
         proxy.signal("-CONT");
@@ -178,8 +163,7 @@
 fn fails_requests_that_would_outlast_the_process_before_it_exits() {
     let backend = StubServer::new(move |_, _| Reply::Hang);
     let mut proxy = ProxyProcess::in_front_of(&[&backend]);
-    let mut buffered = proxy.connect();
-    buffered.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    let mut buffered = proxy.begin_request(&request("order", 20_000));
     // A long body, which is complete only later.
     let mut streamed = proxy.connect();
     let body = vec![b'x'; 100_000];
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -11,7 +11,6 @@
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::json;
-use std::io::Write;
 use std::time::Duration;
 
 #[test]
@@ -65,8 +64,7 @@
     let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
     let configuration = configuration_with_management(&settings, &cached_list);
     let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
-    let mut stream = proxy.connect();
-    stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    let mut stream = proxy.begin_request(&request("order", 9000));
     wait_for("connection attempt", || backend.has_pending_connection());
 
     assert!(proxy.management_call("maint-on s-0\n").starts_with("OK"));
--- a/tests/malformed_clients.rs
+++ b/tests/malformed_clients.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::configuration::{configuration, default_settings, request, serving_list};
+use common::configuration::{READINESS_REQUEST, default_settings, request, serving_list};
 use common::http::{exchange, read_message, response};
 use common::proxy_process::ProxyProcess;
 use common::stub_server::{Reply, StubServer, silent_discovery};
@@ -23,9 +23,7 @@
 
 /// A proxy with capacity for some twenty client connections.
 fn proxy_with_few_sockets(backend: &StubServer) -> ProxyProcess {
-    let mut configuration = configuration(&default_settings(), &serving_list(&[backend]));
-    configuration["limits"]["sockets"] = json!(64);
-    ProxyProcess::with_configuration(&configuration, silent_discovery().address)
+    ProxyProcess::with_socket_limit(&[backend], 64)
 }
 
 /// Sends a request on a new connection until one is served. What is closed or rejected for lack of
@@ -61,8 +59,7 @@
 fn does_not_close_a_connection_with_an_open_request_at_the_connection_limit() {
     let (backend, release) = StubServer::holding_first_response("hello");
     let proxy = proxy_with_few_sockets(&backend);
-    let mut busy = proxy.connect();
-    busy.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    let mut busy = proxy.begin_request(&request("order", 20_000));
     wait_for("attempt", || backend.request_count() == 1);
 
     let without_request: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
@@ -82,11 +79,7 @@
     let complete = request("look", 9000);
     let start = Instant::now();
     let parts = ["", "GET /api HT", complete.strip_suffix("dy").unwrap()];
-    let mut streams = parts.map(|part| {
-        let mut stream = proxy.connect();
-        stream.get_mut().write_all(part.as_bytes()).unwrap();
-        stream
-    });
+    let mut streams = parts.map(|part| proxy.begin_request(part));
     // The same behind a request that has been served.
     let mut after_another = proxy.connect();
     assert_eq!(exchange(&mut after_another, &request("look", 9000)).status(), 200);
@@ -147,8 +140,7 @@
     let proxy = ProxyProcess::in_front_of(&[&backend]);
     let text =
         request("save", 9000).replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 62914560\r\n\r\n");
-    let mut stream = proxy.connect();
-    stream.get_mut().write_all(text.as_bytes()).unwrap();
+    let mut stream = proxy.begin_request(&text);
 
     // The response comes although nothing of the body has been sent, and then the end.
     let reply = read_message(&mut stream).expect("a response");
@@ -248,8 +240,7 @@
     let (backend, release) = StubServer::holding_first_response("hello");
     let proxy = ProxyProcess::in_front_of(&[&backend]);
     let text = request("order", 20_000);
-    let mut first = proxy.connect();
-    first.get_mut().write_all(text.as_bytes()).unwrap();
+    let mut first = proxy.begin_request(&text);
     wait_for("attempt", || backend.request_count() == 1);
 
     assert_eq!(proxy.exchange(&text).status(), 400);
@@ -265,7 +256,7 @@
     let proxy = ProxyProcess::in_front_of(&[&backend]);
     let text = request("order", 20_000);
     let (mut first, mut second) = (proxy.connect(), proxy.connect());
-    assert_eq!(exchange(&mut second, "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    assert_eq!(exchange(&mut second, READINESS_REQUEST).status(), 200);
     first.get_mut().write_all(text.as_bytes()).unwrap();
     wait_for("attempt", || backend.request_count() == 1);
 
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -115,8 +115,7 @@
     // An invalid request is not counted.
     let invalid = request("order", 9000).replace("X-Lane: order", "X-Lane: no");
     assert_eq!(proxy.exchange(&invalid).status(), 400);
-    let mut disconnecting = proxy.connect();
-    disconnecting.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    let disconnecting = proxy.begin_request(&request("order", 9000));
     wait_for("attempt", || backend.request_count() == 4);
     wait_for("count", || count(&proxy.stats(), "forwards") == 4);
     assert_eq!(count(&proxy.stats(), "outstanding"), 1);
--- a/tests/queued_client_disconnects.rs
+++ b/tests/queued_client_disconnects.rs
@@ -4,15 +4,16 @@
 mod common;
 
 use common::client_disconnect::{
-    Disconnect, begin_request, proxy_with_cancellation, received_of_class, wait_for_no_open_request,
+    Disconnect, proxy_with_cancellation, received_of_class, wait_for_no_open_request,
     wait_until_input_is_handled,
 };
 use common::configuration::{
-    configuration_with_management, default_settings, endpoint_list, listed_endpoint, request, serving_list,
+    READINESS_REQUEST, configuration_with_management, default_settings, endpoint_list, listed_endpoint,
+    request, serving_list,
 };
 use common::http::{HttpMessage, read_message, response};
 use common::late_server::LateServer;
-use common::proxy_process::ProxyProcess;
+use common::proxy_process::{ProxyProcess, exit_code};
 use common::socket_table::{CLOSE_WAIT, sockets_to_port};
 use common::stub_server::{StubServer, silent_discovery};
 use common::waiting::{TEST_TIMEOUT, wait_for};
@@ -94,7 +95,7 @@
         let mut configuration = configuration_with_management(&settings, &serving_list(&[&backend]));
         configuration["limits"]["sockets"] = json!(max_sockets);
         let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
-        let first_client = begin_request(&proxy, &request("look", 20_000));
+        let first_client = proxy.begin_request(&request("look", 20_000));
         wait_for("attempt", || backend.request_count() == 1);
         Self { proxy, backend, first_client, first_response }
     }
@@ -110,9 +111,8 @@
         let proxy = proxy_with_cancellation(true, &serving_list(&[&backend]));
 
         let readable_stream = proxy.while_stopped(|| {
-            let both = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n".to_string()
-                + &disconnect.written_text(&request("order", 9000));
-            disconnect.disconnect(begin_request(&proxy, &both))
+            let both = READINESS_REQUEST.to_string() + &disconnect.written_text(&request("order", 9000));
+            disconnect.disconnect(proxy.begin_request(&both))
         });
         wait_until_input_is_handled(&proxy);
 
@@ -150,7 +150,7 @@
 fn disconnects_while_the_key_is_occupied(cancel: bool, disconnect: Disconnect, response_first: bool) {
     let OccupiedKey { proxy, backend, mut first_client, first_response } =
         OccupiedKey::new(cancel, AMPLE_SOCKETS);
-    let second_client = begin_request(&proxy, &disconnect.written_text(&request("look", 20_000)));
+    let second_client = proxy.begin_request(&disconnect.written_text(&request("look", 20_000)));
     wait_for("second request", || proxy.stats()["outstanding"] == 2);
 
     let readable_stream = proxy
@@ -187,7 +187,7 @@
             let text = request("order", 20_000);
             let own_id = text.split_once("X-Txn: ").unwrap().1.split_once('\r').unwrap().0;
             let text = disconnect.written_text(&text.replace(own_id, &id_in_use));
-            let second_client = begin_request(&proxy, &text);
+            let second_client = proxy.begin_request(&text);
             wait_for("second request", || {
                 let stats = proxy.stats();
                 stats["outstanding"] == 2 || stats["results"]["order"]["aborted"] == 1
@@ -214,7 +214,7 @@
     let mut waiting = vec![first_client];
     let is_full = || proxy.stats()["results"]["look"]["declined"] == 1;
     while !is_full() {
-        waiting.push(begin_request(proxy, &request("look", 20_000)));
+        waiting.push(proxy.begin_request(&request("look", 20_000)));
         wait_for("admitted request", || proxy.stats()["outstanding"] == waiting.len() || is_full());
     }
     let rejected = waiting.pop().unwrap();
@@ -264,20 +264,19 @@
         let backend = LateServer::with_full_backlog();
         let cached_list = endpoint_list(1, true, &[listed_endpoint("s-0", backend.address, "SERVING")]);
         let mut proxy = proxy_with_cancellation(false, &cached_list);
-        let connecting = begin_request(&proxy, &request("order", 20_000));
+        let connecting = proxy.begin_request(&request("order", 20_000));
         wait_for("connection attempt", || backend.has_pending_connection());
 
         // Another request is in the listener's backlog, its client gone, as the signal comes.
         let readable_streams = proxy.while_stopped(|| {
-            let in_backlog = begin_request(&proxy, &request("order", 20_000));
+            let in_backlog = proxy.begin_request(&request("order", 20_000));
             proxy.signal("-TERM");
             (disconnect.disconnect(connecting), disconnect.disconnect(in_backlog))
         });
         let received = backend.accept_all();
 
         assert!(received.is_empty(), "{disconnect:?}: {received:?}");
-        wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
-        assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+        assert_eq!(exit_code(&mut proxy.child), Some(0));
         drop(readable_streams);
     }
 }
--- a/tests/race_conditions.rs
+++ b/tests/race_conditions.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::configuration::{default_settings, endpoint_list, listed_endpoint, request};
+use common::configuration::{READINESS_REQUEST, default_settings, endpoint_list, listed_endpoint, request};
 use common::http::{exchange, read_message, response};
 use common::late_server::LateServer;
 use common::proxy_process::ProxyProcess;
@@ -44,8 +44,7 @@
             }
         });
         let proxy = ProxyProcess::with_management(&[&backend]);
-        let mut client = proxy.connect();
-        client.get_mut().write_all(request("order", remaining_ms).as_bytes()).unwrap();
+        let client = proxy.begin_request(&request("order", remaining_ms));
         wait_for("attempt", || proxy.stats()["forwards"] == 1);
         Self { proxy, client: Some(client), release_response, response_written }
     }
@@ -83,8 +82,7 @@
         // Nothing more comes of it on its connection, and the proxy goes on.
         drop(release_response);
         if let Some(mut stream) = client {
-            let readiness_request = "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n";
-            assert_eq!(exchange(&mut stream, readiness_request).status(), 200);
+            assert_eq!(exchange(&mut stream, READINESS_REQUEST).status(), 200);
         }
         assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
     }
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -14,8 +14,7 @@
 use common::waiting::{TEST_TIMEOUT, wait_for};
 use hyper::StatusCode;
 use serde_json::{Value, json};
-use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -53,12 +52,6 @@
     wait_for("change", || settings_metrics(proxy) != before);
 }
 
-fn begin(proxy: &ProxyProcess, text: &str) -> BufReader<TcpStream> {
-    let mut stream = proxy.connect();
-    stream.get_mut().write_all(text.as_bytes()).unwrap();
-    stream
-}
-
 /// Backends that hold the response to a request with the body `held` until `released` gets a value, and
 /// fail the first request of class `look`, whichever of them gets it.
 fn backends_that_hold_and_fail(
@@ -91,19 +84,19 @@
     // Requests whose bodies are still to come. The proxy asks for them, so it has read the heads.
     let mut without_body = ["save", "order"].map(|class| {
         let text = request_with_framing(class, "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
-        let mut stream = begin(&proxy, &text);
+        let mut stream = proxy.begin_request(&text);
         assert_eq!(read_head(&mut stream).unwrap().status(), 100);
         stream
     });
     // One that waits for its response.
-    let mut waiting = begin(&proxy, &request("order", 9000).replace("body", "held"));
+    let mut waiting = proxy.begin_request(&request("order", 9000).replace("body", "held"));
     wait_for("attempt", || connections() == 1);
     // One whose body is being streamed.
-    let mut streamed = begin(&proxy, &request_with_framing("order", "Content-Length: 200000\r\n\r\n"));
+    let mut streamed = proxy.begin_request(&request_with_framing("order", "Content-Length: 200000\r\n\r\n"));
     streamed.get_mut().write_all(&[b'x'; 100_000]).unwrap();
     wait_for("attempt", || connections() == 2);
     // One that waits for its retry.
-    let mut failed = begin(&proxy, &request("look", 4000));
+    let mut failed = proxy.begin_request(&request("look", 4000));
     wait_for("failed attempt", || has_failed.load(Ordering::SeqCst));
 
     configuration["settings"]["version"] = json!(2);
@@ -258,7 +251,7 @@
     let (backend, release) = StubServer::holding_first_response("hello");
     let mut configuration = versioned_configuration(1, &[&backend]);
     let proxy = start_proxy(&configuration);
-    let mut waiting = begin(&proxy, &request("order", 20_000));
+    let mut waiting = proxy.begin_request(&request("order", 20_000));
     wait_for("attempt", || backend.request_count() == 1);
     let mut idle: Vec<_> = (0..80).map(|_| proxy.connect()).collect();
     for stream in &mut idle {
@@ -395,7 +388,7 @@
     let (backend, release) = StubServer::holding_first_response("hello");
     let mut configuration = versioned_configuration(1, &[&backend]);
     let mut proxy = start_proxy(&configuration);
-    let mut waiting = begin(&proxy, &request("order", 20_000));
+    let mut waiting = proxy.begin_request(&request("order", 20_000));
     wait_for("attempt", || backend.request_count() == 1);
     configuration["settings"]["classes"] = json!([{"name": "look", "effect": "free", "hard-limit": 0.2}]);
     configuration["settings"]["version"] = json!(2);
--- a/tests/streaming.rs
+++ b/tests/streaming.rs
@@ -191,8 +191,7 @@
     ] {
         let (backend, release) = backend_that_pauses(framing, encoded_body);
         let proxy = ProxyProcess::with_management(&[&backend]);
-        let mut stream = proxy.connect();
-        stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+        let mut stream = proxy.begin_request(&request("order", 9000));
         let head = read_head(&mut stream).expect("a head");
         assert!(!stream.fill_buf().unwrap().is_empty());
 
@@ -234,8 +233,7 @@
     let proxy = ProxyProcess::in_front_of(&[&backend]);
     let mut readers = Vec::new();
     for _ in 0..20 {
-        let mut stream = proxy.connect();
-        stream.get_mut().write_all(request("look", 9000).as_bytes()).unwrap();
+        let mut stream = proxy.begin_request(&request("look", 9000));
         let head = read_head(&mut stream).expect("a head");
         readers.push((stream, head)); // which reads no more for now
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -7,7 +7,7 @@
     configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
 };
 use common::http::{connect, exchange, read_message, response};
-use common::proxy_process::{ProxyProcess, SharedAddress};
+use common::proxy_process::{ProxyProcess, SharedAddress, exit_code};
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::{Value, json};
@@ -59,8 +59,7 @@
     wait_for_readiness(&next);
     assert!(old.management_call("status\n").starts_with("OK"));
     old.signal("-TERM");
-    wait_for("exit", || old.child.try_wait().unwrap().is_some());
-    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    assert_eq!(exit_code(&mut old.child), Some(0));
     is_done.store(true, Ordering::SeqCst);
 
     for client in clients {
@@ -76,8 +75,7 @@
     let configuration = configuration_for(&[&backend]);
     let mut old = shared_address.start(&configuration);
     let mut idle = old.connect();
-    let mut busy = old.connect();
-    busy.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    let mut busy = old.begin_request(&request("order", 20_000));
     wait_for("attempt", || backend.request_count() == 1);
 
     let next = shared_address.start(&configuration);
@@ -104,21 +102,14 @@
 
     old.signal("-STOP");
     // The system distributes them over both processes.
-    let clients: Vec<_> = (0..30)
-        .map(|_| {
-            let mut stream = old.connect();
-            stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
-            stream
-        })
-        .collect();
+    let clients: Vec<_> = (0..30).map(|_| old.begin_request(&request("order", 9000))).collect();
     old.signal("-TERM");
     old.signal("-CONT");
 
     for mut stream in clients {
         assert_eq!(read_message(&mut stream).expect("a response").status(), 200);
     }
-    wait_for("exit", || old.child.try_wait().unwrap().is_some());
-    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    assert_eq!(exit_code(&mut old.child), Some(0));
     assert_eq!(backend.request_count(), 30);
 }
 
