--- /dev/null
+++ b/fleet-bench/src/added/analysis.rs
@@ -0,0 +1,156 @@
+//! The figures of one measurement.
+
+use super::bench::LoadResult;
+use super::load::{CallSample, Route, WARM_UP_SECONDS};
+use super::plan::LoadPlan;
+use super::verdict::{Observation, Verdict};
+use crate::error::Error;
+use crate::latency::LatencyHistogram;
+use std::time::Duration;
+
+/// Longer latencies count as this.
+const MAX_LATENCY: Duration = Duration::from_secs(60);
+/// The measured time is also divided into this many equal parts, which shows how steady it was.
+const PARTS: usize = 5;
+/// The quantile to which the budget applies.
+const BUDGET_QUANTILE: f64 = 0.99;
+
+/// The measured calls of one route.
+pub struct RouteLatencies {
+    /// The route.
+    pub route: Route,
+    /// Latencies of the successful calls.
+    pub latencies: LatencyHistogram,
+    /// The number of failed calls.
+    pub failed: usize,
+}
+
+/// The lowest and highest latency added in a part of the measured time, in milliseconds at the 99th
+/// percentile.
+pub struct PartRange {
+    /// The lowest.
+    pub min_ms: f64,
+    /// The highest.
+    pub max_ms: f64,
+}
+
+/// What the proxy used for each call, in microseconds.
+pub struct ProxyCost {
+    /// Processor time.
+    pub processor_us: f64,
+    /// Time in which the proxy was runnable but waited for a processor.
+    pub run_queue_wait_us: f64,
+}
+
+/// The figures of one measurement.
+pub struct Analysis {
+    /// Direct calls.
+    pub direct: RouteLatencies,
+    /// Proxied calls.
+    pub proxied: RouteLatencies,
+    /// How much the added latency varies over the measured time.
+    pub part_range: PartRange,
+    /// How late the generator began its calls, at the 99th percentile.
+    pub generator_delay_ms: f64,
+    /// The fraction of the calls that waited for a caller.
+    pub queued_fraction: f64,
+    /// What the proxy used.
+    pub proxy_cost: ProxyCost,
+    /// The fraction of the time in which a task of the machine waited for a processor.
+    pub machine_stalled: f64,
+}
+
+impl Analysis {
+    /// Analyses the calls after the warm-up.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Histogram`] if a histogram cannot be created.
+    pub fn of(result: LoadResult, load: LoadPlan) -> Result<Self, Error> {
+        let proxy_cost = ProxyCost::of(&result);
+        let mut samples = result.samples;
+        samples.retain(|sample| sample.call.at.as_secs_f64() >= WARM_UP_SECONDS);
+        let queued = samples.iter().filter(|sample| sample.generator_delay.is_none()).count();
+        let generator_delays = histogram(samples.iter().filter_map(|sample| sample.generator_delay))?;
+        Ok(Self {
+            direct: RouteLatencies::of(&samples, Route::Direct)?,
+            proxied: RouteLatencies::of(&samples, Route::Proxied)?,
+            part_range: PartRange::of(&samples, load.seconds)?,
+            generator_delay_ms: generator_delays.quantile_ms(BUDGET_QUANTILE),
+            queued_fraction: queued as f64 / samples.len() as f64,
+            proxy_cost,
+            machine_stalled: result.machine_stalled,
+        })
+    }
+
+    /// The added latency at a quantile, in milliseconds: the difference of the two routes.
+    #[must_use]
+    pub fn added_ms(&self, quantile: f64) -> f64 {
+        self.proxied.latencies.quantile_ms(quantile) - self.direct.latencies.quantile_ms(quantile)
+    }
+
+    /// Compares the added latency with its budget.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        let observation = Observation {
+            generator_delay_ms: self.generator_delay_ms,
+            queued_fraction: self.queued_fraction,
+            direct_ms: self.direct.latencies.quantile_ms(BUDGET_QUANTILE),
+            added_ms: self.added_ms(BUDGET_QUANTILE),
+        };
+        observation.verdict()
+    }
+}
+
+impl RouteLatencies {
+    fn of(samples: &[CallSample], route: Route) -> Result<Self, Error> {
+        let failed = of_route(samples, route).filter(|sample| sample.latency.is_none()).count();
+        let latencies = histogram(of_route(samples, route).filter_map(|sample| sample.latency))?;
+        Ok(Self { route, latencies, failed })
+    }
+}
+
+impl PartRange {
+    fn of(samples: &[CallSample], seconds: f64) -> Result<Self, Error> {
+        let mut added_ms = Vec::new();
+        for part in 0..PARTS {
+            let quantile_ms = |route: Route| -> Result<f64, Error> {
+                let of_part = of_route(samples, route).filter(|sample| part_of(sample, seconds) == part);
+                Ok(histogram(of_part.filter_map(|sample| sample.latency))?.quantile_ms(BUDGET_QUANTILE))
+            };
+            added_ms.push(quantile_ms(Route::Proxied)? - quantile_ms(Route::Direct)?);
+        }
+        added_ms.sort_by(f64::total_cmp);
+        Ok(Self { min_ms: added_ms[0], max_ms: added_ms[PARTS - 1] })
+    }
+}
+
+impl ProxyCost {
+    fn of(result: &LoadResult) -> Self {
+        let before = &result.usage_before;
+        let after = &result.usage_after;
+        let calls = of_route(&result.samples, Route::Proxied).count() as f64;
+        let us_per_call =
+            |after: Duration, before: Duration| after.saturating_sub(before).as_secs_f64() * 1e6 / calls;
+        Self {
+            processor_us: us_per_call(after.processor_time, before.processor_time),
+            run_queue_wait_us: us_per_call(after.run_queue_wait, before.run_queue_wait),
+        }
+    }
+}
+
+fn of_route(samples: &[CallSample], route: Route) -> impl Iterator<Item = &CallSample> {
+    samples.iter().filter(move |sample| sample.call.route == route)
+}
+
+/// The part of the measured time in which a call was to begin.
+fn part_of(sample: &CallSample, seconds: f64) -> usize {
+    let fraction = (sample.call.at.as_secs_f64() - WARM_UP_SECONDS) / seconds;
+    ((fraction * PARTS as f64) as usize).min(PARTS - 1)
+}
+
+fn histogram(latencies: impl Iterator<Item = Duration>) -> Result<LatencyHistogram, Error> {
+    let mut histogram = LatencyHistogram::with_max(MAX_LATENCY)?;
+    histogram.extend(latencies);
+    Ok(histogram)
+}
--- /dev/null
+++ b/fleet-bench/src/added/bench.rs
@@ -0,0 +1,141 @@
+//! A proxy with its list, in front of backends that respond at once.
+
+use super::load::{CALLERS, CallSample, Caller, Schedule, WARM_UP_SECONDS, draw_calls};
+use super::plan::LoadPlan;
+use crate::address::{self, AddressRole};
+use crate::backend::Backends;
+use crate::discovery::{Change, Discovery};
+use crate::draw::arrivals;
+use crate::error::Error;
+use crate::instance::{InstanceList, instances_at};
+use crate::proxy::{ProxyConfig, ProxyOptions, ProxyProcess, RegistryMode};
+use crate::shutdown::ShutdownSignal;
+use crate::usage::{MachineLoad, ProcessUsage};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Backends that run. The entries of the list share their addresses in turn, as a proxy sends to few
+/// entries of its list, whatever its size.
+const BACKENDS: usize = 8;
+/// Multiplier that separates the random draws of plans whose seeds are close together.
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9;
+
+/// A proxy with its list, in front of backends that respond at once.
+pub struct Bench<'a> {
+    shutdown: &'a ShutdownSignal,
+    listed: usize,
+    rng: SmallRng,
+    // Fields are dropped in this order: the proxy ends before the servers that it calls.
+    proxy: ProxyProcess,
+    discovery: Discovery,
+    backends: Backends,
+}
+
+/// What one load has shown.
+pub struct LoadResult {
+    /// The calls, those of the warm-up too.
+    pub samples: Vec<CallSample>,
+    /// The usage of the proxy before the load.
+    pub usage_before: ProcessUsage,
+    /// The usage of the proxy after the load.
+    pub usage_after: ProcessUsage,
+    /// The fraction of the time in which a task of the machine waited for a processor.
+    pub machine_stalled: f64,
+}
+
+impl<'a> Bench<'a> {
+    /// Starts the servers and the proxy, and waits until that is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one of them does not start, and [`Error::Interrupted`] once a signal has
+    /// arrived.
+    pub fn start(
+        seed: u64,
+        shutdown: &'a ShutdownSignal,
+        program: &Path,
+        listed: usize,
+    ) -> Result<Self, Error> {
+        let backends = Backends::start(BACKENDS.min(listed))?;
+        let instances = instances_at(backends.addresses().iter().copied().cycle().take(listed));
+        let discovery = Discovery::start(instances.clone(), 1)?;
+        let mut proxy = ProxyProcess::spawn(&ProxyOptions {
+            program,
+            listen: address::allocate_one(AddressRole::Listen),
+            management: address::allocate_one(AddressRole::Management),
+            discovery: discovery.addresses()[0],
+            config: ProxyConfig {
+                index: 0,
+                tier_size: listed, // the fleet has one proxy for each backend
+                seed,
+                registry_mode: RegistryMode::Automatic,
+                instances: &InstanceList::initial(&instances),
+            },
+        })?;
+        proxy.wait_until_ready(shutdown)?;
+        let rng = SmallRng::seed_from_u64(seed.wrapping_mul(SEED_MULTIPLIER).wrapping_add(listed as u64));
+        Ok(Self { shutdown, listed, rng, proxy, discovery, backends })
+    }
+
+    /// Checks that the load has reached the backends.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NoBackendRequests`] if they have not responded to any request.
+    pub fn check_backends(&self) -> Result<(), Error> {
+        if self.backends.responses() == 0 { Err(Error::NoBackendRequests) } else { Ok(()) }
+    }
+
+    /// Makes the calls of one load and measures the proxy meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a caller cannot connect, and [`Error::Interrupted`] once a signal has
+    /// arrived.
+    pub fn measure(&mut self, load: LoadPlan) -> Result<LoadResult, Error> {
+        let usage_before = self.proxy.usage()?;
+        let machine = MachineLoad::now()?;
+        let samples = self.run_load(load)?;
+        let usage_after = self.proxy.usage()?;
+        let machine_stalled = MachineLoad::now()?.stall_since(&machine);
+        Ok(LoadResult { samples, usage_before, usage_after, machine_stalled })
+    }
+
+    fn run_load(&mut self, load: LoadPlan) -> Result<Vec<CallSample>, Error> {
+        let seconds = WARM_UP_SECONDS + load.seconds;
+        let calls = draw_calls(&mut self.rng, load.rate, seconds);
+        let changes = arrivals(&mut self.rng, load.changes, seconds);
+        let shutdown = self.shutdown;
+        let proxy = self.proxy.listen();
+        let backends = self.backends.addresses().to_vec();
+        let schedule = Schedule::start_soon(calls);
+        std::thread::scope(|scope| {
+            let mut callers = Vec::new();
+            for number in 0..CALLERS {
+                let backend = backends[number % backends.len()];
+                let schedule = &schedule;
+                callers.push(scope.spawn(move || Caller::connect(backend, proxy)?.run(schedule, shutdown)));
+            }
+            let published = self.publish_at(&changes);
+            let mut samples = Vec::new();
+            for caller in callers {
+                samples.extend(caller.join().map_err(|_| Error::Panicked("a caller"))??);
+            }
+            published.map(|()| samples)
+        })
+    }
+
+    /// Publishes a change of a weight at each of these times from now on.
+    fn publish_at(&mut self, times: &[Duration]) -> Result<(), Error> {
+        let start = Instant::now();
+        for time in times {
+            self.shutdown.sleep_until(start + *time)?;
+            let weight = self.rng.random_range(0.5..2.0);
+            let index = self.rng.random_range(0..self.listed);
+            self.discovery.publish(Change::Weight { index, weight });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/added/load.rs
@@ -0,0 +1,143 @@
+//! An open-loop load of calls that are made directly or through the proxy.
+
+use super::connection::Connection;
+use crate::draw::arrivals;
+use crate::error::Error;
+use crate::shutdown::ShutdownSignal;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Load ahead of the measured one, in seconds: connections are opened in that time.
+pub const WARM_UP_SECONDS: f64 = 1.5;
+/// Maximum number of calls in flight. A further call waits for a caller, and that counts as a part of
+/// its latency.
+pub const CALLERS: usize = 128;
+/// All callers have connected within this time.
+const CONNECT_TIME: Duration = Duration::from_millis(200);
+/// A sleep ends late by some tens of microseconds, so that the last part of a wait is a busy loop.
+const SPIN_TIME: Duration = Duration::from_micros(150);
+
+/// How a call reaches the backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// From the client to the backend.
+    Direct,
+    /// Through the proxy.
+    Proxied,
+}
+
+impl Route {
+    /// Both, in the order of reports.
+    pub const ALL: [Self; 2] = [Self::Direct, Self::Proxied];
+
+    /// The name in reports.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Direct => "direct",
+            Self::Proxied => "proxied",
+        }
+    }
+}
+
+/// A call that is to be made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ScheduledCall {
+    /// When, since the start of the load.
+    pub at: Duration,
+    /// How.
+    pub route: Route,
+}
+
+/// Draws calls of a Poisson process, with `rate` calls per second on each route.
+pub fn draw_calls(rng: &mut SmallRng, rate: f64, seconds: f64) -> Vec<ScheduledCall> {
+    let times = arrivals(rng, Route::ALL.len() as f64 * rate, seconds);
+    let route = |proxied: bool| if proxied { Route::Proxied } else { Route::Direct };
+    times.into_iter().map(|at| ScheduledCall { at, route: route(rng.random()) }).collect()
+}
+
+/// What became of one call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallSample {
+    /// The call.
+    pub call: ScheduledCall,
+    /// How much later the generator began it through its own fault; `None` if no caller was free in
+    /// time.
+    pub generator_delay: Option<Duration>,
+    /// The time from the scheduled start to the response; `None` if the call failed.
+    pub latency: Option<Duration>,
+}
+
+/// The calls of one load, which the callers make in turn.
+pub struct Schedule {
+    start: Instant,
+    calls: Vec<ScheduledCall>,
+    next: AtomicUsize,
+}
+
+impl Schedule {
+    /// A schedule of these calls, which starts once the callers have had time to connect.
+    #[must_use]
+    pub fn start_soon(calls: Vec<ScheduledCall>) -> Self {
+        Self { start: Instant::now() + CONNECT_TIME, calls, next: AtomicUsize::new(0) }
+    }
+
+    /// Takes the next call, with its number.
+    fn take_next(&self) -> Option<(usize, ScheduledCall)> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        self.calls.get(number).map(|call| (number, *call))
+    }
+}
+
+/// A client that makes one call at a time, with a connection for each route.
+pub struct Caller {
+    direct: Connection,
+    proxied: Connection,
+}
+
+impl Caller {
+    /// Connects to a backend and to the proxy.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if one of them does not accept the connection.
+    pub fn connect(backend: SocketAddr, proxy: SocketAddr) -> Result<Self, Error> {
+        Ok(Self { direct: Connection::open(backend)?, proxied: Connection::open(proxy)? })
+    }
+
+    /// Makes calls of the schedule until none is left.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn run(mut self, schedule: &Schedule, shutdown: &ShutdownSignal) -> Result<Vec<CallSample>, Error> {
+        let mut samples = Vec::new();
+        while let Some((number, call)) = schedule.take_next() {
+            let due = schedule.start + call.at;
+            let was_free = Instant::now() < due;
+            wait_precisely(due, call.at, shutdown)?;
+            let generator_delay = was_free.then(|| due.elapsed());
+            let connection = match call.route {
+                Route::Direct => &mut self.direct,
+                Route::Proxied => &mut self.proxied,
+            };
+            let succeeded = connection.call(number as u64 + 1);
+            let latency = succeeded.then(|| due.elapsed());
+            samples.push(CallSample { call, generator_delay, latency });
+        }
+        Ok(samples)
+    }
+}
+
+/// Sleeps for most of the time until `due`, which is `since_start` after the start of the load, and
+/// spins for the rest.
+fn wait_precisely(due: Instant, since_start: Duration, shutdown: &ShutdownSignal) -> Result<(), Error> {
+    shutdown.sleep_until(due - SPIN_TIME.min(since_start))?;
+    while Instant::now() < due {
+        std::hint::spin_loop();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/fleet-bench/src/added/tables.rs
@@ -0,0 +1,119 @@
+//! The tables of the report.
+
+use super::analysis::{Analysis, RouteLatencies};
+use super::plan::LoadPlan;
+use crate::budget;
+use crate::latency::LatencyHistogram;
+use crate::report::{Table, Value};
+
+/// The columns that name a measurement.
+const NAME_COLUMNS: [&str; 3] = ["listed", "calls/s", "changes/s"];
+const ADDED_COLUMNS: [&str; 13] = [
+    "50%, ms",
+    "90%, ms",
+    "99%, ms",
+    "99% least fifth, ms",
+    "99% most, ms",
+    "99.9%, ms",
+    "of 0.72 ms",
+    "generator late 99%, ms",
+    "no caller free, %",
+    "proxy core, us/call",
+    "proxy waited for core, us/call",
+    "machine stalled, %",
+    "budget",
+];
+const CALL_COLUMNS: [&str; 7] = ["calls", "failed", "50%, ms", "90%, ms", "99%, ms", "99.9%, ms", "max, ms"];
+/// Upper limits of the printed histogram's classes, in milliseconds.
+const CLASS_LIMITS_MS: [f64; 14] =
+    [0.05, 0.1, 0.2, 0.3, 0.5, 0.72, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 50.0, 5_000.0];
+
+/// The tables of the report.
+pub struct Tables {
+    /// What the proxy adds to a call.
+    added: Table,
+    /// The calls of each route.
+    calls: Table,
+    /// The calls of each route by their latency.
+    classes: Table,
+}
+
+impl Tables {
+    /// Empty tables.
+    #[must_use]
+    pub fn new() -> Self {
+        let by_measurement =
+            |name: &str, columns: &[&str]| Table::new(name, &[&NAME_COLUMNS[..], columns].concat());
+        let added = by_measurement(
+            "What the proxy adds to a call: differences of percentiles, and its 99% by fifths of the run",
+            &ADDED_COLUMNS,
+        );
+        let mut calls = by_measurement("Calls, each from the moment at which it was to begin", &["way"]);
+        calls.columns.extend(CALL_COLUMNS.map(str::to_string));
+        let mut classes =
+            by_measurement("Histogram: % of the calls, by the upper end of their time in ms", &["way"]);
+        classes.columns.extend(CLASS_LIMITS_MS.map(|limit| limit.to_string()));
+        Self { added, calls, classes }
+    }
+
+    /// Adds the rows of one measurement.
+    pub fn add(&mut self, listed: usize, load: LoadPlan, analysis: &Analysis) {
+        let name = [listed.into(), load.rate.into(), load.changes.into()];
+        self.added.row(name.iter().cloned().chain(added_cells(analysis)));
+        for calls in [&analysis.direct, &analysis.proxied] {
+            let name = || name.iter().cloned().chain([calls.route.name().into()]);
+            self.calls.row(name().chain(call_cells(calls)));
+            self.classes.row(name().chain(class_cells(&calls.latencies)));
+        }
+    }
+
+    /// The tables in the order of the report.
+    #[must_use]
+    pub fn into_tables(self) -> [Table; 3] {
+        [self.added, self.calls, self.classes]
+    }
+}
+
+fn added_cells(analysis: &Analysis) -> [Value; ADDED_COLUMNS.len()] {
+    [
+        analysis.added_ms(0.5).into(),
+        analysis.added_ms(0.9).into(),
+        analysis.added_ms(0.99).into(),
+        analysis.part_range.min_ms.into(),
+        analysis.part_range.max_ms.into(),
+        analysis.added_ms(0.999).into(),
+        (analysis.added_ms(0.99) / budget::ADDED_LATENCY_MS).into(),
+        analysis.generator_delay_ms.into(),
+        (100.0 * analysis.queued_fraction).into(),
+        analysis.proxy_cost.processor_us.into(),
+        analysis.proxy_cost.run_queue_wait_us.into(),
+        (100.0 * analysis.machine_stalled).into(),
+        analysis.verdict().text().into(),
+    ]
+}
+
+fn call_cells(calls: &RouteLatencies) -> [Value; CALL_COLUMNS.len()] {
+    let latencies = &calls.latencies;
+    [
+        (latencies.len() as usize).into(),
+        calls.failed.into(),
+        latencies.quantile_ms(0.5).into(),
+        latencies.quantile_ms(0.9).into(),
+        latencies.quantile_ms(0.99).into(),
+        latencies.quantile_ms(0.999).into(),
+        latencies.max_ms().into(),
+    ]
+}
+
+/// The percentage of the calls in each class.
+fn class_cells(latencies: &LatencyHistogram) -> Vec<Value> {
+    let mut cells = Vec::new();
+    let mut low_us = 0;
+    for limit_ms in CLASS_LIMITS_MS {
+        let high_us = (1e3 * limit_ms) as u64;
+        let count = latencies.count_between_us(low_us, high_us);
+        cells.push((100.0 * count as f64 / latencies.len() as f64).into());
+        low_us = high_us + 1;
+    }
+    cells
+}
--- /dev/null
+++ b/fleet-bench/src/added/verdict.rs
@@ -0,0 +1,67 @@
+//! Whether the added latency is within its budget.
+
+use crate::budget;
+
+/// The maximum delay of the generator at the 99th percentile, as a fraction of the budget. With a
+/// longer one, or if direct calls already exceed the budget, the machine was too busy to measure.
+pub const MAX_GENERATOR_DELAY_FRACTION: f64 = 0.25;
+/// More calls than this fraction wait for a caller only if calls pile up.
+const MAX_QUEUED_FRACTION: f64 = 0.01;
+
+/// What is known of the 99th percentiles of one measurement.
+#[derive(Clone, Copy, Debug)]
+pub struct Observation {
+    /// How late the generator began its calls, in milliseconds.
+    pub generator_delay_ms: f64,
+    /// The fraction of the calls that waited for a caller.
+    pub queued_fraction: f64,
+    /// The latency of direct calls, in milliseconds.
+    pub direct_ms: f64,
+    /// The latency that the proxy added, in milliseconds.
+    pub added_ms: f64,
+}
+
+/// The result of a comparison with the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The added latency is within the budget.
+    Kept,
+    /// The added latency exceeds the budget.
+    Over,
+    /// More calls were in flight than there are callers.
+    PiledUp,
+    /// The machine was too busy to measure.
+    TooBusy,
+}
+
+impl Verdict {
+    /// The text in reports.
+    #[must_use]
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Over => "over",
+            Self::PiledUp => "over: calls piled up",
+            Self::TooBusy => "too busy to tell",
+        }
+    }
+}
+
+impl Observation {
+    /// Compares the added latency with the budget. Calls that pile up are a fault of the proxy, also
+    /// where they delay direct calls; a late generator is a fault of the machine.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        if self.generator_delay_ms > MAX_GENERATOR_DELAY_FRACTION * budget::ADDED_LATENCY_MS {
+            Verdict::TooBusy
+        } else if self.queued_fraction > MAX_QUEUED_FRACTION {
+            Verdict::PiledUp
+        } else if self.direct_ms > budget::ADDED_LATENCY_MS {
+            Verdict::TooBusy
+        } else if self.added_ms <= budget::ADDED_LATENCY_MS {
+            Verdict::Kept
+        } else {
+            Verdict::Over
+        }
+    }
+}
--- a/fleet-bench/src/backend.rs
+++ b/fleet-bench/src/backend.rs
@@ -1,8 +1,9 @@
-//! Stand-in backends in this process: any request that names itself is answered at once.
+//! Stub backends in this process, which respond at once to every request with a request id.
 
+use crate::address::{self, AddressRole};
+use crate::background::{self, BackgroundRuntime};
 use crate::error::Error;
-use crate::process::{Use, addresses};
-use crate::serve::{Background, read_head};
+use crate::request_head::RequestHead;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
@@ -11,84 +12,88 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// What each answer says.
-const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n";
-const UNNAMED: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
-/// A failed accept is tried again after this.
-const AGAIN: Duration = Duration::from_millis(10);
+const OK_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n";
+/// The response to a request without a request id.
+const NOT_FOUND_RESPONSE: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+/// Backoff after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
-/// Answers what comes on one connection, until it ends.
-async fn talk(stream: &mut TcpStream, answered: &AtomicU64) -> io::Result<()> {
-    let mut buffer = Vec::new();
-    while let Some(head) = read_head(stream, &mut buffer).await? {
-        while buffer.len() < head.body {
-            if stream.read_buf(&mut buffer).await? == 0 {
-                return Ok(());
+/// Backends that run on a thread of their own until they are dropped.
+pub struct Backends {
+    addresses: Vec<SocketAddr>,
+    responses: Arc<AtomicU64>,
+    _runtime: BackgroundRuntime,
+}
+
+impl Backends {
+    /// Starts this many backends.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if an address cannot be bound or the thread cannot be started.
+    pub fn start(count: usize) -> Result<Self, Error> {
+        let addresses: Vec<_> = address::allocate(AddressRole::Backend, count).collect();
+        let listeners = addresses.iter().map(|at| background::bind(*at)).collect::<io::Result<Vec<_>>>()?;
+        let responses = Arc::<AtomicU64>::default();
+        let counter = responses.clone();
+        let runtime = BackgroundRuntime::start("backends", move || {
+            for listener in listeners {
+                tokio::spawn(accept_connections(listener, counter.clone()));
             }
-        }
-        buffer.drain(..head.body);
-        // First: whoever has read an answer finds it counted.
-        answered.fetch_add(1, Ordering::Relaxed);
-        stream.write_all(if head.named { ANSWER } else { UNNAMED }).await?;
+        })?;
+        Ok(Self { addresses, responses, _runtime: runtime })
+    }
+
+    /// The addresses on which they listen.
+    #[must_use]
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// The number of responses by all backends.
+    #[must_use]
+    pub fn responses(&self) -> u64 {
+        self.responses.load(Ordering::Relaxed)
     }
-    Ok(())
 }
 
-async fn listen(listener: StdListener, answered: Arc<AtomicU64>) {
+async fn accept_connections(listener: StdListener, responses: Arc<AtomicU64>) {
     let listener = match TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(error) => return tracing::error!("backend: {error}"),
     };
     loop {
-        let Ok((mut stream, _)) = listener.accept().await.inspect_err(|e| tracing::warn!("backend: {e}"))
-        else {
-            tokio::time::sleep(AGAIN).await;
-            continue;
+        let mut stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("backend: {error}");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
         };
-        let _ = stream.set_nodelay(true); // it still works if not
-        let answered = answered.clone();
+        let _ = stream.set_nodelay(true); // without it the connection is only slower
+        let responses = responses.clone();
         tokio::spawn(async move {
-            if let Err(error) = talk(&mut stream, &answered).await {
+            if let Err(error) = serve_connection(&mut stream, &responses).await {
                 tracing::debug!("backend: {error}");
             }
         });
     }
 }
 
-/// Backends that run on a thread of their own, until they are dropped.
-pub struct Backends {
-    addresses: Vec<SocketAddr>,
-    answered: Arc<AtomicU64>,
-    _thread: Background,
-}
-
-impl Backends {
-    /// So many addresses.
-    pub fn start(count: usize) -> Result<Self, Error> {
-        let addresses: Vec<_> = addresses(Use::Backend, count).collect();
-        let mut listeners = Vec::new();
-        for at in &addresses {
-            let listener = StdListener::bind(at)?;
-            listener.set_nonblocking(true)?;
-            listeners.push(listener);
-        }
-        let answered = Arc::<AtomicU64>::default();
-        let counted = answered.clone();
-        let thread = Background::start("backends", move || {
-            for listener in listeners {
-                tokio::spawn(listen(listener, counted.clone()));
+/// Responds to the requests of one connection until it ends.
+async fn serve_connection(stream: &mut TcpStream, responses: &AtomicU64) -> io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(head) = RequestHead::read(stream, &mut buffer).await? {
+        while buffer.len() < head.body_bytes {
+            if stream.read_buf(&mut buffer).await? == 0 {
+                return Ok(());
             }
-        })?;
-        Ok(Self { addresses, answered, _thread: thread })
-    }
-
-    /// Where they listen.
-    pub fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
-    }
-
-    /// Requests that they have answered, all together.
-    pub fn answered(&self) -> u64 {
-        self.answered.load(Ordering::Relaxed)
+        }
+        buffer.drain(..head.body_bytes);
+        // Counted before the write, so that a client that has the response finds it counted.
+        responses.fetch_add(1, Ordering::Relaxed);
+        stream.write_all(if head.has_request_id { OK_RESPONSE } else { NOT_FOUND_RESPONSE }).await?;
     }
+    Ok(())
 }
--- /dev/null
+++ b/fleet-bench/src/budget.rs
@@ -0,0 +1,10 @@
+//! What the operators allow each proxy to cost.
+
+/// Processor time for the control plane, as a fraction of a core.
+pub const CONTROL_CORES: f64 = 0.01;
+/// Resident memory, in bytes.
+pub const RESIDENT_BYTES: f64 = 128e6;
+/// Control-plane traffic, in bytes per second.
+pub const CONTROL_BYTES_PER_SECOND: f64 = 3_000.0;
+/// Latency added to a call at the 99th percentile, in milliseconds.
+pub const ADDED_LATENCY_MS: f64 = 0.72;
--- /dev/null
+++ b/fleet-bench/src/control/group.rs
@@ -0,0 +1,185 @@
+//! A list with the proxies that have it.
+
+use super::list_changes::ChangeGenerator;
+use super::plan::GroupSize;
+use crate::address::{self, AddressRole};
+use crate::discovery::{Discovery, PollCounts};
+use crate::error::Error;
+use crate::instance::{Instance, InstanceList, instances_at};
+use crate::proxy::{ProxyConfig, ProxyOptions, ProxyProcess};
+use crate::report::Value;
+use crate::shutdown::ShutdownSignal;
+use crate::usage::{MachineLoad, ProcessUsage};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// All proxies have polled for the first time within this: in the registry mode `subscribe` they
+/// spread the first poll over 5 s.
+const FIRST_POLL_TIMEOUT: Duration = Duration::from_secs(20);
+const FIRST_POLL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Idle time between the first polls and the first window.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+const ACKNOWLEDGEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Multiplier that separates the random draws of plans whose seeds are close together.
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9;
+/// Numbers of proxies are below this, so that each group has its own seed.
+const GROUP_SEED_STRIDE: usize = 1_000;
+
+/// The names of the columns of [`ProxyGroup::row_head`].
+pub const HEAD_COLUMNS: [&str; 3] = ["listed", "proxies", "mode"];
+
+/// A list with the proxies that have it.
+pub struct ProxyGroup<'a> {
+    /// Its size.
+    pub size: GroupSize,
+    /// Interrupts all waits.
+    pub shutdown: &'a ShutdownSignal,
+    // Fields are dropped in this order: the proxies end before the server that they poll.
+    /// The proxies.
+    pub proxies: Vec<ProxyProcess>,
+    /// The server that they poll.
+    pub discovery: Discovery,
+    /// Draws the changes of the list.
+    pub changes: ChangeGenerator,
+}
+
+/// What the group, its server and the machine have used, at one time.
+pub struct Snapshot {
+    /// When it was taken.
+    pub at: Instant,
+    /// The usage of each proxy.
+    pub usages: Vec<ProcessUsage>,
+    /// The polls of each proxy.
+    pub counts: Vec<PollCounts>,
+    /// The usage of this process, which runs the discovery server.
+    pub server_usage: ProcessUsage,
+    /// The load of the machine.
+    pub machine: MachineLoad,
+}
+
+impl<'a> ProxyGroup<'a> {
+    /// Starts the server and the proxies, and waits until all have polled and are idle.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a proxy does not start or does not poll, and [`Error::Interrupted`] once a
+    /// signal has arrived.
+    pub fn start(
+        size: GroupSize,
+        plan_seed: u64,
+        program: &Path,
+        shutdown: &'a ShutdownSignal,
+    ) -> Result<Self, Error> {
+        // Nothing listens on these addresses: without requests no proxy connects to a backend.
+        let instances = instances_at(address::allocate(AddressRole::Backend, size.listed));
+        let group_number = (size.listed * GROUP_SEED_STRIDE + size.proxies) as u64;
+        let seed = plan_seed.wrapping_mul(SEED_MULTIPLIER).wrapping_add(group_number);
+        let discovery = Discovery::start(instances.clone(), size.proxies)?;
+        let changes = ChangeGenerator::new(seed);
+        let mut group = Self { size, shutdown, proxies: Vec::new(), discovery, changes };
+        group.spawn_proxies(program, seed, &instances)?;
+        for proxy in &mut group.proxies {
+            proxy.wait_until_ready(shutdown)?;
+        }
+        group.wait_for_first_polls()?;
+        shutdown.sleep(SETTLE_TIME)?;
+        Ok(group)
+    }
+
+    fn spawn_proxies(&mut self, program: &Path, seed: u64, instances: &[Instance]) -> Result<(), Error> {
+        let instances = InstanceList::initial(instances);
+        let count = self.size.proxies;
+        let listen = address::allocate(AddressRole::Listen, count);
+        let management = address::allocate(AddressRole::Management, count);
+        for (index, (listen, management)) in listen.zip(management).enumerate() {
+            self.shutdown.check()?;
+            let config = ProxyConfig {
+                index,
+                // The fleet has one proxy for each backend.
+                tier_size: self.size.listed.max(count),
+                seed: seed.wrapping_add(index as u64),
+                registry_mode: self.size.registry_mode,
+                instances: &instances,
+            };
+            let discovery = self.discovery.addresses()[index];
+            let options = ProxyOptions { program, listen, management, discovery, config };
+            self.proxies.push(ProxyProcess::spawn(&options)?);
+        }
+        Ok(())
+    }
+
+    fn wait_for_first_polls(&self) -> Result<(), Error> {
+        let deadline = Instant::now() + FIRST_POLL_TIMEOUT;
+        while self.discovery.counts().iter().any(|counts| counts.polls == 0) {
+            if Instant::now() > deadline {
+                return Err(Error::NoDiscoveryPoll);
+            }
+            self.shutdown.sleep(FIRST_POLL_CHECK_INTERVAL)?;
+        }
+        Ok(())
+    }
+
+    /// Reads what the group has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Procfs`] if a proxy has ended.
+    pub fn snapshot(&self) -> Result<Snapshot, Error> {
+        let usages = self.proxies.iter().map(ProxyProcess::usage).collect::<Result<_, _>>()?;
+        let counts = self.discovery.counts();
+        let server_usage = ProcessUsage::of_self()?;
+        Ok(Snapshot { at: Instant::now(), usages, counts, server_usage, machine: MachineLoad::now()? })
+    }
+
+    /// Publishes a change at each of these times from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn publish_at(&mut self, times: &[Duration]) -> Result<(), Error> {
+        let start = Instant::now();
+        for time in times {
+            self.shutdown.sleep_until(start + *time)?;
+            let change = self.changes.next(&self.discovery);
+            self.discovery.publish(change);
+        }
+        Ok(())
+    }
+
+    /// Waits until every proxy has acknowledged every version, or until the timeout.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn wait_for_acknowledgements(&self, timeout: Duration) -> Result<(), Error> {
+        let deadline = Instant::now() + timeout;
+        while self.discovery.pending_acknowledgements() > 0 && Instant::now() < deadline {
+            self.shutdown.sleep(ACKNOWLEDGEMENT_CHECK_INTERVAL)?;
+        }
+        Ok(())
+    }
+
+    /// Compares the number of listed backends at each proxy with that of discovery. Returns a note if
+    /// they differ.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a proxy does not respond to `stats`.
+    pub fn check_listed(&self) -> Result<Option<String>, Error> {
+        let listed = self.discovery.listed();
+        let mut differing = 0;
+        for proxy in &self.proxies {
+            differing += usize::from(proxy.stats()?["discovered"] != listed);
+        }
+        let proxies = self.proxies.len();
+        Ok((differing > 0).then(|| {
+            format!("{listed} listed at the end: {differing} of {proxies} proxies list another number")
+        }))
+    }
+
+    /// The first cells of a row about this group, under [`HEAD_COLUMNS`].
+    #[must_use]
+    pub fn row_head(&self) -> [Value; HEAD_COLUMNS.len()] {
+        [self.size.listed.into(), self.proxies.len().into(), self.size.registry_mode.name().into()]
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/control/plan.rs
@@ -0,0 +1,218 @@
+//! Arguments and plan of `fleet-bench control`.
+
+use crate::discovery::Availability;
+use crate::error::Error;
+use crate::plan::{ProxyRunArgs, check_range, check_run_time, override_with};
+use crate::proxy::RegistryMode;
+use crate::rollout;
+use clap::ValueEnum;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// After a window, proxies may still acknowledge its changes for this long.
+pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Polls are observed for this long after an outage of discovery.
+pub const RECOVERY_WINDOW: Duration = Duration::from_secs(6);
+/// Longer than a proxy waits for a response of discovery.
+const OVERLONG_DELAY: Duration = Duration::from_secs(10);
+/// Windows beside those of the given rates: without changes, and at the fleet's own rate.
+const BASELINE_WINDOWS: usize = 2;
+
+/// Arguments of `fleet-bench control`.
+#[derive(clap::Args, Debug)]
+pub struct Args {
+    /// What it shares with other commands
+    #[command(flatten)]
+    pub run: ProxyRunArgs,
+    /// Numbers of proxies
+    #[arg(long, value_delimiter = ',', value_name = "N,...")]
+    pub proxies: Option<Vec<usize>>,
+    /// Changes of the list a second, beside none and the fleet's own rate
+    #[arg(long, value_delimiter = ',', value_name = "RATE,...")]
+    pub rates: Option<Vec<f64>>,
+    /// Seconds for which each rate is measured
+    #[arg(long, value_name = "SECONDS")]
+    pub window: Option<f64>,
+    /// Outages of discovery; none for no outage
+    #[arg(long, value_delimiter = ',', value_name = "KIND,...", num_args = 0..)]
+    pub absences: Option<Vec<Outage>>,
+    /// Changes of settings
+    #[command(flatten)]
+    pub settings: rollout::Args,
+}
+
+/// How discovery fails, and what it knows afterwards.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outage {
+    /// Connections are refused; it still knows the changes
+    Refusing,
+    /// Connections are refused; it sends the full list to all
+    RefusingWhole,
+    /// It is silent; it still knows the changes
+    Silent,
+    /// It is silent; it sends the full list to all
+    SilentWhole,
+    /// It responds later than any proxy waits; it still knows the changes
+    Slow,
+    /// It responds later than any proxy waits; it sends the full list to all
+    SlowWhole,
+}
+
+impl Outage {
+    /// What the server does during the outage.
+    #[must_use]
+    pub fn availability(self) -> Availability {
+        match self {
+            Self::Refusing | Self::RefusingWhole => Availability::Refusing,
+            Self::Silent | Self::SilentWhole => Availability::Silent,
+            Self::Slow | Self::SlowWhole => Availability::Slow(OVERLONG_DELAY),
+        }
+    }
+
+    /// Whether the server sends the full list to all proxies afterwards.
+    #[must_use]
+    pub fn forgets_history(self) -> bool {
+        matches!(self, Self::RefusingWhole | Self::SilentWhole | Self::SlowWhole)
+    }
+
+    /// The name on the command line and in reports.
+    #[must_use]
+    pub fn name(self) -> String {
+        self.to_possible_value().map_or_else(String::new, |value| value.get_name().to_string())
+    }
+}
+
+/// What is run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Plan {
+    /// Seed of all random draws.
+    pub seed: u64,
+    /// Sizes of the list.
+    pub listed: Vec<usize>,
+    /// Numbers of proxies, each combined with each size.
+    pub proxies: Vec<usize>,
+    /// Changes of the list per second, beside none and the fleet's own rate.
+    pub rates: Vec<f64>,
+    /// Seconds for which each rate is measured.
+    pub window: f64,
+    /// Outages of discovery, one after another.
+    #[serde(rename = "absences")]
+    pub outages: Vec<Outage>,
+    /// The duration of an outage, in seconds.
+    #[serde(rename = "away")]
+    pub outage_seconds: f64,
+    /// Sizes that are also run in the registry mode `subscribe`, with the lowest number of proxies
+    /// above 1.
+    pub subscribe: Vec<usize>,
+    /// Changes of settings, by proxies that have the first of the lists.
+    pub settings: rollout::Plan,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            listed: vec![17, 870, 5_500],
+            proxies: vec![50],
+            rates: vec![1.0, 10.0, 100.0],
+            window: 2.5,
+            outages: vec![Outage::RefusingWhole, Outage::Silent],
+            outage_seconds: 3.0,
+            subscribe: vec![870],
+            settings: rollout::Plan::default(),
+        }
+    }
+}
+
+/// A list and the number of proxies that have it.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupSize {
+    /// Entries of the list.
+    pub listed: usize,
+    /// Number of proxies.
+    pub proxies: usize,
+    /// How the proxies obtain the list.
+    pub registry_mode: RegistryMode,
+}
+
+impl Plan {
+    fn quick() -> Self {
+        Self {
+            listed: vec![17, 870],
+            proxies: vec![5],
+            rates: vec![10.0],
+            window: 1.0,
+            outages: vec![Outage::RefusingWhole],
+            outage_seconds: 2.0,
+            subscribe: Vec::new(),
+            ..Self::default()
+        }
+    }
+
+    /// Reads the plan that the arguments ask for.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the experiment file cannot be read or a value is out of range.
+    pub fn read(args: &Args) -> Result<Self, Error> {
+        let run = &args.run;
+        let mut plan = if run.quick { Self::quick() } else { run.source.read()? };
+        override_with(&mut plan.seed, run.source.seed.as_ref());
+        override_with(&mut plan.listed, run.listed.as_ref());
+        override_with(&mut plan.proxies, args.proxies.as_ref());
+        override_with(&mut plan.rates, args.rates.as_ref());
+        override_with(&mut plan.window, args.window.as_ref());
+        override_with(&mut plan.outages, args.absences.as_ref());
+        plan.settings.override_with(&args.settings);
+        plan.check()?;
+        Ok(plan)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        self.settings.check()?;
+        let list_sizes = self.listed.iter().chain(&self.subscribe).copied();
+        check_range("listed", "2 to 20,000", &(2..=20_000), list_sizes)?;
+        if self.settings.is_enabled() && self.listed.is_empty() {
+            let expected = "one at least, for changes of settings";
+            return Err(Error::Argument { name: "listed", expected, got: "none".to_string() });
+        }
+        check_range("proxies", "1 to 300", &(1..=300), self.proxies.iter().copied())?;
+        check_range("rates", "0.01 to 1,000 a second", &(0.01..=1_000.0), self.rates.iter().copied())?;
+        check_range("window", "0.5 to 600 s", &(0.5..=600.0), [self.window])?;
+        check_range("away", "0.5 to 600 s", &(0.5..=600.0), [self.outage_seconds])?;
+        check_run_time(self.groups().len() as f64 * self.max_seconds_per_group())
+    }
+
+    fn max_seconds_per_group(&self) -> f64 {
+        let windows = (self.rates.len() + BASELINE_WINDOWS) as f64;
+        let outages = self.outages.len() as f64;
+        windows * (self.window + ACKNOWLEDGEMENT_TIMEOUT.as_secs_f64())
+            + outages * (self.outage_seconds + RECOVERY_WINDOW.as_secs_f64())
+    }
+
+    /// The groups of proxies that are run, in this order.
+    #[must_use]
+    pub fn groups(&self) -> Vec<GroupSize> {
+        let mut groups = Vec::new();
+        for &listed in &self.listed {
+            for &proxies in &self.proxies {
+                groups.push(GroupSize { listed, proxies, registry_mode: RegistryMode::Automatic });
+            }
+        }
+        let proxies = self.proxies.iter().copied().filter(|proxies| *proxies > 1).min().unwrap_or(1);
+        for &listed in &self.subscribe {
+            groups.push(GroupSize { listed, proxies, registry_mode: RegistryMode::Subscribe });
+        }
+        groups
+    }
+
+    /// The group whose settings change; `None` if the lists are run instead.
+    #[must_use]
+    pub fn rollout_group(&self) -> Option<GroupSize> {
+        let listed = *self.listed.first().filter(|_| self.settings.is_enabled())?;
+        let proxies = self.settings.proxies;
+        Some(GroupSize { listed, proxies, registry_mode: RegistryMode::Automatic })
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/control/recovery.rs
@@ -0,0 +1,127 @@
+//! What discovery receives from all proxies after it was unavailable.
+
+use super::group::{HEAD_COLUMNS, ProxyGroup};
+use super::plan::{Outage, RECOVERY_WINDOW};
+use crate::discovery::{Availability, TrafficEvent, Transfer};
+use crate::error::Error;
+use crate::report::{Table, Value};
+use crate::usage::MachineLoad;
+use std::time::{Duration, Instant};
+
+/// Changes that are published during an outage.
+const CHANGES_PER_OUTAGE: usize = 10;
+/// The polls are counted within these times after the outage, in seconds.
+const COUNTED_SECONDS: [f64; 3] = [0.1, 1.0, RECOVERY_WINDOW.as_secs() as f64];
+/// The peak of polls is counted over this time.
+const PEAK_SPAN: Duration = Duration::from_millis(100);
+
+const COLUMNS: [&str; 10] = [
+    "away",
+    "calls, 0.1 s",
+    "KB, 0.1 s",
+    "calls, 1 s",
+    "KB, 1 s",
+    "calls, 6 s",
+    "KB, 6 s",
+    "most calls in 0.1 s",
+    "all have it, s",
+    "machine stalled, %",
+];
+
+/// An empty table for [`measure_recovery`].
+#[must_use]
+pub fn table() -> Table {
+    let mut table = Table::new(
+        "What a discovery that was away gets from all proxies after its return, and when all have its news",
+        &HEAD_COLUMNS,
+    );
+    table.columns.extend(COLUMNS.map(str::to_string));
+    table
+}
+
+/// Plays an outage of this many seconds and returns a row about the time after it.
+///
+/// # Errors
+///
+/// Returns [`Error::Interrupted`] once a signal has arrived.
+pub fn measure_recovery(
+    group: &mut ProxyGroup<'_>,
+    outage: Outage,
+    outage_seconds: f64,
+) -> Result<Vec<Value>, Error> {
+    let machine = MachineLoad::now()?;
+    play_outage(group, outage, outage_seconds)?;
+    let recovery = observe_recovery(group)?;
+    let machine_stalled = MachineLoad::now()?.stall_since(&machine);
+
+    let mut row = group.row_head().to_vec();
+    row.push(outage.name().into());
+    for seconds in COUNTED_SECONDS {
+        row.push(recovery.polls_within(seconds).into());
+        row.push((recovery.bytes_within(seconds) as f64 / 1e3).into());
+    }
+    row.push(max_polls_within(&recovery.poll_times(), PEAK_SPAN).into());
+    row.push(recovery.complete_after_seconds.into());
+    row.push((100.0 * machine_stalled).into());
+    Ok(row)
+}
+
+fn play_outage(group: &mut ProxyGroup<'_>, outage: Outage, seconds: f64) -> Result<(), Error> {
+    group.discovery.set_availability(outage.availability());
+    let interval = Duration::from_secs_f64(seconds / (CHANGES_PER_OUTAGE + 1) as f64);
+    let times: Vec<Duration> = (1..=CHANGES_PER_OUTAGE as u32).map(|number| interval * number).collect();
+    group.publish_at(&times)?;
+    group.shutdown.sleep(interval)?;
+    if outage.forgets_history() {
+        group.discovery.forget_history();
+    }
+    Ok(())
+}
+
+fn observe_recovery(group: &ProxyGroup<'_>) -> Result<Recovery, Error> {
+    let discovery = &group.discovery;
+    discovery.start_recording();
+    let start = Instant::now();
+    discovery.set_availability(Availability::Up);
+    group.shutdown.sleep_until(start + RECOVERY_WINDOW)?;
+    let traffic = discovery.stop_recording();
+    let is_complete = discovery.pending_acknowledgements() == 0;
+    let last_acknowledged = discovery.last_acknowledged_at();
+    let complete_after_seconds =
+        if is_complete { last_acknowledged.duration_since(start).as_secs_f64() } else { f64::NAN };
+    Ok(Recovery { start, traffic, complete_after_seconds })
+}
+
+/// What was observed after an outage.
+struct Recovery {
+    start: Instant,
+    traffic: Vec<TrafficEvent>,
+    /// When all proxies had the newest version; NaN if not within the recovery window.
+    complete_after_seconds: f64,
+}
+
+impl Recovery {
+    fn within(&self, seconds: f64) -> impl Iterator<Item = &TrafficEvent> {
+        let start = self.start;
+        self.traffic.iter().filter(move |event| event.at.duration_since(start).as_secs_f64() < seconds)
+    }
+
+    fn polls_within(&self, seconds: f64) -> usize {
+        self.within(seconds).filter(|event| event.transfer == Transfer::Poll).count()
+    }
+
+    fn bytes_within(&self, seconds: f64) -> usize {
+        self.within(seconds).map(|event| event.bytes).sum()
+    }
+
+    fn poll_times(&self) -> Vec<Instant> {
+        let polls = self.traffic.iter().filter(|event| event.transfer == Transfer::Poll);
+        polls.map(|event| event.at).collect()
+    }
+}
+
+/// The highest number of these times, which are in order, within a span.
+fn max_polls_within(times: &[Instant], span: Duration) -> usize {
+    let from = |first: usize| times.partition_point(|time| *time < times[first] + span) - first;
+    (0..times.len()).map(from).max().unwrap_or(0)
+}
--- /dev/null
+++ b/fleet-bench/src/discovery/list.rs
@@ -0,0 +1,150 @@
+//! The versioned instance list and the responses that are made from it.
+
+use crate::instance::{FIRST_VERSION, Instance, InstanceList, Lifecycle};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::SystemTime;
+
+/// A change of the list. Instances are given by their index.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    /// The weight of an instance changes.
+    Weight {
+        /// The instance.
+        index: usize,
+        /// Its new weight.
+        weight: f64,
+    },
+    /// An instance begins to drain.
+    Drain(usize),
+    /// A draining instance has restarted and serves again.
+    Restart(usize),
+    /// A draining instance is gone, and a new one replaces it at the same address.
+    Replace(usize),
+}
+
+impl Change {
+    fn index(self) -> usize {
+        match self {
+            Self::Weight { index, .. } | Self::Drain(index) | Self::Restart(index) | Self::Replace(index) => {
+                index
+            }
+        }
+    }
+}
+
+/// The list with its history, as far as that is kept.
+pub struct VersionedList {
+    version: u64,
+    instances: Vec<Instance>,
+    /// The version in which each instance last changed.
+    changed_in: Vec<u64>,
+    /// Changes up to this version are forgotten.
+    oldest_known_version: u64,
+    /// Responses with the present version, by the version that the poll names; `None` for the full list.
+    responses: HashMap<Option<u64>, Arc<[u8]>>,
+}
+
+impl VersionedList {
+    /// A list in its first version.
+    pub fn new(instances: Vec<Instance>) -> Self {
+        Self {
+            version: FIRST_VERSION,
+            changed_in: vec![FIRST_VERSION; instances.len()],
+            instances,
+            oldest_known_version: FIRST_VERSION,
+            responses: HashMap::new(),
+        }
+    }
+
+    /// The present version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Applies a change, by which the list gets a new version.
+    pub fn apply(&mut self, change: Change) {
+        self.version += 1;
+        let index = change.index();
+        match change {
+            Change::Weight { weight, .. } => self.instances[index].weight = weight,
+            Change::Drain(_) => self.instances[index].lifecycle = Lifecycle::Draining,
+            Change::Restart(_) => {
+                self.instances[index].lifecycle = Lifecycle::Serving;
+                self.instances[index].started_at_ms = unix_time_ms();
+            }
+            Change::Replace(_) => self.replace(index),
+        }
+        self.changed_in[index] = self.version;
+        self.responses.clear();
+    }
+
+    fn replace(&mut self, index: usize) {
+        let replacement = Instance {
+            instance_id: format!("r-{:08x}", self.version),
+            lifecycle: Lifecycle::Serving,
+            started_at_ms: unix_time_ms(),
+            ..self.instances[index].clone()
+        };
+        self.instances[index].lifecycle = Lifecycle::Deleted;
+        self.instances.push(replacement);
+        self.changed_in.push(self.version);
+    }
+
+    /// Forgets all changes: polls that name an older version get the full list.
+    pub fn forget_history(&mut self) {
+        self.oldest_known_version = self.version;
+        self.responses.clear();
+    }
+
+    /// The indices of the serving instances.
+    pub fn serving(&self) -> Vec<usize> {
+        let entries = self.instances.iter().enumerate();
+        entries.filter(|(_, entry)| entry.lifecycle == Lifecycle::Serving).map(|(index, _)| index).collect()
+    }
+
+    /// How many entries the full list has.
+    pub fn listed(&self) -> usize {
+        self.instances.iter().filter(|entry| entry.lifecycle != Lifecycle::Deleted).count()
+    }
+
+    /// The HTTP response to a poll that names this version, or none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list cannot be serialized.
+    pub fn response(&mut self, since: Option<u64>) -> Result<Arc<[u8]>, serde_json::Error> {
+        let known = self.oldest_known_version..=self.version;
+        let since = since.filter(|since| known.contains(since));
+        if let Some(response) = self.responses.get(&since) {
+            return Ok(response.clone());
+        }
+        let response = http_response(&serde_json::to_vec(&self.entries_since(since))?);
+        self.responses.insert(since, response.clone());
+        Ok(response)
+    }
+
+    /// The changes after a version, or the full list for `None`.
+    fn entries_since(&self, since: Option<u64>) -> InstanceList<'_> {
+        let entries = self.instances.iter().zip(&self.changed_in);
+        let wanted = entries.filter(|(entry, changed_in)| match since {
+            Some(since) => **changed_in > since,
+            None => entry.lifecycle != Lifecycle::Deleted,
+        });
+        let instances = wanted.map(|(entry, _)| entry).collect();
+        InstanceList { generation: self.version, reset: since.is_none(), instances }
+    }
+}
+
+fn http_response(body: &[u8]) -> Arc<[u8]> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat().into()
+}
+
+fn unix_time_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |duration| duration.as_millis() as u64)
+}
--- /dev/null
+++ b/fleet-bench/src/discovery/poll_log.rs
@@ -0,0 +1,177 @@
+//! What each proxy polled and received, and which version of the list it has.
+
+use crate::error::Error;
+use crate::instance::FIRST_VERSION;
+use crate::latency::LatencyHistogram;
+use std::time::{Duration, Instant};
+
+/// Longer propagation counts as this.
+const MAX_PROPAGATION: Duration = Duration::from_secs(600);
+
+/// What one proxy has polled and received since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PollCounts {
+    /// Polls.
+    pub polls: u64,
+    /// Bytes of the polls.
+    pub poll_bytes: u64,
+    /// Bytes of the responses.
+    pub response_bytes: u64,
+}
+
+/// What was transferred at one time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Transfer {
+    /// A poll arrived.
+    Poll,
+    /// A part of a response was written.
+    Response,
+}
+
+/// A recorded transfer.
+#[derive(Clone, Copy, Debug)]
+pub struct TrafficEvent {
+    /// When it happened.
+    pub at: Instant,
+    /// What was transferred.
+    pub transfer: Transfer,
+    /// Its size, in bytes.
+    pub bytes: usize,
+}
+
+/// The time from a change at discovery until it is in force.
+#[derive(Debug)]
+pub struct PropagationLatency {
+    /// At each proxy.
+    pub per_proxy: LatencyHistogram,
+    /// At the last of all proxies.
+    pub last_proxy: LatencyHistogram,
+}
+
+impl PropagationLatency {
+    fn new() -> Result<Self, Error> {
+        let empty = || LatencyHistogram::with_max(MAX_PROPAGATION);
+        Ok(Self { per_proxy: empty()?, last_proxy: empty()? })
+    }
+}
+
+/// A version after the first.
+struct PublishedVersion {
+    at: Instant,
+    /// Proxies that have not acknowledged it.
+    pending_proxies: usize,
+}
+
+/// Counts the polls, and measures how soon the proxies acknowledge each version.
+pub struct PollLog {
+    published: Vec<PublishedVersion>,
+    /// The version that each proxy last acknowledged.
+    acknowledged: Vec<u64>,
+    last_acknowledged_at: Instant,
+    counts: Vec<PollCounts>,
+    propagation: PropagationLatency,
+    /// All transfers while they are recorded.
+    traffic: Option<Vec<TrafficEvent>>,
+}
+
+impl PollLog {
+    /// An empty log for this many proxies, which all have the first version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Histogram`] if a histogram cannot be created.
+    pub fn new(proxies: usize) -> Result<Self, Error> {
+        Ok(Self {
+            published: Vec::new(),
+            acknowledged: vec![FIRST_VERSION; proxies],
+            last_acknowledged_at: Instant::now(),
+            counts: vec![PollCounts::default(); proxies],
+            propagation: PropagationLatency::new()?,
+            traffic: None,
+        })
+    }
+
+    /// Counts a new version of the list, which all proxies lack.
+    pub fn publish(&mut self) {
+        let pending_proxies = self.acknowledged.len();
+        self.published.push(PublishedVersion { at: Instant::now(), pending_proxies });
+    }
+
+    /// Counts a poll, by which a proxy acknowledges the version that it names.
+    pub fn poll(&mut self, proxy: usize, since: Option<u64>, bytes: usize) {
+        let now = Instant::now();
+        let counts = &mut self.counts[proxy];
+        counts.polls += 1;
+        counts.poll_bytes += bytes as u64;
+        self.record(TrafficEvent { at: now, transfer: Transfer::Poll, bytes });
+        if let Some(version) = since {
+            self.acknowledge(proxy, version, now);
+        }
+    }
+
+    fn acknowledge(&mut self, proxy: usize, version: u64, now: Instant) {
+        let previous = self.acknowledged[proxy];
+        let newest = FIRST_VERSION + self.published.len() as u64;
+        if version <= previous || version > newest {
+            return;
+        }
+        self.acknowledged[proxy] = version;
+        self.last_acknowledged_at = now;
+        let first = (previous - FIRST_VERSION) as usize;
+        let end = (version - FIRST_VERSION) as usize;
+        for published in &mut self.published[first..end] {
+            let latency = now.duration_since(published.at);
+            self.propagation.per_proxy.record(latency);
+            published.pending_proxies -= 1;
+            if published.pending_proxies == 0 {
+                self.propagation.last_proxy.record(latency);
+            }
+        }
+    }
+
+    /// Counts bytes of a response.
+    pub fn response(&mut self, proxy: usize, bytes: usize) {
+        self.counts[proxy].response_bytes += bytes as u64;
+        self.record(TrafficEvent { at: Instant::now(), transfer: Transfer::Response, bytes });
+    }
+
+    fn record(&mut self, event: TrafficEvent) {
+        if let Some(traffic) = &mut self.traffic {
+            traffic.push(event);
+        }
+    }
+
+    /// What each proxy has polled and received.
+    pub fn counts(&self) -> &[PollCounts] {
+        &self.counts
+    }
+
+    /// Acknowledgements that are missing, summed over all versions and proxies.
+    pub fn pending_acknowledgements(&self) -> usize {
+        self.published.iter().map(|published| published.pending_proxies).sum()
+    }
+
+    /// When a proxy last acknowledged a new version.
+    pub fn last_acknowledged_at(&self) -> Instant {
+        self.last_acknowledged_at
+    }
+
+    /// Takes the latencies measured since the last call.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Histogram`] if a histogram cannot be created.
+    pub fn take_propagation(&mut self) -> Result<PropagationLatency, Error> {
+        Ok(std::mem::replace(&mut self.propagation, PropagationLatency::new()?))
+    }
+
+    /// Begins to record all transfers.
+    pub fn start_recording(&mut self) {
+        self.traffic = Some(Vec::new());
+    }
+
+    /// Stops recording and returns the transfers in order of time.
+    pub fn stop_recording(&mut self) -> Vec<TrafficEvent> {
+        self.traffic.take().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/discovery/server.rs
@@ -0,0 +1,206 @@
+//! The sockets of the stub discovery server.
+
+use super::list::VersionedList;
+use super::poll_log::PollLog;
+use crate::request_head::RequestHead;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Maximum wait of a long poll, by the protocol.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(60);
+/// Backoff after a failed accept, or when an address cannot be bound again yet.
+const SOCKET_BACKOFF: Duration = Duration::from_millis(2);
+const LIST_PATH: &str = "/api/targets";
+const NOT_FOUND_RESPONSE: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+
+/// Whether the server responds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Availability {
+    /// It responds at once.
+    Up,
+    /// Each response is delayed by this time.
+    Slow(Duration),
+    /// It accepts polls without responding. It responds to them once it is up again.
+    Silent,
+    /// Its connections are closed and new ones are refused.
+    Refusing,
+}
+
+/// What a waiting poll depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct Status {
+    /// Whether the server responds.
+    pub availability: Availability,
+    /// The present version of the list.
+    pub version: u64,
+}
+
+impl Status {
+    fn is_silent(&self) -> bool {
+        self.availability == Availability::Silent
+    }
+
+    fn is_refusing(&self) -> bool {
+        self.availability == Availability::Refusing
+    }
+}
+
+/// The list and what the proxies have polled of it.
+pub struct State {
+    /// The list.
+    pub list: VersionedList,
+    /// The polls.
+    pub log: PollLog,
+}
+
+/// What all connections share.
+pub struct Shared {
+    state: Mutex<State>,
+    /// Wakes the waiting polls.
+    pub status: watch::Sender<Status>,
+}
+
+impl Shared {
+    /// A server that is up and serves this list.
+    pub fn new(state: State) -> Self {
+        let status = Status { availability: Availability::Up, version: state.list.version() };
+        Self { state: Mutex::new(state), status: watch::Sender::new(status) }
+    }
+
+    /// Locks the state.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        // Each method leaves valid counts, so that a panic elsewhere does not spoil them.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits as the poll asks for, and returns the response.
+    async fn response(&self, poll: Poll) -> Result<Arc<[u8]>, serde_json::Error> {
+        // Waiting on the status cannot fail, as the sender is in `self`.
+        let mut status = self.status.subscribe();
+        if let Some(since) = poll.since {
+            let changed = status.wait_for(|status| !status.is_silent() && status.version != since);
+            let _ = tokio::time::timeout(poll.wait, changed).await;
+        }
+        let _ = status.wait_for(|status| !status.is_silent()).await;
+        let availability = status.borrow().availability;
+        if let Availability::Slow(delay) = availability {
+            tokio::time::sleep(delay).await;
+        }
+        self.state().list.response(poll.since)
+    }
+}
+
+/// A parsed poll.
+#[derive(Clone, Copy)]
+struct Poll {
+    /// The version that the proxy has.
+    since: Option<u64>,
+    /// How long it waits for another version.
+    wait: Duration,
+}
+
+impl Poll {
+    /// Parses path and query; `None` for another path.
+    fn parse(path: &str) -> Option<Self> {
+        let query = match path.strip_prefix(LIST_PATH)? {
+            "" => return Some(Self { since: None, wait: Duration::ZERO }),
+            rest => rest.strip_prefix('?')?,
+        };
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find_map(|(key, value)| if key == name { value.parse::<u64>().ok() } else { None })
+        };
+        let wait = Duration::from_millis(value("timeout_ms").unwrap_or(0));
+        Some(Self { since: value("since"), wait: wait.min(MAX_POLL_WAIT) })
+    }
+}
+
+/// Serves one proxy at its own address. While the server refuses connections, that is not bound.
+pub async fn serve_proxy(shared: Arc<Shared>, proxy: usize, address: SocketAddr, first: StdListener) {
+    let mut listener = TcpListener::from_std(first);
+    loop {
+        match listener {
+            Ok(bound) => {
+                accept_connections(&shared, proxy, bound).await;
+                let mut status = shared.status.subscribe();
+                let _ = status.wait_for(|status| !status.is_refusing()).await;
+            }
+            Err(error) => {
+                tracing::warn!("discovery: {address}: {error}");
+                tokio::time::sleep(SOCKET_BACKOFF).await;
+            }
+        }
+        listener = TcpListener::bind(address).await;
+    }
+}
+
+/// Accepts connections until the server refuses them.
+async fn accept_connections(shared: &Arc<Shared>, proxy: usize, listener: TcpListener) {
+    let mut status = shared.status.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = status.wait_for(Status::is_refusing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_until_refusing(shared.clone(), proxy, stream));
+            }
+            Err(error) => {
+                tracing::warn!("discovery: {error}");
+                tokio::time::sleep(SOCKET_BACKOFF).await;
+            }
+        }
+    }
+}
+
+async fn serve_until_refusing(shared: Arc<Shared>, proxy: usize, mut stream: TcpStream) {
+    let _ = stream.set_nodelay(true); // without it the connection is only slower
+    let mut status = shared.status.subscribe();
+    tokio::select! {
+        ended = serve_connection(&shared, proxy, &mut stream) => if let Err(error) = ended {
+            tracing::debug!("discovery: {error}");
+        },
+        _ = status.wait_for(Status::is_refusing) => {}
+    }
+}
+
+/// Responds to the polls of one connection until it ends.
+async fn serve_connection(shared: &Shared, proxy: usize, stream: &mut TcpStream) -> io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(head) = RequestHead::read(stream, &mut buffer).await? {
+        let poll = Poll::parse(&head.path);
+        shared.state().log.poll(proxy, poll.and_then(|poll| poll.since), head.head_bytes);
+        let Some(poll) = poll else {
+            stream.write_all(NOT_FOUND_RESPONSE).await?;
+            continue;
+        };
+        let response = tokio::select! {
+            response = shared.response(poll) => response.map_err(io::Error::other)?,
+            // A proxy sends nothing while it waits, so a read means that it has given up and closed.
+            _ = stream.read_buf(&mut buffer) => return Ok(()),
+        };
+        write_counted(shared, proxy, stream, &response).await?;
+    }
+    Ok(())
+}
+
+async fn write_counted(
+    shared: &Shared,
+    proxy: usize,
+    stream: &mut TcpStream,
+    response: &[u8],
+) -> io::Result<()> {
+    let mut rest = response;
+    while !rest.is_empty() {
+        let written = stream.write(rest).await?;
+        shared.state().log.response(proxy, written);
+        rest = &rest[written..];
+    }
+    Ok(())
+}
--- a/fleet-bench/src/draw.rs
+++ b/fleet-bench/src/draw.rs
@@ -1,9 +1,10 @@
-//! Random draws that more than one command makes.
+//! Random draws that several commands share.
 
 use rand::Rng;
 use std::time::Duration;
 
-/// Times of a Poisson process: `rate` a second on average, for so many seconds. None at a rate of 0.
+/// Arrival times of a Poisson process with `rate` arrivals per second on average, during `seconds`.
+/// There are none at a rate of 0.
 pub fn arrivals(rng: &mut impl Rng, rate: f64, seconds: f64) -> Vec<Duration> {
     if rate <= 0.0 {
         return Vec::new();
--- a/fleet-bench/src/error.rs
+++ b/fleet-bench/src/error.rs
@@ -1,73 +1,162 @@
-//! Why a command can't be run or did not end.
+//! Why a command fails.
 
 use crate::fleet::checker::Rule;
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use thiserror::Error;
 
-/// Why there is no report. Each is told in one line.
+/// Why there is no report. Each message is one line.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// A file that can't be read or written.
+    /// A file cannot be read, written or run.
     #[error("{}: {error}", path.display())]
     File {
-        /// Which.
+        /// Its path.
         path: PathBuf,
-        /// What the system said.
+        /// The error of the system.
         error: std::io::Error,
     },
-    /// An experiment file that is no TOML, or names what is not known.
+    /// An experiment file is not TOML or has an unknown key.
     #[error("{}: {message}", path.display())]
     Experiment {
-        /// Which.
+        /// Its path.
         path: PathBuf,
-        /// What is wrong, and where.
+        /// What is wrong, with the line.
         message: String,
     },
-    /// An argument that makes no sense.
+    /// An argument is invalid.
     #[error("{name}: expected {expected}, got {got}")]
     Argument {
-        /// Which.
+        /// Its name.
         name: &'static str,
-        /// What it should have been.
+        /// The values that are accepted.
         expected: &'static str,
-        /// What it was.
+        /// The value that was given.
         got: String,
     },
-    /// A number beyond its bounds.
+    /// A number is out of range.
     #[error("{name}: expected {least} to {most}, got {got}")]
     Range {
-        /// Which.
+        /// Its name.
         name: &'static str,
-        /// The least that is taken.
+        /// The lowest value that is accepted.
         least: f64,
-        /// The most.
+        /// The highest value that is accepted.
         most: f64,
-        /// What it was.
+        /// The value that was given.
         got: f64,
     },
-    /// A rule of the program that was broken in a hollow fleet.
+    /// A rule of the proxy was broken in a simulated fleet.
     #[error("broken rule: call {call} {rule}; seed {seed}, phase {phase}, machine {machine}, {at:.6} s")]
     Rule {
-        /// Which.
+        /// The rule.
         rule: Rule,
-        /// The call, by its number at its proxy.
+        /// The number of the call at its proxy.
         call: u64,
         /// The seed of the run.
         seed: u64,
-        /// What was played.
+        /// The phase that was simulated.
         phase: String,
         /// The machine of the proxy.
         machine: usize,
         /// When, in seconds of virtual time.
         at: f64,
     },
-    /// What the measurement needs is not there or does not work.
+    /// The proxy's program does not exist.
+    #[error("{}: no such program (build it, or name it by --proxy)", path.display())]
+    ProgramMissing {
+        /// Where it was expected.
+        path: PathBuf,
+    },
+    /// A started process does not appear in procfs.
+    #[error("process {id}: not in procfs")]
+    ProcessMissing {
+        /// The process id.
+        id: u32,
+    },
+    /// A proxy ended before it was ready.
+    #[error("{address}: ended: {status}: {last_log_line}")]
+    ProxyEnded {
+        /// The proxy's listen address.
+        address: SocketAddr,
+        /// Its exit status.
+        status: ExitStatus,
+        /// The last line that it logged.
+        last_log_line: String,
+    },
+    /// A proxy was not ready in time.
+    #[error("{address}: not ready: {last_log_line}")]
+    ProxyNotReady {
+        /// The proxy's listen address.
+        address: SocketAddr,
+        /// The last line that it logged.
+        last_log_line: String,
+    },
+    /// A proxy's response to `stats` is not what the protocol says.
+    #[error("{address}: no figures: {response}")]
+    InvalidStats {
+        /// The proxy's management address.
+        address: SocketAddr,
+        /// The response.
+        response: String,
+    },
+    /// A proxy has not polled discovery in time.
+    #[error("a proxy has not called discovery")]
+    NoDiscoveryPoll,
+    /// No request has reached the stub backends.
+    #[error("the backends have answered nothing")]
+    NoBackendRequests,
+    /// Proxies did not reach the expected state of their settings in time.
+    #[error("{late} of {proxies} proxies not at {expected} within {timeout_s} s; {address}: {stats}")]
+    RolloutTimeout {
+        /// How many did not.
+        late: usize,
+        /// How many proxies there are.
+        proxies: usize,
+        /// The expected state.
+        expected: String,
+        /// The timeout, in seconds.
+        timeout_s: u64,
+        /// The listen address of the first late proxy.
+        address: SocketAddr,
+        /// What the `stats` of that proxy say.
+        stats: String,
+    },
+    /// The proxies rejected another number of settings files than they should.
+    #[error("settings, {scenario}: {rejected} files were refused, not {expected}")]
+    RejectedFiles {
+        /// The scenario.
+        scenario: String,
+        /// How many files the proxies rejected.
+        rejected: u64,
+        /// How many they should have rejected.
+        expected: u64,
+    },
+    /// A thread of the measurement panicked.
+    #[error("{0} has panicked")]
+    Panicked(&'static str),
+    /// A value cannot be converted to or from JSON.
+    #[error("{what}: {error}")]
+    Json {
+        /// What the value is.
+        what: &'static str,
+        /// The error of the conversion.
+        error: serde_json::Error,
+    },
+    /// Procfs cannot be read.
+    #[error("procfs: {0}")]
+    Procfs(#[from] procfs::ProcError),
+    /// A histogram cannot be created.
+    #[error("histogram: {0}")]
+    Histogram(#[from] hdrhistogram::CreationError),
+    /// Any other failure of the measurement.
     #[error("{0}")]
     Failed(String),
-    /// Ctrl-C or SIGTERM; what was started has been stopped.
+    /// Ctrl-C or SIGTERM arrived. All that was started has been stopped.
     #[error("ended by a signal: no report")]
     Interrupted,
-    /// The system refused something.
+    /// The system returned an error.
     #[error(transparent)]
     Io(#[from] std::io::Error),
 }
--- /dev/null
+++ b/fleet-bench/src/latency.rs
@@ -0,0 +1,66 @@
+//! Histograms of latencies.
+
+use crate::error::Error;
+use hdrhistogram::Histogram;
+use std::time::Duration;
+
+/// Significant decimal digits of a recorded value.
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// A histogram of latencies in microseconds. Larger ones than its maximum count as the maximum.
+#[derive(Debug)]
+pub struct LatencyHistogram(Histogram<u64>);
+
+impl LatencyHistogram {
+    /// An empty histogram that distinguishes latencies up to `max`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Histogram`] if `max` is below 2 µs.
+    pub fn with_max(max: Duration) -> Result<Self, Error> {
+        Ok(Self(Histogram::new_with_bounds(1, max.as_micros() as u64, SIGNIFICANT_DIGITS)?))
+    }
+
+    /// Records one latency.
+    pub fn record(&mut self, latency: Duration) {
+        self.0.saturating_record(latency.as_micros() as u64);
+    }
+
+    /// How many latencies were recorded.
+    #[must_use]
+    pub fn len(&self) -> u64 {
+        self.0.len()
+    }
+
+    /// True if none was recorded.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The latency at a quantile between 0 and 1, in milliseconds; NaN if none was recorded.
+    #[must_use]
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        if self.is_empty() { f64::NAN } else { self.0.value_at_quantile(quantile) as f64 / 1e3 }
+    }
+
+    /// The largest latency, in milliseconds; 0 if none was recorded.
+    #[must_use]
+    pub fn max_ms(&self) -> f64 {
+        self.0.max() as f64 / 1e3
+    }
+
+    /// How many latencies lie between two values in microseconds, both included.
+    #[must_use]
+    pub fn count_between_us(&self, low: u64, high: u64) -> u64 {
+        self.0.count_between(low, high)
+    }
+}
+
+impl Extend<Duration> for LatencyHistogram {
+    fn extend<I: IntoIterator<Item = Duration>>(&mut self, latencies: I) {
+        for latency in latencies {
+            self.record(latency);
+        }
+    }
+}
--- a/fleet-bench/src/main.rs
+++ b/fleet-bench/src/main.rs
@@ -24,16 +24,17 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// The module alone: processor time and state against the size
+    /// The decision module alone: processor time and state by size
     Slopes(slopes::Args),
-    /// Real proxies against a stand-in discovery: what keeping lists costs
+    /// Real proxies against a stub discovery server: what it costs to keep lists up to date
     Control(control::Args),
-    /// A hollow fleet on virtual time: the real module, thousands of times
+    /// A simulated fleet on virtual time: the real decision module, thousands of times
     Fleet(fleet::Args),
-    /// What the real proxy adds to a call
+    /// The latency that the real proxy adds to a call
     Added(added::Args),
 }
 
+/// Runs the command and writes its report as JSON if that is asked for.
 fn run(cli: &Cli) -> Result<Report, Error> {
     let report = match &cli.command {
         Command::Slopes(args) => slopes::run(args),
@@ -52,10 +53,10 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr).init();
     match run(&Cli::parse()).and_then(|report| Ok(writeln!(io::stdout(), "{report}")?)) {
         Ok(()) => ExitCode::SUCCESS,
-        // Whoever reads has seen enough.
+        // The reader has closed the pipe.
         Err(Error::Io(error)) if error.kind() == ErrorKind::BrokenPipe => ExitCode::SUCCESS,
         Err(error) => {
-            let _ = writeln!(io::stderr(), "fleet-bench: {error}"); // nobody is left to tell
+            let _ = writeln!(io::stderr(), "fleet-bench: {error}"); // there is no other place to report it
             ExitCode::FAILURE
         }
     }
--- a/fleet-bench/src/plan.rs
+++ b/fleet-bench/src/plan.rs
@@ -1,13 +1,18 @@
-//! Experiment files: the arguments of a command, written down.
+//! Plans: what a command runs, from an experiment file and from arguments that override it.
 
 use crate::error::Error;
 use serde::de::DeserializeOwned;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
-/// Arguments of every command: where its plan comes from.
+/// The longest run that a plan may take, in seconds.
+const MAX_RUN_SECONDS: f64 = 3_600.0;
+
+/// Arguments of every command: the source of its plan.
 #[derive(clap::Args, Clone, Debug, Default)]
 pub struct Source {
-    /// Experiment file (TOML): the plan; arguments given beside it go before it
+    /// Experiment file (TOML) with the plan; other arguments override it
     #[arg(long, value_name = "FILE")]
     pub experiment: Option<PathBuf>,
     /// Seed of all random draws
@@ -16,21 +21,79 @@
 }
 
 impl Source {
-    /// Reads the plan of a command from the experiment file; without one it is the default.
+    /// Reads the plan of a command from the experiment file. Without one it is the default.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::File`] if the file cannot be read, and [`Error::Experiment`] if it is not a
+    /// plan of this command.
     pub fn read<P: DeserializeOwned + Default>(&self) -> Result<P, Error> {
         self.experiment.as_deref().map_or_else(|| Ok(P::default()), read)
     }
 }
 
-/// Names that the plan does not know are an error: a misspelt one would silently measure something
-/// else.
+/// Unknown keys are an error: a misspelt one would silently measure something else.
 fn read<P: DeserializeOwned>(path: &Path) -> Result<P, Error> {
     let text =
         std::fs::read_to_string(path).map_err(|error| Error::File { path: path.to_path_buf(), error })?;
     toml::from_str(&text).map_err(|error| {
-        // In one line, with the place: the library's own text spans several.
+        // The library's own message has several lines.
         let line = error.span().map_or(0, |span| 1 + text[..span.start].matches('\n').count());
         let message = format!("line {line}: {}", error.message().replace('\n', " "));
         Error::Experiment { path: path.to_path_buf(), message }
     })
 }
+
+/// Arguments of the commands that start real proxies.
+#[derive(clap::Args, Debug)]
+pub struct ProxyRunArgs {
+    /// The source of the plan
+    #[command(flatten)]
+    pub source: Source,
+    /// A small plan, of less than half a minute
+    #[arg(long, conflicts_with = "experiment")]
+    pub quick: bool,
+    /// Sizes of the list
+    #[arg(long, value_delimiter = ',', value_name = "N,...")]
+    pub listed: Option<Vec<usize>>,
+    /// The proxy's program, if it is not beside this one
+    #[arg(long, value_name = "FILE")]
+    pub program: Option<PathBuf>,
+}
+
+/// Replaces a value of a plan by that of an argument, if it was given.
+pub fn override_with<T: Clone>(value: &mut T, argument: Option<&T>) {
+    if let Some(argument) = argument {
+        value.clone_from(argument);
+    }
+}
+
+/// Checks that values of a plan are in range.
+///
+/// # Errors
+///
+/// Returns [`Error::Argument`] with the first value that is not.
+pub fn check_range<T: PartialOrd + Display>(
+    name: &'static str,
+    expected: &'static str,
+    range: &RangeInclusive<T>,
+    values: impl IntoIterator<Item = T>,
+) -> Result<(), Error> {
+    match values.into_iter().find(|value| !range.contains(value)) {
+        Some(value) => Err(Error::Argument { name, expected, got: value.to_string() }),
+        None => Ok(()),
+    }
+}
+
+/// Checks that a plan takes at most an hour.
+///
+/// # Errors
+///
+/// Returns [`Error::Argument`] if it takes longer.
+pub fn check_run_time(seconds: f64) -> Result<(), Error> {
+    if seconds > MAX_RUN_SECONDS {
+        let got = format!("{seconds:.0} s");
+        return Err(Error::Argument { name: "plan", expected: "at most an hour", got });
+    }
+    Ok(())
+}
--- a/fleet-bench/src/report.rs
+++ b/fleet-bench/src/report.rs
@@ -1,19 +1,19 @@
-//! What a command has measured: tables for people, and the same as JSON for programs.
+//! The report of a command: tables for people, and the same as JSON for programs.
 
 use crate::error::Error;
-use comfy_table::{CellAlignment, Table as Printed, presets};
+use comfy_table::{CellAlignment, Table as FormattedTable, presets};
 use serde::{Deserialize, Serialize};
 use std::fmt::{self, Display, Formatter};
 use std::path::Path;
 use std::process::Command;
 
-/// A value of a table.
+/// A cell of a table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Value {
-    /// A figure, in the unit of its column.
+    /// A number in the unit of its column.
     Number(f64),
-    /// A word.
+    /// A text.
     Text(String),
     /// Not measured.
     Absent,
@@ -50,7 +50,7 @@
             Self::Text(text) => f.write_str(text),
             Self::Number(n) if n.fract() == 0.0 && n.abs() < 1e15 => write!(f, "{n:.0}"),
             Self::Number(n) => {
-                // Four significant digits, never in exponents.
+                // Four significant digits without an exponent.
                 let digits = (3 - n.abs().log10().floor() as i64).clamp(0, 9) as usize;
                 write!(f, "{n:.digits$}")
             }
@@ -58,21 +58,22 @@
     }
 }
 
-/// Rows of figures under columns whose names hold their units, as in `"call, us"`.
+/// Rows of values under columns whose names contain their units, as in `"call, us"`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Table {
-    /// What it shows.
+    /// Its title.
     pub name: String,
-    /// The columns.
+    /// The names of the columns.
     pub columns: Vec<String>,
-    /// The rows, each as long as there are columns.
+    /// The rows, each with one value for each column.
     pub rows: Vec<Vec<Value>>,
 }
 
 impl Table {
-    /// An empty one.
+    /// An empty table.
+    #[must_use]
     pub fn new(name: &str, columns: &[&str]) -> Self {
-        let columns = columns.iter().map(|c| c.to_string()).collect();
+        let columns = columns.iter().map(ToString::to_string).collect();
         Self { name: name.to_string(), columns, rows: Vec::new() }
     }
 
@@ -80,37 +81,71 @@
     pub fn row(&mut self, row: impl IntoIterator<Item = Value>) {
         self.rows.push(row.into_iter().collect());
     }
+
+    /// The table as text, with columns of numbers aligned to the right.
+    fn formatted(&self) -> FormattedTable {
+        let mut formatted = FormattedTable::new();
+        formatted.load_preset(presets::NOTHING).set_header(&self.columns);
+        for row in &self.rows {
+            formatted.add_row(row.iter().map(Value::to_string));
+        }
+        for (index, column) in formatted.column_iter_mut().enumerate() {
+            if self.is_numeric(index) {
+                column.set_cell_alignment(CellAlignment::Right);
+            }
+        }
+        formatted
+    }
+
+    fn is_numeric(&self, column: usize) -> bool {
+        self.rows.iter().any(|row| matches!(row.get(column), Some(Value::Number(_))))
+    }
 }
 
-/// What one run of a command has measured.
+/// The results of one run of a command.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The command.
     pub command: String,
-    /// The commit of the tree that it ran in, with `-dirty` where that had changes; empty where
-    /// git does not tell.
+    /// The commit of the tree in which it ran, with `-dirty` if that had changes; empty if git does
+    /// not return one.
     pub commit: String,
-    /// What all random draws come from.
+    /// The seed of all random draws.
     pub seed: u64,
-    /// The plan that was run, whole.
+    /// The complete plan that was run.
     pub arguments: serde_json::Value,
-    /// The figures.
+    /// The results.
     pub tables: Vec<Table>,
-    /// What has to be known to read them: what was not measured, and when the machine was too busy.
+    /// What a reader has to know: what was not measured, and when the machine was too busy.
     pub notes: Vec<String>,
 }
 
 impl Report {
-    /// An empty one, of a command that runs this plan.
+    /// An empty report of a command that runs this plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Json`] if the plan cannot be serialized.
     pub fn new(command: &str, seed: u64, plan: &impl Serialize) -> Result<Self, Error> {
-        let arguments = serde_json::to_value(plan).map_err(|e| Error::Failed(format!("plan: {e}")))?;
-        let (command, commit) = (command.to_string(), commit());
-        Ok(Self { command, commit, seed, arguments, tables: Vec::new(), notes: Vec::new() })
+        let arguments = serde_json::to_value(plan).map_err(|error| Error::Json { what: "plan", error })?;
+        Ok(Self {
+            command: command.to_string(),
+            commit: commit(),
+            seed,
+            arguments,
+            tables: Vec::new(),
+            notes: Vec::new(),
+        })
     }
 
-    /// Writes it as JSON.
+    /// Writes the report as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::File`] if the file cannot be written.
     pub fn write(&self, path: &Path) -> Result<(), Error> {
-        let text = serde_json::to_string_pretty(self).map_err(|e| Error::Failed(format!("report: {e}")))?;
+        let text =
+            serde_json::to_string_pretty(self).map_err(|error| Error::Json { what: "report", error })?;
         std::fs::write(path, text + "\n").map_err(|error| Error::File { path: path.to_path_buf(), error })
     }
 }
@@ -119,29 +154,20 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         writeln!(f, "{} at {}, seed {}", self.command, self.commit, self.seed)?;
         for table in &self.tables {
-            let mut printed = Printed::new();
-            printed.load_preset(presets::NOTHING).set_header(&table.columns);
-            for row in &table.rows {
-                printed.add_row(row.iter().map(Value::to_string));
-            }
-            let numeric =
-                |i: usize| table.rows.iter().any(|row| matches!(row.get(i), Some(Value::Number(_))));
-            for (i, column) in printed.column_iter_mut().enumerate().filter(|(i, _)| numeric(*i)) {
-                debug_assert!(i < table.columns.len());
-                column.set_cell_alignment(CellAlignment::Right);
-            }
-            writeln!(f, "\n{}\n{printed}", table.name)?;
+            writeln!(f, "\n{}\n{}", table.name, table.formatted())?;
         }
         self.notes.iter().try_for_each(|note| write!(f, "\n{note}"))
     }
 }
 
+/// The present commit, as in [`Report::commit`].
 fn commit() -> String {
     let git = |arguments: &[&str]| {
         let output = Command::new("git").args(arguments).output().ok()?;
         output.status.success().then(|| String::from_utf8_lossy(&output.stdout).trim().to_string())
     };
-    let dirty = git(&["status", "--porcelain", "--untracked-files=no"]).is_some_and(|s| !s.is_empty());
+    let changes = git(&["status", "--porcelain", "--untracked-files=no"]);
+    let dirty = changes.is_some_and(|changes| !changes.is_empty());
     let head = git(&["rev-parse", "--short=12", "HEAD"]).unwrap_or_default();
     if dirty && !head.is_empty() { head + "-dirty" } else { head }
 }
--- /dev/null
+++ b/fleet-bench/src/request_head.rs
@@ -0,0 +1,63 @@
+//! Heads of HTTP/1.1 requests, as far as the stub servers need them.
+
+use std::io;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+/// Maximum size of a request head.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Maximum number of header fields.
+const MAX_HEADERS: usize = 48;
+
+/// The head of a request.
+#[derive(Debug)]
+pub struct RequestHead {
+    /// Path and query.
+    pub path: String,
+    /// True if it has the client's request id.
+    pub has_request_id: bool,
+    /// Size of the head, in bytes.
+    pub head_bytes: usize,
+    /// Size of the body that follows, in bytes.
+    pub body_bytes: usize,
+}
+
+impl RequestHead {
+    /// Removes the next head from `buffer`, reading from the stream until it is complete. Returns
+    /// `None` at the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, or for an invalid or too large head.
+    pub async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Self>> {
+        loop {
+            if let Some(head) = Self::parse(buffer)? {
+                buffer.drain(..head.head_bytes);
+                return Ok(Some(head));
+            }
+            if buffer.len() > MAX_HEAD_BYTES {
+                return Err(io::Error::other("a head that does not end"));
+            }
+            if stream.read_buf(buffer).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Parses the head at the beginning of the buffer; `None` if it is not complete.
+    fn parse(buffer: &[u8]) -> io::Result<Option<Self>> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let httparse::Status::Complete(head_bytes) = request.parse(buffer).map_err(io::Error::other)? else {
+            return Ok(None);
+        };
+        let find = |name: &str| request.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        let content_length = find("content-length").and_then(|header| std::str::from_utf8(header.value).ok());
+        Ok(Some(Self {
+            path: request.path.unwrap_or_default().to_string(),
+            has_request_id: find("x-txn").is_some(),
+            head_bytes,
+            body_bytes: content_length.and_then(|text| text.trim().parse().ok()).unwrap_or(0),
+        }))
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/rollout/managed_proxy.rs
@@ -0,0 +1,149 @@
+//! A proxy whose settings file is replaced while it runs.
+
+use crate::error::Error;
+use crate::proxy::ProxyProcess;
+use crate::shutdown::ShutdownSignal;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// Interval between two reads of a proxy's `stats`.
+pub const STATS_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// What `stats` reports about settings.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct SettingsStats {
+    /// The version in force, if the file has one.
+    pub version: Option<u64>,
+    /// Files that came into force since the start of the process.
+    #[serde(rename = "changed")]
+    pub applied: u64,
+    /// Files that were rejected since the start of the process.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
+}
+
+impl SettingsStats {
+    /// What happened since earlier stats. The version is the present one.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            version: self.version,
+            applied: self.applied.saturating_sub(earlier.applied),
+            rejected: self.rejected.saturating_sub(earlier.rejected),
+        }
+    }
+}
+
+/// A proxy with the content of its configuration file.
+pub struct ManagedProxy<'a> {
+    /// Its index among the proxies of the rollout.
+    pub index: usize,
+    /// The process.
+    pub process: &'a mut ProxyProcess,
+    /// The stats at the start of a scenario, or of the process if that is later.
+    pub initial_stats: SettingsStats,
+    config: Value,
+}
+
+impl<'a> ManagedProxy<'a> {
+    /// Reads the configuration file with which a proxy was started.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::File`] or [`Error::Json`] if it cannot be read.
+    pub fn new(index: usize, process: &'a mut ProxyProcess) -> Result<Self, Error> {
+        let path = process.config_path();
+        let text = std::fs::read(&path).map_err(|error| Error::File { path, error })?;
+        let config =
+            serde_json::from_slice(&text).map_err(|error| Error::Json { what: "configuration", error })?;
+        Ok(Self { index, process, initial_stats: SettingsStats::default(), config })
+    }
+
+    /// The configuration file with this settings version. Each version also changes a limit on which
+    /// no measurement depends.
+    pub fn config_with_version(&mut self, version: u64) -> String {
+        let settings = &mut self.config["settings"];
+        settings["version"] = json!(version);
+        settings["caps"]["max-open"] = json!(1_000 + version);
+        self.config.to_string()
+    }
+
+    /// Replaces the configuration file atomically.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::File`] if it cannot be written.
+    pub fn write_config(&self, text: &str) -> Result<(), Error> {
+        let path = self.process.config_path();
+        let temporary = path.with_extension("next");
+        let written = std::fs::write(&temporary, text).and_then(|()| std::fs::rename(&temporary, &path));
+        written.map_err(|error| Error::File { path, error })
+    }
+
+    /// Replaces the configuration file by one with this settings version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::File`] if it cannot be written.
+    pub fn write_version(&mut self, version: u64) -> Result<(), Error> {
+        let text = self.config_with_version(version);
+        self.write_config(&text)
+    }
+
+    /// Replaces the configuration file and has the proxy reload it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be written or the process is gone.
+    pub fn change_to(&mut self, version: u64) -> Result<(), Error> {
+        self.write_version(version)?;
+        self.process.reload()
+    }
+
+    /// Kills the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if the system does not kill it.
+    pub fn kill(&mut self) -> Result<(), Error> {
+        self.initial_stats = SettingsStats::default();
+        self.process.kill()
+    }
+
+    /// Reads what the proxy reports about its settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the proxy does not respond or its `stats` have another form.
+    pub fn stats(&self) -> Result<SettingsStats, Error> {
+        let settings = self.process.stats()?["settings"].take();
+        serde_json::from_value(settings).map_err(|error| Error::Json { what: "stats: settings", error })
+    }
+
+    /// Waits until the stats fulfil a condition, and returns when that was seen; `None` if not before
+    /// the deadline. A proxy that does not respond may be starting.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn wait_for_stats(
+        &self,
+        shutdown: &ShutdownSignal,
+        deadline: Instant,
+        condition: impl Fn(&SettingsStats) -> bool,
+    ) -> Result<Option<Instant>, Error> {
+        loop {
+            shutdown.check()?;
+            let fulfilled = self.stats().is_ok_and(|stats| condition(&stats));
+            let now = Instant::now();
+            if now > deadline {
+                return Ok(None);
+            }
+            if fulfilled {
+                return Ok(Some(now));
+            }
+            std::thread::sleep(STATS_POLL_INTERVAL);
+        }
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/rollout/plan.rs
@@ -0,0 +1,72 @@
+//! Arguments and plan of settings rollouts.
+
+use crate::error::Error;
+use crate::plan::override_with;
+use serde::{Deserialize, Serialize};
+
+/// Arguments of rollouts.
+#[derive(clap::Args, Debug)]
+pub struct Args {
+    /// Changes of settings; if any, they are run and the lists are not
+    #[arg(long, value_name = "N")]
+    pub settings_changes: Option<usize>,
+    /// Proxies whose settings change
+    #[arg(long, value_name = "N")]
+    pub settings_proxies: Option<usize>,
+    /// Changes of settings a second
+    #[arg(long, value_name = "RATE")]
+    pub settings_pace: Option<f64>,
+}
+
+/// Which rollouts are run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Plan {
+    /// Changes, 0 to 1,000; with 0 there are no rollouts.
+    pub changes: usize,
+    /// Proxies, 1 to 200.
+    pub proxies: usize,
+    /// Changes per second, 0.1 to 100.
+    #[serde(rename = "pace")]
+    pub changes_per_second: f64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        // Far above the fleet's 13,000 a day, which are 0.15 per second.
+        Self { changes: 0, proxies: 50, changes_per_second: 2.0 }
+    }
+}
+
+impl Plan {
+    /// Whether rollouts are run.
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
+        self.changes > 0
+    }
+
+    /// Replaces values of the plan by the arguments that were given.
+    pub fn override_with(&mut self, args: &Args) {
+        override_with(&mut self.changes, args.settings_changes.as_ref());
+        override_with(&mut self.proxies, args.settings_proxies.as_ref());
+        override_with(&mut self.changes_per_second, args.settings_pace.as_ref());
+    }
+
+    /// Checks that all values are in range.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Range`] with the first value that is not.
+    pub fn check(&self) -> Result<(), Error> {
+        let changes = self.changes as f64;
+        check_range("settings-changes", 0.0, 1_000.0, changes)?;
+        check_range("settings-proxies", 1.0, 200.0, self.proxies as f64)?;
+        check_range("settings-pace", 0.1, 100.0, self.changes_per_second)?;
+        // The scenarios take about three times as long, which must stay below an hour.
+        check_range("settings-changes / settings-pace, s", 0.0, 1_000.0, changes / self.changes_per_second)
+    }
+}
+
+fn check_range(name: &'static str, least: f64, most: f64, got: f64) -> Result<(), Error> {
+    if (least..=most).contains(&got) { Ok(()) } else { Err(Error::Range { name, least, most, got }) }
+}
--- /dev/null
+++ b/fleet-bench/src/rollout/proxy_set.rs
@@ -0,0 +1,185 @@
+//! The proxies of a rollout, which all get each version of the settings.
+
+use super::managed_proxy::{ManagedProxy, SettingsStats};
+use crate::error::Error;
+use crate::proxy::ProxyProcess;
+use crate::shutdown::ShutdownSignal;
+use crate::usage::ProcessUsage;
+use std::thread::{Builder, ScopedJoinHandle};
+use std::time::{Duration, Instant};
+
+/// A change must be in force at all proxies within this time, by the operators' expectation.
+pub const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(14);
+
+/// The proxies, and the newest version of their settings.
+pub struct ProxySet<'a> {
+    shutdown: &'a ShutdownSignal,
+    proxies: Vec<ManagedProxy<'a>>,
+    version: u64,
+}
+
+impl<'a> ProxySet<'a> {
+    /// These proxies, which must be ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the configuration file of a proxy cannot be read.
+    pub fn new(shutdown: &'a ShutdownSignal, processes: &'a mut [ProxyProcess]) -> Result<Self, Error> {
+        let processes = processes.iter_mut().enumerate();
+        let proxies =
+            processes.map(|(index, process)| ManagedProxy::new(index, process)).collect::<Result<_, _>>()?;
+        Ok(Self { shutdown, proxies, version: 0 })
+    }
+
+    /// The number of proxies.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.proxies.len()
+    }
+
+    /// The newest version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Interrupts all waits.
+    #[must_use]
+    pub fn shutdown(&self) -> &'a ShutdownSignal {
+        self.shutdown
+    }
+
+    /// Assigns the next version, or several, and returns the newest.
+    pub fn advance_version(&mut self, by: usize) -> u64 {
+        self.version += by as u64;
+        self.version
+    }
+
+    /// Acts on all proxies at the same time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of an action.
+    pub fn for_all<T: Send>(
+        &mut self,
+        action: impl Fn(&mut ManagedProxy<'a>) -> Result<T, Error> + Sync,
+    ) -> Result<Vec<T>, Error> {
+        let action = &action;
+        std::thread::scope(|scope| {
+            let mut threads = Vec::new();
+            for proxy in &mut self.proxies {
+                threads.push(Builder::new().spawn_scoped(scope, move || action(proxy))?);
+            }
+            let join = |thread: ScopedJoinHandle<'_, Result<T, Error>>| {
+                thread.join().unwrap_or(Err(Error::Panicked("a thread")))
+            };
+            threads.into_iter().map(join).collect()
+        })
+    }
+
+    /// Acts on all proxies and waits until the stats of each fulfil a condition. Returns how long each
+    /// took since the start, before the first action. `expected` names the condition in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::RolloutTimeout`] if a proxy takes longer than [`ROLLOUT_TIMEOUT`].
+    pub fn act_and_wait(
+        &mut self,
+        expected: &str,
+        action: impl Fn(&mut ManagedProxy<'a>) -> Result<(), Error> + Sync,
+        condition: impl Fn(&ManagedProxy<'a>, &SettingsStats) -> bool + Sync,
+    ) -> Result<Vec<Duration>, Error> {
+        let shutdown = self.shutdown;
+        let start = Instant::now();
+        let fulfilled_at = self.for_all(|proxy| {
+            action(proxy)?;
+            proxy.wait_for_stats(shutdown, start + ROLLOUT_TIMEOUT, |stats| condition(proxy, stats))
+        })?;
+        if let Some(first_late) = fulfilled_at.iter().position(Option::is_none) {
+            let late = fulfilled_at.iter().filter(|at| at.is_none()).count();
+            return Err(self.timeout_error(late, first_late, expected));
+        }
+        Ok(fulfilled_at.into_iter().flatten().map(|at| at.duration_since(start)).collect())
+    }
+
+    fn timeout_error(&self, late: usize, first_late: usize, expected: &str) -> Error {
+        let proxy = &self.proxies[first_late];
+        let stats = proxy.stats().map_or_else(|error| error.to_string(), |stats| format!("{stats:?}"));
+        Error::RolloutTimeout {
+            late,
+            proxies: self.proxies.len(),
+            expected: expected.to_string(),
+            timeout_s: ROLLOUT_TIMEOUT.as_secs(),
+            address: proxy.process.listen(),
+            stats,
+        }
+    }
+
+    /// Acts on all proxies and waits until each has the newest version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::RolloutTimeout`] if a proxy takes longer than [`ROLLOUT_TIMEOUT`].
+    pub fn roll_out(
+        &mut self,
+        action: impl Fn(&mut ManagedProxy<'a>) -> Result<(), Error> + Sync,
+    ) -> Result<Vec<Duration>, Error> {
+        let version = self.version;
+        let has_version = |_: &ManagedProxy<'a>, stats: &SettingsStats| stats.version == Some(version);
+        self.act_and_wait(&format!("settings version {version}"), action, has_version)
+    }
+
+    /// Changes the settings of all proxies to the next version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::RolloutTimeout`] if a proxy takes longer than [`ROLLOUT_TIMEOUT`].
+    pub fn roll_out_next(&mut self) -> Result<Vec<Duration>, Error> {
+        let version = self.advance_version(1);
+        self.roll_out(|proxy| proxy.change_to(version))
+    }
+
+    /// Reads the usage of all proxies.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Procfs`] if a proxy has ended.
+    pub fn usages(&self) -> Result<Vec<ProcessUsage>, Error> {
+        self.proxies.iter().map(|proxy| proxy.process.usage()).collect()
+    }
+
+    /// Begins a scenario: later stats count from now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a proxy does not respond.
+    pub fn reset_stats(&mut self) -> Result<(), Error> {
+        self.for_all(|proxy| {
+            proxy.initial_stats = proxy.stats()?;
+            Ok(())
+        })?;
+        Ok(())
+    }
+
+    /// Files that all proxies together have applied and rejected since the start of the scenario.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a proxy does not respond.
+    pub fn file_counts(&mut self) -> Result<FileCounts, Error> {
+        let stats = self.for_all(|proxy| Ok(proxy.stats()?.since(proxy.initial_stats)))?;
+        Ok(FileCounts {
+            applied: stats.iter().map(|stats| stats.applied).sum(),
+            rejected: stats.iter().map(|stats| stats.rejected).sum(),
+        })
+    }
+}
+
+/// What became of settings files, summed over all proxies.
+#[derive(Clone, Copy, Debug)]
+pub struct FileCounts {
+    /// Files that came into force.
+    pub applied: u64,
+    /// Files that were rejected.
+    pub rejected: u64,
+}
--- /dev/null
+++ b/fleet-bench/src/rollout/scenario.rs
@@ -0,0 +1,182 @@
+//! The scenarios of a rollout: changes without faults, and with each fault that may occur.
+
+use super::managed_proxy::ManagedProxy;
+use super::proxy_set::ProxySet;
+use crate::error::Error;
+use crate::usage::ProcessUsage;
+use std::time::{Duration, Instant};
+
+/// Changes per second where processor time is measured. At the fleet's own rate the cost of a change
+/// would be lost in the variation of an idle proxy's processor time.
+pub const UNOBSERVED_CHANGES_PER_SECOND: f64 = 20.0;
+/// The proxies complete the work of the previous scenario within this time.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// One in this many proxies is killed.
+const KILLED_ONE_IN: usize = 10;
+
+/// What a scenario has shown.
+pub struct Measurement {
+    /// The time until the version was in force, for each change and proxy.
+    pub latencies: Vec<Duration>,
+    /// Processor time per applied change in milliseconds, if it was measured. Noise may make it
+    /// negative.
+    pub processor_ms: Option<f64>,
+}
+
+impl From<Vec<Duration>> for Measurement {
+    fn from(latencies: Vec<Duration>) -> Self {
+        Self { latencies, processor_ms: None }
+    }
+}
+
+/// When a tenth of the proxies is killed.
+#[derive(Clone, Copy)]
+pub enum KillTime {
+    /// Immediately after the signal. The restarted proxy finds the new file.
+    AfterSignal,
+    /// Before the file is replaced, which happens while the proxy is down.
+    BeforeFile,
+    /// Before the file is replaced, which happens with a signal after the proxy is ready again.
+    RestartedBeforeFile,
+}
+
+/// A file that must be rejected.
+#[derive(Clone, Copy)]
+pub enum InvalidFile {
+    /// The first half of the next version.
+    Truncated,
+    /// The version before the one in force.
+    OlderVersion,
+}
+
+/// Several changes at a constant rate, each observed until it is in force.
+///
+/// # Errors
+///
+/// Returns an error if a proxy fails or a signal has arrived.
+pub fn paced(proxies: &mut ProxySet<'_>, changes: usize, per_second: f64) -> Result<Measurement, Error> {
+    let interval = Duration::from_secs_f64(1.0 / per_second);
+    let mut latencies = Vec::new();
+    let start = Instant::now();
+    for number in 0..changes {
+        proxies.shutdown().sleep_until(start + interval * number as u32)?;
+        latencies.extend(proxies.roll_out_next()?);
+    }
+    Ok(latencies.into())
+}
+
+/// Several changes at a high rate without reading `stats`, as a response to that costs more processor
+/// time than a change. The processor time is compared with that of an idle time of the same length.
+///
+/// # Errors
+///
+/// Returns an error if a proxy fails or a signal has arrived.
+pub fn unobserved(proxies: &mut ProxySet<'_>, changes: usize) -> Result<Measurement, Error> {
+    let interval = Duration::from_secs_f64(1.0 / UNOBSERVED_CHANGES_PER_SECOND);
+    let duration = interval * changes as u32;
+    proxies.shutdown().sleep(SETTLE_TIME)?;
+    let before = proxies.usages()?;
+    proxies.shutdown().sleep(duration)?;
+    let start = Instant::now();
+    let idle = proxies.usages()?;
+    for number in 0..changes {
+        proxies.shutdown().sleep_until(start + interval * number as u32)?;
+        let version = proxies.advance_version(1);
+        proxies.for_all(|proxy| proxy.change_to(version))?;
+    }
+    proxies.shutdown().sleep_until(start + duration)?;
+    let after = proxies.usages()?;
+    proxies.roll_out(|_| Ok(()))?;
+    // Signals that arrive before the first is handled lead to one reload.
+    let applied = proxies.file_counts()?.applied;
+    let seconds = processor_seconds_beyond_idle(&before, &idle, &after);
+    Ok(Measurement { latencies: Vec::new(), processor_ms: Some(1e3 * (seconds / applied as f64)) })
+}
+
+/// Processor time between `idle` and `after`, less that of an idle time, which is between `before` and
+/// `idle`. Summed over all proxies.
+fn processor_seconds_beyond_idle(
+    before: &[ProcessUsage],
+    idle: &[ProcessUsage],
+    after: &[ProcessUsage],
+) -> f64 {
+    let mut sum = 0.0;
+    for ((before, idle), after) in before.iter().zip(idle).zip(after) {
+        let seconds = after.at.duration_since(idle.at).as_secs_f64();
+        sum += (after.cores_since(idle) - idle.cores_since(before)) * seconds;
+    }
+    sum
+}
+
+/// Several changes without a pause.
+///
+/// # Errors
+///
+/// Returns an error if a proxy fails or a signal has arrived.
+pub fn burst(proxies: &mut ProxySet<'_>, changes: usize) -> Result<Measurement, Error> {
+    let first = proxies.version() + 1;
+    let last = proxies.advance_version(changes);
+    let change_to_each =
+        |proxy: &mut ManagedProxy<'_>| (first..=last).try_for_each(|version| proxy.change_to(version));
+    Ok(proxies.roll_out(change_to_each)?.into())
+}
+
+/// One change after an invalid file, which must be rejected and leave the old version in force.
+///
+/// # Errors
+///
+/// Returns an error if a proxy fails or a signal has arrived.
+pub fn after_invalid_file(proxies: &mut ProxySet<'_>, invalid: InvalidFile) -> Result<Measurement, Error> {
+    let version = proxies.version();
+    proxies.act_and_wait(
+        &format!("one file refused and settings version {version}"),
+        |proxy| {
+            let text = match invalid {
+                InvalidFile::Truncated => first_half(&proxy.config_with_version(version + 1)),
+                InvalidFile::OlderVersion => proxy.config_with_version(version - 1),
+            };
+            proxy.write_config(&text)?;
+            proxy.process.reload()
+        },
+        |proxy, stats| stats.rejected == proxy.initial_stats.rejected + 1 && stats.version == Some(version),
+    )?;
+    Ok(proxies.roll_out_next()?.into())
+}
+
+fn first_half(text: &str) -> String {
+    text.chars().take(text.chars().count() / 2).collect()
+}
+
+/// One change, while a tenth of the proxies is killed and restarted.
+///
+/// # Errors
+///
+/// Returns an error if a proxy fails or a signal has arrived.
+pub fn with_killed(proxies: &mut ProxySet<'_>, kill_time: KillTime) -> Result<Measurement, Error> {
+    let version = proxies.advance_version(1);
+    let shutdown = proxies.shutdown();
+    let latencies = proxies.roll_out(|proxy| {
+        if proxy.index % KILLED_ONE_IN != 0 {
+            return proxy.change_to(version);
+        }
+        match kill_time {
+            KillTime::AfterSignal => {
+                proxy.change_to(version)?;
+                proxy.kill()?;
+                proxy.process.restart()
+            }
+            KillTime::BeforeFile => {
+                proxy.kill()?;
+                proxy.write_version(version)?;
+                proxy.process.restart()
+            }
+            KillTime::RestartedBeforeFile => {
+                proxy.kill()?;
+                proxy.process.restart()?;
+                proxy.process.wait_until_ready(shutdown)?;
+                proxy.change_to(version)
+            }
+        }
+    })?;
+    Ok(latencies.into())
+}
--- /dev/null
+++ b/fleet-bench/src/shutdown.rs
@@ -0,0 +1,76 @@
+//! Graceful shutdown of a run by Ctrl-C or SIGTERM.
+
+use crate::error::Error;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// A sleep checks for a signal at this interval.
+const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Set by Ctrl-C or SIGTERM. The run then returns an error, and the processes that it started end as
+/// their owners are dropped.
+#[derive(Clone, Debug)]
+pub struct ShutdownSignal(Arc<AtomicBool>);
+
+impl ShutdownSignal {
+    /// Installs handlers for both signals, which from now on only set the returned value.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if the system does not install the handlers.
+    pub fn install() -> Result<Self, Error> {
+        let shutdown = Self(Arc::default());
+        let handler = shutdown.clone();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+        let (mut interrupt, mut terminate) = {
+            let _inside = runtime.enter();
+            (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?)
+        };
+        std::thread::spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    _ = interrupt.recv() => {}
+                    _ = terminate.recv() => {}
+                }
+            });
+            handler.0.store(true, Ordering::Relaxed);
+        });
+        Ok(shutdown)
+    }
+
+    /// Checks for a signal.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn check(&self) -> Result<(), Error> {
+        if self.0.load(Ordering::Relaxed) { Err(Error::Interrupted) } else { Ok(()) }
+    }
+
+    /// Sleeps for this duration, unless a signal arrives.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn sleep(&self, duration: Duration) -> Result<(), Error> {
+        self.sleep_until(Instant::now() + duration)
+    }
+
+    /// Sleeps until this time, unless a signal arrives.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn sleep_until(&self, wake_at: Instant) -> Result<(), Error> {
+        loop {
+            self.check()?;
+            let left = wake_at.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            std::thread::sleep(left.min(SIGNAL_POLL_INTERVAL));
+        }
+    }
+}
--- a/fleet-bench/src/slopes.rs
+++ b/fleet-bench/src/slopes.rs
@@ -388,7 +388,7 @@
         let through = |y: &dyn Fn(&Measured) -> Option<f64>| {
             // A case in which no such event came is left out.
             let point = |m: &Measured| Some((m.value as f64, y(m).filter(|y| y.is_finite())?));
-            stats::line(&measured.iter().filter_map(point).collect::<Vec<_>>())
+            stats::linear_fit(&measured.iter().filter_map(point).collect::<Vec<_>>())
         };
         let Some(line) = through(&|m| Some(quartiles(&m.rounds[i])[1])) else {
             continue; // too few cases
--- a/fleet-bench/src/stats.rs
+++ b/fleet-bench/src/stats.rs
@@ -1,43 +1,45 @@
-//! What many samples say: lines through them, and their spread.
+//! Statistics of samples.
 
-/// A straight line through points, by least squares.
+/// A straight line fitted to points by least squares.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Line {
-    /// What one more of x adds to y.
+pub struct LinearFit {
+    /// The increase of y for an increase of x by one.
     pub slope: f64,
     /// Standard error of the slope.
     pub slope_error: f64,
-    /// y where x is 0.
+    /// The value of y at x = 0.
     pub intercept: f64,
     /// Standard error of the intercept.
     pub intercept_error: f64,
 }
 
-/// Fits a line through `(x, y)` points. None with fewer than three, or with all x the same.
-pub fn line(points: &[(f64, f64)]) -> Option<Line> {
-    let n = points.len() as f64;
+/// Fits a line to `(x, y)` points. Returns `None` for fewer than three points, or if all x are equal.
+#[must_use]
+pub fn linear_fit(points: &[(f64, f64)]) -> Option<LinearFit> {
+    let count = points.len() as f64;
     if points.len() < 3 {
         return None;
     }
-    let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
-    let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
-    let spread = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum::<f64>();
-    if spread <= 0.0 {
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let squares_x = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum::<f64>();
+    if squares_x <= 0.0 {
         return None;
     }
-    let slope = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum::<f64>() / spread;
+    let slope = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum::<f64>() / squares_x;
     let intercept = mean_y - slope * mean_x;
-    let rest = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2)).sum::<f64>();
-    let variance = rest / (n - 2.0);
-    Some(Line {
+    let residual_squares = points.iter().map(|(x, y)| (y - intercept - slope * x).powi(2)).sum::<f64>();
+    let variance = residual_squares / (count - 2.0);
+    Some(LinearFit {
         slope,
-        slope_error: (variance / spread).sqrt(),
+        slope_error: (variance / squares_x).sqrt(),
         intercept,
-        intercept_error: (variance * (1.0 / n + mean_x * mean_x / spread)).sqrt(),
+        intercept_error: (variance * (1.0 / count + mean_x * mean_x / squares_x)).sqrt(),
     })
 }
 
-/// The median; 0 of none.
+/// Sorts the samples and returns their median; 0 if there are none.
+#[must_use]
 pub fn median(samples: &mut [f64]) -> f64 {
     samples.sort_by(f64::total_cmp);
     samples.get(samples.len() / 2).copied().unwrap_or(0.0)
--- /dev/null
+++ b/fleet-bench/src/usage.rs
@@ -0,0 +1,110 @@
+//! What a process uses and how busy the machine is, read from procfs.
+
+use crate::error::Error;
+use procfs::process::Process;
+use procfs::{CpuPressure, Current, LoadAverage, ProcError};
+use std::time::{Duration, Instant};
+
+/// What a process has used and holds, at one time.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessUsage {
+    /// When it was read.
+    pub at: Instant,
+    /// Processor time since the start of the process.
+    pub processor_time: Duration,
+    /// Time since the start in which a thread was runnable but waited for a processor.
+    pub run_queue_wait: Duration,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+    /// The peak of the resident memory, in bytes.
+    pub peak_resident_bytes: u64,
+    /// Open file descriptors.
+    pub open_files: usize,
+}
+
+impl ProcessUsage {
+    /// Reads the usage of a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Procfs`] if the process has ended or procfs cannot be read.
+    pub fn read(process: &Process) -> Result<Self, Error> {
+        let status = process.status()?;
+        let bytes = |kilobytes: Option<u64>| kilobytes.unwrap_or(0) * 1024;
+        // `schedstat` counts nanoseconds. A tick of `stat` is as long as the budget of a whole second.
+        let mut processor_nanos = 0;
+        let mut wait_nanos = 0;
+        for task in process.tasks()? {
+            let counts = task?.schedstat()?;
+            processor_nanos += counts.sum_exec_runtime;
+            wait_nanos += counts.run_delay;
+        }
+        Ok(Self {
+            at: Instant::now(),
+            processor_time: Duration::from_nanos(processor_nanos),
+            run_queue_wait: Duration::from_nanos(wait_nanos),
+            resident_bytes: bytes(status.vmrss),
+            peak_resident_bytes: bytes(status.vmhwm),
+            open_files: process.fd_count()?,
+        })
+    }
+
+    /// Reads the usage of this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Procfs`] if procfs cannot be read.
+    pub fn of_self() -> Result<Self, Error> {
+        Self::read(&Process::myself()?)
+    }
+
+    /// Average processor time between an earlier reading and this one, as a fraction of a core.
+    #[must_use]
+    pub fn cores_since(&self, earlier: &Self) -> f64 {
+        let spent = self.processor_time.saturating_sub(earlier.processor_time);
+        spent.as_secs_f64() / self.at.duration_since(earlier.at).as_secs_f64()
+    }
+}
+
+/// How busy the machine is, by all that runs on it.
+#[derive(Clone, Copy, Debug)]
+pub struct MachineLoad {
+    at: Instant,
+    stalled: Duration,
+    /// Running and runnable tasks, averaged over the last minute.
+    pub load_average: f64,
+}
+
+impl MachineLoad {
+    /// Reads the present load.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Procfs`] if procfs cannot be read.
+    pub fn now() -> Result<Self, Error> {
+        let read = || -> Result<Self, ProcError> {
+            let stalled = Duration::from_micros(CpuPressure::current()?.some.total);
+            let load_average = f64::from(LoadAverage::current()?.one);
+            Ok(Self { at: Instant::now(), stalled, load_average })
+        };
+        Ok(read()?)
+    }
+
+    /// The fraction of the time since an earlier reading in which a task waited for a processor.
+    #[must_use]
+    pub fn stall_since(&self, earlier: &Self) -> f64 {
+        let stalled = self.stalled.saturating_sub(earlier.stalled);
+        stalled.as_secs_f64() / self.at.duration_since(earlier.at).as_secs_f64()
+    }
+
+    /// The note of a report that compares the load at its start, which is `self`, with the present.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Procfs`] if procfs cannot be read.
+    pub fn note_until_now(&self) -> Result<String, Error> {
+        let start = self.load_average;
+        let end = Self::now()?.load_average;
+        Ok(format!("Load of the machine (1 min): {start:.1} at the start, {end:.1} at the end."))
+    }
+}
--- a/fleet-bench/tests/command_line.rs
+++ b/fleet-bench/tests/command_line.rs
@@ -1,4 +1,4 @@
-//! What the program says to bad arguments and files: one clear line, and no zero.
+//! Messages and exit status for invalid arguments and files, and the parts that all commands share.
 
 use fleet_bench::report::{Report, Table, Value};
 use fleet_bench::stats;
@@ -9,27 +9,27 @@
 }
 
 #[test]
-fn an_experiment_file_that_cannot_be_used_is_told_in_one_line() {
-    let folder = tempfile::tempdir().unwrap();
-    let at = |name: &str, text: &str| {
-        let path = folder.path().join(name);
+fn an_invalid_experiment_file_is_rejected_with_one_line() {
+    let directory = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| {
+        let path = directory.path().join(name);
         std::fs::write(&path, text).unwrap();
         path.to_str().unwrap().to_string()
     };
-    let absent = folder.path().join("absent.toml").to_str().unwrap().to_string();
+    let absent = directory.path().join("absent.toml").to_str().unwrap().to_string();
     let cases = [
-        (at("unknown.toml", "seed = 1\nsede = 2\n"), "unknown.toml: line 2: unknown field `sede`"),
-        (at("torn.toml", "seed = "), "torn.toml: line 1"),
-        (at("text.toml", "seed = \"one\""), "text.toml: line 1"),
+        (file("unknown.toml", "seed = 1\nsede = 2\n"), "unknown.toml: line 2: unknown field `sede`"),
+        (file("truncated.toml", "seed = "), "truncated.toml: line 1"),
+        (file("text.toml", "seed = \"one\""), "text.toml: line 1"),
         (absent, "absent.toml: No such file"),
     ];
     for command in ["slopes", "control", "fleet", "added"] {
-        for (file, wanted) in &cases {
-            let output = fleet_bench(&[command, "--experiment", file]);
-            let said = String::from_utf8(output.stderr).unwrap();
-            assert_eq!(output.status.code(), Some(1), "{command}: {said}");
-            assert_eq!(said.lines().count(), 1, "{command}: {said}");
-            assert!(said.contains(wanted), "{command}: {said}");
+        for (path, expected) in &cases {
+            let output = fleet_bench(&[command, "--experiment", path]);
+            let message = String::from_utf8(output.stderr).unwrap();
+            assert_eq!(output.status.code(), Some(1), "{command}: {message}");
+            assert_eq!(message.lines().count(), 1, "{command}: {message}");
+            assert!(message.contains(expected), "{command}: {message}");
             assert!(output.stdout.is_empty());
         }
     }
@@ -37,25 +37,29 @@
 }
 
 #[test]
-fn a_report_reads_back_as_it_was_written() {
+fn a_report_is_read_back_as_it_was_written() {
     let mut report = Report::new("slopes", 7, &["a plan"]).unwrap();
     let mut table = Table::new("costs", &["event", "cost, us"]);
     table.row([Value::from("call"), Value::from(1.25)]);
     table.row([Value::from("none"), Value::from(f64::NAN)]);
     report.tables.push(table);
     let file = tempfile::NamedTempFile::new().unwrap();
+
     report.write(file.path()).unwrap();
     let read: Report = serde_json::from_slice(&std::fs::read(file.path()).unwrap()).unwrap();
+
     assert_eq!(read, report);
     assert!(report.to_string().contains("1.250"));
 }
 
 #[test]
-fn a_line_goes_through_its_points() {
+fn a_linear_fit_finds_the_line_through_its_points() {
     let exact: Vec<_> = (0..5).map(|x| (f64::from(x), 3.0 + 2.0 * f64::from(x))).collect();
-    let line = stats::line(&exact).unwrap();
-    assert!((line.slope - 2.0).abs() < 1e-9 && (line.intercept - 3.0).abs() < 1e-9);
-    assert!(line.slope_error < 1e-9 && line.intercept_error < 1e-9);
-    assert_eq!(stats::line(&[(1.0, 1.0), (2.0, 2.0)]), None);
-    assert_eq!(stats::line(&[(1.0, 1.0); 4]), None);
+
+    let fit = stats::linear_fit(&exact).unwrap();
+
+    assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.intercept - 3.0).abs() < 1e-9);
+    assert!(fit.slope_error < 1e-9 && fit.intercept_error < 1e-9);
+    assert_eq!(stats::linear_fit(&[(1.0, 1.0), (2.0, 2.0)]), None);
+    assert_eq!(stats::linear_fit(&[(1.0, 1.0); 4]), None);
 }
--- a/fleet-bench/tests/common/mod.rs
+++ b/fleet-bench/tests/common/mod.rs
@@ -1,20 +1,20 @@
-//! What tests of commands that start the real proxy share.
+//! Helpers for tests of commands that start real proxies.
 
 use serde_json::{Map, Value};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-/// The proxy's program beside this package's own, built if it is absent: that of another package is
-/// not built for these tests by itself.
+/// The path of the proxy's program, which is built if it is absent: Cargo does not build programs of
+/// other packages for these tests.
 pub fn proxy_program() -> PathBuf {
     let program = Path::new(env!("CARGO_BIN_EXE_fleet-bench")).with_file_name("balancer-proxy");
     if !program.is_file() {
-        let folder = program.parent().unwrap();
+        let directory = program.parent().unwrap();
         let mut build = Command::new(env!("CARGO"));
         build.args(["build", "--locked", "--bin", "balancer-proxy", "--manifest-path"]);
         build.arg(concat!(env!("CARGO_MANIFEST_DIR"), "/../Cargo.toml"));
-        build.arg("--target-dir").arg(folder.parent().unwrap());
-        if folder.ends_with("release") {
+        build.arg("--target-dir").arg(directory.parent().unwrap());
+        if directory.ends_with("release") {
             build.arg("--release");
         }
         assert!(build.status().unwrap().success());
@@ -22,35 +22,44 @@
     program
 }
 
-/// A command that starts proxies, whose folders are to be in this one.
-pub fn fleet_bench(folder: &Path, arguments: &[&str]) -> Command {
+/// A command that starts proxies, which keep their files below this directory.
+pub fn fleet_bench(directory: &Path, arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_fleet-bench"));
-    command.args(arguments).arg("--program").arg(proxy_program()).env("TMPDIR", folder);
+    command.args(arguments).arg("--program").arg(proxy_program()).env("TMPDIR", directory);
     command
 }
 
-/// The rows of a report's table, by the names of their columns.
+/// Runs a command that must succeed, and returns its report as JSON and as text.
+pub fn report_of(directory: &Path, arguments: &[&str]) -> (Value, String) {
+    let json = tempfile::NamedTempFile::new().unwrap();
+    let output = fleet_bench(directory, arguments).arg("--json").arg(json.path()).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    (serde_json::from_slice(&std::fs::read(json.path()).unwrap()).unwrap(), text)
+}
+
+/// The rows of a report's table, with their values by the names of the columns.
 pub fn table(report: &Value, name: &str) -> Vec<Map<String, Value>> {
     let tables = report["tables"].as_array().unwrap();
-    let table = tables.iter().find(|t| t["name"].as_str().unwrap().starts_with(name)).unwrap();
+    let table = tables.iter().find(|table| table["name"].as_str().unwrap().starts_with(name)).unwrap();
     let columns = table["columns"].as_array().unwrap();
-    let named = |row: &Value| {
+    let by_column = |row: &Value| {
         let pairs = columns.iter().zip(row.as_array().unwrap());
         pairs.map(|(name, value)| (name.as_str().unwrap().to_string(), value.clone())).collect()
     };
-    table["rows"].as_array().unwrap().iter().map(named).collect()
+    table["rows"].as_array().unwrap().iter().map(by_column).collect()
 }
 
-/// Processes that were told to keep their files below this folder, and are there still.
-pub fn processes_of(folder: &Path) -> usize {
-    let own = format!("TMPDIR={}/", folder.display());
-    let all = std::fs::read_dir("/proc").unwrap().filter_map(Result::ok);
-    let environments = all.filter_map(|entry| std::fs::read(entry.path().join("environ")).ok());
-    environments.filter(|text| String::from_utf8_lossy(text).contains(&own)).count()
+/// The number of running processes that keep their files below this directory.
+pub fn processes_of(directory: &Path) -> usize {
+    let variable = format!("TMPDIR={}/", directory.display());
+    let processes = std::fs::read_dir("/proc").unwrap().filter_map(Result::ok);
+    let environments = processes.filter_map(|entry| std::fs::read(entry.path().join("environ")).ok());
+    environments.filter(|text| String::from_utf8_lossy(text).contains(&variable)).count()
 }
 
-/// Nothing that it started is left, neither processes nor files.
-pub fn assert_nothing_left(folder: &Path) {
-    assert_eq!(processes_of(folder), 0, "processes are left");
-    assert_eq!(std::fs::read_dir(folder).unwrap().count(), 0, "files are left");
+/// Asserts that neither processes nor files are left.
+pub fn assert_nothing_left(directory: &Path) {
+    assert_eq!(processes_of(directory), 0, "processes are left");
+    assert_eq!(std::fs::read_dir(directory).unwrap().count(), 0, "files are left");
 }
