--- a/fleet-bench/src/added.rs
+++ b/fleet-bench/src/added.rs
@@ -51,8 +51,9 @@
     }
     report.tables.extend(tables.into_tables());
     report.notes.push(format!(
-        "Too busy to tell: 99 in 100 calls began later than {:.2} ms ({MAX_GENERATOR_DELAY_FRACTION} of the budget), or direct calls took \
-         longer than the budget for more than one in 100. Piled up: more than {CALLERS} calls were under way.",
+        "Too busy to tell: at the 99th percentile the generator began its calls later than {:.2} ms \
+         ({MAX_GENERATOR_DELAY_FRACTION} of the budget), or direct calls exceeded the budget. Piled up: more \
+         than {CALLERS} calls were in flight.",
         MAX_GENERATOR_DELAY_FRACTION * budget::ADDED_LATENCY_MS
     ));
     report.notes.push(load_at_start.note_until_now()?);
--- a/fleet-bench/src/added/analysis.rs
+++ b/fleet-bench/src/added/analysis.rs
@@ -1,4 +1,4 @@
-//! The figures of one measurement.
+//! Statistics of the calls of one measurement.
 
 use super::bench::LoadResult;
 use super::load::{CallSample, Route, WARM_UP_SECONDS};
@@ -42,7 +42,7 @@
     pub run_queue_wait_us: f64,
 }
 
-/// The figures of one measurement.
+/// Statistics of the calls of one measurement.
 pub struct Analysis {
     /// Direct calls.
     pub direct: RouteLatencies,
--- a/fleet-bench/src/added/connection.rs
+++ b/fleet-bench/src/added/connection.rs
@@ -49,7 +49,7 @@
         self.exchange(stream, request_id)
     }
 
-    /// Sends a request and reads its response. The connection is kept if the server allows it.
+    /// Sends a request and reads its response. The connection stays open if the server allows that.
     fn exchange(&mut self, mut stream: TcpStream, request_id: u64) -> io::Result<bool> {
         let request = format!(
             "GET /api?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {request_id:016x}\r\nX-Lane: look\r\n\
--- a/fleet-bench/src/added/verdict.rs
+++ b/fleet-bench/src/added/verdict.rs
@@ -25,9 +25,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// The added latency is within the budget.
-    Kept,
+    WithinBudget,
     /// The added latency exceeds the budget.
-    Over,
+    OverBudget,
     /// More calls were in flight than there are callers.
     PiledUp,
     /// The machine was too busy to measure.
@@ -39,8 +39,8 @@
     #[must_use]
     pub fn text(self) -> &'static str {
         match self {
-            Self::Kept => "kept",
-            Self::Over => "over",
+            Self::WithinBudget => "kept",
+            Self::OverBudget => "over",
             Self::PiledUp => "over: calls piled up",
             Self::TooBusy => "too busy to tell",
         }
@@ -59,9 +59,9 @@
         } else if self.direct_ms > budget::ADDED_LATENCY_MS {
             Verdict::TooBusy
         } else if self.added_ms <= budget::ADDED_LATENCY_MS {
-            Verdict::Kept
+            Verdict::WithinBudget
         } else {
-            Verdict::Over
+            Verdict::OverBudget
         }
     }
 }
--- a/fleet-bench/src/control.rs
+++ b/fleet-bench/src/control.rs
@@ -63,11 +63,14 @@
     }
     report.tables.extend([share_table(&plan.listed), costs, recoveries]);
     report.notes.push(format!(
-        "A window has at least {MIN_CHANGES_PER_WINDOW} changes. Where the fleet has fewer, its rows' calls, bytes and core are \
-         those at rest and its part of what these changes added; their times are as measured."
+        "A window has at least {MIN_CHANGES_PER_WINDOW} changes. Where the fleet has fewer, calls, bytes \
+         and core in its rows are interpolated between those without changes and those measured; the \
+         times are as measured."
     ));
     report.notes.push(
-        "Where no time is told until all have the news, some lacked it 6 s after the return.".to_string(),
+        "A row without a time until all have the changes is of an outage after which some proxies still \
+         lacked them when 6 s were over."
+            .to_string(),
     );
     Ok(())
 }
--- a/fleet-bench/src/control/cost.rs
+++ b/fleet-bench/src/control/cost.rs
@@ -88,10 +88,12 @@
 
     let row = format!("{} listed, {} proxies, {rate:.3} changes/s", group.size.listed, group.proxies.len());
     if pending > 0 {
-        notes.push(format!("{row}: {pending} times a proxy still lacked a change 2 s after the window."));
+        notes.push(format!(
+            "{row}: 2 s after the window, {pending} acknowledgements of changes were missing."
+        ));
     }
     if costs.server_cores > SERVER_BUSY_CORES {
-        notes.push(format!("{row}: the stand-in had no time to spare, which lengthens \"in force\"."));
+        notes.push(format!("{row}: the discovery server was near its limit, which lengthens these times."));
     }
     Ok(costs)
 }
--- a/fleet-bench/src/control/group.rs
+++ b/fleet-bench/src/control/group.rs
@@ -45,7 +45,7 @@
 
 /// What the group, its server and the machine have used, at one time.
 pub struct Snapshot {
-    /// When it was taken.
+    /// When the usage was read.
     pub at: Instant,
     /// The usage of each proxy.
     pub usages: Vec<ProcessUsage>,
--- a/fleet-bench/src/control/list_changes.rs
+++ b/fleet-bench/src/control/list_changes.rs
@@ -10,11 +10,11 @@
 /// measure.
 pub const MIN_CHANGES_PER_WINDOW: usize = 3;
 
-/// The operators' expectation of the whole fleet: backends.
+/// Backends of the operators' fleet.
 const FLEET_BACKENDS: f64 = 5_500.0;
-/// The operators' expectation of the whole fleet: restarts per day.
+/// Restarts that the operators expect in their fleet, per day.
 const FLEET_RESTARTS_PER_DAY: f64 = 680.0;
-/// The operators' expectation of the whole fleet: changes of configuration per day.
+/// Changes of configuration that the operators expect in their fleet, per day.
 const FLEET_CONFIGURATIONS_PER_DAY: f64 = 13_000.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
 /// A restart is two changes of the list: draining, then the return or the replacement.
--- a/fleet-bench/src/control/plan.rs
+++ b/fleet-bench/src/control/plan.rs
@@ -38,7 +38,7 @@
     pub absences: Option<Vec<Outage>>,
     /// Changes of settings
     #[command(flatten)]
-    pub settings: rollout::Args,
+    pub settings: rollout::RolloutArgs,
 }
 
 /// How discovery fails, and what it knows afterwards.
--- a/fleet-bench/src/error.rs
+++ b/fleet-bench/src/error.rs
@@ -94,7 +94,7 @@
         last_log_line: String,
     },
     /// A proxy's response to `stats` is not what the protocol says.
-    #[error("{address}: no figures: {response}")]
+    #[error("{address}: invalid stats: {response}")]
     InvalidStats {
         /// The proxy's management address.
         address: SocketAddr,
@@ -102,10 +102,10 @@
         response: String,
     },
     /// A proxy has not polled discovery in time.
-    #[error("a proxy has not called discovery")]
+    #[error("a proxy has not polled discovery")]
     NoDiscoveryPoll,
     /// No request has reached the stub backends.
-    #[error("the backends have answered nothing")]
+    #[error("no request has reached the backends")]
     NoBackendRequests,
     /// Proxies did not reach the expected state of their settings in time.
     #[error("{late} of {proxies} proxies not at {expected} within {timeout_s} s; {address}: {stats}")]
@@ -124,7 +124,7 @@
         stats: String,
     },
     /// The proxies rejected another number of settings files than they should.
-    #[error("settings, {scenario}: {rejected} files were refused, not {expected}")]
+    #[error("settings, {scenario}: {rejected} files were rejected, not {expected}")]
     RejectedFiles {
         /// The scenario.
         scenario: String,
--- a/fleet-bench/src/main.rs
+++ b/fleet-bench/src/main.rs
@@ -34,7 +34,7 @@
     Added(added::Args),
 }
 
-/// Runs the command and writes its report as JSON if that is asked for.
+/// Runs the command and writes its report as JSON if a file is given.
 fn run(cli: &Cli) -> Result<Report, Error> {
     let report = match &cli.command {
         Command::Slopes(args) => slopes::run(args),
--- a/fleet-bench/src/proxy.rs
+++ b/fleet-bench/src/proxy.rs
@@ -166,7 +166,7 @@
 
     fn last_log_line(&self) -> String {
         let log = std::fs::read_to_string(self.directory.path().join(LOG_FILE)).unwrap_or_default();
-        log.lines().last().unwrap_or("it has said nothing").to_string()
+        log.lines().last().unwrap_or("its log is empty").to_string()
     }
 
     /// Reads what the process uses.
--- a/fleet-bench/src/rollout.rs
+++ b/fleet-bench/src/rollout.rs
@@ -6,7 +6,7 @@
 mod proxy_set;
 mod scenario;
 
-pub use plan::{Args, Plan};
+pub use plan::{Plan, RolloutArgs};
 
 use crate::discovery::{Availability, Discovery};
 use crate::error::Error;
@@ -59,9 +59,9 @@
     rollouts.run_killed_proxies()?;
     report.tables.push(rollouts.table);
     report.notes.push(format!(
-        "Times are from the beginning of a change, or of the burst, before the first file is written, until \
-         stats show the version; it is asked for every {} ms. Processor time is what is beyond that at \
-         rest, of a change taken over; below 0 it is lost in the noise of the machine.",
+        "Times are from the start of a change, or of the burst, before the first file is written, until \
+         stats show the version; stats are polled every {} ms. Processor time is that of one applied change \
+         beyond that of an idle proxy; a negative one is lost in the noise of the machine.",
         STATS_POLL_INTERVAL.as_millis()
     ));
     Ok(())
--- a/fleet-bench/src/rollout/plan.rs
+++ b/fleet-bench/src/rollout/plan.rs
@@ -6,7 +6,7 @@
 
 /// Arguments of rollouts.
 #[derive(clap::Args, Debug)]
-pub struct Args {
+pub struct RolloutArgs {
     /// Changes of settings; if any, they are run and the lists are not
     #[arg(long, value_name = "N")]
     pub settings_changes: Option<usize>,
@@ -46,7 +46,7 @@
     }
 
     /// Replaces values of the plan by the arguments that were given.
-    pub fn override_with(&mut self, args: &Args) {
+    pub fn override_with(&mut self, args: &RolloutArgs) {
         override_with(&mut self.changes, args.settings_changes.as_ref());
         override_with(&mut self.proxies, args.settings_proxies.as_ref());
         override_with(&mut self.changes_per_second, args.settings_pace.as_ref());
@@ -59,14 +59,14 @@
     /// Returns [`Error::Range`] with the first value that is not.
     pub fn check(&self) -> Result<(), Error> {
         let changes = self.changes as f64;
-        check_range("settings-changes", 0.0, 1_000.0, changes)?;
-        check_range("settings-proxies", 1.0, 200.0, self.proxies as f64)?;
-        check_range("settings-pace", 0.1, 100.0, self.changes_per_second)?;
+        check_bounds("settings-changes", 0.0, 1_000.0, changes)?;
+        check_bounds("settings-proxies", 1.0, 200.0, self.proxies as f64)?;
+        check_bounds("settings-pace", 0.1, 100.0, self.changes_per_second)?;
         // The scenarios take about three times as long, which must stay below an hour.
-        check_range("settings-changes / settings-pace, s", 0.0, 1_000.0, changes / self.changes_per_second)
+        check_bounds("settings-changes / settings-pace, s", 0.0, 1_000.0, changes / self.changes_per_second)
     }
 }
 
-fn check_range(name: &'static str, least: f64, most: f64, got: f64) -> Result<(), Error> {
+fn check_bounds(name: &'static str, least: f64, most: f64, got: f64) -> Result<(), Error> {
     if (least..=most).contains(&got) { Ok(()) } else { Err(Error::Range { name, least, most, got }) }
 }
--- a/fleet-bench/src/rollout/scenario.rs
+++ b/fleet-bench/src/rollout/scenario.rs
@@ -129,7 +129,7 @@
 pub fn after_invalid_file(proxies: &mut ProxySet<'_>, invalid: InvalidFile) -> Result<Measurement, Error> {
     let version = proxies.version();
     proxies.act_and_wait(
-        &format!("one file refused and settings version {version}"),
+        &format!("one file rejected and settings version {version}"),
         |proxy| {
             let text = match invalid {
                 InvalidFile::Truncated => first_half(&proxy.config_with_version(version + 1)),
--- a/fleet-bench/src/usage.rs
+++ b/fleet-bench/src/usage.rs
@@ -31,7 +31,7 @@
     pub fn read(process: &Process) -> Result<Self, Error> {
         let status = process.status()?;
         let bytes = |kilobytes: Option<u64>| kilobytes.unwrap_or(0) * 1024;
-        // `schedstat` counts nanoseconds. A tick of `stat` is as long as the budget of a whole second.
+        // `schedstat` counts nanoseconds. A tick of `stat` is as long as the budget of one second.
         let mut processor_nanos = 0;
         let mut wait_nanos = 0;
         for task in process.tasks()? {
