--- a/fleet-bench/src/added/bench.rs
+++ b/fleet-bench/src/added/bench.rs
@@ -5,7 +5,7 @@
 use crate::address::{self, AddressRole};
 use crate::backend::Backends;
 use crate::discovery::{Change, Discovery};
-use crate::draw::arrivals;
+use crate::draw::{arrivals, derive_seed};
 use crate::error::Error;
 use crate::instance::{InstanceList, instances_at};
 use crate::proxy::{ProxyConfig, ProxyOptions, ProxyProcess, RegistryMode};
@@ -14,13 +14,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Backends that run. The entries of the list share their addresses in turn, as a proxy sends to few
 /// entries of its list, whatever its size.
 const BACKENDS: usize = 8;
-/// Multiplier that separates the random draws of plans whose seeds are close together.
-const SEED_MULTIPLIER: u64 = 0x9e37_79b9;
 
 /// A proxy with its list, in front of backends that respond at once.
 pub struct Bench<'a> {
@@ -75,7 +73,7 @@
             },
         })?;
         proxy.wait_until_ready(shutdown)?;
-        let rng = SmallRng::seed_from_u64(seed.wrapping_mul(SEED_MULTIPLIER).wrapping_add(listed as u64));
+        let rng = SmallRng::seed_from_u64(derive_seed(seed, listed as u64));
         Ok(Self { shutdown, listed, rng, proxy, discovery, backends })
     }
 
@@ -129,13 +127,10 @@
 
     /// Publishes a change of a weight at each of these times from now on.
     fn publish_at(&mut self, times: &[Duration]) -> Result<(), Error> {
-        let start = Instant::now();
-        for time in times {
-            self.shutdown.sleep_until(start + *time)?;
+        self.discovery.publish_at(times, self.shutdown, || {
             let weight = self.rng.random_range(0.5..2.0);
             let index = self.rng.random_range(0..self.listed);
-            self.discovery.publish(Change::Weight { index, weight });
-        }
-        Ok(())
+            Change::Weight { index, weight }
+        })
     }
 }
--- a/fleet-bench/src/control/group.rs
+++ b/fleet-bench/src/control/group.rs
@@ -4,6 +4,7 @@
 use super::plan::GroupSize;
 use crate::address::{self, AddressRole};
 use crate::discovery::{Discovery, PollCounts};
+use crate::draw::derive_seed;
 use crate::error::Error;
 use crate::instance::{Instance, InstanceList, instances_at};
 use crate::proxy::{ProxyConfig, ProxyOptions, ProxyProcess};
@@ -20,8 +21,6 @@
 /// Idle time between the first polls and the first window.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 const ACKNOWLEDGEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Multiplier that separates the random draws of plans whose seeds are close together.
-const SEED_MULTIPLIER: u64 = 0x9e37_79b9;
 /// Numbers of proxies are below this, so that each group has its own seed.
 const GROUP_SEED_STRIDE: usize = 1_000;
 
@@ -73,7 +72,7 @@
         // Nothing listens on these addresses: without requests no proxy connects to a backend.
         let instances = instances_at(address::allocate(AddressRole::Backend, size.listed));
         let group_number = (size.listed * GROUP_SEED_STRIDE + size.proxies) as u64;
-        let seed = plan_seed.wrapping_mul(SEED_MULTIPLIER).wrapping_add(group_number);
+        let seed = derive_seed(plan_seed, group_number);
         let discovery = Discovery::start(instances.clone(), size.proxies)?;
         let changes = ChangeGenerator::new(seed);
         let mut group = Self { size, shutdown, proxies: Vec::new(), discovery, changes };
@@ -137,13 +136,8 @@
     ///
     /// Returns [`Error::Interrupted`] once a signal has arrived.
     pub fn publish_at(&mut self, times: &[Duration]) -> Result<(), Error> {
-        let start = Instant::now();
-        for time in times {
-            self.shutdown.sleep_until(start + *time)?;
-            let change = self.changes.next(&self.discovery);
-            self.discovery.publish(change);
-        }
-        Ok(())
+        let Self { discovery, changes, shutdown, .. } = self;
+        discovery.publish_at(times, shutdown, || changes.next(discovery))
     }
 
     /// Waits until every proxy has acknowledged every version, or until the timeout.
--- a/fleet-bench/src/discovery.rs
+++ b/fleet-bench/src/discovery.rs
@@ -16,12 +16,13 @@
 use crate::background::{self, BackgroundRuntime};
 use crate::error::Error;
 use crate::instance::Instance;
+use crate::shutdown::ShutdownSignal;
 use list::VersionedList;
 use poll_log::PollLog;
 use server::{Shared, State, serve_proxy};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A discovery server that runs on a thread of its own until it is dropped.
 pub struct Discovery {
@@ -69,6 +70,25 @@
         self.shared.status.send_modify(|status| status.version = version);
     }
 
+    /// Publishes a change at each of these times from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Interrupted`] once a signal has arrived.
+    pub fn publish_at(
+        &self,
+        times: &[Duration],
+        shutdown: &ShutdownSignal,
+        mut next_change: impl FnMut() -> Change,
+    ) -> Result<(), Error> {
+        let start = Instant::now();
+        for time in times {
+            shutdown.sleep_until(start + *time)?;
+            self.publish(next_change());
+        }
+        Ok(())
+    }
+
     /// Forgets all changes: proxies that lack a version get the full list.
     pub fn forget_history(&self) {
         self.shared.state().list.forget_history();
--- a/fleet-bench/src/draw.rs
+++ b/fleet-bench/src/draw.rs
@@ -1,8 +1,17 @@
-//! Random draws that several commands share.
+//! Seeds and random draws that several commands share.
 
 use rand::Rng;
 use std::time::Duration;
 
+/// Multiplier that separates seeds that are close together.
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9;
+
+/// A seed for the part with this number of a run with the given seed.
+#[must_use]
+pub fn derive_seed(seed: u64, number: u64) -> u64 {
+    seed.wrapping_mul(SEED_MULTIPLIER).wrapping_add(number)
+}
+
 /// Arrival times of a Poisson process with `rate` arrivals per second on average, during `seconds`.
 /// There are none at a rate of 0.
 pub fn arrivals(rng: &mut impl Rng, rate: f64, seconds: f64) -> Vec<Duration> {
