--- /dev/null
+++ b/fleet-bench/src/fleet/caller/deliveries.rs
@@ -0,0 +1,41 @@
+//! When the endpoint updates of discovery reach a caller.
+
+use super::network::Network;
+use crate::fleet::scenario::Scenario;
+use balancer_proxy::Time;
+use rand::rngs::SmallRng;
+
+/// A message with endpoint changes.
+#[derive(Clone, Copy, Debug)]
+pub struct Delivery {
+    /// When it arrives.
+    pub at: Time,
+    /// The caller has all changes before this index from then on.
+    pub changes_end: usize,
+}
+
+/// Draws when the changes reach a machine of this zone. A change never overtakes an earlier one;
+/// changes that arrive at the same time are one message.
+pub fn draw_deliveries(
+    scenario: &Scenario<'_>,
+    network: &Network<'_>,
+    zone: usize,
+    rng: &mut SmallRng,
+) -> Vec<Delivery> {
+    let context = &scenario.context;
+    let mut deliveries: Vec<Delivery> = Vec::new();
+    let delay_after_partition = network.update_delay(zone, rng);
+    for (i, change) in scenario.changes.iter().enumerate() {
+        let from_zone = context.topology.machines[change.machine].zone;
+        let mut at = change.published + network.update_delay(from_zone, rng);
+        let reachable_at = context.faults.discovery_reachable_from(zone, at, context.topology);
+        if reachable_at > at {
+            at = reachable_at + delay_after_partition;
+        }
+        match deliveries.last_mut() {
+            Some(last) if at <= last.at => last.changes_end = i + 1,
+            _ => deliveries.push(Delivery { at, changes_end: i + 1 }),
+        }
+    }
+    deliveries
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/caller/event_queue.rs
@@ -0,0 +1,119 @@
+//! The virtual clock of a caller: its pending events in the order of their times.
+
+use balancer_proxy::{Outcome, RequestId, Time};
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+/// An attempt of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AttemptId {
+    /// The call.
+    pub request: RequestId,
+    /// The index of the attempt, from 0.
+    pub index: usize,
+}
+
+/// Something that happens to a caller.
+#[derive(Clone, Copy, Debug)]
+pub enum CallerEvent {
+    /// It makes a call.
+    Call,
+    /// A timer of the balancer with this token fires.
+    Timer(u64),
+    /// An attempt ends.
+    AttemptEnded(AttemptId, Outcome),
+    /// All endpoint changes before this index arrive.
+    EndpointChanges(usize),
+    /// The state of its balancer is sampled for the sample with this index.
+    Sample(u32),
+    /// Its process stops.
+    Stop,
+    /// Its process starts.
+    Start,
+    /// The first response of discovery after a start arrives.
+    FirstEndpointList,
+}
+
+impl CallerEvent {
+    /// Whether the event happens only to the process that it was scheduled by.
+    fn is_of_process(self) -> bool {
+        match self {
+            Self::Call | Self::Timer(_) | Self::AttemptEnded(..) | Self::FirstEndpointList => true,
+            Self::EndpointChanges(_) | Self::Sample(_) | Self::Stop | Self::Start => false,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct PendingEvent {
+    at: Time,
+    /// Events of one time happen in the order in which they were scheduled.
+    sequence: u64,
+    /// The process that scheduled it.
+    incarnation: u32,
+    event: CallerEvent,
+}
+
+impl PartialEq for PendingEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for PendingEvent {}
+
+impl PartialOrd for PendingEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for PendingEvent {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at.total_cmp(&other.at).then(self.sequence.cmp(&other.sequence))
+    }
+}
+
+/// The virtual time and the pending events.
+#[derive(Debug, Default)]
+pub struct EventQueue {
+    now: Time,
+    pending: BinaryHeap<Reverse<PendingEvent>>,
+    scheduled: u64,
+    incarnation: u32,
+}
+
+impl EventQueue {
+    /// The virtual time, in seconds.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Schedules an event, at the earliest now.
+    pub fn schedule(&mut self, at: Time, event: CallerEvent) {
+        self.scheduled += 1;
+        self.pending.push(Reverse(PendingEvent {
+            at: at.max(self.now),
+            sequence: self.scheduled,
+            incarnation: self.incarnation,
+            event,
+        }));
+    }
+
+    /// Ends the current process: its pending calls, timers and attempts won't happen.
+    pub fn end_incarnation(&mut self) {
+        self.incarnation += 1;
+    }
+
+    /// Advances the time to the next event and takes it. The time also advances to events of a
+    /// process that has ended, which are dropped.
+    pub fn next(&mut self) -> Option<CallerEvent> {
+        while let Some(Reverse(pending)) = self.pending.pop() {
+            self.now = pending.at;
+            if pending.incarnation == self.incarnation || !pending.event.is_of_process() {
+                return Some(pending.event);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/caller/requests.rs
@@ -0,0 +1,81 @@
+//! The open calls of a caller and their attempts in flight.
+
+use super::event_queue::AttemptId;
+use crate::fleet::checker::{Checker, OpenCall, Violation};
+use balancer_proxy::{Effect, RequestId, Time};
+use std::collections::HashMap;
+
+/// An attempt in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct InFlight {
+    /// The index of its backend in the service.
+    pub backend: usize,
+    /// When it was sent.
+    pub sent: Time,
+}
+
+/// The open calls and the attempts in flight. An attempt may outlive its call.
+#[derive(Debug, Default)]
+pub struct Requests {
+    checker: Checker,
+    in_flight: HashMap<AttemptId, InFlight>,
+    last_id: u64,
+}
+
+impl Requests {
+    /// Opens a call.
+    pub fn open(&mut self, effect: Effect, deadline: Time, counted: bool) -> RequestId {
+        self.last_id += 1;
+        let request = RequestId(self.last_id);
+        self.checker.open(request, effect, deadline, counted);
+        request
+    }
+
+    /// Records an attempt of a call.
+    ///
+    /// # Errors
+    /// The attempt violates a rule.
+    pub fn send(&mut self, request: RequestId, attempt: InFlight) -> Result<AttemptId, Violation> {
+        let index = self.checker.send(request)?;
+        let id = AttemptId { request, index };
+        self.in_flight.insert(id, attempt);
+        Ok(id)
+    }
+
+    /// Takes an attempt that ends; none if it has ended before.
+    pub fn end_attempt(&mut self, id: AttemptId) -> Option<InFlight> {
+        self.in_flight.remove(&id)
+    }
+
+    /// Records that the only attempt in flight of a call could not connect.
+    pub fn attempt_never_ran(&mut self, request: RequestId) {
+        self.checker.attempt_never_ran(request);
+    }
+
+    /// Closes a call with its final response.
+    ///
+    /// # Errors
+    /// The response violates a rule.
+    pub fn close(&mut self, request: RequestId, now: Time) -> Result<OpenCall, Violation> {
+        self.checker.close(request, now)
+    }
+
+    /// Whether a call is owed its final response.
+    pub fn is_open(&self, request: RequestId) -> bool {
+        self.checker.is_open(request)
+    }
+
+    /// Drops all calls and attempts. Returns the number of open calls that are counted in the report.
+    pub fn drop_all(&mut self) -> u64 {
+        self.in_flight.clear();
+        self.checker.drop_open() as u64
+    }
+
+    /// Checks at the end of the run that no call is open.
+    ///
+    /// # Errors
+    /// A call that got no final response.
+    pub fn verify_none_open(&self) -> Result<(), Violation> {
+        self.checker.verify_none_open()
+    }
+}
--- a/fleet-bench/src/fleet/checker.rs
+++ b/fleet-bench/src/fleet/checker.rs
@@ -1,109 +1,123 @@
-//! Always on: one final answer for each call, in time, and no unsafe call twice.
+//! Checks the rules that hold for every call: exactly one final response before the deadline, and no
+//! second attempt of an unsafe call that may have run.
 
 use balancer_proxy::{Effect, RequestId, Time};
 use std::collections::HashMap;
 use thiserror::Error;
 
-/// How far a final answer may be over the caller's time, for rounding, in seconds.
-const ROUNDING: Time = 1e-6;
+/// Tolerance of the deadline for rounding, in seconds.
+const DEADLINE_TOLERANCE: Time = 1e-6;
 
-/// What a call has done that it may not.
+/// A rule that a call violated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Rule {
-    /// A second final answer, or one to a call that never came.
-    #[error("was answered without being open")]
+    /// It got a second final response, or was never open.
+    #[error("got a final response without being open")]
     NotOpen,
-    /// Its final answer came after its time.
-    #[error("was answered too late")]
+    /// It got its final response after its deadline.
+    #[error("got its final response after the deadline")]
     Late,
-    /// No final answer came.
-    #[error("was never answered")]
+    /// It got no final response.
+    #[error("got no final response")]
     Unanswered,
-    /// It was sent after its final answer.
+    /// An attempt was sent after its final response.
     #[error("was sent without being open")]
-    SentOver,
-    /// It may have run, must not run twice, and was sent again.
+    SentAfterResponse,
+    /// It is unsafe, may have run, and was sent again.
     #[error("is unsafe and was sent again")]
-    SentTwice,
-    /// It was sent to what no list has named.
-    #[error("was sent to a backend of no list")]
+    UnsafeRetry,
+    /// It was sent to a backend that is in no endpoint list.
+    #[error("was sent to an unlisted backend")]
     Unlisted,
 }
 
-/// A rule broken, and by which call.
+/// A violated rule and the call that violated it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Broken {
+pub struct Violation {
     /// The rule.
     pub rule: Rule,
     /// The call.
     pub call: RequestId,
 }
 
-/// A call without its final answer.
+/// A call that is owed its final response.
 #[derive(Clone, Copy, Debug)]
-pub struct Open {
-    until: Time,
+pub struct OpenCall {
+    deadline: Time,
     effect: Effect,
     may_have_run: bool,
     /// Attempts sent so far.
     pub attempts: usize,
-    /// Whether it goes into the figures.
+    /// Whether it is counted in the report.
     pub counted: bool,
 }
 
-/// The calls of one proxy.
+/// The open calls of one proxy.
 #[derive(Debug, Default)]
 pub struct Checker {
-    open: HashMap<RequestId, Open>,
+    open: HashMap<RequestId, OpenCall>,
 }
 
 impl Checker {
-    /// A call comes, and is owed its final answer until then.
-    pub fn begun(&mut self, call: RequestId, effect: Effect, until: Time, counted: bool) {
-        self.open.insert(call, Open { until, effect, may_have_run: false, attempts: 0, counted });
+    /// Opens a call with the deadline of its final response.
+    pub fn open(&mut self, call: RequestId, effect: Effect, deadline: Time, counted: bool) {
+        let opened = OpenCall { deadline, effect, may_have_run: false, attempts: 0, counted };
+        self.open.insert(call, opened);
     }
 
-    /// It is sent; tells the number of the attempt, from 0.
-    pub fn sent(&mut self, call: RequestId) -> Result<usize, Broken> {
-        let open = self.open.get_mut(&call).ok_or(Broken { rule: Rule::SentOver, call })?;
+    /// Records an attempt and returns its index, from 0.
+    ///
+    /// # Errors
+    /// The call is not open, or it is unsafe and may have run.
+    pub fn send(&mut self, call: RequestId) -> Result<usize, Violation> {
+        let open = self.open.get_mut(&call).ok_or(Violation { rule: Rule::SentAfterResponse, call })?;
         if open.effect == Effect::Unsafe && open.may_have_run {
-            return Err(Broken { rule: Rule::SentTwice, call });
+            return Err(Violation { rule: Rule::UnsafeRetry, call });
         }
-        // Until its outcome tells otherwise.
+        // Assumed until the outcome shows otherwise.
         open.may_have_run = true;
         open.attempts += 1;
         Ok(open.attempts - 1)
     }
 
-    /// Its only attempt out could not connect, and never ran.
-    pub fn never_ran(&mut self, call: RequestId) {
-        self.open.get_mut(&call).into_iter().for_each(|open| open.may_have_run = false);
+    /// Records that the only attempt in flight could not connect, and so never ran.
+    pub fn attempt_never_ran(&mut self, call: RequestId) {
+        if let Some(open) = self.open.get_mut(&call) {
+            open.may_have_run = false;
+        }
     }
 
-    /// It gets its final answer.
-    pub fn answered(&mut self, call: RequestId, now: Time) -> Result<Open, Broken> {
-        match self.open.remove(&call) {
-            None => Err(Broken { rule: Rule::NotOpen, call }),
-            Some(open) if now > open.until + ROUNDING => Err(Broken { rule: Rule::Late, call }),
-            Some(open) => Ok(open),
+    /// Closes a call with its final response.
+    ///
+    /// # Errors
+    /// The call is not open, or its deadline has passed.
+    pub fn close(&mut self, call: RequestId, now: Time) -> Result<OpenCall, Violation> {
+        let open = self.open.remove(&call).ok_or(Violation { rule: Rule::NotOpen, call })?;
+        if now > open.deadline + DEADLINE_TOLERANCE {
+            return Err(Violation { rule: Rule::Late, call });
         }
+        Ok(open)
     }
 
-    /// It has had no final answer yet.
+    /// Whether a call is owed its final response.
+    #[must_use]
     pub fn is_open(&self, call: RequestId) -> bool {
         self.open.contains_key(&call)
     }
 
-    /// The proxy's machine has gone, and with it whoever called: tells how many of the calls that
-    /// were open go into the figures.
-    pub fn lose(&mut self) -> usize {
+    /// Drops all open calls, as the proxy's machine and its client are down. Returns the number of
+    /// calls among them that are counted in the report.
+    pub fn drop_open(&mut self) -> usize {
         self.open.drain().filter(|(_, open)| open.counted).count()
     }
 
-    /// Nothing will happen any more: all must have had their final answers.
-    pub fn end(&self) -> Result<(), Broken> {
+    /// Checks at the end of the run that no call is open.
+    ///
+    /// # Errors
+    /// A call that got no final response.
+    pub fn verify_none_open(&self) -> Result<(), Violation> {
         match self.open.keys().min() {
-            Some(&call) => Err(Broken { rule: Rule::Unanswered, call }),
+            Some(&call) => Err(Violation { rule: Rule::Unanswered, call }),
             None => Ok(()),
         }
     }
--- /dev/null
+++ b/fleet-bench/src/fleet/coverage.rs
@@ -0,0 +1,52 @@
+//! Whether each backend in service is in the subset of some caller.
+
+use super::observations::{CallerObservations, SAMPLE_INTERVAL};
+use super::results::{Coverage, CoverageSample};
+use super::scenario::Scenario;
+use balancer_proxy::Time;
+
+/// A backend in no subset for this many samples in a row is unassigned for long.
+pub const LONG_UNASSIGNED_SAMPLES: u32 = 10;
+
+/// The coverage of a service's backends at each sample.
+pub fn measure(scenario: &Scenario<'_>, callers: &[CallerObservations]) -> Coverage {
+    let machines = scenario.service().machines.clone();
+    let backends = machines.len();
+    let mut unassigned_for = vec![0_u32; backends];
+    let mut long_unassigned = vec![false; backends];
+    let mut samples = Vec::new();
+    for (index, assigned) in assigned_backends(scenario, callers).chunks(backends).enumerate() {
+        let at = index as f64 * SAMPLE_INTERVAL;
+        let mut sample = CoverageSample::default();
+        for (backend, machine) in machines.clone().enumerate() {
+            let in_service = is_known_in_service(scenario, machine, at);
+            let unassigned = in_service && !assigned[backend];
+            sample.in_service += usize::from(in_service);
+            sample.unassigned += usize::from(unassigned);
+            unassigned_for[backend] = if unassigned { unassigned_for[backend] + 1 } else { 0 };
+            long_unassigned[backend] |= unassigned_for[backend] >= LONG_UNASSIGNED_SAMPLES;
+        }
+        samples.push(sample);
+    }
+    let long_unassigned = long_unassigned.into_iter().filter(|long| *long).count();
+    Coverage { samples, long_unassigned }
+}
+
+/// Whether each backend is in some subset: sample by sample, and in each by backend.
+fn assigned_backends(scenario: &Scenario<'_>, callers: &[CallerObservations]) -> Vec<bool> {
+    let backends = scenario.service().machines.len();
+    let samples = (scenario.context.plan.end() / SAMPLE_INTERVAL).floor() as usize + 1;
+    let mut assigned = vec![false; samples * backends];
+    for member in callers.iter().flat_map(|caller| &caller.subset_members) {
+        assigned[member.sample as usize * backends + member.backend as usize] = true;
+    }
+    assigned
+}
+
+/// Whether a machine's backend is in service at a time, and callers count as notified of it.
+fn is_known_in_service(scenario: &Scenario<'_>, machine: usize, at: Time) -> bool {
+    let context = &scenario.context;
+    let just_started = context.faults.outages[machine]
+        .is_some_and(|outage| (outage.up..outage.up + context.plan.deemed_notified).contains(&at));
+    context.faults.in_service(machine, at) && !just_started
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/faults.rs
@@ -0,0 +1,233 @@
+//! The faults that a phase injects, and when discovery publishes the resulting endpoint changes.
+
+use super::plan::{Phase, Plan};
+use super::random;
+use super::topology::Topology;
+use balancer_proxy::{Endpoint, Status, Time};
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+/// How a machine goes down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutageKind {
+    /// Drained, stopped and started again: its connections are reset, new ones are refused.
+    Restart,
+    /// Without a notification: requests in flight get no response, connection attempts time out.
+    Crash,
+}
+
+/// The outage of a machine with its backend and its proxy; at most one in a phase.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// How it goes down.
+    pub kind: OutageKind,
+    /// When its drain begins; without a drain, when it goes down.
+    pub drain: Time,
+    /// When it goes down.
+    pub down: Time,
+    /// When it is up again and begins to warm up.
+    pub up: Time,
+    /// When discovery has detected that it is down.
+    pub detected: Time,
+}
+
+impl Outage {
+    fn new(kind: OutageKind, at: Time, plan: &Plan, rng: &mut SmallRng) -> Self {
+        match kind {
+            OutageKind::Restart => {
+                let down = at + plan.drain;
+                Self { kind, drain: at, down, up: down + plan.restart, detected: down }
+            }
+            OutageKind::Crash => {
+                let range = plan.detection_time;
+                let detected = at + range.min + (range.max - range.min) * rng.random::<f64>();
+                Self { kind, drain: at, down: at, up: at + plan.outage, detected }
+            }
+        }
+    }
+
+    /// Whether the machine is down at a time.
+    #[must_use]
+    pub fn is_down(&self, at: Time) -> bool {
+        (self.down..self.up).contains(&at)
+    }
+}
+
+/// A region that cannot reach the others, nor discovery, which is outside of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Partition {
+    /// The region.
+    pub region: usize,
+    /// When the partition begins.
+    pub start: Time,
+    /// When it is over.
+    pub end: Time,
+}
+
+impl Partition {
+    /// The first time from `at` on at which the partition is not in force.
+    fn over_from(&self, at: Time) -> Time {
+        if self.is_active(at) { self.end } else { at }
+    }
+
+    fn is_active(&self, at: Time) -> bool {
+        (self.start..self.end).contains(&at)
+    }
+}
+
+/// A change of a service's endpoint list.
+#[derive(Clone, Debug)]
+pub struct EndpointChange {
+    /// When it happened, or was detected.
+    pub occurred: Time,
+    /// When discovery publishes it: later if a partition is in between.
+    pub published: Time,
+    /// The machine that changed.
+    pub machine: usize,
+    /// The endpoint after the change.
+    pub endpoint: Endpoint,
+}
+
+/// All faults of a phase.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    /// The outage of each machine that has one.
+    pub outages: Vec<Option<Outage>>,
+    /// The partition of a region, if there is one.
+    pub partition: Option<Partition>,
+    /// The services that are simulated: all that are called, or those that the phase is about.
+    pub services: Vec<usize>,
+}
+
+impl Faults {
+    /// Draws the faults of a phase.
+    #[must_use]
+    pub fn new(phase: Phase, plan: &Plan, topology: &Topology) -> Self {
+        let rng = &mut SmallRng::seed_from_u64(random::seed(&[plan.seed, 1, phase as u64]));
+        let outages = vec![None; topology.machines.len()];
+        let mut faults = Self { outages, partition: None, services: topology.called() };
+        match phase {
+            Phase::Ordinary => {
+                faults.scatter_outages(OutageKind::Restart, plan.restarts, plan.window, plan, rng);
+                faults.scatter_outages(OutageKind::Crash, plan.failures, plan.window, plan, rng);
+            }
+            Phase::Rack => {
+                let machines = &topology.machines;
+                let hit = machines[rng.random_range(0..machines.len())];
+                let in_rack = |m: usize| machines[m].zone == hit.zone && machines[m].rack == hit.rack;
+                faults.crash_machines(in_rack, plan, rng);
+            }
+            Phase::Zone => {
+                let zone = rng.random_range(0..plan.zones);
+                faults.crash_machines(|m| topology.machines[m].zone == zone, plan, rng);
+            }
+            Phase::Region => {
+                let region = rng.random_range(0..plan.regions);
+                let start = plan.warm_up;
+                faults.partition = Some(Partition { region, start, end: start + plan.partition });
+                let restarts_an_hour = plan.restarts / 24;
+                faults.scatter_outages(OutageKind::Restart, restarts_an_hour, plan.partition, plan, rng);
+            }
+            Phase::Half => faults.restart_halves(plan, topology, rng),
+        }
+        faults
+    }
+
+    /// Takes down `count` machines at random times within `span` from the window's start.
+    fn scatter_outages(
+        &mut self,
+        kind: OutageKind,
+        count: usize,
+        span: Time,
+        plan: &Plan,
+        rng: &mut SmallRng,
+    ) {
+        let mut unaffected: Vec<usize> =
+            (0..self.outages.len()).filter(|m| self.outages[*m].is_none()).collect();
+        let (drawn, _) = unaffected.partial_shuffle(rng, count);
+        for machine in drawn {
+            let at = plan.warm_up + span * rng.random::<f64>();
+            self.outages[*machine] = Some(Outage::new(kind, at, plan, rng));
+        }
+    }
+
+    /// Crashes the selected machines at the window's start.
+    fn crash_machines(&mut self, selected: impl Fn(usize) -> bool, plan: &Plan, rng: &mut SmallRng) {
+        for (machine, outage) in self.outages.iter_mut().enumerate() {
+            *outage = selected(machine).then(|| Outage::new(OutageKind::Crash, plan.warm_up, plan, rng));
+        }
+    }
+
+    /// Restarts half of the machines of the largest and of the most called service.
+    fn restart_halves(&mut self, plan: &Plan, topology: &Topology, rng: &mut SmallRng) {
+        let services = &topology.services;
+        let called = topology.called();
+        let largest = called.iter().copied().max_by_key(|s| (services[*s].machines.len(), usize::MAX - s));
+        let most_called = called.iter().copied().max_by_key(|s| (services[*s].callers.len(), usize::MAX - s));
+        self.services = largest.into_iter().collect();
+        self.services.extend(most_called.filter(|service| Some(*service) != largest));
+        for service in &self.services {
+            let mut machines: Vec<usize> = services[*service].machines.clone().collect();
+            machines.shuffle(rng);
+            for &machine in &machines[..machines.len() / 2] {
+                self.outages[machine] = Some(Outage::new(OutageKind::Restart, plan.warm_up, plan, rng));
+            }
+        }
+    }
+
+    /// The changes of a service's endpoint list in the order in which discovery publishes them.
+    #[must_use]
+    pub fn changes(&self, service: usize, topology: &Topology) -> Vec<EndpointChange> {
+        let mut changes = Vec::new();
+        for machine in topology.services[service].machines.clone() {
+            let Some(outage) = self.outages[machine] else {
+                continue;
+            };
+            let zone = topology.machines[machine].zone;
+            let mut publish = |occurred, status, started_at| {
+                let published = self.discovery_reachable_from(zone, occurred, topology);
+                let endpoint = Endpoint { status, started_at, ..topology.endpoint(machine) };
+                changes.push(EndpointChange { occurred, published, machine, endpoint });
+            };
+            if outage.kind == OutageKind::Restart {
+                publish(outage.drain, Status::Draining, None);
+            }
+            if outage.detected < outage.up {
+                publish(outage.detected, Status::Removed, None);
+            }
+            publish(outage.up, Status::InService, Some(outage.up));
+        }
+        changes.sort_by(|a, b| {
+            a.published
+                .total_cmp(&b.published)
+                .then(a.machine.cmp(&b.machine))
+                .then(a.occurred.total_cmp(&b.occurred))
+        });
+        changes
+    }
+
+    /// Whether a machine's backend is in service at a time.
+    #[must_use]
+    pub fn in_service(&self, machine: usize, at: Time) -> bool {
+        self.outages[machine].is_none_or(|outage| !(outage.drain..outage.up).contains(&at))
+    }
+
+    /// Whether two zones cannot reach each other at a time.
+    #[must_use]
+    pub fn partitioned(&self, zone: usize, other: usize, at: Time, topology: &Topology) -> bool {
+        self.partition.is_some_and(|partition| {
+            let inside = |zone| topology.region(zone) == partition.region;
+            partition.is_active(at) && inside(zone) != inside(other)
+        })
+    }
+
+    /// The first time from `at` on at which a zone can reach discovery.
+    #[must_use]
+    pub fn discovery_reachable_from(&self, zone: usize, at: Time, topology: &Topology) -> Time {
+        match self.partition {
+            Some(partition) if topology.region(zone) == partition.region => partition.over_from(at),
+            _ => at,
+        }
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/memory.rs
@@ -0,0 +1,52 @@
+//! The memory of a balancer's state.
+
+use super::plan::Plan;
+use super::roles::Roles;
+use super::settings::caller_settings;
+use super::topology::Topology;
+use crate::error::Error;
+use crate::report::{Table, Value};
+use balancer_proxy::{Balancer, EndpointUpdate, Event};
+
+/// Balancers of a role that exist at once while their memory is measured.
+const BALANCERS_PER_ROLE: usize = 200;
+
+/// Table of the memory of a balancer of each role that has its endpoint list: the growth of the
+/// process for each of many balancers.
+///
+/// # Errors
+/// The system does not report the memory of this process.
+pub fn table(plan: &Plan, topology: &Topology, roles: &Roles) -> Result<Table, Error> {
+    let columns = ["proxy", "backends listed", "callers", "bytes each"];
+    let mut table = Table::new("State of one balancer with its list, before any call", &columns);
+    // Kept to the end: the next role would reuse memory that is freed, and show no growth.
+    let mut balancers = Vec::new();
+    for role in roles.iter() {
+        let Some(service) = topology.services.get(role.service) else {
+            continue;
+        };
+        let endpoints = topology.endpoints(role.service);
+        let before = resident_bytes()?;
+        for i in 0..BALANCERS_PER_ROLE {
+            let settings = caller_settings(plan, topology, role.service, i % service.callers.len());
+            let mut balancer = Balancer::new(0.0, i as u64, settings);
+            balancer.handle(0.0, Event::Endpoints(EndpointUpdate::Full(&endpoints)), &mut Vec::new());
+            balancers.push(balancer);
+        }
+        let growth = resident_bytes()?.saturating_sub(before);
+        table.row([
+            Value::from(role.name),
+            Value::from(endpoints.len()),
+            Value::from(service.callers.len()),
+            Value::from(growth as f64 / BALANCERS_PER_ROLE as f64),
+        ]);
+    }
+    Ok(table)
+}
+
+/// Resident memory of this process, in bytes.
+fn resident_bytes() -> Result<u64, Error> {
+    let memory = procfs::process::Process::myself().and_then(|process| process.statm());
+    let memory = memory.map_err(|e| Error::Failed(format!("memory of this process: {e}")))?;
+    Ok(memory.resident * procfs::page_size())
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/observations.rs
@@ -0,0 +1,69 @@
+//! What is observed of one caller during a phase.
+
+use super::counts::Counts;
+use super::recording::Recording;
+use balancer_proxy::Time;
+
+/// Interval at which the state of the balancers is sampled, in seconds.
+pub const SAMPLE_INTERVAL: Time = 1.0;
+
+/// Sizes of a balancer's state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateSize {
+    /// Backends in the endpoint table.
+    pub backends: usize,
+    /// Backends in the subset.
+    pub subset: usize,
+    /// Open requests.
+    pub open_requests: usize,
+}
+
+impl StateSize {
+    /// The maximum of each size.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            backends: self.backends.max(other.backends),
+            subset: self.subset.max(other.subset),
+            open_requests: self.open_requests.max(other.open_requests),
+        }
+    }
+}
+
+/// A backend that was in the subset at a sample.
+#[derive(Clone, Copy, Debug)]
+pub struct SubsetMember {
+    /// The index of the sample.
+    pub sample: u32,
+    /// The index of the backend in its service.
+    pub backend: u32,
+}
+
+/// An attempt to a backend that was warming up.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStartAttempt {
+    /// The index of the backend in its service.
+    pub backend: u32,
+    /// When it was sent.
+    pub sent: Time,
+}
+
+/// The observations of one caller.
+#[derive(Debug, Default)]
+pub struct CallerObservations {
+    /// Counts of the window.
+    pub counts: Counts,
+    /// For each endpoint change, the time from its occurrence until this caller was notified, in
+    /// seconds; none where the caller was not running all the time in between.
+    pub update_delays: Vec<Option<f32>>,
+    /// The members of its subset at each sample.
+    pub subset_members: Vec<SubsetMember>,
+    /// The attempts to backends that were warming up.
+    pub slow_start_attempts: Vec<SlowStartAttempt>,
+    /// The number of attempts to each backend in the second half of the warm-up.
+    pub warm_up_attempts: Vec<u32>,
+    /// The maxima over all samples.
+    pub peak_state: StateSize,
+    /// The events of its balancer, if they were to be recorded.
+    pub recording: Option<Recording>,
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/plan.rs
@@ -0,0 +1,279 @@
+//! The plan of a fleet run: the content of its experiment file, its defaults and its bounds.
+
+use super::parameters::{EffectShares, LognormalTime, RoundTrips, TimeRange};
+use crate::error::Error;
+use clap::ValueEnum;
+use serde::{Deserialize, Serialize};
+
+/// Maximum of each time in a plan, in seconds.
+const MAX_TIME: f64 = 3_600.0;
+/// Maximum number of calls that a run may simulate.
+const MAX_CALLS: f64 = 1e11;
+/// Maximum number of calls, over all phases, of the callers that are recorded for one role. Each
+/// recorded call takes half a kilobyte.
+const MAX_RECORDED_CALLS: f64 = 2e6;
+
+/// What happens to the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, ValueEnum)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// A day's graceful restarts and machine failures, compressed into the window
+    Ordinary,
+    /// A rack of a zone fails at once, and is back after the outage, warming up
+    Rack,
+    /// The same with a complete zone
+    Zone,
+    /// A region is partitioned from the others and from discovery: an hour, compressed
+    Region,
+    /// Half of the largest and of the most called service restart at once
+    Half,
+}
+
+impl Phase {
+    /// Its name on the command line and in reports.
+    #[must_use]
+    pub fn name(self) -> String {
+        self.to_possible_value().map_or_else(String::new, |value| value.get_name().to_string())
+    }
+}
+
+/// What is run. Times are in seconds. The struct is flat as the experiment file is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Plan {
+    /// Seed of all random draws.
+    pub seed: u64,
+    /// Phases, each in a run of its own.
+    pub phases: Vec<Phase>,
+    /// Backends, each with its proxy; at least two for each service.
+    pub backends: usize,
+    /// Services.
+    pub services: usize,
+    /// Power of its rank with which the size of a service falls.
+    #[serde(rename = "skew")]
+    pub size_skew: f64,
+    /// Layers of services: the depth of the call graph.
+    pub depth: usize,
+    /// Maximum number of lower services that a service calls, beside those that have no other caller;
+    /// each of its proxies calls one of them.
+    #[serde(rename = "calls")]
+    pub callees_per_service: usize,
+    /// Regions, each with the same number of zones.
+    pub regions: usize,
+    /// Zones of all regions.
+    pub zones: usize,
+    /// Racks in a zone.
+    pub racks: usize,
+    /// Round-trip times between machines.
+    pub round_trips: RoundTrips,
+    /// Calls per second of the complete fleet.
+    pub rate: f64,
+    /// Share of `rate` that is simulated.
+    pub rate_scale: f64,
+    /// Shares of the calls by the effect of a repetition.
+    pub effects: EffectShares,
+    /// Time-out of a call.
+    #[serde(rename = "budget")]
+    pub call_timeout: f64,
+    /// Cost of a call across zones, as a fraction of the priority weight of a call.
+    #[serde(rename = "cross_zone")]
+    pub cross_zone_cost: f64,
+    /// Simulated before anything happens.
+    pub warm_up: f64,
+    /// Simulated from then on.
+    pub window: f64,
+    /// Graceful restarts in a day.
+    pub restarts: usize,
+    /// Machine failures in a day.
+    pub failures: usize,
+    /// From the announcement of a drain to the end of the process.
+    pub drain: f64,
+    /// From there until the backend serves again.
+    pub restart: f64,
+    /// How long a failed machine, rack or zone is down.
+    pub outage: f64,
+    /// Time until discovery detects that a machine has failed.
+    #[serde(rename = "detection")]
+    pub detection_time: TimeRange,
+    /// How long the region is partitioned: stands for an hour.
+    #[serde(rename = "cut")]
+    pub partition: f64,
+    /// Time that an endpoint update takes from discovery to a proxy, without the network's delay.
+    #[serde(rename = "news")]
+    pub update_delay: LognormalTime,
+    /// An endpoint update counts as notified after this time, received or not.
+    #[serde(rename = "deemed_told")]
+    pub deemed_notified: f64,
+    /// No new request may be sent to a backend this long after the notification that it is draining
+    /// or removed.
+    pub drain_grace: f64,
+    /// Time-out of a connection attempt.
+    pub connect_timeout: f64,
+    /// An idle connection is closed this long after its last response.
+    #[serde(rename = "idle_close")]
+    pub idle_timeout: f64,
+    /// Share of its capacity that a backend has when it has just started.
+    #[serde(rename = "cold_share")]
+    pub slow_start_initial_capacity: f64,
+    /// Time after which it has its full capacity.
+    #[serde(rename = "cold")]
+    pub slow_start_duration: f64,
+    /// A backend fails by overload at this multiple of its current capacity,
+    #[serde(rename = "fall_multiple")]
+    pub overload_multiple: f64,
+    /// sustained for this time.
+    #[serde(rename = "tip_after")]
+    pub overload_window: f64,
+    /// Callers of each role whose processor time is measured.
+    #[serde(rename = "samples")]
+    pub recorded_callers: usize,
+    /// Real time after which the run is aborted.
+    #[serde(rename = "limit")]
+    pub real_time_limit: f64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            phases: Phase::value_variants().to_vec(),
+            backends: 5_500,
+            services: 320,
+            size_skew: 0.7,
+            depth: 17,
+            callees_per_service: 2,
+            regions: 3,
+            zones: 9,
+            racks: 16,
+            round_trips: RoundTrips { same_zone: 0.0005, same_region: 0.0015, cross_region: 0.030 },
+            rate: 620_000.0,
+            rate_scale: 1.0,
+            effects: EffectShares { safe: 0.7, idempotent: 0.2 },
+            call_timeout: 1.0,
+            cross_zone_cost: 0.05,
+            warm_up: 15.0,
+            window: 60.0,
+            restarts: 680,
+            failures: 9,
+            drain: 8.0,
+            restart: 3.0,
+            outage: 25.0,
+            detection_time: TimeRange { min: 1.0, max: 3.0 },
+            partition: 40.0,
+            update_delay: LognormalTime { median: 0.3, sigma: 0.6 },
+            deemed_notified: 6.0,
+            drain_grace: 1.0,
+            connect_timeout: 0.25,
+            idle_timeout: 10.0,
+            slow_start_initial_capacity: 0.1,
+            slow_start_duration: 10.0,
+            overload_multiple: 3.0,
+            overload_window: 1.0,
+            recorded_callers: 4,
+            real_time_limit: 1_800.0,
+        }
+    }
+}
+
+impl Plan {
+    /// Rejects a plan that cannot be simulated, or whose run would not end.
+    ///
+    /// # Errors
+    /// The first parameter out of its bounds, under its name in the experiment file.
+    pub fn validate(&self) -> Result<(), Error> {
+        self.validate_topology()?;
+        self.validate_calls()?;
+        self.validate_times()?;
+        let duration = self.warm_up + self.window;
+        let calls = self.rate * self.rate_scale * duration * self.phases.len() as f64;
+        check_range("calls in all", calls, 0.0, MAX_CALLS)?;
+        let recorded = calls / self.backends as f64 * self.recorded_callers as f64;
+        check_range("calls of samples", recorded, 0.0, MAX_RECORDED_CALLS)
+    }
+
+    fn validate_topology(&self) -> Result<(), Error> {
+        check_count("services", self.services, 10_000)?;
+        check_count("backends", self.backends, 100_000)?;
+        check_count("depth", self.depth, self.services)?;
+        check_count("calls", self.callees_per_service, 100)?;
+        check_count("zones", self.zones, 1_000)?;
+        check_count("regions", self.regions, self.zones)?;
+        check_count("racks", self.racks, 10_000)?;
+        if self.backends < 2 * self.services {
+            let expected = "two for each service at the least";
+            return Err(Error::Argument { name: "backends", expected, got: self.backends.to_string() });
+        }
+        if !self.zones.is_multiple_of(self.regions) {
+            let expected = "a multiple of the regions";
+            return Err(Error::Argument { name: "zones", expected, got: self.zones.to_string() });
+        }
+        let outages = (self.restarts + self.failures) as f64;
+        check_range("restarts and failures", outages, 0.0, self.backends as f64)
+    }
+
+    fn validate_calls(&self) -> Result<(), Error> {
+        check_range("effects", self.effects.safe, 0.0, 1.0)?;
+        check_range("effects", self.effects.idempotent, 0.0, 1.0 - self.effects.safe)?;
+        check_range("skew", self.size_skew, 0.0, 5.0)?;
+        check_range("rate", self.rate, 1.0, 1e9)?;
+        check_range("rate_scale", self.rate_scale, 1e-6, 100.0)?;
+        check_range("budget", self.call_timeout, 0.01, 60.0)?;
+        check_range("cross_zone", self.cross_zone_cost, 0.0, 100.0)?;
+        check_range("cold_share", self.slow_start_initial_capacity, 0.001, 1.0)?;
+        check_range("fall_multiple", self.overload_multiple, 0.001, 1e6)
+    }
+
+    fn validate_times(&self) -> Result<(), Error> {
+        check_range("tip_after", self.overload_window, 0.001, 600.0)?;
+        check_range("warm_up", self.warm_up, 1.0, MAX_TIME)?;
+        check_range("window", self.window, 1.0, MAX_TIME)?;
+        check_range("limit", self.real_time_limit, 1.0, 86_400.0)?;
+        let times = [
+            ("round_trips", self.round_trips.same_zone),
+            ("round_trips", self.round_trips.same_region),
+            ("round_trips", self.round_trips.cross_region),
+            ("drain", self.drain),
+            ("restart", self.restart),
+            ("outage", self.outage),
+            ("detection", self.detection_time.min),
+            ("detection", self.detection_time.max - self.detection_time.min),
+            ("cut", self.partition),
+            ("news", self.update_delay.median),
+            ("news", self.update_delay.sigma),
+            ("deemed_told", self.deemed_notified),
+            ("drain_grace", self.drain_grace),
+            ("connect_timeout", self.connect_timeout),
+            ("idle_close", self.idle_timeout),
+            ("cold", self.slow_start_duration),
+        ];
+        times.into_iter().try_for_each(|(name, time)| check_range(name, time, 0.0, MAX_TIME))
+    }
+
+    /// The share of its capacity that a backend has at an age in seconds since its start.
+    #[must_use]
+    pub fn capacity_share(&self, age: f64) -> f64 {
+        let progress = if self.slow_start_duration > 0.0 {
+            (age / self.slow_start_duration).clamp(0.0, 1.0)
+        } else {
+            1.0
+        };
+        self.slow_start_initial_capacity + (1.0 - self.slow_start_initial_capacity) * progress
+    }
+
+    /// The virtual time at which a phase ends.
+    #[must_use]
+    pub fn end(&self) -> f64 {
+        self.warm_up + self.window
+    }
+}
+
+fn check_count(name: &'static str, got: usize, most: usize) -> Result<(), Error> {
+    check_range(name, got as f64, 1.0, most as f64)
+}
+
+fn check_range(name: &'static str, got: f64, least: f64, most: f64) -> Result<(), Error> {
+    if (least..=most).contains(&got) {
+        return Ok(());
+    }
+    Err(Error::Range { name, least, most, got })
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/processor_time.rs
@@ -0,0 +1,160 @@
+//! The processor time that a balancer takes, measured by replaying what some callers of each role
+//! recorded, without the simulation.
+
+use super::plan::Plan;
+use super::recording::{Record, Recording};
+use super::results::PhaseResult;
+use super::roles::Roles;
+use super::topology::Topology;
+use crate::report::{Table, Value};
+use crate::thread_clock::thread_time;
+use balancer_proxy::{Action, Balancer, EndpointUpdate, Event, Time};
+use std::iter::Peekable;
+use std::slice::Iter;
+
+/// Maximum number of events between two readings of the clock.
+const MAX_BATCH_EVENTS: usize = 256;
+
+/// Processor time in `Balancer::handle`.
+#[derive(Clone, Copy, Debug, Default)]
+struct ProcessorTime {
+    /// Events of calls.
+    calls: EventTimes,
+    /// Endpoint updates.
+    updates: EventTimes,
+    /// The slowest endpoint update, in seconds.
+    slowest_update: f64,
+}
+
+/// Processor time of the events of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventTimes {
+    /// Their sum, in seconds.
+    total: f64,
+    /// The number of events.
+    count: usize,
+}
+
+impl EventTimes {
+    fn add(&mut self, time: f64, events: usize) {
+        self.total += time;
+        self.count += events;
+    }
+
+    fn mean_microseconds(self) -> f64 {
+        1e6 * self.total / self.count as f64
+    }
+}
+
+/// Replays recordings, and measures what happens from the virtual time `measure_from` on.
+struct Replay<'a> {
+    recording: &'a Recording,
+    records: Peekable<Iter<'a, Record>>,
+    balancer: Balancer,
+    /// Dropped after each event.
+    actions: Vec<Action>,
+    measure_from: Time,
+}
+
+impl<'a> Replay<'a> {
+    fn new(recording: &'a Recording, measure_from: Time) -> Self {
+        Self {
+            recording,
+            records: recording.records.iter().peekable(),
+            balancer: Balancer::new(0.0, recording.seed, recording.settings.clone()),
+            actions: Vec::new(),
+            measure_from,
+        }
+    }
+
+    /// Replays all records and adds up their processor time: events of calls in batches, each
+    /// endpoint update by itself.
+    fn run(mut self, time: &mut ProcessorTime) {
+        while let Some(record) = self.records.next() {
+            match record {
+                Record::Start(at, seed) => {
+                    self.balancer = Balancer::new(*at, *seed, self.recording.settings.clone());
+                }
+                Record::Changes(at, list) => self.replay_update(*at, EndpointUpdate::Changes(list), time),
+                Record::Full(at, list) => self.replay_update(*at, EndpointUpdate::Full(list), time),
+                Record::Cached(at, list) => self.replay_update(*at, EndpointUpdate::Cached(list), time),
+                Record::Event(at, event) => self.replay_batch(*at, *event, time),
+            }
+        }
+    }
+
+    fn replay_update(&mut self, at: Time, update: EndpointUpdate<'_>, time: &mut ProcessorTime) {
+        let started = thread_time();
+        self.handle(at, Event::Endpoints(update));
+        if at >= self.measure_from {
+            let elapsed = thread_time() - started;
+            time.updates.add(elapsed, 1);
+            time.slowest_update = time.slowest_update.max(elapsed);
+        }
+    }
+
+    /// Replays an event of a call and those that follow it.
+    fn replay_batch(&mut self, at: Time, event: Event<'static>, time: &mut ProcessorTime) {
+        let started = thread_time();
+        self.handle(at, event);
+        let mut events = 1;
+        while events < MAX_BATCH_EVENTS
+            && let Some(Record::Event(at, event)) =
+                self.records.next_if(|record| matches!(record, Record::Event(..)))
+        {
+            self.handle(*at, *event);
+            events += 1;
+        }
+        if at >= self.measure_from {
+            time.calls.add(thread_time() - started, events);
+        }
+    }
+
+    fn handle(&mut self, at: Time, event: Event<'_>) {
+        self.balancer.handle(at, event, &mut self.actions);
+        self.actions.clear();
+    }
+}
+
+/// Table of the processor time of each role in each phase.
+pub fn table(plan: &Plan, topology: &Topology, roles: &Roles, results: &[PhaseResult]) -> Table {
+    let columns = [
+        "phase",
+        "proxy",
+        "calls/s",
+        "event of a call, us",
+        "calls, % of a core",
+        "at full rate, %",
+        "news, us each",
+        "dearest, us",
+        "news, % of a core",
+    ];
+    let name = "Processor time in `handle` for one proxy, per virtual second of the window";
+    let mut table = Table::new(name, &columns);
+    for result in results {
+        for role in roles.iter() {
+            let Some(of_service) = result.service(role.service) else {
+                continue;
+            };
+            let mut time = ProcessorTime::default();
+            for recording in &of_service.recordings {
+                Replay::new(recording, plan.warm_up).run(&mut time);
+            }
+            let callers = of_service.recordings.len() as f64;
+            let percent_of_core = |seconds: f64| 100.0 * seconds / (callers * plan.window);
+            let service = &topology.services[role.service];
+            table.row([
+                Value::from(result.phase.name()),
+                Value::from(role.name),
+                Value::from(service.rate / service.callers.len() as f64),
+                Value::from(time.calls.mean_microseconds()),
+                Value::from(percent_of_core(time.calls.total)),
+                Value::from(percent_of_core(time.calls.total) / plan.rate_scale),
+                Value::from(time.updates.mean_microseconds()),
+                Value::from(1e6 * time.slowest_update),
+                Value::from(percent_of_core(time.updates.total)),
+            ]);
+        }
+    }
+    table
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/recording.rs
@@ -0,0 +1,50 @@
+//! The events that a balancer handled, recorded so that they can be replayed without the simulation.
+
+use balancer_proxy::{Endpoint, EndpointUpdate, Event, Settings, Time};
+
+/// Something that happened to a balancer, and when.
+#[derive(Debug)]
+pub enum Record {
+    /// An event without endpoints.
+    Event(Time, Event<'static>),
+    /// Changes of the endpoint list.
+    Changes(Time, Vec<Endpoint>),
+    /// The complete endpoint list.
+    Full(Time, Vec<Endpoint>),
+    /// The cached endpoint list after a start.
+    Cached(Time, Vec<Endpoint>),
+    /// A new process started with this seed.
+    Start(Time, u64),
+}
+
+impl Record {
+    /// The record of an endpoint update.
+    #[must_use]
+    pub fn endpoints(now: Time, update: EndpointUpdate<'_>) -> Self {
+        match update {
+            EndpointUpdate::Changes(list) => Self::Changes(now, list.to_vec()),
+            EndpointUpdate::Full(list) => Self::Full(now, list.to_vec()),
+            EndpointUpdate::Cached(list) => Self::Cached(now, list.to_vec()),
+            EndpointUpdate::Failed => Self::Event(now, Event::Endpoints(EndpointUpdate::Failed)),
+        }
+    }
+}
+
+/// All records of a balancer.
+#[derive(Debug)]
+pub struct Recording {
+    /// Seed of the balancer.
+    pub seed: u64,
+    /// Its settings.
+    pub settings: Settings,
+    /// The records in order.
+    pub records: Vec<Record>,
+}
+
+impl Recording {
+    /// An empty recording of a balancer with this seed and these settings.
+    #[must_use]
+    pub fn new(seed: u64, settings: Settings) -> Self {
+        Self { seed, settings, records: Vec::new() }
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/roles.rs
@@ -0,0 +1,44 @@
+//! The services whose callers are examined more closely.
+
+use super::topology::Topology;
+
+/// A service that stands for a kind of services.
+#[derive(Clone, Copy, Debug)]
+pub struct Role {
+    /// Its name in reports.
+    pub name: &'static str,
+    /// The service.
+    pub service: usize,
+}
+
+/// All roles; one service may have several.
+#[derive(Debug)]
+pub struct Roles([Role; 3]);
+
+impl Roles {
+    /// Finds them among the services that are called.
+    #[must_use]
+    pub fn new(topology: &Topology) -> Self {
+        let services = &topology.services;
+        let mut called = topology.called();
+        called.sort_by_key(|s| (services[*s].machines.len(), services[*s].callers.len(), *s));
+        let at = |rank: usize| called.get(rank).copied().unwrap_or(0);
+        let most_called = called.iter().max_by_key(|s| services[**s].callers.len());
+        Self([
+            Role { name: "of a middling service", service: at(called.len() / 2) },
+            Role { name: "of the largest", service: at(called.len().saturating_sub(1)) },
+            Role { name: "of the most called", service: most_called.copied().unwrap_or(0) },
+        ])
+    }
+
+    /// The roles in the order in which reports show them.
+    pub fn iter(&self) -> impl Iterator<Item = Role> + '_ {
+        self.0.iter().copied()
+    }
+
+    /// Whether a service has a role.
+    #[must_use]
+    pub fn include(&self, service: usize) -> bool {
+        self.iter().any(|role| role.service == service)
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/scenario.rs
@@ -0,0 +1,56 @@
+//! What all callers of one service have in common in one phase.
+
+use super::faults::{EndpointChange, Faults};
+use super::plan::{Phase, Plan};
+use super::topology::{Service, Topology};
+use balancer_proxy::{Status, Time};
+use std::time::Instant;
+
+/// A phase of the run.
+#[derive(Clone, Copy, Debug)]
+pub struct PhaseContext<'a> {
+    /// The phase.
+    pub phase: Phase,
+    /// The plan of the run.
+    pub plan: &'a Plan,
+    /// The fleet.
+    pub topology: &'a Topology,
+    /// The faults of the phase.
+    pub faults: &'a Faults,
+    /// When the run is aborted, in real time.
+    pub abort_at: Instant,
+}
+
+/// A phase as the callers of one service see it.
+#[derive(Debug)]
+pub struct Scenario<'a> {
+    /// The phase.
+    pub context: PhaseContext<'a>,
+    /// The index of the service that is called.
+    pub service_index: usize,
+    /// The changes of its endpoint list, in the order in which discovery publishes them.
+    pub changes: Vec<EndpointChange>,
+    /// For each of its backends, when discovery first publishes that it is not in service.
+    pub out_of_service_since: Vec<Option<Time>>,
+}
+
+impl<'a> Scenario<'a> {
+    /// The scenario of one service.
+    #[must_use]
+    pub fn new(context: PhaseContext<'a>, service_index: usize) -> Self {
+        let changes = context.faults.changes(service_index, context.topology);
+        let first_published = |machine| {
+            let out = |c: &&EndpointChange| c.machine == machine && c.endpoint.status != Status::InService;
+            changes.iter().find(out).map(|change| change.published)
+        };
+        let machines = context.topology.services[service_index].machines.clone();
+        let out_of_service_since = machines.map(first_published).collect();
+        Self { context, service_index, changes, out_of_service_since }
+    }
+
+    /// The service that is called.
+    #[must_use]
+    pub fn service(&self) -> &'a Service {
+        &self.context.topology.services[self.service_index]
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/settings.rs
@@ -0,0 +1,30 @@
+//! The balancer settings of the simulated callers.
+
+use super::plan::Plan;
+use super::topology::Topology;
+use balancer_proxy::{Effect, IdempotencyGroup, RequestClass, Settings};
+
+/// The effect of each request class, by the class's index.
+pub const CLASS_EFFECTS: [Effect; 3] =
+    [Effect::Safe, Effect::Idempotent { group: IdempotencyGroup::All, window: 5.0 }, Effect::Unsafe];
+
+/// The settings of the caller with this index among the callers of a service.
+#[must_use]
+pub fn caller_settings(plan: &Plan, topology: &Topology, service: usize, caller_index: usize) -> Settings {
+    let callers = &topology.services[service].callers;
+    let machine = &topology.machines[callers[caller_index]];
+    let class = |effect| RequestClass { deadline: plan.call_timeout, effect, ..RequestClass::default() };
+    Settings {
+        classes: CLASS_EFFECTS.map(class).into(),
+        instance_count: callers.len(),
+        instance_index: caller_index,
+        tier: topology.services[machine.service].layer,
+        zone: machine.zone as u32,
+        cross_zone_cost: plan.cross_zone_cost,
+        slow_start_initial_capacity: plan.slow_start_initial_capacity,
+        slow_start_duration: plan.slow_start_duration,
+        slow_start_overload_multiple: plan.overload_multiple,
+        slow_start_overload_window: plan.overload_window,
+        ..Settings::default()
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/slow_start.rs
@@ -0,0 +1,68 @@
+//! The load that all callers together put on a backend that is warming up, against its budget.
+
+use super::observations::CallerObservations;
+use super::plan::Plan;
+use super::results::SlowStartPeak;
+use super::scenario::Scenario;
+use balancer_proxy::Time;
+
+/// The peak load of each backend that began to warm up, and did so to the end within the phase.
+pub fn measure(scenario: &Scenario<'_>, callers: &[CallerObservations]) -> Vec<SlowStartPeak> {
+    let plan = scenario.context.plan;
+    let mut peaks = Vec::new();
+    let sent = attempt_times(scenario, callers);
+    for (backend, (machine, mut sent)) in scenario.service().machines.clone().zip(sent).enumerate() {
+        let outage = scenario.context.faults.outages[machine];
+        let Some(outage) = outage.filter(|o| o.up + plan.slow_start_duration <= plan.end()) else {
+            continue;
+        };
+        sent.sort_by(f64::total_cmp);
+        let capacity = capacity(scenario, callers, backend);
+        peaks.push(peak_load(plan, outage.up, capacity, &sent));
+    }
+    peaks
+}
+
+/// When callers sent attempts to each backend while it was warming up.
+fn attempt_times(scenario: &Scenario<'_>, callers: &[CallerObservations]) -> Vec<Vec<Time>> {
+    let mut sent: Vec<Vec<Time>> = vec![Vec::new(); scenario.service().machines.len()];
+    for attempt in callers.iter().flat_map(|caller| &caller.slow_start_attempts) {
+        sent[attempt.backend as usize].push(attempt.sent);
+    }
+    sent
+}
+
+/// The full capacity of a backend in attempts per second: its load before the outage, which it has
+/// borne, or its even share of the service's calls if that is more, as it is as large as the others.
+fn capacity(scenario: &Scenario<'_>, callers: &[CallerObservations], backend: usize) -> f64 {
+    let service = scenario.service();
+    let even_share = service.rate / service.machines.len() as f64;
+    let attempts: u32 = callers.iter().map(|caller| caller.warm_up_attempts[backend]).sum();
+    // Counted in the second half of the warm-up.
+    even_share.max(f64::from(attempts) / (0.5 * scenario.context.plan.warm_up))
+}
+
+/// The overload window with the highest load in relation to its budget.
+fn peak_load(plan: &Plan, started: Time, capacity: f64, sent: &[Time]) -> SlowStartPeak {
+    let mut peak = SlowStartPeak::default();
+    let mut first = 0;
+    for (last, at) in sent.iter().enumerate() {
+        let window_start = at - plan.overload_window;
+        first += sent[first..].iter().take_while(|time| **time <= window_start).count();
+        let attempts = last + 1 - first;
+        // Capacity grows linearly: its mean is that in the middle of the window.
+        let share = plan.capacity_share(at - 0.5 * plan.overload_window - started);
+        let overload = plan.overload_multiple * capacity * share * plan.overload_window;
+        let budget_ratio = attempts as f64 / budget(overload);
+        if budget_ratio > peak.budget_ratio {
+            peak = SlowStartPeak { attempts, budget_ratio };
+        }
+    }
+    peak
+}
+
+/// Attempts that a backend may get in a window in which it fails by overload at `overload` attempts,
+/// with two standard deviations of random arrivals and a margin of two attempts for small numbers.
+fn budget(overload: f64) -> f64 {
+    overload + 2.0 * overload.sqrt() + 2.0
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/tables/calls.rs
@@ -0,0 +1,50 @@
+//! Table of the calls and attempts.
+
+use super::values::percent;
+use crate::fleet::results::PhaseResult;
+use crate::report::{Table, Value};
+
+/// The results of the calls of each phase.
+pub fn table(results: &[PhaseResult]) -> Table {
+    let columns = [
+        "phase",
+        "calls",
+        "served, %",
+        "refused",
+        "failed",
+        "found nobody",
+        "unserved, none in reach",
+        "lost with own machine",
+        "attempts a call",
+        "to what is gone",
+        "%",
+        "past the grace, told",
+        "or deemed told",
+    ];
+    let mut table = Table::new("Calls in the window", &columns);
+    for result in results {
+        let counts = result.total();
+        let calls = counts.calls;
+        let attempts = counts.attempts;
+        table.row([
+            Value::from(result.phase.name()),
+            count(calls.total),
+            percent(calls.succeeded as f64, calls.total as f64),
+            count(calls.rejected),
+            count(calls.failed),
+            count(calls.without_attempt),
+            count(calls.unreachable),
+            count(calls.lost),
+            Value::from(attempts.total as f64 / calls.total as f64),
+            count(attempts.to_unavailable),
+            percent(attempts.to_unavailable as f64, attempts.total as f64),
+            count(attempts.past_grace),
+            count(attempts.past_deemed_grace),
+        ]);
+    }
+    table
+}
+
+fn count(count: u64) -> Value {
+    Value::from(count as f64)
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/tables/endpoint_lists.rs
@@ -0,0 +1,128 @@
+//! Tables of the endpoint lists: how fast changes propagate, and which backends the callers' subsets
+//! cover.
+
+use super::values::{percent, quantile};
+use crate::fleet::observations::SAMPLE_INTERVAL;
+use crate::fleet::plan::Plan;
+use crate::fleet::results::{CoverageSample, PhaseResult, Propagation, ServiceResult};
+use crate::fleet::topology::Topology;
+use crate::report::{Table, Value};
+
+/// Services that are shown for each phase.
+const MAX_SERVICES_SHOWN: usize = 3;
+
+/// The time until the callers are notified of an endpoint change.
+pub fn propagation(results: &[PhaseResult]) -> Table {
+    let columns =
+        ["phase", "changes", "half, s", "99%, s", "all, s", "worst change: half, s", "99%, s", "all, s"];
+    let mut table =
+        Table::new("Time until the callers know of a change of the list (median change)", &columns);
+    for result in results {
+        let changes: Vec<Propagation> =
+            result.services.iter().flat_map(|service| &service.propagations).copied().collect();
+        let half = sorted(changes.iter().map(|change| change.half));
+        let percent_99 = sorted(changes.iter().map(|change| change.percent_99));
+        let all = sorted(changes.iter().map(|change| change.all));
+        let at =
+            |times: &[f64], fraction| Value::from(quantile(times, fraction).copied().unwrap_or(f64::NAN));
+        table.row([
+            Value::from(result.phase.name()),
+            Value::from(changes.len()),
+            at(&half, 0.5),
+            at(&percent_99, 0.5),
+            at(&all, 0.5),
+            at(&half, 1.0),
+            at(&percent_99, 1.0),
+            at(&all, 1.0),
+        ]);
+    }
+    table
+}
+
+fn sorted(times: impl Iterator<Item = f32>) -> Vec<f64> {
+    let mut times: Vec<f64> = times.map(f64::from).collect();
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+/// The backends in service that are in no caller's subset.
+pub fn coverage(plan: &Plan, results: &[PhaseResult]) -> Table {
+    let columns = [
+        "phase",
+        "in service at start",
+        "in nobody's",
+        "%",
+        "worst, s after",
+        "in service",
+        "in nobody's",
+        "%",
+        "at end",
+        "for 10 s on end",
+        "services with such",
+    ];
+    let mut table =
+        Table::new("Backends in service, and known by now, that are in nobody's subset", &columns);
+    for result in results {
+        let samples = coverage_samples(result);
+        let at = |index: usize| samples.get(index).copied().unwrap_or_default();
+        let start = last_sample_before_window(plan);
+        // The first of those with most unassigned backends.
+        let worst = (start..samples.len()).max_by_key(|i| (at(*i).unassigned, usize::MAX - i)).unwrap_or(0);
+        let end = samples.len().saturating_sub(1);
+        let long_unassigned = result.services.iter().map(|service| service.coverage.long_unassigned);
+        let share = |sample: CoverageSample| percent(sample.unassigned as f64, sample.in_service as f64);
+        table.row([
+            Value::from(result.phase.name()),
+            Value::from(at(start).in_service),
+            Value::from(at(start).unassigned),
+            share(at(start)),
+            Value::from(worst as f64 * SAMPLE_INTERVAL - plan.warm_up),
+            Value::from(at(worst).in_service),
+            Value::from(at(worst).unassigned),
+            share(at(worst)),
+            Value::from(at(end).unassigned),
+            Value::from(long_unassigned.clone().sum::<usize>()),
+            Value::from(long_unassigned.filter(|backends| *backends > 0).count()),
+        ]);
+    }
+    table
+}
+
+/// The coverage of all services together at each sample.
+fn coverage_samples(result: &PhaseResult) -> Vec<CoverageSample> {
+    let count = result.services.iter().map(|service| service.coverage.samples.len()).min().unwrap_or(0);
+    let mut sums = vec![CoverageSample::default(); count];
+    for service in &result.services {
+        for (sum, sample) in sums.iter_mut().zip(&service.coverage.samples) {
+            *sum += *sample;
+        }
+    }
+    sums
+}
+
+fn last_sample_before_window(plan: &Plan) -> usize {
+    ((plan.warm_up / SAMPLE_INTERVAL).ceil() as usize).saturating_sub(1)
+}
+
+/// The services with most backends in no caller's subset when the window begins.
+pub fn least_covered(plan: &Plan, topology: &Topology, results: &[PhaseResult]) -> Table {
+    let columns = ["phase", "service", "backends in service", "in nobody's subset", "callers"];
+    let mut table = Table::new("Services with most such backends, at the start", &columns);
+    let start = last_sample_before_window(plan);
+    for result in results {
+        let unassigned = |service: &ServiceResult| service.coverage.samples[start].unassigned;
+        let mut services: Vec<&ServiceResult> =
+            result.services.iter().filter(|service| unassigned(service) > 0).collect();
+        services.sort_by_key(|service| (usize::MAX - unassigned(service), service.service));
+        for service in services.iter().take(MAX_SERVICES_SHOWN) {
+            table.row([
+                Value::from(result.phase.name()),
+                Value::from(service.service),
+                Value::from(service.coverage.samples[start].in_service),
+                Value::from(unassigned(service)),
+                Value::from(topology.services[service.service].callers.len()),
+            ]);
+        }
+    }
+    table
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/tables/roles.rs
@@ -0,0 +1,75 @@
+//! Table of the state of the callers of each role, and of the messages of the endpoint list.
+
+use crate::fleet::counts::UpdateCounts;
+use crate::fleet::plan::Plan;
+use crate::fleet::results::PhaseResult;
+use crate::fleet::roles::{Role, Roles};
+use crate::fleet::topology::Topology;
+use crate::report::{Table, Value};
+
+/// The state and the messages of each role, and of discovery.
+pub fn table(plan: &Plan, topology: &Topology, roles: &Roles, results: &[PhaseResult]) -> Table {
+    let columns = [
+        "phase",
+        "role",
+        "backends listed",
+        "proxies",
+        "most kept",
+        "most in subset",
+        "most open",
+        "messages/s",
+        "entries/s",
+        "bytes/s",
+    ];
+    let name = "Each role: state (mean over proxies of the most that each had), and messages of the list: \
+                those that a proxy takes in, and those that discovery sends";
+    let mut table = Table::new(name, &columns);
+    for result in results {
+        for role in roles.iter() {
+            if let Some(row) = role_row(plan, topology, role, result) {
+                table.row(row);
+            }
+        }
+        table.row(discovery_row(plan, topology, result));
+    }
+    table
+}
+
+/// The mean over the callers of a role; none if its service was not simulated.
+fn role_row(plan: &Plan, topology: &Topology, role: Role, result: &PhaseResult) -> Option<Vec<Value>> {
+    let observed = result.service(role.service)?;
+    let service = topology.services.get(role.service)?;
+    let callers = service.callers.len();
+    let mut row = vec![
+        Value::from(result.phase.name()),
+        Value::from(format!("proxy {}", role.name)),
+        Value::from(service.machines.len()),
+        Value::from(callers),
+        Value::from(observed.state.backends),
+        Value::from(observed.state.subset),
+        Value::from(observed.state.open_requests),
+    ];
+    row.extend(rates(observed.counts.updates, callers as f64 * plan.window));
+    Some(row)
+}
+
+/// What discovery sends to all callers.
+fn discovery_row(plan: &Plan, topology: &Topology, result: &PhaseResult) -> Vec<Value> {
+    let services = || result.services.iter().map(|service| &topology.services[service.service]);
+    let mut row = vec![
+        Value::from(result.phase.name()),
+        Value::from("discovery"),
+        Value::from(services().map(|service| service.machines.len()).sum::<usize>()),
+        Value::from(services().map(|service| service.callers.len()).sum::<usize>()),
+        Value::Absent,
+        Value::Absent,
+        Value::Absent,
+    ];
+    row.extend(rates(result.total().updates, plan.window));
+    row
+}
+
+/// Messages, endpoints and bytes per second.
+fn rates(updates: UpdateCounts, seconds: f64) -> [Value; 3] {
+    [updates.messages, updates.endpoints, updates.bytes].map(|count| Value::from(count as f64 / seconds))
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/tables/slow_start.rs
@@ -0,0 +1,41 @@
+//! Table of the load on backends that were warming up.
+
+use super::values::quantile;
+use crate::fleet::results::{PhaseResult, SlowStartPeak};
+use crate::report::{Table, Value};
+
+/// The peak load on backends that were warming up, against their budget.
+pub fn table(results: &[PhaseResult]) -> Table {
+    let columns = [
+        "phase",
+        "cold starts",
+        "median, of the budget",
+        "99%",
+        "worst",
+        "sent in the worst",
+        "over the budget",
+        "sent nothing",
+    ];
+    let name = "What all together send a cold backend in its worst window, against its budget";
+    let mut table = Table::new(name, &columns);
+    for result in results {
+        let mut peaks: Vec<SlowStartPeak> =
+            result.services.iter().flat_map(|service| &service.slow_starts).copied().collect();
+        peaks.sort_by(|a, b| a.budget_ratio.total_cmp(&b.budget_ratio));
+        let ratio = |fraction| {
+            let peak = quantile(&peaks, fraction);
+            Value::from(peak.map_or(f64::NAN, |peak| peak.budget_ratio))
+        };
+        table.row([
+            Value::from(result.phase.name()),
+            Value::from(peaks.len()),
+            ratio(0.5),
+            ratio(0.99),
+            ratio(1.0),
+            Value::from(peaks.last().map_or(0, |peak| peak.attempts)),
+            Value::from(peaks.iter().filter(|peak| peak.budget_ratio > 1.0).count()),
+            Value::from(peaks.iter().filter(|peak| peak.attempts == 0).count()),
+        ]);
+    }
+    table
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/topology.rs
@@ -0,0 +1,240 @@
+//! The simulated fleet: services of uneven size, the machines of their backends, and the call graph.
+
+use super::parameters::{LognormalTime, TimeRange};
+use super::plan::Plan;
+use super::random::{normal, seed};
+use balancer_proxy::{BackendId, Endpoint, Status, Time};
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use std::ops::Range;
+
+/// Sigma of the lognormal call rates of proxies of different services.
+const RATE_SIGMA: f64 = 0.5;
+/// Sigma of the lognormal popularity of services, beside their size.
+const POPULARITY_SIGMA: f64 = 0.7;
+/// Distribution of the services' mean service times, in seconds.
+const SERVICE_TIME: LognormalTime = LognormalTime { median: 0.010, sigma: 0.7 };
+/// Bounds of a service's mean service time, in seconds.
+const SERVICE_TIME_RANGE: TimeRange = TimeRange { min: 0.001, max: 0.060 };
+/// Absorbs the rounding of a running sum that should end at a whole number.
+const ROUNDING: f64 = 1e-6;
+
+/// The machine of a backend and its proxy.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// The service of its backend.
+    pub service: usize,
+    /// Its zone, from 0.
+    pub zone: usize,
+    /// Its rack within the zone, from 0.
+    pub rack: usize,
+    /// The one service that its proxy calls; none in the lowest layer.
+    pub callee: Option<usize>,
+    /// Calls per second of its proxy.
+    pub rate: f64,
+}
+
+/// A service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its distance from the clients, from 1.
+    pub layer: usize,
+    /// Its machines: a range of [`Topology::machines`].
+    pub machines: Range<usize>,
+    /// The machines whose proxies call it; the index of a proxy is its instance index.
+    pub callers: Vec<usize>,
+    /// Mean service time, in seconds.
+    pub service_time: Time,
+    /// Calls per second of all its callers.
+    pub rate: f64,
+}
+
+/// The fleet and its call graph.
+#[derive(Clone, Debug)]
+pub struct Topology {
+    /// The machines, service by service.
+    pub machines: Vec<Machine>,
+    /// The services.
+    pub services: Vec<Service>,
+    /// Zones in a region; zones are numbered region by region.
+    zones_per_region: usize,
+}
+
+impl Topology {
+    /// Draws the fleet of a plan.
+    #[must_use]
+    pub fn new(plan: &Plan) -> Self {
+        let rng = &mut SmallRng::seed_from_u64(seed(&[plan.seed, 0]));
+        let sizes = service_sizes(plan.backends, plan.services, plan.size_skew);
+        let layers = service_layers(plan.services, plan.depth, rng);
+        let mut topology = Self {
+            machines: Vec::with_capacity(plan.backends),
+            services: Vec::with_capacity(plan.services),
+            zones_per_region: plan.zones / plan.regions,
+        };
+        // Shuffled, as the size of a service does not depend on its layer.
+        let mut size_order: Vec<usize> = (0..plan.services).collect();
+        size_order.shuffle(rng);
+        for (service, &layer) in layers.iter().enumerate() {
+            topology.add_service(layer, sizes[size_order[service]], plan, rng);
+        }
+        topology.connect(plan.callees_per_service, rng);
+        topology.set_rates(plan.rate * plan.rate_scale, rng);
+        topology
+    }
+
+    /// Adds a service with its machines, spread evenly over the zones from a random one on.
+    fn add_service(&mut self, layer: usize, size: usize, plan: &Plan, rng: &mut SmallRng) {
+        let service = self.services.len();
+        let first_machine = self.machines.len();
+        let first_zone = rng.random_range(0..plan.zones);
+        self.machines.extend((0..size).map(|i| Machine {
+            service,
+            zone: (first_zone + i) % plan.zones,
+            rack: rng.random_range(0..plan.racks),
+            callee: None,
+            rate: 0.0,
+        }));
+        let service_time = SERVICE_TIME.median * (SERVICE_TIME.sigma * normal(rng)).exp();
+        self.services.push(Service {
+            layer,
+            machines: first_machine..self.machines.len(),
+            callers: Vec::new(),
+            service_time: service_time.clamp(SERVICE_TIME_RANGE.min, SERVICE_TIME_RANGE.max),
+            rate: 0.0,
+        });
+    }
+
+    /// Draws the call graph: each service calls a few of lower layers, popular ones more often, and
+    /// each of its machines calls one of these.
+    fn connect(&mut self, callees_per_service: usize, rng: &mut SmallRng) {
+        // Larger services are called more, with a random factor.
+        let popularity: Vec<f64> = self
+            .services
+            .iter()
+            .map(|service| service.machines.len() as f64 * (POPULARITY_SIGMA * normal(rng)).exp())
+            .collect();
+        let mut callees = self.draw_one_caller_each(rng);
+        for (service, callees) in callees.iter_mut().enumerate() {
+            let below = self.services_where(|other| other.layer > self.services[service].layer);
+            for _ in 0..callees_per_service {
+                let drawn = draw_weighted(&below, &popularity, rng);
+                callees.extend(drawn.filter(|callee| !callees.contains(callee)));
+            }
+            self.assign_callees(service, callees, &popularity, rng);
+        }
+    }
+
+    /// Draws for each service below the first layer a caller in the layer above, so that the call
+    /// graph is as deep as there are layers. Returns the callees of each service.
+    fn draw_one_caller_each(&self, rng: &mut SmallRng) -> Vec<Vec<usize>> {
+        let mut callees = vec![Vec::new(); self.services.len()];
+        for (index, service) in self.services.iter().enumerate() {
+            let above = self.services_where(|other| other.layer + 1 == service.layer);
+            if !above.is_empty() {
+                let caller = above[rng.random_range(0..above.len())];
+                callees[caller].push(index);
+            }
+        }
+        callees
+    }
+
+    /// Assigns to each machine of a service the callee of its proxy: the first machines get one
+    /// callee each, so that each callee has a caller, the others by popularity.
+    fn assign_callees(&mut self, service: usize, callees: &[usize], popularity: &[f64], rng: &mut SmallRng) {
+        for (i, machine) in self.services[service].machines.clone().enumerate() {
+            let drawn = draw_weighted(callees, popularity, rng);
+            let callee = callees.get(i).copied().or(drawn);
+            self.machines[machine].callee = callee;
+            if let Some(callee) = callee {
+                self.services[callee].callers.push(machine);
+            }
+        }
+    }
+
+    fn services_where(&self, selected: impl Fn(&Service) -> bool) -> Vec<usize> {
+        (0..self.services.len()).filter(|index| selected(&self.services[*index])).collect()
+    }
+
+    /// Draws the call rates of the proxies, so that they sum up to `total` calls per second.
+    fn set_rates(&mut self, total: f64, rng: &mut SmallRng) {
+        let factors: Vec<f64> = self.services.iter().map(|_| (RATE_SIGMA * normal(rng)).exp()).collect();
+        let callers = self.machines.iter().filter(|machine| machine.callee.is_some());
+        let sum: f64 = callers.map(|machine| factors[machine.service]).sum();
+        for machine in &mut self.machines {
+            if let Some(callee) = machine.callee {
+                machine.rate = total * factors[machine.service] / sum;
+                self.services[callee].rate += machine.rate;
+            }
+        }
+    }
+
+    /// The region of a zone.
+    #[must_use]
+    pub fn region(&self, zone: usize) -> usize {
+        zone / self.zones_per_region
+    }
+
+    /// The services that some proxy calls.
+    #[must_use]
+    pub fn called(&self) -> Vec<usize> {
+        self.services_where(|service| !service.callers.is_empty())
+    }
+
+    /// The endpoint of a machine's backend, in service since before the run.
+    #[must_use]
+    pub fn endpoint(&self, machine: usize) -> Endpoint {
+        let zone = self.machines[machine].zone as u32;
+        let id = BackendId(machine as u32);
+        Endpoint { id, cell: zone, zone, weight: 1.0, status: Status::InService, started_at: None }
+    }
+
+    /// The endpoint list of a service before the first fault.
+    #[must_use]
+    pub fn endpoints(&self, service: usize) -> Vec<Endpoint> {
+        self.services[service].machines.clone().map(|machine| self.endpoint(machine)).collect()
+    }
+}
+
+/// Draws one of the services in proportion to its weight; none if the list is empty.
+fn draw_weighted(services: &[usize], weights: &[f64], rng: &mut SmallRng) -> Option<usize> {
+    let sum: f64 = services.iter().map(|service| weights[*service]).sum();
+    let mut remaining = rng.random::<f64>() * sum;
+    services.iter().copied().find(|service| {
+        remaining -= weights[*service];
+        remaining < 0.0
+    })
+}
+
+/// Sizes of `services` services with `backends` backends in all, at least 2 each, the largest first:
+/// beyond the 2 they fall with the `skew`-th power of the rank, as sizes in large fleets do.
+fn service_sizes(backends: usize, services: usize, skew: f64) -> Vec<usize> {
+    let to_distribute = backends.saturating_sub(2 * services) as f64;
+    let last_weight = (services as f64).powf(-skew);
+    let weight = |rank: usize| ((rank + 1) as f64).powf(-skew) - last_weight;
+    let sum: f64 = (0..services).map(weight).sum();
+    // Rounded along the running sum, so that the sizes add up.
+    let mut cumulative = 0.0;
+    let mut distributed = 0;
+    let size = |rank: usize| {
+        cumulative +=
+            if sum > 0.0 { to_distribute * weight(rank) / sum } else { to_distribute / services as f64 };
+        let rounded = (cumulative + ROUNDING).floor() as usize;
+        2 + rounded - std::mem::replace(&mut distributed, rounded)
+    };
+    (0..services).map(size).collect()
+}
+
+/// The layer of each service, from 1: fewer services in deeper layers, and at least one in each.
+fn service_layers(services: usize, depth: usize, rng: &mut SmallRng) -> Vec<usize> {
+    let mut layers: Vec<usize> = (1..=depth.min(services)).collect();
+    while layers.len() < services {
+        // The smaller of two uniform draws has a density that falls linearly.
+        let first = rng.random_range(1..=depth);
+        let second = rng.random_range(1..=depth);
+        layers.push(first.min(second));
+    }
+    layers.shuffle(rng);
+    layers
+}
--- a/fleet-bench/src/lib.rs
+++ b/fleet-bench/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod serve;
 pub mod slopes;
 pub mod stats;
+pub mod thread_clock;
--- a/fleet-bench/tests/fleet.rs
+++ b/fleet-bench/tests/fleet.rs
@@ -1,16 +1,16 @@
-//! The hollow fleet, small: what it shows is what was played, whatever the number of threads.
+//! The simulated fleet at a small size: its report shows what was simulated, with any number of threads.
 
 use balancer_proxy::{Effect, RequestId};
-use fleet_bench::fleet::checker::{Broken, Checker, Rule};
+use fleet_bench::fleet::checker::{Checker, Rule, Violation};
 use fleet_bench::fleet::{Args, Phase, run};
 use fleet_bench::plan::Source;
 use fleet_bench::report::{Report, Value};
 use std::io::Write;
 use std::process::Command;
 
-/// A fleet of 300 in 8 services, quick to play, with so many restarts a day, and these lines of a
-/// plan beside.
-fn small(phases: &[Phase], restarts: usize, lines: &str) -> Report {
+/// Simulates a fleet of 300 backends in 8 services, quick to run, with this number of restarts a day
+/// and these further lines of a plan.
+fn simulate_small_fleet(phases: &[Phase], restarts: usize, lines: &str) -> Report {
     let mut file = tempfile::NamedTempFile::new().unwrap();
     let text = "backends = 300\nservices = 8\ndepth = 4\nwindow = 40.0\n\
                 cut = 20.0\nsamples = 1\nrate_scale = 0.002\nracks = 3\n";
@@ -25,12 +25,12 @@
     .unwrap()
 }
 
-/// The figure of a table, by the beginnings of the names of the three.
+/// The number in a table's cell; table, row and column are given by the beginnings of their names.
 fn figure(report: &Report, table: &str, row: &str, column: &str) -> f64 {
     let table = report.tables.iter().find(|t| t.name.starts_with(table)).unwrap();
     let column = table.columns.iter().position(|c| c.starts_with(column)).unwrap();
-    let is = |value: &Value| value.to_string().starts_with(row);
-    let row = table.rows.iter().find(|r| r[..2].iter().any(is)).unwrap();
+    let matches_row = |value: &Value| value.to_string().starts_with(row);
+    let row = table.rows.iter().find(|r| r[..2].iter().any(matches_row)).unwrap();
     match row[column] {
         Value::Number(figure) => figure,
         ref other => panic!("{other}"),
@@ -38,94 +38,94 @@
 }
 
 #[test]
-fn the_same_seed_gives_the_same_figures_whatever_the_threads() {
-    let all = [Phase::Ordinary, Phase::Rack, Phase::Zone, Phase::Region, Phase::Half];
-    let on = |threads, lines| {
+fn same_seed_gives_the_same_figures_with_any_number_of_threads() {
+    let phases = [Phase::Ordinary, Phase::Rack, Phase::Zone, Phase::Region, Phase::Half];
+    let simulate_on = |threads, lines| {
         let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build().unwrap();
-        let mut tables = pool.install(|| small(&all, 24, lines)).tables;
+        let mut tables = pool.install(|| simulate_small_fleet(&phases, 24, lines)).tables;
         let count = tables.len();
         tables.retain(|t| !t.name.starts_with("State") && !t.name.starts_with("Processor time"));
         assert_eq!(count, tables.len() + 2);
         tables
     };
-    let one = on(1, "");
-    assert_eq!(one, on(4, ""));
-    assert_ne!(one, on(4, "seed = 2\n"));
+    let on_one_thread = simulate_on(1, "");
+    assert_eq!(on_one_thread, simulate_on(4, ""));
+    assert_ne!(on_one_thread, simulate_on(4, "seed = 2\n"));
 }
 
 #[test]
-fn where_nothing_happens_all_is_served_and_every_backend_is_somebodys() {
-    let calm = small(&[Phase::Ordinary], 0, "failures = 0\ncross_zone = 0.0\n");
-    let calls = figure(&calm, "Calls", "ordinary", "calls");
+fn without_faults_every_call_succeeds_and_every_backend_is_in_a_subset() {
+    let report = simulate_small_fleet(&[Phase::Ordinary], 0, "failures = 0\ncross_zone = 0.0\n");
+    let calls = figure(&report, "Calls", "ordinary", "calls");
     let expected = 620_000.0 * 0.002 * 40.0;
     assert!((calls / expected - 1.0).abs() < 0.05, "{calls} of {expected}");
-    assert_eq!(figure(&calm, "Calls", "ordinary", "to what is gone"), 0.0);
-    assert_eq!(figure(&calm, "Calls", "ordinary", "refused"), 0.0);
-    assert!(figure(&calm, "Calls", "ordinary", "served") > 99.99);
-    assert_eq!(figure(&calm, "Backends in service", "ordinary", "in nobody's"), 0.0);
-    assert_eq!(figure(&calm, "Time until", "ordinary", "changes"), 0.0);
-    assert_eq!(figure(&calm, "Each role", "discovery", "messages/s"), 0.0);
+    assert_eq!(figure(&report, "Calls", "ordinary", "to what is gone"), 0.0);
+    assert_eq!(figure(&report, "Calls", "ordinary", "refused"), 0.0);
+    assert!(figure(&report, "Calls", "ordinary", "served") > 99.99);
+    assert_eq!(figure(&report, "Backends in service", "ordinary", "in nobody's"), 0.0);
+    assert_eq!(figure(&report, "Time until", "ordinary", "changes"), 0.0);
+    assert_eq!(figure(&report, "Each role", "discovery", "messages/s"), 0.0);
 }
 
 #[test]
-fn what_is_cut_off_hears_nothing_until_it_is_back_and_then_all_at_once() {
-    let cut = small(&[Phase::Region], 240, "");
-    // An hour's restarts: ten, of three changes each but where their service is not called.
-    let changes = figure(&cut, "Time until", "region", "changes");
+fn partitioned_region_gets_endpoint_changes_only_after_the_partition() {
+    let report = simulate_small_fleet(&[Phase::Region], 240, "");
+    // Ten restarts in an hour with three changes each, except where no proxy calls the service.
+    let changes = figure(&report, "Time until", "region", "changes");
     assert!((6.0..=30.0).contains(&changes), "{changes}");
-    let table = cut.tables.iter().find(|t| t.name.starts_with("Time until")).unwrap();
+    let table = report.tables.iter().find(|t| t.name.starts_with("Time until")).unwrap();
     let Some(Value::Number(worst)) = table.rows[0].last() else { panic!("{table:?}") };
     assert!((5.0..=25.0).contains(worst), "{worst}");
-    assert!(figure(&cut, "Calls", "region", "to what is gone") > 0.0);
+    assert!(figure(&report, "Calls", "region", "to what is gone") > 0.0);
 
-    let whole = small(&[Phase::Ordinary], 24, "");
-    let table = whole.tables.iter().find(|t| t.name.starts_with("Time until")).unwrap();
+    let unpartitioned = simulate_small_fleet(&[Phase::Ordinary], 24, "");
+    let table = unpartitioned.tables.iter().find(|t| t.name.starts_with("Time until")).unwrap();
     let Some(Value::Number(worst)) = table.rows[0].last() else { panic!("{table:?}") };
     assert!((0.3..=4.0).contains(worst), "{worst}");
 }
 
 #[test]
-fn what_is_restarted_or_lost_comes_back_cold() {
-    let report = small(&[Phase::Zone, Phase::Half], 24, "");
+fn restarted_and_crashed_backends_warm_up() {
+    let report = simulate_small_fleet(&[Phase::Zone, Phase::Half], 24, "");
     let starts = |phase| figure(&report, "What all together", phase, "cold starts");
     let largest = figure(&report, "Each role", "proxy of the largest", "backends listed");
     assert!(starts("half") >= (largest / 2.0).floor(), "{}", starts("half"));
-    // A ninth of all.
+    // One of nine zones.
     assert!((10.0..=35.0).contains(&starts("zone")), "{}", starts("zone"));
-    // Without a word, they are still called for a while; drained, they are not.
+    // Crashed backends get attempts until the callers are notified; drained ones get none.
     assert!(figure(&report, "Calls", "zone", "to what is gone") > 0.0);
     assert_eq!(figure(&report, "Calls", "half", "to what is gone"), 0.0);
     assert_eq!(figure(&report, "Calls", "half", "past the grace"), 0.0);
 }
 
 #[test]
-fn a_broken_rule_is_seen() {
+fn checker_detects_each_rule_violation() {
     let call = RequestId(7);
-    let broken = |rule| Err(Broken { rule, call });
-    let began = |effect| {
+    let violation = |rule| Err(Violation { rule, call });
+    let checker_with_open_call = |effect| {
         let mut checker = Checker::default();
-        checker.begun(call, effect, 1.0, true);
+        checker.open(call, effect, 1.0, true);
         checker
     };
-    let mut safe = began(Effect::Safe);
-    assert_eq!((safe.sent(call), safe.sent(call)), (Ok(0), Ok(1)));
-    assert_eq!(safe.end(), broken(Rule::Unanswered));
-    assert_eq!(safe.answered(call, 1.0).map(|open| open.attempts), Ok(2));
-    assert_eq!(safe.end(), Ok(()));
-    assert_eq!(safe.answered(call, 1.0).map(|_| ()), broken(Rule::NotOpen));
-    assert_eq!(safe.sent(call).map(|_| ()), broken(Rule::SentOver));
-    assert_eq!(began(Effect::Safe).answered(call, 1.01).map(|_| ()), broken(Rule::Late));
+    let mut safe_call = checker_with_open_call(Effect::Safe);
+    assert_eq!((safe_call.send(call), safe_call.send(call)), (Ok(0), Ok(1)));
+    assert_eq!(safe_call.verify_none_open(), violation(Rule::Unanswered));
+    assert_eq!(safe_call.close(call, 1.0).map(|open| open.attempts), Ok(2));
+    assert_eq!(safe_call.verify_none_open(), Ok(()));
+    assert_eq!(safe_call.close(call, 1.0).map(|_| ()), violation(Rule::NotOpen));
+    assert_eq!(safe_call.send(call).map(|_| ()), violation(Rule::SentAfterResponse));
+    assert_eq!(checker_with_open_call(Effect::Safe).close(call, 1.01).map(|_| ()), violation(Rule::Late));
 
-    let mut once = began(Effect::Unsafe);
-    assert_eq!(once.sent(call), Ok(0));
-    once.never_ran(call);
-    assert_eq!(once.sent(call), Ok(1));
-    assert_eq!(once.sent(call).map(|_| ()), broken(Rule::SentTwice));
-    assert_eq!((once.lose(), once.end()), (1, Ok(())));
+    let mut unsafe_call = checker_with_open_call(Effect::Unsafe);
+    assert_eq!(unsafe_call.send(call), Ok(0));
+    unsafe_call.attempt_never_ran(call);
+    assert_eq!(unsafe_call.send(call), Ok(1));
+    assert_eq!(unsafe_call.send(call).map(|_| ()), violation(Rule::UnsafeRetry));
+    assert_eq!((unsafe_call.drop_open(), unsafe_call.verify_none_open()), (1, Ok(())));
 }
 
 #[test]
-fn what_cannot_be_played_or_takes_too_long_is_told_in_one_line() {
+fn rejects_an_invalid_plan_and_aborts_a_long_run_with_one_line() {
     let cases: [(&[&str], &str); 5] = [
         (&["--backends", "10"], "backends: expected two for each service"),
         (&["--services", "0"], "services: expected 1 to 10000, got 0"),
@@ -133,13 +133,13 @@
         (&["--restarts", "6000"], "restarts and failures: expected 0 to 5500"),
         (&["--limit", "1", "--phase", "ordinary"], "given up after 1 s"),
     ];
-    for (arguments, wanted) in cases {
+    for (arguments, expected) in cases {
         let output = Command::new(env!("CARGO_BIN_EXE_fleet-bench")).arg("fleet").args(arguments).output();
         let output = output.unwrap();
-        let said = String::from_utf8(output.stderr).unwrap();
-        assert_eq!(output.status.code(), Some(1), "{said}");
-        assert_eq!(said.lines().count(), 1, "{said}");
-        assert!(said.contains(wanted), "{said}");
+        let stderr = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(1), "{stderr}");
+        assert_eq!(stderr.lines().count(), 1, "{stderr}");
+        assert!(stderr.contains(expected), "{stderr}");
         assert!(output.stdout.is_empty());
     }
 }
