fleet-bench: split slopes into plan, cases, measurement, simulation and tables

slopes.rs held the plan, its bounds, the rounds and the tables, with a run function of 77 lines that did all of them, and figures were told apart by their index in arrays.

The plan, the measured cases, the simulated balancer, the processor time of its events and the tables are modules of their own, with structs for quartiles, line fits, samples and attempts. The reading of the thread's processor time, which stood twice, is one function. Options, keys of experiment files, table and column names stay.

--- /dev/null
+++ b/fleet-bench/src/slopes/case.rs
@@ -0,0 +1,81 @@
+//! The size of one deployment, and what its balancer is configured with.
+
+use balancer_proxy::{BackendId, Endpoint, RequestClass, Settings, Tenant, Time};
+
+/// Latency objective of all classes, in seconds. The balancer's estimates reach back over a multiple
+/// of it, and it takes no response time beyond a quarter of it as normal.
+const LATENCY_OBJECTIVE: Time = 0.4;
+/// Time-out of a request, in seconds.
+pub const REQUEST_TIMEOUT: Time = 2.0 * LATENCY_OBJECTIVE;
+/// Response time of most requests, in seconds.
+pub const RESPONSE_TIME: Time = 0.05;
+/// Response time of the slow requests, in seconds. As they are few, the first retry timer fires
+/// half-way to it.
+pub const SLOW_RESPONSE_TIME: Time = 0.1;
+/// One request of this many is slow.
+pub const SLOW_REQUEST_INTERVAL: u64 = 16;
+/// Zones of the backends.
+const ZONES: u32 = 3;
+/// Backends in a cell.
+const BACKENDS_PER_CELL: u32 = 20;
+/// Quota of a tenant over the rate of all requests: quotas are counted, and none is exhausted.
+const QUOTA_OVER_RATE: f64 = 10.0;
+
+/// The size of one deployment, as one balancer sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Case {
+    /// Backends listed.
+    pub backends: usize,
+    /// Balancers of the deployment.
+    pub instances: usize,
+    /// Request classes.
+    pub classes: usize,
+    /// Tenants, each within its quota; 0 for none.
+    pub tenants: usize,
+    /// Mean number of open requests.
+    pub open: usize,
+    /// Tiers between the clients and this balancer.
+    pub tier: usize,
+}
+
+impl Case {
+    /// The request rate per second that keeps the mean number of requests open, by Little's law.
+    #[must_use]
+    pub fn request_rate(&self) -> f64 {
+        let slow = 1.0 / SLOW_REQUEST_INTERVAL as f64;
+        self.open as f64 / (SLOW_RESPONSE_TIME * slow + RESPONSE_TIME * (1.0 - slow))
+    }
+
+    /// The settings of the balancer. Nothing else in this command names a setting.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        let class = |i: usize| RequestClass {
+            name: i.to_string(),
+            latency_objective: LATENCY_OBJECTIVE,
+            deadline: REQUEST_TIMEOUT,
+            ..RequestClass::default()
+        };
+        let quota_per_second = QUOTA_OVER_RATE * self.request_rate() * self.instances as f64;
+        let tenant = |i: usize| Tenant { name: i.to_string(), quota_per_second };
+        Settings {
+            classes: (0..self.classes).map(class).collect(),
+            tenants: (0..self.tenants).map(tenant).collect(),
+            instance_count: self.instances,
+            instance_index: self.instances / 2,
+            tier: self.tier,
+            ..Settings::default()
+        }
+    }
+
+    /// The complete endpoint list.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<Endpoint> {
+        let endpoint = |i: u32| Endpoint {
+            id: BackendId(i),
+            cell: i / BACKENDS_PER_CELL,
+            zone: i % ZONES,
+            ..Endpoint::default()
+        };
+        (0..self.backends as u32).map(endpoint).collect()
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/slopes/plan.rs
@@ -0,0 +1,225 @@
+//! The plan of a run: the content of its experiment file, its defaults, its bounds, and the axes that
+//! follow from it.
+
+use super::case::Case;
+use crate::error::Error;
+use serde::{Deserialize, Serialize};
+use std::ops::RangeInclusive;
+
+/// Maximum of each size of a case: a case of that size is measured within minutes.
+const MAX_SIZE: usize = 10_000;
+
+/// The base case, of which each axis varies one size.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Base {
+    /// Backends listed.
+    pub backends: usize,
+    /// Minimum size of a balancer's subset: backends over balancers, rounded up. The number of
+    /// balancers follows from it. As each open request needs a member, the subset is at least
+    /// [`Self::open`].
+    pub subset: usize,
+    /// Request classes.
+    pub classes: usize,
+    /// Tenants.
+    pub tenants: usize,
+    /// Mean number of open requests. The default is that of 113 requests per second of 53 ms each.
+    pub open: usize,
+    /// Tiers between the clients and the balancer.
+    pub tier: usize,
+}
+
+impl Default for Base {
+    fn default() -> Self {
+        Self { backends: 170, subset: 6, classes: 3, tenants: 0, open: 6, tier: 0 }
+    }
+}
+
+impl Base {
+    fn case(&self) -> Case {
+        Case {
+            backends: self.backends,
+            instances: instances(self.backends, self.subset),
+            classes: self.classes,
+            tenants: self.tenants,
+            open: self.open,
+            tier: self.tier,
+        }
+    }
+}
+
+/// The number of balancers with which each has a subset of this size.
+fn instances(backends: usize, subset: usize) -> usize {
+    backends.div_ceil(subset.max(1)).max(1)
+}
+
+/// The values of each axis. An axis without values is not measured.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Axes {
+    /// Backends listed, with a constant subset.
+    pub backends: Vec<usize>,
+    /// Size of the subset, by the number of balancers.
+    pub subset: Vec<usize>,
+    /// Balancers; the subset is as small as the open requests allow.
+    pub instances: Vec<usize>,
+    /// Request classes.
+    pub classes: Vec<usize>,
+    /// Tenants.
+    pub tenants: Vec<usize>,
+    /// Open requests; the subset grows with them, as it does in operation.
+    pub open: Vec<usize>,
+    /// Open requests at a single balancer, whose subset always has all backends.
+    pub open_alone: Vec<usize>,
+}
+
+impl Default for Axes {
+    fn default() -> Self {
+        Self {
+            backends: vec![17, 170, 870, 1700, 5500],
+            subset: vec![6, 17, 34, 57, 85, 170],
+            instances: vec![29, 100, 1000, 5500],
+            classes: vec![1, 4, 16, 64, 256],
+            tenants: vec![0, 17, 170, 1700],
+            open: vec![4, 16, 64, 256, 1024],
+            open_alone: vec![4, 16, 64, 256, 1024],
+        }
+    }
+}
+
+/// What is run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Plan {
+    /// Seed of all random draws.
+    pub seed: u64,
+    /// Rounds over the cases of each axis.
+    pub rounds: usize,
+    /// Requests in a round.
+    pub requests: usize,
+    /// Endpoint changes in a round.
+    pub changes: usize,
+    /// Complete endpoint lists in a round.
+    pub lists: usize,
+    /// Simulated before the first round, in seconds of virtual time.
+    pub warm_up: f64,
+    /// No round begins after this real time, in seconds.
+    pub time_limit: u64,
+    /// The base case.
+    pub base: Base,
+    /// The values of each axis.
+    pub axes: Axes,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            rounds: 15,
+            requests: 1000,
+            changes: 20,
+            lists: 5,
+            warm_up: 3.0,
+            time_limit: 1200,
+            base: Base::default(),
+            axes: Axes::default(),
+        }
+    }
+}
+
+impl Plan {
+    /// The same plan with few and short rounds: its figures are rough.
+    #[must_use]
+    pub fn quick(self) -> Self {
+        Self { rounds: 3, requests: 200, changes: 4, lists: 2, ..self }
+    }
+
+    /// Rejects a plan that cannot be measured.
+    ///
+    /// # Errors
+    /// The first value out of its bounds, under its name in the experiment file.
+    pub fn validate(&self) -> Result<(), Error> {
+        check_range("rounds", "1 to 1000", 1..=1000, self.rounds)?;
+        check_range("requests", "16 to 10000", 16..=MAX_SIZE, self.requests)?;
+        check_range("changes", "2 to 1000", 2..=1000, self.changes)?;
+        check_range("lists", "1 to 1000", 1..=1000, self.lists)?;
+        check_range("time_limit", "1 to 86400 seconds", 1..=86400, self.time_limit as usize)?;
+        if !(0.0..=60.0).contains(&self.warm_up) {
+            let got = self.warm_up.to_string();
+            return Err(Error::Argument { name: "warm_up", expected: "0 to 60 seconds", got });
+        }
+        let axes = self.axes();
+        axes.iter().flat_map(|axis| &axis.cases).try_for_each(|point| validate_case(&point.case))
+    }
+
+    /// Each axis with its cases.
+    #[must_use]
+    pub fn axes(&self) -> Vec<Axis> {
+        let base = self.base.case();
+        let subset = self.base.subset;
+        let axes = &self.axes;
+        vec![
+            Axis::new("backends listed", &axes.backends, |backends| Case {
+                backends,
+                instances: instances(backends, subset),
+                ..base
+            }),
+            Axis::new("own subset", &axes.subset, |subset| Case {
+                instances: instances(base.backends, subset),
+                ..base
+            }),
+            Axis::new("instances", &axes.instances, |instances| Case { instances, ..base }),
+            Axis::new("classes", &axes.classes, |classes| Case { classes, ..base }),
+            Axis::new("tenants", &axes.tenants, |tenants| Case { tenants, ..base }),
+            Axis::new("open requests", &axes.open, |open| Case { open, ..base }),
+            Axis::new("open, all members", &axes.open_alone, |open| Case { open, instances: 1, ..base }),
+        ]
+    }
+}
+
+fn validate_case(case: &Case) -> Result<(), Error> {
+    let at_least_one = "1 to 10000";
+    check_range("backends", at_least_one, 1..=MAX_SIZE, case.backends)?;
+    check_range("instances", at_least_one, 1..=MAX_SIZE, case.instances)?;
+    check_range("classes", at_least_one, 1..=MAX_SIZE, case.classes)?;
+    check_range("tenants", "0 to 10000", 0..=MAX_SIZE, case.tenants)?;
+    check_range("open", at_least_one, 1..=MAX_SIZE, case.open)?;
+    check_range("tier", "0 to 10000", 0..=MAX_SIZE, case.tier)
+}
+
+fn check_range(
+    name: &'static str,
+    expected: &'static str,
+    range: RangeInclusive<usize>,
+    got: usize,
+) -> Result<(), Error> {
+    if range.contains(&got) {
+        return Ok(());
+    }
+    Err(Error::Argument { name, expected, got: got.to_string() })
+}
+
+/// An axis: one size varies, the others are those of the base case.
+#[derive(Clone, Debug)]
+pub struct Axis {
+    /// Its name in reports.
+    pub name: &'static str,
+    /// Its cases.
+    pub cases: Vec<AxisCase>,
+}
+
+/// A case of an axis.
+#[derive(Clone, Copy, Debug)]
+pub struct AxisCase {
+    /// The value of the size that varies.
+    pub value: usize,
+    /// The case.
+    pub case: Case,
+}
+
+impl Axis {
+    fn new(name: &'static str, values: &[usize], case: impl Fn(usize) -> Case) -> Self {
+        let cases = values.iter().map(|&value| AxisCase { value, case: case(value) }).collect();
+        Self { name, cases }
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/slopes/simulation.rs
@@ -0,0 +1,314 @@
+//! One balancer in operation on virtual time: requests arrive at an even rate and get responses, timers
+//! fire when they are due, and cancelled attempts are reported back. The processor time of each event
+//! is measured by itself.
+
+use super::case::{Case, REQUEST_TIMEOUT, RESPONSE_TIME, SLOW_REQUEST_INTERVAL, SLOW_RESPONSE_TIME};
+use super::event_times::{EventKind, EventTimes, clock_cost};
+use crate::thread_clock::thread_time;
+use balancer_proxy::{
+    Action, BackendId, Balancer, EndedAttempt, Endpoint, EndpointUpdate, Event, Outcome, Request, RequestId,
+    Status, Time,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// Requests simulated after each endpoint change, so that the next one meets a balancer at work.
+const REQUESTS_AFTER_CHANGE: usize = 2;
+
+/// An event that is due at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum PendingEvent {
+    Timer { id: RequestId, token: u64 },
+    Response { id: RequestId, attempt: usize },
+}
+
+/// An event and its time in nanoseconds, which unlike [`Time`] has a total order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Scheduled {
+    at_nanoseconds: u64,
+    event: PendingEvent,
+}
+
+fn nanoseconds(at: Time) -> u64 {
+    (at * 1e9) as u64
+}
+
+/// An attempt that was sent.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    backend: BackendId,
+    sent: Time,
+}
+
+/// An attempt that the balancer cancelled.
+#[derive(Clone, Copy, Debug)]
+struct CancelledAttempt {
+    id: RequestId,
+    index: usize,
+    attempt: Attempt,
+}
+
+/// A balancer in operation.
+pub struct Simulation {
+    case: Case,
+    balancer: Balancer,
+    endpoints: Vec<Endpoint>,
+    /// Actions that have not been carried out.
+    actions: Vec<Action>,
+    rng: SmallRng,
+    now: Time,
+    next_id: u64,
+    /// The attempts of each request without a final response, by their index.
+    open: HashMap<RequestId, Vec<Attempt>>,
+    pending: BinaryHeap<Reverse<Scheduled>>,
+    times: EventTimes,
+    /// For each backend: whether it got an attempt in the current stretch.
+    used: Vec<bool>,
+    /// Whether the current settings have one instance more than the case.
+    extra_instance: bool,
+    clock_cost: f64,
+}
+
+impl Simulation {
+    /// A balancer that has received its endpoint list.
+    #[must_use]
+    pub fn new(case: Case, seed: u64) -> Self {
+        let mut simulation = Self {
+            case,
+            balancer: Balancer::new(0.0, seed, case.settings()),
+            endpoints: case.endpoints(),
+            actions: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            now: 0.0,
+            next_id: 0,
+            open: HashMap::new(),
+            pending: BinaryHeap::new(),
+            times: EventTimes::default(),
+            used: vec![false; case.backends],
+            extra_instance: false,
+            clock_cost: clock_cost(),
+        };
+        simulation.full_list();
+        simulation
+    }
+
+    /// Bytes that the balancer takes: itself, and what it frees when it is dropped.
+    #[must_use]
+    pub fn state_bytes(self) -> f64 {
+        let balancer = self.balancer;
+        let freed = allocation_counter::measure(|| drop(balancer)).bytes_current;
+        size_of::<Balancer>() as f64 - freed as f64
+    }
+
+    /// The number of backends that got an attempt in the last stretch.
+    #[must_use]
+    pub fn backends_used(&self) -> usize {
+        self.used.iter().filter(|used| **used).count()
+    }
+
+    /// Simulates requests for this many seconds of virtual time, until the balancer's rates are
+    /// estimated.
+    pub fn warm_up(&mut self, duration: Time) {
+        self.serve((duration * self.case.request_rate()).ceil() as usize);
+    }
+
+    /// Simulates a stretch of this many requests, and returns their cost.
+    pub fn serve(&mut self, requests: usize) -> EventTimes {
+        self.times = EventTimes::default();
+        self.used.fill(false);
+        self.clock_cost = clock_cost();
+        self.advance(requests);
+        std::mem::take(&mut self.times)
+    }
+
+    /// Processor time of an update of one endpoint, in microseconds: alternately a backend begins to
+    /// drain, and the same backend is back in service.
+    pub fn endpoint_change(&mut self) -> f64 {
+        let draining = self.endpoints.iter().position(|endpoint| endpoint.status != Status::InService);
+        let index = draining.unwrap_or_else(|| self.rng.random_range(0..self.endpoints.len()));
+        let endpoint = &mut self.endpoints[index];
+        endpoint.status = if draining.is_some() { Status::InService } else { Status::Draining };
+        let changes = [endpoint.clone()];
+        let seconds = self.handle(Event::Endpoints(EndpointUpdate::Changes(&changes)));
+        self.perform_actions(None);
+        self.advance(REQUESTS_AFTER_CHANGE);
+        1e6 * seconds
+    }
+
+    /// Processor time of a complete endpoint list without any change, in microseconds.
+    pub fn full_list(&mut self) -> f64 {
+        let endpoints = std::mem::take(&mut self.endpoints);
+        let seconds = self.handle(Event::Endpoints(EndpointUpdate::Full(&endpoints)));
+        self.endpoints = endpoints;
+        self.perform_actions(None);
+        1e6 * seconds
+    }
+
+    /// Processor time of the first complete endpoint list of a new balancer, in microseconds.
+    pub fn first_list(&mut self, seed: u64) -> f64 {
+        let mut balancer = Balancer::new(0.0, seed, self.case.settings());
+        let started = thread_time();
+        balancer.handle(0.0, Event::Endpoints(EndpointUpdate::Full(&self.endpoints)), &mut self.actions);
+        let seconds = thread_time() - started;
+        self.actions.clear();
+        1e6 * (seconds - self.clock_cost)
+    }
+
+    /// Processor time of new settings, in microseconds: alternately with one instance more, and with
+    /// the original number.
+    pub fn settings_change(&mut self) -> f64 {
+        self.extra_instance = !self.extra_instance;
+        let mut settings = self.case.settings();
+        settings.instance_count += usize::from(self.extra_instance);
+        let seconds = self.handle(Event::Settings(&settings));
+        self.perform_actions(None);
+        1e6 * seconds
+    }
+
+    /// Simulates further requests of the current stretch, and the events in between.
+    fn advance(&mut self, requests: usize) {
+        for _ in 0..requests {
+            let arrival = self.now + 1.0 / self.case.request_rate();
+            while let Some(Reverse(next)) = self.pending.peek().copied()
+                && next.at_nanoseconds <= nanoseconds(arrival)
+            {
+                self.pending.pop();
+                self.now = self.now.max(next.at_nanoseconds as f64 * 1e-9);
+                self.handle_pending(next.event);
+            }
+            self.now = arrival;
+            self.arrive();
+        }
+    }
+
+    fn arrive(&mut self) {
+        let id = RequestId(self.next_id);
+        self.next_id += 1;
+        let tenants = self.case.tenants;
+        let request = Request {
+            id,
+            class: self.rng.random_range(0..self.case.classes),
+            tenant: (tenants > 0).then(|| self.rng.random_range(0..tenants)),
+            timeout: REQUEST_TIMEOUT,
+            ..Request::default()
+        };
+        self.open.insert(id, Vec::new());
+        let seconds = self.handle(Event::Request(request));
+        self.times.add(EventKind::Request, seconds);
+        self.times.add_open_requests(self.balancer.open_requests());
+        self.perform_actions(Some(id));
+    }
+
+    fn handle_pending(&mut self, event: PendingEvent) {
+        match event {
+            PendingEvent::Timer { id, token } => self.fire_timer(id, token),
+            PendingEvent::Response { id, attempt } => self.respond(id, attempt),
+        }
+    }
+
+    fn fire_timer(&mut self, id: RequestId, token: u64) {
+        let seconds = self.handle(Event::Timer(token));
+        let retries = self.actions.iter().any(|action| matches!(action, Action::Send { .. }));
+        let kind = if !self.open.contains_key(&id) {
+            EventKind::LateTimer
+        } else if retries {
+            EventKind::TimerWithRetry
+        } else {
+            EventKind::TimerWithoutRetry
+        };
+        self.times.add(kind, seconds);
+        self.perform_actions(Some(id));
+    }
+
+    /// A backend responds to an attempt, unless its request has ended with the other attempt.
+    fn respond(&mut self, id: RequestId, index: usize) {
+        let Some(attempt) = self.attempt(id, index) else {
+            return;
+        };
+        let seconds = self.end_attempt(id, index, attempt, Outcome::Success);
+        self.times.add(EventKind::Response, seconds);
+        self.perform_actions(Some(id));
+        self.open.remove(&id);
+    }
+
+    fn attempt(&self, id: RequestId, index: usize) -> Option<Attempt> {
+        self.open.get(&id)?.get(index).copied()
+    }
+
+    fn end_attempt(&mut self, id: RequestId, index: usize, attempt: Attempt, outcome: Outcome) -> f64 {
+        let duration = self.now - attempt.sent;
+        self.handle(Event::AttemptEnded(EndedAttempt {
+            id,
+            backend: attempt.backend,
+            attempt: index,
+            outcome,
+            duration,
+            request_finished: true,
+            report: None,
+        }))
+    }
+
+    /// Passes an event to the balancer, and returns its processor time in seconds.
+    fn handle(&mut self, event: Event<'_>) -> f64 {
+        let started = thread_time();
+        self.balancer.handle(self.now, event, &mut self.actions);
+        thread_time() - started - self.clock_cost
+    }
+
+    /// Carries out the balancer's actions, and those that follow from them. `request` is the request
+    /// whose event they follow.
+    fn perform_actions(&mut self, request: Option<RequestId>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let mut cancelled = Vec::new();
+        let mut ended = Vec::new();
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { id, backend, .. } => self.send(id, backend),
+                Action::SetTimer { at, token } => {
+                    let id = request.unwrap_or_default();
+                    self.schedule(at, PendingEvent::Timer { id, token });
+                }
+                Action::Cancel { id, attempt: index } => {
+                    let attempt = self.attempt(id, index);
+                    cancelled.extend(attempt.map(|attempt| CancelledAttempt { id, index, attempt }));
+                }
+                Action::Reject { id, .. } | Action::Fail { id } => {
+                    self.times.unserved += 1;
+                    ended.push(id);
+                }
+                // There are no health checks, watches or connections.
+                _ => {}
+            }
+        }
+        self.actions = actions;
+        for id in ended {
+            self.open.remove(&id);
+        }
+        for CancelledAttempt { id, index, attempt } in cancelled {
+            let seconds = self.end_attempt(id, index, attempt, Outcome::Cancelled);
+            self.times.add(EventKind::Cancellation, seconds);
+        }
+        if !self.actions.is_empty() {
+            self.perform_actions(request);
+        }
+    }
+
+    /// Sends an attempt. The first attempt of a slow request is slow, a retry is not.
+    fn send(&mut self, id: RequestId, backend: BackendId) {
+        let attempts = self.open.entry(id).or_default();
+        attempts.push(Attempt { backend, sent: self.now });
+        let attempt = attempts.len() - 1;
+        let slow = attempt == 0 && id.0.is_multiple_of(SLOW_REQUEST_INTERVAL);
+        let response_time = if slow { SLOW_RESPONSE_TIME } else { RESPONSE_TIME };
+        self.schedule(self.now + response_time, PendingEvent::Response { id, attempt });
+        if let Some(used) = self.used.get_mut(backend.0 as usize) {
+            *used = true;
+        }
+    }
+
+    fn schedule(&mut self, at: Time, event: PendingEvent) {
+        self.pending.push(Reverse(Scheduled { at_nanoseconds: nanoseconds(at), event }));
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/slopes/tables.rs
@@ -0,0 +1,159 @@
+//! The results of a run as tables. Their names and columns stay as they are: readers of earlier reports
+//! depend on them.
+
+use super::measurement::{AxisSamples, CaseSamples, MEASURES};
+use crate::report::{Table, Value};
+use crate::stats::{self, Line};
+
+/// The first quartile, the median and the third quartile.
+#[derive(Clone, Copy, Debug)]
+struct Quartiles {
+    first: f64,
+    median: f64,
+    third: f64,
+}
+
+impl Quartiles {
+    /// The quartiles of the finite samples; NaN of none.
+    fn of(samples: &[f64]) -> Self {
+        let mut sorted: Vec<f64> = samples.iter().copied().filter(|sample| sample.is_finite()).collect();
+        sorted.sort_by(f64::total_cmp);
+        let last = sorted.len().saturating_sub(1) as f64;
+        let at = |fraction: f64| sorted.get((fraction * last).round() as usize).copied().unwrap_or(f64::NAN);
+        Self { first: at(0.25), median: at(0.5), third: at(0.75) }
+    }
+}
+
+/// The tables of a run.
+#[derive(Debug)]
+pub struct Tables {
+    lines: Table,
+    medians: Table,
+    spreads: Table,
+    minima: Table,
+}
+
+impl Tables {
+    /// The tables without rows.
+    #[must_use]
+    pub fn new() -> Self {
+        let measures: Vec<&str> = ["axis", "value"].into_iter().chain(MEASURES).collect();
+        let with_load: Vec<&str> =
+            measures.iter().copied().chain(["open", "members used", "not served"]).collect();
+        Self {
+            lines: lines_table(),
+            medians: Table::new("Cases: medians over the rounds", &with_load),
+            spreads: Table::new("Spread: between the quartiles over the rounds", &measures),
+            minima: Table::new("Least over the rounds", &measures),
+        }
+    }
+
+    /// Adds the rows of an axis.
+    pub fn add_axis(&mut self, axis: &AxisSamples) {
+        for case in &axis.cases {
+            self.add_case(axis.name, case);
+        }
+        for (measure, name) in MEASURES.iter().enumerate() {
+            if let Some(fit) = LineFit::new(&axis.cases, measure) {
+                let head = [Value::from(axis.name), Value::from(*name)];
+                self.lines.row(head.into_iter().chain(fit.values()));
+            }
+        }
+    }
+
+    fn add_case(&mut self, axis: &str, case: &CaseSamples) {
+        let head = [Value::from(axis), Value::from(case.value)];
+        let load =
+            [Value::from(case.open_requests), Value::from(case.backends_used), Value::from(case.unserved)];
+        let quartiles = case.measures.each_ref().map(|samples| Quartiles::of(samples));
+        let medians = quartiles.map(|quartiles| Value::from(quartiles.median));
+        self.medians.row(head.clone().into_iter().chain(medians).chain(load));
+        let spreads = quartiles.map(|quartiles| Value::from(quartiles.third - quartiles.first));
+        self.spreads.row(head.clone().into_iter().chain(spreads));
+        // On a shared machine the minimum is what other load has disturbed least.
+        let minima = case.measures.each_ref().map(|samples| minimum(samples));
+        self.minima.row(head.into_iter().chain(minima.map(Value::from)));
+    }
+
+    /// The tables in the order of the report.
+    #[must_use]
+    pub fn into_vec(self) -> Vec<Table> {
+        vec![self.lines, self.medians, self.spreads, self.minima]
+    }
+}
+
+/// The minimum of the samples that are numbers; NaN of none.
+fn minimum(samples: &[f64]) -> f64 {
+    samples.iter().copied().fold(f64::NAN, f64::min)
+}
+
+fn lines_table() -> Table {
+    Table::new(
+        "Lines: what one more on the axis adds, and what is left at none of it. Standard errors are \
+         of the line through the medians; quartiles are of the lines of each round.",
+        &[
+            "axis",
+            "measure",
+            "slope",
+            "error",
+            "1st quartile",
+            "3rd quartile",
+            "intercept",
+            "its error",
+            "its 1st quartile",
+            "its 3rd quartile",
+        ],
+    )
+}
+
+/// A measure as a linear function of the axis.
+#[derive(Clone, Copy, Debug)]
+struct LineFit {
+    /// The line through the medians over the rounds.
+    medians: Line,
+    /// The slopes of the lines through the samples of each round.
+    round_slopes: Quartiles,
+    /// Their intercepts.
+    round_intercepts: Quartiles,
+}
+
+impl LineFit {
+    /// Fits a measure, by its index; none with too few cases.
+    fn new(cases: &[CaseSamples], measure: usize) -> Option<Self> {
+        let medians = fit(cases, |case| Some(Quartiles::of(&case.measures[measure]).median))?;
+        let rounds = cases.iter().map(|case| case.measures[measure].len()).max().unwrap_or(0);
+        let fit_round = |round: usize| fit(cases, |case| case.measures[measure].get(round).copied());
+        let lines: Vec<Line> = (0..rounds).filter_map(fit_round).collect();
+        let slopes: Vec<f64> = lines.iter().map(|line| line.slope).collect();
+        let intercepts: Vec<f64> = lines.iter().map(|line| line.intercept).collect();
+        Some(Self {
+            medians,
+            round_slopes: Quartiles::of(&slopes),
+            round_intercepts: Quartiles::of(&intercepts),
+        })
+    }
+
+    fn values(&self) -> [Value; 8] {
+        [
+            self.medians.slope,
+            self.medians.slope_error,
+            self.round_slopes.first,
+            self.round_slopes.third,
+            self.medians.intercept,
+            self.medians.intercept_error,
+            self.round_intercepts.first,
+            self.round_intercepts.third,
+        ]
+        .map(Value::from)
+    }
+}
+
+/// Fits a line through the cases, without those that have no finite sample.
+fn fit(cases: &[CaseSamples], sample: impl Fn(&CaseSamples) -> Option<f64>) -> Option<Line> {
+    let point = |case: &CaseSamples| {
+        let sample = sample(case).filter(|sample| sample.is_finite())?;
+        Some((case.value as f64, sample))
+    };
+    let points: Vec<(f64, f64)> = cases.iter().filter_map(point).collect();
+    stats::line(&points)
+}
--- a/fleet-bench/tests/slopes.rs
+++ b/fleet-bench/tests/slopes.rs
@@ -1,14 +1,14 @@
-//! `fleet-bench slopes`: a small run from end to end, and what it says to a plan that makes no sense.
+//! `fleet-bench slopes`: a small run from end to end, and its errors on an invalid plan.
 
 use fleet_bench::report::{Report, Table, Value};
 use std::process::{Command, Output};
 
-const SMALL: &str = "rounds = 3\nrequests = 300\nchanges = 2\nlists = 1\nwarm_up = 2.0\n\
+const SMALL_PLAN: &str = "rounds = 3\nrequests = 300\nchanges = 2\nlists = 1\nwarm_up = 2.0\n\
     [axes]\nbackends = [17, 40, 90]\nsubset = []\ninstances = []\nclasses = []\n\
     tenants = [0, 10, 20]\nopen = [6, 20]\nopen_alone = []\n";
 
-/// Runs it with an experiment file of this text; the report is written to a file of its own.
-fn slopes(plan: &str, arguments: &[&str]) -> (Output, Option<Report>) {
+/// Runs the command with an experiment file of this content, and reads its JSON report if there is one.
+fn run_slopes(plan: &str, arguments: &[&str]) -> (Output, Option<Report>) {
     let folder = tempfile::tempdir().unwrap();
     let (experiment, json) = (folder.path().join("plan.toml"), folder.path().join("report.json"));
     std::fs::write(&experiment, plan).unwrap();
@@ -25,17 +25,17 @@
 }
 
 fn numbers(table: &Table, name: &str) -> Vec<f64> {
-    let number = |value: &&Value| match value {
+    let as_number = |value: &&Value| match value {
         Value::Number(n) => *n,
         other => panic!("{name}: {other:?}"),
     };
-    column(table, name).iter().map(number).collect()
+    column(table, name).iter().map(as_number).collect()
 }
 
 #[test]
-fn each_axis_has_its_cases_and_lines_and_what_is_not_time_is_the_same_again() {
+fn reports_each_axis_and_the_same_seed_gives_the_same_state() {
     let [first, again] = [(), ()].map(|()| {
-        let (output, report) = slopes(SMALL, &["--seed", "7"]);
+        let (output, report) = run_slopes(SMALL_PLAN, &["--seed", "7"]);
         assert!(output.status.success(), "{output:?}");
         report.unwrap()
     });
@@ -49,16 +49,16 @@
     {
         assert!(numbers(cases, name).iter().all(|us| *us > 0.0), "{name}: {cases:?}");
     }
-    // In calm service all is served, and as much is open as was asked for.
+    // Without faults all requests succeed, and as many are open as the plan says.
     assert!(numbers(cases, "not served").iter().all(|n| *n == 0.0), "{cases:?}");
-    let wanted = [6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 20.0];
-    for (open, wanted) in numbers(cases, "open").iter().zip(wanted) {
-        assert!((open / wanted - 1.0).abs() < 0.2, "{open} open, not {wanted}");
+    let expected = [6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 20.0];
+    for (open, expected) in numbers(cases, "open").iter().zip(expected) {
+        assert!((open / expected - 1.0).abs() < 0.2, "{open} open, not {expected}");
     }
     for name in ["value", "idle state", "open", "members used"] {
         assert_eq!(column(cases, name), column(&again.tables[1], name), "{name}");
     }
-    // A listed backend is held at least as its entry; two cases make no line.
+    // A listed backend takes at least the size of its endpoint; two cases make no line.
     let axes = column(lines, "axis");
     let (slopes, measures) = (numbers(lines, "slope"), column(lines, "measure"));
     let idle = (0..axes.len()).filter(|i| *measures[*i] == Value::from("idle state, bytes"));
@@ -69,17 +69,17 @@
 }
 
 #[test]
-fn a_run_ends_at_its_time_limit_and_says_so() {
-    let plan = format!("time_limit = 1\n{}", SMALL.replace("rounds = 3", "rounds = 1000"));
-    let (output, report) = slopes(&plan, &[]);
+fn notes_the_axes_that_the_time_limit_cut_short() {
+    let plan = format!("time_limit = 1\n{}", SMALL_PLAN.replace("rounds = 3", "rounds = 1000"));
+    let (output, report) = run_slopes(&plan, &[]);
     assert!(output.status.success(), "{output:?}");
     let report = report.unwrap();
-    let told = |name: &str| report.notes.iter().any(|n| n.starts_with(name) && n.contains("time was up"));
-    assert!(told("open requests"), "{:?}", report.notes);
+    let has_note = |name: &str| report.notes.iter().any(|n| n.starts_with(name) && n.contains("time was up"));
+    assert!(has_note("open requests"), "{:?}", report.notes);
 }
 
 #[test]
-fn a_plan_that_makes_no_sense_is_told_in_one_line() {
+fn rejects_an_invalid_plan_with_one_line() {
     let cases = [
         ("rounds = 0", "rounds: expected 1 to 1000, got 0"),
         ("warm_up = nan", "warm_up: expected 0 to 60 seconds, got NaN"),
@@ -87,10 +87,10 @@
         ("[base]\nopen = 20000", "open: expected 1 to 10000, got 20000"),
         ("[base]\nopne = 2", "line 2: unknown field `opne`"),
     ];
-    for (plan, wanted) in cases {
-        let (output, report) = slopes(plan, &[]);
-        let said = String::from_utf8(output.stderr).unwrap();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(1), 1), "{said}");
-        assert!(said.contains(wanted) && report.is_none(), "{said}");
+    for (plan, expected) in cases {
+        let (output, report) = run_slopes(plan, &[]);
+        let stderr = String::from_utf8(output.stderr).unwrap();
+        assert_eq!((output.status.code(), stderr.lines().count()), (Some(1), 1), "{stderr}");
+        assert!(stderr.contains(expected) && report.is_none(), "{stderr}");
     }
 }
