fleet-bench: give the simulated caller's workload, discovery and counts types of their own

The caller still mixed its event loop with when it makes calls, what a stopped or new process gets from discovery, and what is counted. These are the types Workload, DiscoveryClient and Accounting now, none of which knows the caller.

Two tests read the plans of the reports in docs/capacity, as plans hold structs in place of arrays, and check that they are reported in the same form.

--- /dev/null
+++ b/fleet-bench/src/fleet/caller/accounting.rs
@@ -0,0 +1,176 @@
+//! Counts and records what a caller does.
+
+use super::discovery_client::Message;
+use super::endpoint_list::{EndpointList, message_bytes};
+use crate::fleet::checker::OpenCall;
+use crate::fleet::observations::{CallerObservations, SlowStartAttempt, StateSize, SubsetMember};
+use crate::fleet::recording::{Record, Recording};
+use crate::fleet::scenario::Scenario;
+use balancer_proxy::{Balancer, EndpointUpdate, Event, Settings, Time};
+
+/// A call that ended without success.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It was rejected: not run, harmless to retry.
+    Rejected,
+    /// It failed.
+    Failed,
+}
+
+/// The observations of a caller while it is simulated.
+#[derive(Debug)]
+pub struct Accounting<'a> {
+    scenario: &'a Scenario<'a>,
+    observations: CallerObservations,
+}
+
+impl<'a> Accounting<'a> {
+    /// No observations yet.
+    pub fn new(scenario: &'a Scenario<'a>) -> Self {
+        let observations = CallerObservations {
+            update_delays: vec![None; scenario.changes.len()],
+            warm_up_attempts: vec![0; scenario.service().machines.len()],
+            ..CallerObservations::default()
+        };
+        Self { scenario, observations }
+    }
+
+    /// Begins to record the events of a balancer with this seed and these settings.
+    pub fn start_recording(&mut self, seed: u64, settings: Settings) {
+        self.observations.recording = Some(Recording::new(seed, settings));
+    }
+
+    /// The observations at the end.
+    pub fn into_observations(self) -> CallerObservations {
+        self.observations
+    }
+
+    /// Whether the window has begun, from which on calls and attempts are counted.
+    pub fn in_window(&self, now: Time) -> bool {
+        now >= self.scenario.context.plan.warm_up
+    }
+
+    /// Records an event without endpoints.
+    pub fn record_event(&mut self, now: Time, event: Event<'static>) {
+        self.record(|| Record::Event(now, event));
+    }
+
+    /// Records an endpoint update.
+    pub fn record_update(&mut self, now: Time, update: EndpointUpdate<'_>) {
+        self.record(|| Record::endpoints(now, update));
+    }
+
+    /// Records the start of a new process with this seed.
+    pub fn record_start(&mut self, now: Time, seed: u64) {
+        self.record(|| Record::Start(now, seed));
+    }
+
+    fn record(&mut self, record: impl FnOnce() -> Record) {
+        if let Some(recording) = &mut self.observations.recording {
+            recording.records.push(record());
+        }
+    }
+
+    /// Counts a call that is made.
+    pub fn count_call(&mut self, counted: bool) {
+        self.observations.counts.calls.total += u64::from(counted);
+    }
+
+    /// Counts a call that succeeded.
+    pub fn count_success(&mut self, call: OpenCall) {
+        self.observations.counts.calls.succeeded += u64::from(call.counted);
+    }
+
+    /// Counts a call that was rejected or failed, and whether some backend was reachable then.
+    pub fn count_failure(&mut self, call: OpenCall, failure: Failure, backend_reachable: bool) {
+        if !call.counted {
+            return;
+        }
+        let counts = &mut self.observations.counts.calls;
+        match failure {
+            Failure::Rejected => counts.rejected += 1,
+            Failure::Failed => counts.failed += 1,
+        }
+        counts.without_attempt += u64::from(call.attempts == 0);
+        counts.unreachable += u64::from(!backend_reachable);
+    }
+
+    /// Counts calls that were open when the machine of the caller went down.
+    pub fn count_lost(&mut self, calls: u64) {
+        self.observations.counts.calls.lost += calls;
+    }
+
+    /// Counts an attempt to a backend, which may be unavailable.
+    pub fn count_attempt(&mut self, backend: usize, now: Time, unavailable: bool, list: &EndpointList) {
+        self.record_load(backend, now);
+        if !self.in_window(now) {
+            return;
+        }
+        let plan = self.scenario.context.plan;
+        let notified = list.out_of_service_since(backend);
+        let past_grace = notified.is_some_and(|since| now > since + plan.drain_grace);
+        let past_deemed_grace = past_grace || self.is_past_deemed_grace(backend, now);
+        let counts = &mut self.observations.counts.attempts;
+        counts.total += 1;
+        counts.to_unavailable += u64::from(unavailable);
+        counts.past_grace += u64::from(past_grace);
+        counts.past_deemed_grace += u64::from(past_deemed_grace);
+    }
+
+    /// Records an attempt to a backend that is warming up, or late in the warm-up of the run.
+    fn record_load(&mut self, backend: usize, now: Time) {
+        let context = &self.scenario.context;
+        let plan = context.plan;
+        let outage = context.faults.outages[self.scenario.service().machines.start + backend];
+        if outage.is_some_and(|outage| (outage.up..outage.up + plan.slow_start_duration).contains(&now)) {
+            let attempt = SlowStartAttempt { backend: backend as u32, sent: now };
+            self.observations.slow_start_attempts.push(attempt);
+        }
+        if (0.5 * plan.warm_up..plan.warm_up).contains(&now) {
+            self.observations.warm_up_attempts[backend] += 1;
+        }
+    }
+
+    /// Whether the grace period of a backend that is not in service is over, where callers count as
+    /// notified after `deemed_notified`.
+    fn is_past_deemed_grace(&self, backend: usize, now: Time) -> bool {
+        let context = &self.scenario.context;
+        let outage = context.faults.outages[self.scenario.service().machines.start + backend];
+        let restarted = outage.is_some_and(|outage| now >= outage.up);
+        let plan = context.plan;
+        self.scenario.out_of_service_since[backend]
+            .is_some_and(|since| !restarted && now > since + plan.deemed_notified + plan.drain_grace)
+    }
+
+    /// Counts a message of discovery.
+    pub fn count_message(&mut self, now: Time, message: &Message) {
+        if !self.in_window(now) || now > self.scenario.context.plan.end() {
+            return;
+        }
+        let endpoints = message.endpoints();
+        let counts = &mut self.observations.counts.updates;
+        counts.messages += 1;
+        counts.endpoints += endpoints.len() as u64;
+        counts.bytes += message_bytes(endpoints, message.is_complete()) as u64;
+    }
+
+    /// Records that the caller is notified of the endpoint change with this index.
+    pub fn record_notification(&mut self, change: usize, now: Time) {
+        let occurred = self.scenario.changes[change].occurred;
+        self.observations.update_delays[change] = Some((now - occurred) as f32);
+    }
+
+    /// Samples the state of the balancer.
+    pub fn sample_state(&mut self, sample: u32, balancer: &Balancer) {
+        let first_backend = self.scenario.service().machines.start as u32;
+        let members = &mut self.observations.subset_members;
+        let before = members.len();
+        members.extend(balancer.members().map(|id| SubsetMember { sample, backend: id.0 - first_backend }));
+        let size = StateSize {
+            backends: balancer.backends_known(),
+            subset: members.len() - before,
+            open_requests: balancer.open_requests(),
+        };
+        self.observations.peak_state = self.observations.peak_state.max(size);
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/caller/discovery_client.rs
@@ -0,0 +1,157 @@
+//! The caller's process and its endpoint list: which messages of discovery it gets, and what an agent
+//! on its machine keeps while the process is down.
+
+use super::endpoint_list::EndpointList;
+use super::network::Network;
+use crate::fleet::faults::OutageKind;
+use crate::fleet::scenario::Scenario;
+use balancer_proxy::{Endpoint, Time};
+use rand::rngs::SmallRng;
+use std::ops::Range;
+
+/// Response time of the discovery agent on the proxy's own machine, in seconds.
+const AGENT_RESPONSE_TIME: Time = 0.005;
+
+/// The caller's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProcessState {
+    /// No process.
+    Down,
+    /// A new process with the cached endpoint list, without a response of discovery.
+    Starting,
+    /// Discovery has responded.
+    Running,
+}
+
+/// A message of discovery.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// Changed endpoints.
+    Changes(Vec<Endpoint>),
+    /// The complete endpoint list.
+    Full(Vec<Endpoint>),
+}
+
+impl Message {
+    /// The endpoints in it.
+    pub fn endpoints(&self) -> &[Endpoint] {
+        match self {
+            Self::Changes(endpoints) | Self::Full(endpoints) => endpoints,
+        }
+    }
+
+    /// Whether it has the complete list.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Full(_))
+    }
+}
+
+/// Endpoint changes that a running process receives.
+#[derive(Clone, Debug)]
+pub struct Update {
+    /// The indices of the changes.
+    pub changes: Range<usize>,
+    /// The message with them.
+    pub message: Message,
+}
+
+/// The process and its endpoint list.
+#[derive(Debug)]
+pub struct DiscoveryClient<'a> {
+    scenario: &'a Scenario<'a>,
+    /// Whether the agent on the machine is up all the time: it outlives a restart of the proxy's
+    /// process, but not a crash of the machine.
+    agent_is_up: bool,
+    process: ProcessState,
+    endpoints: EndpointList,
+}
+
+impl<'a> DiscoveryClient<'a> {
+    /// A running process with the list before its first change.
+    pub fn new(scenario: &'a Scenario<'a>, machine: usize) -> Self {
+        let context = &scenario.context;
+        let first_machine = scenario.service().machines.start;
+        let endpoints = context.topology.endpoints(scenario.service_index);
+        let outage = context.faults.outages[machine];
+        Self {
+            scenario,
+            agent_is_up: outage.is_none_or(|outage| outage.kind == OutageKind::Restart),
+            process: ProcessState::Running,
+            endpoints: EndpointList::new(first_machine, endpoints),
+        }
+    }
+
+    /// The endpoint list as the process has it.
+    pub fn endpoints(&self) -> &EndpointList {
+        &self.endpoints
+    }
+
+    /// Whether there is a process.
+    pub fn is_up(&self) -> bool {
+        self.process != ProcessState::Down
+    }
+
+    /// Delivers the changes before the index `end`; none if the process does not receive them, or has
+    /// them from a complete list.
+    pub fn deliver(&mut self, end: usize, now: Time) -> Option<Update> {
+        let changes = self.endpoints.applied()..end;
+        if changes.is_empty() {
+            return None;
+        }
+        let running = self.process == ProcessState::Running;
+        // The agent keeps them for a process that is restarted.
+        if running || self.agent_is_up {
+            self.endpoints.apply(&self.scenario.changes, end, now);
+        }
+        running.then(|| Update { changes: changes.clone(), message: self.message(changes) })
+    }
+
+    /// The message with some changes that have been applied: after a long partition the complete list
+    /// is shorter.
+    fn message(&self, changes: Range<usize>) -> Message {
+        if changes.len() > self.endpoints.len() {
+            return Message::Full(self.endpoints.listed());
+        }
+        let changes = &self.scenario.changes[changes];
+        Message::Changes(changes.iter().map(|change| change.endpoint.clone()).collect())
+    }
+
+    /// Stops the process.
+    pub fn stop(&mut self) {
+        self.process = ProcessState::Down;
+    }
+
+    /// Starts a new process.
+    pub fn start(&mut self) {
+        self.process = ProcessState::Starting;
+    }
+
+    /// Draws when the process gets the first response of discovery, which is that of the agent if it is
+    /// up.
+    pub fn draw_first_response(
+        &self,
+        now: Time,
+        network: &Network<'_>,
+        zone: usize,
+        rng: &mut SmallRng,
+    ) -> Time {
+        if self.agent_is_up {
+            return now + AGENT_RESPONSE_TIME;
+        }
+        let context = &self.scenario.context;
+        let delay = network.update_delay(zone, rng);
+        context.faults.discovery_reachable_from(zone, now, context.topology) + delay
+    }
+
+    /// Delivers the first response after a start: the list of the agent, or everything that discovery
+    /// has published.
+    pub fn deliver_first_response(&mut self, now: Time) -> Message {
+        self.process = ProcessState::Running;
+        if !self.agent_is_up {
+            let changes = &self.scenario.changes;
+            let published = changes.partition_point(|change| change.published <= now);
+            self.endpoints.apply(changes, published.max(self.endpoints.applied()), now);
+        }
+        Message::Full(self.endpoints.listed())
+    }
+}
--- /dev/null
+++ b/fleet-bench/src/fleet/caller/workload.rs
@@ -0,0 +1,81 @@
+//! The calls that a caller makes: when, and of which class.
+
+use crate::fleet::faults::{Outage, OutageKind};
+use crate::fleet::plan::Plan;
+use crate::fleet::random;
+use crate::fleet::scenario::Scenario;
+use balancer_proxy::Time;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// A proxy makes no calls this long before its process stops, in seconds: it could not report their
+/// outcomes.
+const QUIET_BEFORE_STOP: Time = 1.0;
+
+/// The calls of one machine's proxy.
+#[derive(Debug)]
+pub struct Workload<'a> {
+    plan: &'a Plan,
+    /// Calls per second.
+    rate: f64,
+    /// The outage of the machine, if it has one.
+    outage: Option<Outage>,
+}
+
+impl<'a> Workload<'a> {
+    /// The calls of a machine's proxy.
+    pub fn new(scenario: &Scenario<'a>, machine: usize) -> Self {
+        let context = &scenario.context;
+        Self {
+            plan: context.plan,
+            rate: context.topology.machines[machine].rate,
+            outage: context.faults.outages[machine],
+        }
+    }
+
+    /// Draws the time of the next call; none if the process stops or the phase ends before.
+    pub fn draw_next(&self, now: Time, rng: &mut SmallRng) -> Option<Time> {
+        let at = now + random::exponential(rng) / self.rate;
+        (at < self.plan.end().min(self.last_call_before(now))).then_some(at)
+    }
+
+    /// The end of the calls of the process that runs at a time.
+    fn last_call_before(&self, now: Time) -> Time {
+        match self.outage.filter(|outage| now < outage.down) {
+            Some(outage) if outage.kind == OutageKind::Restart => {
+                (outage.down - QUIET_BEFORE_STOP).max(outage.drain)
+            }
+            Some(outage) => outage.down,
+            None => f64::INFINITY,
+        }
+    }
+
+    /// Draws whether a call is made: a backend that is warming up gets fewer requests, and its proxy
+    /// makes fewer calls.
+    pub fn draw_is_made(&self, now: Time, rng: &mut SmallRng) -> bool {
+        rng.random::<f64>() < self.activity(now)
+    }
+
+    /// The share of its calls that the proxy makes.
+    fn activity(&self, now: Time) -> f64 {
+        match self.outage.filter(|outage| outage.up <= now) {
+            // Callers of its backend have not been notified yet.
+            Some(outage) if now < outage.up + self.plan.update_delay.median => 0.0,
+            Some(outage) => self.plan.capacity_share(now - outage.up),
+            None => 1.0,
+        }
+    }
+
+    /// Draws the index of a call's class.
+    pub fn draw_class(&self, rng: &mut SmallRng) -> usize {
+        let drawn: f64 = rng.random();
+        let shares = self.plan.effects;
+        if drawn < shares.safe {
+            0
+        } else if drawn < shares.safe + shares.idempotent {
+            1
+        } else {
+            2
+        }
+    }
+}
--- a/fleet-bench/tests/fleet.rs
+++ b/fleet-bench/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use balancer_proxy::{Effect, RequestId};
 use fleet_bench::fleet::checker::{Checker, Rule, Violation};
-use fleet_bench::fleet::{Args, Phase, run};
+use fleet_bench::fleet::{Args, Phase, Plan, run};
 use fleet_bench::plan::Source;
 use fleet_bench::report::{Report, Value};
 use std::io::Write;
@@ -143,3 +143,13 @@
         assert!(output.stdout.is_empty());
     }
 }
+
+#[test]
+fn reads_the_plan_of_an_earlier_report_and_reports_it_in_the_same_form() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/capacity/fleet.json");
+    let earlier: Report = serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap();
+
+    let plan: Plan = serde_json::from_value(earlier.arguments.clone()).unwrap();
+
+    assert_eq!(serde_json::to_value(plan).unwrap(), earlier.arguments);
+}
--- a/fleet-bench/tests/slopes.rs
+++ b/fleet-bench/tests/slopes.rs
@@ -1,6 +1,7 @@
 //! `fleet-bench slopes`: a small run from end to end, and its errors on an invalid plan.
 
 use fleet_bench::report::{Report, Table, Value};
+use fleet_bench::slopes::Plan;
 use std::process::{Command, Output};
 
 const SMALL_PLAN: &str = "rounds = 3\nrequests = 300\nchanges = 2\nlists = 1\nwarm_up = 2.0\n\
@@ -94,3 +95,13 @@
         assert!(stderr.contains(expected) && report.is_none(), "{stderr}");
     }
 }
+
+#[test]
+fn reads_the_plan_of_an_earlier_report_and_reports_it_in_the_same_form() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/capacity/slopes.json");
+    let earlier: Report = serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap();
+
+    let plan: Plan = serde_json::from_value(earlier.arguments.clone()).unwrap();
+
+    assert_eq!(serde_json::to_value(plan).unwrap(), earlier.arguments);
+}
