--- a/fleet-bench/tests/command_line.rs
+++ b/fleet-bench/tests/command_line.rs
@@ -1,7 +1,8 @@
-//! What the program says to bad arguments and files: one clear line, and no zero.
+//! Messages and exit status for invalid arguments and files, and the parts that all commands share.
 
 use fleet_bench::report::{Report, Table, Value};
 use fleet_bench::stats;
+use std::path::Path;
 use std::process::{Command, Output};
 
 fn fleet_bench(arguments: &[&str]) -> Output {
@@ -9,53 +10,102 @@
 }
 
 #[test]
-fn an_experiment_file_that_cannot_be_used_is_told_in_one_line() {
-    let folder = tempfile::tempdir().unwrap();
-    let at = |name: &str, text: &str| {
-        let path = folder.path().join(name);
+fn an_invalid_experiment_file_is_rejected_with_one_line() {
+    let directory = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| {
+        let path = directory.path().join(name);
         std::fs::write(&path, text).unwrap();
         path.to_str().unwrap().to_string()
     };
-    let absent = folder.path().join("absent.toml").to_str().unwrap().to_string();
+    let absent = directory.path().join("absent.toml").to_str().unwrap().to_string();
     let cases = [
-        (at("unknown.toml", "seed = 1\nsede = 2\n"), "unknown.toml: line 2: unknown field `sede`"),
-        (at("torn.toml", "seed = "), "torn.toml: line 1"),
-        (at("text.toml", "seed = \"one\""), "text.toml: line 1"),
+        (file("unknown.toml", "seed = 1\nsede = 2\n"), "unknown.toml: line 2: unknown field `sede`"),
+        (file("truncated.toml", "seed = "), "truncated.toml: line 1"),
+        (file("text.toml", "seed = \"one\""), "text.toml: line 1"),
         (absent, "absent.toml: No such file"),
     ];
     for command in ["slopes", "control", "fleet", "added"] {
-        for (file, wanted) in &cases {
-            let output = fleet_bench(&[command, "--experiment", file]);
-            let said = String::from_utf8(output.stderr).unwrap();
-            assert_eq!(output.status.code(), Some(1), "{command}: {said}");
-            assert_eq!(said.lines().count(), 1, "{command}: {said}");
-            assert!(said.contains(wanted), "{command}: {said}");
+        for (path, expected) in &cases {
+            let output = fleet_bench(&[command, "--experiment", path]);
+            let message = String::from_utf8(output.stderr).unwrap();
+            assert_eq!(output.status.code(), Some(1), "{command}: {message}");
+            assert_eq!(message.lines().count(), 1, "{command}: {message}");
+            assert!(message.contains(expected), "{command}: {message}");
             assert!(output.stdout.is_empty());
         }
     }
     assert_eq!(fleet_bench(&["slopes", "--sede", "1"]).status.code(), Some(2));
 }
 
+/// A report that an older version of the program wrote.
+fn stored_report(name: &str) -> Report {
+    let path = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/capacity")).join(name);
+    serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap()
+}
+
+#[test]
+fn reports_of_older_versions_are_read() {
+    for (name, command) in [
+        ("added.json", "added"),
+        ("control.json", "control"),
+        ("fleet.json", "fleet"),
+        ("rollout.json", "control"),
+        ("settings-slopes.json", "slopes"),
+        ("slopes.json", "slopes"),
+    ] {
+        let report = stored_report(name);
+
+        assert_eq!(report.command, command, "{name}");
+        assert!(!report.tables.is_empty(), "{name}");
+    }
+}
+
 #[test]
-fn a_report_reads_back_as_it_was_written() {
+fn plans_of_older_versions_are_read_from_experiment_files() {
+    // One value is out of range, so that the command ends after it has read the plan.
+    let cases = [
+        ("control.json", "away", "away: expected 0.5 to 600 s, got 0.1"),
+        ("rollout.json", "away", "away: expected 0.5 to 600 s, got 0.1"),
+        ("added.json", "seconds", "seconds: expected 0.5 to 600 s, got 0.1"),
+    ];
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("experiment.toml");
+    for (name, key, expected) in cases {
+        let mut report = stored_report(name);
+        report.arguments[key] = serde_json::json!(0.1);
+        std::fs::write(&path, toml::to_string(&report.arguments).unwrap()).unwrap();
+
+        let output = fleet_bench(&[&report.command, "--experiment", path.to_str().unwrap()]);
+
+        let message = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(message, format!("fleet-bench: {expected}\n"), "{name}");
+    }
+}
+
+#[test]
+fn a_report_is_read_back_as_it_was_written() {
     let mut report = Report::new("slopes", 7, &["a plan"]).unwrap();
     let mut table = Table::new("costs", &["event", "cost, us"]);
     table.row([Value::from("call"), Value::from(1.25)]);
     table.row([Value::from("none"), Value::from(f64::NAN)]);
     report.tables.push(table);
     let file = tempfile::NamedTempFile::new().unwrap();
+
     report.write(file.path()).unwrap();
     let read: Report = serde_json::from_slice(&std::fs::read(file.path()).unwrap()).unwrap();
+
     assert_eq!(read, report);
     assert!(report.to_string().contains("1.250"));
 }
 
 #[test]
-fn a_line_goes_through_its_points() {
+fn a_linear_fit_finds_the_line_through_its_points() {
     let exact: Vec<_> = (0..5).map(|x| (f64::from(x), 3.0 + 2.0 * f64::from(x))).collect();
-    let line = stats::line(&exact).unwrap();
-    assert!((line.slope - 2.0).abs() < 1e-9 && (line.intercept - 3.0).abs() < 1e-9);
-    assert!(line.slope_error < 1e-9 && line.intercept_error < 1e-9);
-    assert_eq!(stats::line(&[(1.0, 1.0), (2.0, 2.0)]), None);
-    assert_eq!(stats::line(&[(1.0, 1.0); 4]), None);
+
+    let fit = stats::linear_fit(&exact).unwrap();
+
+    assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.intercept - 3.0).abs() < 1e-9);
+    assert!(fit.slope_error < 1e-9 && fit.intercept_error < 1e-9);
+    assert_eq!(stats::linear_fit(&[(1.0, 1.0), (2.0, 2.0)]), None);
+    assert_eq!(stats::linear_fit(&[(1.0, 1.0); 4]), None);
 }
--- a/src/decisions/maintenance.rs
+++ b/src/decisions/maintenance.rs
@@ -5,17 +5,21 @@
 
 impl Balancer {
     /// Takes a backend out of all that calls are placed on, whatever the list says, or puts it back.
-    pub(super) fn on_maintenance(&mut self, id: BackendId, begins: bool, actions: &mut Vec<Action>) {
+    pub(super) fn on_maintenance(
+        &mut self,
+        id: BackendId,
+        change: MaintenanceChange,
+        actions: &mut Vec<Action>,
+    ) {
         self.maintenance.forget_returned(self.now, self.settings.slow_start_duration);
-        if self.maintenance.contains(id) == begins {
-            return;
-        }
-        if begins {
-            let was_used = self.is_used(id);
-            self.maintenance.begin(id, self.now, was_used);
-            actions.push(Action::CloseIdleConnections(id));
-        } else {
-            self.end_maintenance(id);
+        match (change, self.maintenance.contains(id)) {
+            (MaintenanceChange::Begins, false) => {
+                let was_used = self.is_used(id);
+                self.maintenance.begin(id, self.now, was_used);
+                actions.push(Action::CloseIdleConnections(id));
+            }
+            (MaintenanceChange::Ends, true) => self.end_maintenance(id),
+            (MaintenanceChange::Begins, true) | (MaintenanceChange::Ends, false) => return,
         }
         self.assign_subset();
     }
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -48,8 +48,8 @@
             Event::ClientDisconnected(id) => self.finish_by_id(id, None, actions),
             Event::Timer(token) => self.on_timer(Timer::from(token), actions),
             Event::HealthCheckEnded { backend, report, .. } => self.on_load_report(backend, report),
-            Event::Maintenance { backend, out } => self.on_maintenance(backend, out, actions),
-            Event::SecondProcess(running) => self.second_process = running,
+            Event::Maintenance { backend, change } => self.on_maintenance(backend, change, actions),
+            Event::SecondProcess { running } => self.second_process = running,
             Event::Endpoints(update) => self.on_endpoint_update(update, actions),
             Event::Settings(settings) => self.apply_settings(settings.clone()),
         }
@@ -58,7 +58,7 @@
 
     fn on_timer(&mut self, timer: Timer, actions: &mut Vec<Action>) {
         match timer {
-            Timer::EndpointPoll => actions.push(Action::WatchEndpoints(true)),
+            Timer::EndpointPoll => actions.push(Action::WatchEndpoints),
             Timer::Retry(key) if self.calls.contains(key) => self.on_retry_timer(key, actions),
             Timer::Deadline(key) if self.calls.contains(key) => self.on_deadline(key, actions),
             Timer::Turn(key) if self.calls.contains(key) => self.on_turn(key, actions),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,9 @@
 //! The decisions of a load balancer for services that call services.
 //!
-//! [`Balancer`] is a state machine without I/O: it is given events with the time at which
-//! they happened, and returns actions. All decisions are in `logic.rs`; `interface.rs` holds
-//! the types it speaks in, and [`wire`] turns a text protocol into these types and back.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+//! [`Balancer`] is a state machine without I/O: it takes events with the time at which they happened, and
+//! returns actions. All decisions are in `decisions`, what a balancer knows is in `state`, and the types of
+//! events, actions and settings are re-exported here. [`proxy`] has the sockets around it; [`wire`] turns the
+//! simulator's text protocol into these types and back.
 
 mod decisions;
 mod interface;
--- a/src/state/timer.rs
+++ b/src/state/timer.rs
@@ -1,6 +1,7 @@
 //! The timers of the decision module, and the tokens by which the caller hands them back.
 
 use super::call::CallKey;
+use crate::TimerToken;
 use slotmap::{Key, KeyData};
 
 /// What a timer is for. Timers of calls name a call; one that has ended by the time the timer is due is
@@ -26,20 +27,20 @@
 const DEADLINE: u64 = 1;
 const TURN: u64 = 2;
 
-impl From<Timer> for u64 {
+impl From<Timer> for TimerToken {
     fn from(timer: Timer) -> Self {
         let (key, kind) = match timer {
-            Timer::EndpointPoll => return ENDPOINT_POLL_TOKEN,
+            Timer::EndpointPoll => return TimerToken(ENDPOINT_POLL_TOKEN),
             Timer::Retry(key) => (key, RETRY),
             Timer::Deadline(key) => (key, DEADLINE),
             Timer::Turn(key) => (key, TURN),
         };
-        1 + (key.data().as_ffi() << KIND_BITS | kind)
+        TimerToken(1 + (key.data().as_ffi() << KIND_BITS | kind))
     }
 }
 
-impl From<u64> for Timer {
-    fn from(token: u64) -> Self {
+impl From<TimerToken> for Timer {
+    fn from(TimerToken(token): TimerToken) -> Self {
         if token == ENDPOINT_POLL_TOKEN {
             return Self::EndpointPoll;
         }
--- /dev/null
+++ b/tests/connection_limits.rs
@@ -0,0 +1,222 @@
+//! Many connections without a complete request, where there is little capacity for connections.
+
+mod common;
+
+use common::configuration::{
+    configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
+};
+use common::http::{HttpMessage, exchange, read_message, response};
+use common::proxy_process::ProxyProcess;
+use common::stub_server::{Reply, StubServer};
+use common::waiting::wait_for;
+use serde_json::json;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// A proxy with capacity for some twenty client connections.
+fn proxy_with_few_sockets(backend: &StubServer) -> ProxyProcess {
+    ProxyProcess::with_socket_limit(&[backend], 64)
+}
+
+fn open_connections(proxy: &ProxyProcess, count: usize) -> Vec<BufReader<TcpStream>> {
+    (0..count).map(|_| proxy.connect()).collect()
+}
+
+#[test]
+fn serves_requests_among_more_idle_connections_than_the_limit() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = proxy_with_few_sockets(&backend);
+    let idle = open_connections(&proxy, 60);
+    std::thread::sleep(Duration::from_millis(1600)); // until they have been idle for long enough
+
+    for _ in 0..10 {
+        assert_eq!(proxy.exchange(&request("order", 9000)).status(), 200);
+    }
+
+    drop(idle);
+}
+
+#[test]
+fn responds_to_a_request_that_arrives_as_its_idle_connection_is_chosen_for_closing() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = proxy_with_few_sockets(&backend);
+    // Near the limit with connections that may be closed, as they have been idle for 2 s.
+    let mut idle: Vec<_> = (0..10)
+        .map(|_| {
+            let mut stream = proxy.connect();
+            assert_eq!(exchange(&mut stream, &request("look", 9000)).status(), 200);
+            stream
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(2200));
+
+    proxy.signal("-STOP");
+    // New connections first, so that idle ones are closed before the requests are read.
+    let new = open_connections(&proxy, 40);
+    for stream in &mut idle {
+        stream.get_mut().write_all(request("order", 9000).as_bytes()).unwrap();
+    }
+    proxy.signal("-CONT");
+
+    for stream in &mut idle {
+        assert_eq!(read_message(stream).expect("a response").status(), 200);
+    }
+    drop(new);
+}
+
+#[test]
+fn closes_connections_behind_their_responses_near_the_limit() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = proxy_with_few_sockets(&backend);
+    let closes =
+        |proxy: &ProxyProcess| proxy.exchange(&request("look", 9000)).header("connection") == Some("close");
+    assert!(!closes(&proxy));
+
+    let idle = open_connections(&proxy, 15);
+    wait_for("close", || closes(&proxy));
+
+    drop(idle);
+    wait_for("capacity", || !closes(&proxy));
+}
+
+#[test]
+fn responds_to_every_request_completed_as_its_connection_is_closed_for_lack_of_capacity() {
+    // The responses take longer than the proxy waits for a connection that it closes.
+    let backend = StubServer::new(|_, _| {
+        std::thread::sleep(Duration::from_millis(600));
+        Reply::Respond(response("200 OK", "hello"))
+    });
+    let proxy = proxy_with_few_sockets(&backend);
+    let clients: Vec<_> = (0..18)
+        .map(|index| {
+            let mut stream = proxy.connect();
+            let text = request("order", 9000);
+            stream.get_mut().write_all(&text.as_bytes()[..text.len() - 1]).unwrap();
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(550 + 20 * index));
+                let _ = stream.get_mut().write_all(&text.as_bytes()[text.len() - 1..]);
+                read_message(&mut stream).is_some_and(|reply| reply.status() == 200)
+            })
+        })
+        .collect();
+
+    // Each of them displaces an older one.
+    let new: Vec<_> = (0..60)
+        .map(|_| {
+            std::thread::sleep(Duration::from_millis(15));
+            proxy.connect()
+        })
+        .collect();
+
+    let served = clients.into_iter().map(|client| client.join().unwrap()).filter(|served| *served).count();
+    assert_eq!(served, backend.request_count(), "what has been forwarded gets its response");
+    assert!(served > 0);
+    drop(new);
+}
+
+/// A discovery that sends no response until it is up. Then it has the list.
+fn discovery_that_is_down_at_first(is_up: Arc<AtomicBool>, list: String) -> StubServer {
+    StubServer::new(move |_, message| {
+        if is_up.load(Ordering::SeqCst) && !message.start_line.contains("since=2&") {
+            Reply::Respond(response("200 OK", &list))
+        } else {
+            Reply::Hang
+        }
+    })
+}
+
+/// Who fills the descriptors of the proxy as discovery returns.
+#[derive(Clone, Copy, Debug)]
+struct Clients {
+    /// Whether the connections that are idle before have had a request.
+    had_request: bool,
+    /// Connections to the management address, if there is one.
+    management_calls: Option<usize>,
+}
+
+/// Idle connections use up the capacity. Then many more come at once, also to the management address,
+/// if there is one, just as discovery returns.
+fn reaches_discovery_as_it_returns(clients: Clients) {
+    let Clients { had_request, management_calls } = clients;
+    let (old, new) = (StubServer::responding_with("old"), StubServer::responding_with("new"));
+    let endpoints =
+        [listed_endpoint("s-0", old.address, "DRAINING"), listed_endpoint("s-1", new.address, "SERVING")];
+    let is_up = Arc::new(AtomicBool::new(false));
+    let list = endpoint_list(2, true, &endpoints).to_string();
+    let discovery = discovery_that_is_down_at_first(is_up.clone(), list);
+    let mut configuration = configuration(&default_settings(), &serving_list(&[&old]));
+    if management_calls.is_some() {
+        configuration["management"] = json!("127.0.0.1:0");
+    }
+    let proxy = ProxyProcess::with_descriptor_limit(&configuration, discovery.address, 64);
+    let mut idle = open_connections(&proxy, 24);
+    for stream in idle.iter_mut().filter(|_| had_request) {
+        let _ = stream.get_mut().write_all(request("look", 9000).as_bytes());
+        let _ = read_message(stream); // it may be rejected for lack of capacity
+    }
+    std::thread::sleep(Duration::from_millis(2200)); // until they may be closed
+
+    proxy.signal("-STOP");
+    let new_connections = open_connections(&proxy, 100);
+    let management: Vec<_> = (0..management_calls.unwrap_or(0)).map(|_| proxy.connect_management()).collect();
+    is_up.store(true, Ordering::SeqCst);
+    let start = Instant::now();
+    proxy.signal("-CONT");
+
+    let is_next_watch = |call: &HttpMessage| call.start_line.contains("since=2&");
+    wait_for("list", || discovery.requests.lock().unwrap().iter().any(is_next_watch));
+    assert!(start.elapsed() < Duration::from_secs(6), "{clients:?}: {:?}", start.elapsed());
+    for _ in 0..3 {
+        assert_eq!(proxy.exchange(&request("order", 9000)).body, b"new");
+    }
+    if proxy.management.is_some() {
+        assert!(proxy.management_call("status\n").starts_with("OK"));
+    }
+    let log = proxy.log.lock().unwrap().join("\n");
+    assert!(!log.contains("os error 24"), "{clients:?}: {log}");
+    drop((idle, new_connections, management));
+}
+
+#[test]
+fn reaches_discovery_as_it_returns_while_clients_fill_all_descriptors() {
+    std::thread::scope(|scope| {
+        for had_request in [false, true] {
+            let clients = Clients { had_request, management_calls: None };
+            scope.spawn(move || reaches_discovery_as_it_returns(clients));
+        }
+    });
+}
+
+#[test]
+fn reaches_discovery_as_it_returns_while_clients_and_management_calls_fill_all_descriptors() {
+    std::thread::scope(|scope| {
+        for had_request in [false, true] {
+            let clients = Clients { had_request, management_calls: Some(60) };
+            scope.spawn(move || reaches_discovery_as_it_returns(clients));
+        }
+    });
+}
+
+#[test]
+fn responds_to_all_management_calls_that_arrive_at_once() {
+    let proxy = ProxyProcess::with_management(&[&StubServer::responding_with("hello")]);
+
+    proxy.signal("-STOP");
+    let calls: Vec<_> = (0..50)
+        .map(|_| {
+            let mut stream = proxy.connect_management();
+            stream.get_mut().write_all(b"status\n").unwrap();
+            stream
+        })
+        .collect();
+    proxy.signal("-CONT");
+
+    for mut stream in calls {
+        let mut line = String::new();
+        stream.read_line(&mut line).unwrap();
+        assert_eq!(line, "OK ready\n");
+    }
+}
--- /dev/null
+++ b/tests/decisions/edge_cases.rs
@@ -0,0 +1,85 @@
+//! Settings with zeros, and determinism.
+
+use crate::common::balancer_harness::{
+    BalancerHarness, endpoints, is_rejected, request_class, safe_settings, sends, tenant, without_times,
+};
+use balancer_proxy::*;
+
+/// Settings in which every number that may be zero is zero.
+fn zero_settings() -> Settings {
+    Settings {
+        classes: vec![RequestClass {
+            latency_objective: 0.0,
+            deadline: 0.0,
+            priority_weight: 0.0,
+            ..request_class(Effect::Safe)
+        }],
+        tenants: vec![tenant("none", 0.0)],
+        instance_count: 0,
+        tier: 0,
+        slow_start_duration: 0.0,
+        slow_start_initial_capacity: 0.0,
+        slow_start_overload_multiple: 0.0,
+        slow_start_overload_window: 0.0,
+        endpoint_poll_limit: 0.0,
+        quantum: 0.0,
+        must_poll_endpoints: true,
+        ..Settings::default()
+    }
+}
+
+#[test]
+fn rejects_requests_and_sets_finite_timers_with_zero_settings() {
+    let mut list = endpoints(3);
+    list[0].weight = 0.0;
+    list[1].started_at = Some(0.0);
+    let mut harness = BalancerHarness::new(zero_settings(), &list);
+
+    for id in 0..20 {
+        let request = Request {
+            id: RequestId(id),
+            class: 0,
+            tenant: Some(0),
+            key: None,
+            timeout: 1.0,
+            streaming_body: false,
+        };
+        let actions = harness.handle(Event::Request(request));
+        assert!(is_rejected(&actions, id), "no latency objective and no weight: nothing to wait for");
+    }
+    harness.handle(Event::Endpoints(EndpointUpdate::Failed));
+
+    assert_eq!(harness.balancer.open_requests(), 0);
+    assert!(harness.timers.iter().all(|(at, _)| at.is_finite()));
+}
+
+#[test]
+fn serves_a_class_without_a_latency_objective() {
+    // Guards against rates over a window of length zero, which are not a number.
+    let mut settings = safe_settings();
+    settings.quantum = 0.0;
+    settings.classes[0].latency_objective = 0.0;
+    settings.classes[0].late_priority_weight = 0.5;
+    let mut harness = BalancerHarness::new(settings, &endpoints(3));
+    for id in 0..20 {
+        harness.serve(id, 0.1);
+    }
+
+    assert_eq!(sends(&harness.request(100)).len(), 1);
+}
+
+#[test]
+fn the_same_seed_and_events_give_the_same_actions() {
+    let actions_with_seed = |seed| {
+        let mut harness = BalancerHarness::with_seed(seed, safe_settings(), &endpoints(9));
+        let mut actions = Vec::new();
+        for id in 0..200 {
+            actions.extend(harness.request(id));
+            actions.extend(without_times(harness.advance_to(harness.now + 0.03)));
+        }
+        actions
+    };
+
+    assert_eq!(actions_with_seed(5), actions_with_seed(5));
+    assert_ne!(actions_with_seed(5), actions_with_seed(6));
+}
--- /dev/null
+++ b/tests/decisions/final_response.rs
@@ -0,0 +1,148 @@
+//! Each request gets exactly one final response, before its deadline.
+
+use crate::common::balancer_harness::{
+    BalancerHarness, endpoints, is_failed, is_rejected, safe_settings, sends, settings_with_effect,
+    without_times,
+};
+use balancer_proxy::*;
+
+/// The outcomes of an attempt without a response that the client could get.
+const FAILURES: [Outcome; 6] = [
+    Outcome::Error,
+    Outcome::Rejected,
+    Outcome::Timeout,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::NotSent,
+];
+
+#[test]
+fn rejects_after_the_last_attempt_only_if_the_client_may_retry() {
+    let idempotent = |group| Effect::Idempotent { group, window: 5.0 };
+    // For each of `FAILURES`, whether the client may retry the request.
+    let cases = [
+        (Effect::Safe, [true; 6]),
+        (idempotent(IdempotencyGroup::All), [true; 6]),
+        (idempotent(IdempotencyGroup::Zone), [false, true, false, true, false, true]),
+        (idempotent(IdempotencyGroup::Cell), [false, true, false, true, false, true]),
+        (Effect::Unsafe, [false, true, false, true, false, true]),
+    ];
+    for (effect, retries_allowed) in cases {
+        for (outcome, retry_allowed) in FAILURES.into_iter().zip(retries_allowed) {
+            let settings = Settings { max_attempts: 1, ..settings_with_effect(effect) };
+            let mut harness = BalancerHarness::new(settings, &endpoints(3));
+            let backend = harness.send(1);
+            harness.now = 0.1;
+
+            let actions = harness.end_attempt(1, 0, backend, outcome, 0.1);
+
+            assert_eq!(is_rejected(&actions, 1), retry_allowed, "{effect:?} {outcome:?}");
+            assert_eq!(is_failed(&actions, 1), !retry_allowed, "{effect:?} {outcome:?}");
+            assert_eq!(harness.advance_to(5.0), [], "nothing after the final response");
+        }
+    }
+}
+
+#[test]
+fn responds_just_before_the_timeout_of_the_client() {
+    let mut settings = safe_settings();
+    settings.classes[0].late_priority_weight = 0.5;
+    let mut harness = BalancerHarness::new(settings, &endpoints(3));
+
+    harness.request_with_timeout(1, 1.5);
+    let timed_actions = harness.advance_to(3.0);
+
+    let response_times: Vec<Time> = timed_actions
+        .iter()
+        .filter(|(_, action)| matches!(action, Action::Reject { .. } | Action::Fail { .. }))
+        .map(|(at, _)| *at)
+        .collect();
+    assert_eq!(response_times.len(), 1);
+    assert!(response_times[0] < 1.5 && response_times[0] > 1.4);
+    assert_eq!(harness.balancer.open_requests(), 0);
+    // A late outcome of the finished request is counted and causes no action.
+    assert_eq!(harness.end_attempt(1, 0, 1, Outcome::Timeout, 1.5), []);
+}
+
+#[test]
+fn rejects_at_the_latency_objective_a_request_that_is_worthless_later() {
+    let mut harness = BalancerHarness::new(safe_settings(), &endpoints(3));
+
+    harness.request_with_timeout(1, 1.9);
+    let timed_actions = harness.advance_to(3.0);
+
+    assert!(
+        timed_actions
+            .iter()
+            .any(|(at, action)| is_rejected(std::slice::from_ref(action), 1) && (*at - 1.0).abs() < 0.01)
+    );
+}
+
+#[test]
+fn rejects_a_request_whose_time_is_up_on_arrival() {
+    let mut harness = BalancerHarness::new(safe_settings(), &endpoints(3));
+
+    assert!(is_rejected(&harness.request_with_timeout(1, 0.0), 1));
+    assert!(is_rejected(&harness.request_with_timeout(2, -1.0), 2));
+}
+
+#[test]
+fn rejects_a_request_when_there_is_no_backend() {
+    let mut harness = BalancerHarness::new(safe_settings(), &[]);
+
+    let mut actions = harness.request(3);
+    actions.extend(without_times(harness.advance_to(3.0)));
+
+    assert!(is_rejected(&actions, 3));
+    assert_eq!(sends(&actions), []);
+}
+
+#[test]
+fn rejects_with_retry_after_where_the_settings_allow_it() {
+    for (max_retry_after, expected) in [(2.0, true), (0.0, false)] {
+        let settings = Settings { max_retry_after, max_attempts: 1, ..safe_settings() };
+        let mut harness = BalancerHarness::new(settings, &endpoints(1));
+        harness.request(1);
+
+        let actions = harness.end_attempt(1, 0, 1, Outcome::Rejected, 0.01);
+
+        let retry_after = actions.iter().find_map(|action| match action {
+            Action::Reject { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        let retry_after = retry_after.expect("rejected at once");
+        assert_eq!(
+            retry_after.is_some_and(|seconds| seconds > 0.0 && seconds <= max_retry_after),
+            expected,
+            "{retry_after:?}"
+        );
+    }
+}
+
+#[test]
+fn cancels_or_withdraws_the_other_attempts_after_a_success() {
+    let id = RequestId(1);
+    for (cancellation_allowed, expected) in
+        [(true, Action::Cancel { id, attempt: 0 }), (false, Action::Withdraw { id, attempt: 0 })]
+    {
+        let settings = Settings { cancellation_allowed, ..safe_settings() };
+        let mut harness = BalancerHarness::new(settings, &endpoints(4));
+        harness.request(1);
+        let second_backend = harness.sends_until(0.5)[0].1;
+
+        let actions = harness.end_attempt(1, 1, second_backend, Outcome::Success, 0.1);
+
+        assert_eq!(actions, [expected]);
+    }
+}
+
+#[test]
+fn takes_no_action_after_a_response_has_started() {
+    let mut harness = BalancerHarness::new(safe_settings(), &endpoints(4));
+    harness.request(1);
+
+    let actions = harness.handle(Event::ResponseStarted { id: RequestId(1), attempt: 0 });
+
+    assert_eq!(actions, []);
+    assert_eq!(harness.advance_to(5.0), []);
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,17 @@
+//! The decision module through its public interface: events and times in, actions out.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod admission;
+mod client_disconnects;
+mod edge_cases;
+mod endpoint_list;
+mod final_response;
+mod maintenance;
+mod ordered_keys;
+mod outlier_detection;
+mod placement;
+mod retransmission;
+mod slow_start;
+mod streamed_bodies;
--- /dev/null
+++ b/tests/decisions/maintenance.rs
@@ -0,0 +1,193 @@
+//! Backends in maintenance get no request, and return through slow start.
+
+use std::collections::BTreeSet;
+use std::ops::Range;
+
+use crate::common::balancer_harness::{
+    BalancerHarness, endpoint, endpoints, is_rejected, safe_settings, sends, without_times,
+};
+use balancer_proxy::*;
+
+fn start_maintenance(harness: &mut BalancerHarness, id: u32) -> Vec<Action> {
+    harness.handle(Event::Maintenance { backend: BackendId(id), change: MaintenanceChange::Begins })
+}
+
+fn end_maintenance(harness: &mut BalancerHarness, id: u32) -> Vec<Action> {
+    harness.handle(Event::Maintenance { backend: BackendId(id), change: MaintenanceChange::Ends })
+}
+
+/// Sends ten requests at once in each of these rounds, ends them unevenly, so that none is retried,
+/// and returns the backends that they were sent to.
+fn send_rounds(harness: &mut BalancerHarness, rounds: Range<u64>) -> Vec<u32> {
+    rounds.flat_map(|round| send_ten_requests(harness, 10 * round)).collect()
+}
+
+fn send_ten_requests(harness: &mut BalancerHarness, first_id: u64) -> Vec<u32> {
+    let backends: Vec<u32> = (first_id..first_id + 10).map(|id| harness.send(id)).collect();
+    for (index, (id, backend)) in (first_id..).zip(&backends).enumerate() {
+        if index % 5 == 0 {
+            harness.advance_to(harness.now + 0.05);
+        }
+        let duration = if index < 5 { 0.05 } else { 0.1 };
+        harness.end_attempt(id, 0, *backend, Outcome::Success, duration);
+    }
+    backends
+}
+
+fn count_of_first_backend(backends: &[u32]) -> usize {
+    backends.iter().filter(|backend| **backend == 1).count()
+}
+
+#[test]
+fn sends_nothing_to_a_backend_in_maintenance_whatever_the_list_says() {
+    let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(1), endpoint(2)]);
+    harness.serve(1, 0.01);
+
+    assert_eq!(start_maintenance(&mut harness, 1), [Action::CloseIdleConnections(BackendId(1))]);
+    assert_eq!(start_maintenance(&mut harness, 1), [], "once is enough");
+
+    assert_eq!((harness.balancer.backends_listed(), harness.balancer.backends_avoided()), (2, 1));
+    let removed = Endpoint { status: Status::Removed, ..endpoint(1) };
+    let restarted = Endpoint { started_at: Some(0.0), ..endpoint(1) };
+    let updates = [
+        EndpointUpdate::Changes(&[restarted]),
+        EndpointUpdate::Full(&[endpoint(2)]),
+        EndpointUpdate::Changes(&[removed]),
+        EndpointUpdate::Full(&[endpoint(1), endpoint(2)]),
+    ];
+    for (update, first_id) in updates.into_iter().zip((100..).step_by(100)) {
+        harness.handle(Event::Endpoints(update));
+        for id in first_id..first_id + 20 {
+            assert_eq!(harness.serve(id, 0.01), 2, "{update:?}");
+        }
+    }
+    // Nor is a retry sent to it, though there is no other backend.
+    let actions = harness.request(1000);
+    assert_eq!(sends(&actions), [(1000, 2)]);
+    let mut actions = harness.end_attempt(1000, 0, 2, Outcome::Reset, 0.01);
+    actions.extend(without_times(harness.advance_to(harness.now + 3.0)));
+
+    assert!(sends(&actions).is_empty() && is_rejected(&actions, 1000), "{actions:?}");
+}
+
+#[test]
+fn maintenance_holds_for_a_backend_that_is_listed_later() {
+    let mut harness = BalancerHarness::new(safe_settings(), &[endpoint(2)]);
+
+    start_maintenance(&mut harness, 1);
+    harness.handle(Event::Endpoints(EndpointUpdate::Full(&[endpoint(1), endpoint(2)])));
+
+    for id in 0..20 {
+        assert_eq!(harness.serve(id, 0.01), 2);
+    }
+}
+
+fn slow_start_settings() -> Settings {
+    Settings { slow_start_duration: 20.0, slow_start_initial_capacity: 0.1, ..safe_settings() }
+}
+
+#[test]
+fn a_backend_returns_from_maintenance_through_slow_start_unless_restarted_meanwhile() {
+    // The list shows no start, one from before the maintenance, or one during it.
+    for (started_at, warms_up) in [(None, true), (Some(-60.0), true), (Some(2.5), false)] {
+        let started_before = started_at.filter(|time| *time < 0.0);
+        let list = [Endpoint { started_at: started_before, ..endpoint(1) }, endpoint(2)];
+        let mut harness = BalancerHarness::new(slow_start_settings(), &list);
+        let before = count_of_first_backend(&send_rounds(&mut harness, 0..20));
+        start_maintenance(&mut harness, 1);
+        let meanwhile = count_of_first_backend(&send_rounds(&mut harness, 20..220));
+        assert_eq!(meanwhile, 0);
+        let list = [Endpoint { started_at, ..endpoint(1) }, endpoint(2)];
+        harness.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
+
+        start_maintenance(&mut harness, 1);
+        end_maintenance(&mut harness, 1);
+        end_maintenance(&mut harness, 1);
+
+        let after = count_of_first_backend(&send_rounds(&mut harness, 220..240));
+        assert!(after > 0, "it is used within two seconds");
+        assert_eq!(3 * after < before, warms_up, "{after} against {before}, started {started_at:?}");
+    }
+}
+
+#[test]
+fn a_member_is_in_the_subset_again_whatever_changed_during_its_maintenance() {
+    // Twelve backends, four to each of three balancers; one of them is removed and others come
+    // during the maintenance of a member.
+    let list = endpoints(12);
+    for instance_index in 0..3 {
+        let settings =
+            Settings { instance_count: 3, instance_index, slow_start_duration: 1.0, ..safe_settings() };
+        let mut harness = BalancerHarness::new(settings.clone(), &list);
+        let members: BTreeSet<u32> = send_rounds(&mut harness, 0..20).into_iter().collect();
+        assert!(members.len() < 12, "{members:?}");
+        for (member, removed) in
+            members.into_iter().flat_map(|member| (1..=12).map(move |removed| (member, removed)))
+        {
+            let mut harness = BalancerHarness::new(settings.clone(), &list);
+            send_rounds(&mut harness, 0..20);
+            start_maintenance(&mut harness, member);
+            let others: Vec<Endpoint> =
+                list.iter().filter(|endpoint| endpoint.id.0 != removed).cloned().collect();
+            harness.handle(Event::Endpoints(EndpointUpdate::Full(&others)));
+            send_rounds(&mut harness, 20..40);
+            end_maintenance(&mut harness, member);
+            // A member that was removed itself is listed again a little later, with new ones.
+            let listed_anew = (20..24).map(endpoint).chain([endpoint(member)]);
+            let others = others.iter().filter(|endpoint| endpoint.id.0 != member).cloned();
+            let list_after: Vec<Endpoint> = others.chain(listed_anew).collect();
+            harness.handle(Event::Endpoints(EndpointUpdate::Full(&list_after)));
+
+            let after = send_rounds(&mut harness, 40..80);
+
+            let mut after = after.into_iter();
+            assert!(
+                after.any(|backend| backend == member),
+                "{member} at {instance_index}, {removed} removed"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_substitute_of_warming_members_is_used_again_after_its_maintenance() {
+    // One balancer of many, whose members are warming up, so that substitutes are used.
+    let settings = Settings {
+        instance_count: 20,
+        slow_start_duration: 2.0,
+        slow_start_initial_capacity: 0.1,
+        connections_have_cost: true,
+        ..safe_settings()
+    };
+    let mut list = endpoints(12);
+    let mut harness = BalancerHarness::new(settings, &list);
+    let members: BTreeSet<u32> = send_rounds(&mut harness, 0..40).into_iter().collect();
+    for endpoint in list.iter_mut().filter(|endpoint| members.contains(&endpoint.id.0)) {
+        endpoint.started_at = Some(harness.now);
+    }
+    harness.handle(Event::Endpoints(EndpointUpdate::Full(&list)));
+    let backends = send_rounds(&mut harness, 40..60);
+    let substitute = *backends.iter().find(|backend| !members.contains(backend)).expect("a substitute");
+
+    start_maintenance(&mut harness, substitute);
+    send_rounds(&mut harness, 60..90);
+    end_maintenance(&mut harness, substitute);
+
+    let mut after = send_rounds(&mut harness, 90..130).into_iter();
+    assert!(after.any(|backend| backend == substitute), "{substitute}, members {members:?}");
+}
+
+#[test]
+fn ending_a_maintenance_that_never_started_changes_nothing() {
+    let mut harness = BalancerHarness::new(slow_start_settings(), &[endpoint(1), endpoint(2)]);
+    let mut other = BalancerHarness::new(slow_start_settings(), &[endpoint(1), endpoint(2)]);
+
+    assert_eq!(end_maintenance(&mut harness, 1), []);
+
+    for round in 0..20 {
+        assert_eq!(
+            count_of_first_backend(&send_rounds(&mut harness, round..round + 1)),
+            count_of_first_backend(&send_rounds(&mut other, round..round + 1))
+        );
+    }
+}
--- /dev/null
+++ b/tests/malformed_clients.rs
@@ -0,0 +1,293 @@
+//! Clients that send malformed, incomplete or no requests: they soon get an error or a close, reach no
+//! backend, and keep no other client out.
+
+mod common;
+
+use common::configuration::{READINESS_REQUEST, default_settings, request, serving_list};
+use common::http::{exchange, read_message, response};
+use common::proxy_process::ProxyProcess;
+use common::stub_server::{Reply, StubServer, silent_discovery};
+use common::waiting::wait_for;
+use serde_json::json;
+use socket2::SockRef;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Waits for an error response or the end of the connection; returns the status, if any.
+fn wait_for_error(stream: &mut BufReader<TcpStream>) -> Option<u16> {
+    let status = read_message(stream).map(|reply| reply.status());
+    assert!(status.is_none_or(|status| status >= 400), "{status:?}");
+    status
+}
+
+/// A proxy with capacity for some twenty client connections.
+fn proxy_with_few_sockets(backend: &StubServer) -> ProxyProcess {
+    ProxyProcess::with_socket_limit(&[backend], 64)
+}
+
+/// Sends a request on a new connection until one is served. What is closed or rejected for lack of
+/// capacity is repeated. Returns the connection.
+fn connect_until_served(proxy: &ProxyProcess) -> BufReader<TcpStream> {
+    let mut stream = proxy.connect();
+    wait_for("response", || {
+        let written = stream.get_mut().write_all(request("look", 9000).as_bytes());
+        let is_served = written.is_ok() && read_message(&mut stream).is_some_and(|m| m.status() == 200);
+        if !is_served {
+            stream = proxy.connect();
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        is_served
+    });
+    stream
+}
+
+#[test]
+fn closes_connections_without_a_request_for_the_sake_of_others() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = proxy_with_few_sockets(&backend);
+    // More of either kind than it has descriptors.
+    let idle: Vec<_> = (0..70).map(|_| connect_until_served(&proxy)).collect();
+    let without_request: Vec<_> = (0..70).map(|_| proxy.connect()).collect();
+
+    connect_until_served(&proxy);
+
+    drop((idle, without_request));
+}
+
+#[test]
+fn does_not_close_a_connection_with_an_open_request_at_the_connection_limit() {
+    let (backend, release) = StubServer::holding_first_response("hello");
+    let proxy = proxy_with_few_sockets(&backend);
+    let mut busy = proxy.begin_request(&request("order", 20_000));
+    wait_for("attempt", || backend.request_count() == 1);
+
+    let without_request: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
+
+    // Those without a request are all closed in time; the one with a request is not.
+    for mut stream in without_request {
+        assert_eq!(wait_for_error(&mut stream), None);
+    }
+    release.send(()).unwrap();
+    assert_eq!(read_message(&mut busy).expect("a response").status(), 200);
+}
+
+#[test]
+fn ends_a_request_that_stays_incomplete_within_three_seconds() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let complete = request("look", 9000);
+    let start = Instant::now();
+    let parts = ["", "GET /api HT", complete.strip_suffix("dy").unwrap()];
+    let mut streams = parts.map(|part| proxy.begin_request(part));
+    // The same behind a request that has been served.
+    let mut after_another = proxy.connect();
+    assert_eq!(exchange(&mut after_another, &request("look", 9000)).status(), 200);
+    after_another.get_mut().write_all(b"GET /api HT").unwrap();
+
+    let statuses = streams.each_mut().map(wait_for_error);
+
+    assert_eq!(statuses, [None, None, Some(408)]);
+    wait_for_error(&mut after_another);
+    // The timeout is 3 s. A busy machine is given more, still far less than without a timeout.
+    assert!(start.elapsed() < Duration::from_secs(15), "{:?}", start.elapsed());
+    assert_eq!(backend.request_count(), 1);
+}
+
+#[test]
+fn keeps_an_idle_connection_open() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut stream = proxy.connect();
+    assert_eq!(exchange(&mut stream, &request("look", 9000)).status(), 200);
+
+    std::thread::sleep(Duration::from_millis(3500));
+
+    assert_eq!(exchange(&mut stream, &request("look", 9000)).status(), 200);
+}
+
+#[test]
+fn does_not_forward_a_request_with_ambiguous_framing() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let valid = request("save", 9000);
+    let smuggled = format!("0\r\n\r\n{}", request("save", 9000));
+    for framing in [
+        format!("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n{smuggled}", smuggled.len()),
+        format!("Transfer-Encoding: chunked\r\nContent-Length: {}\r\n\r\n{smuggled}", smuggled.len()),
+        "Transfer-Encoding: gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n".to_string(),
+        "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n".to_string(),
+        "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody".to_string(),
+        "Content-Length: -4\r\n\r\nbody".to_string(),
+        "Content-Length: +4\r\n\r\nbody".to_string(),
+        "Content-Length: 99999999999999999999999\r\n\r\nbody".to_string(),
+    ] {
+        let mut stream = proxy.connect();
+        let text = valid.replace("Content-Length: 4\r\n\r\nbody", &framing);
+        stream.get_mut().write_all(text.as_bytes()).unwrap();
+
+        wait_for_error(&mut stream);
+
+        // Nor does anything behind it.
+        assert!(read_message(&mut stream).is_none(), "{framing}");
+    }
+    assert_eq!(backend.request_count(), 0);
+}
+
+#[test]
+fn rejects_a_body_announced_as_too_large_without_reading_it() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let text =
+        request("save", 9000).replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 62914560\r\n\r\n");
+    let mut stream = proxy.begin_request(&text);
+
+    // The response comes although nothing of the body has been sent, and then the end.
+    let reply = read_message(&mut stream).expect("a response");
+
+    assert_eq!((reply.status(), reply.header("connection")), (413, Some("close")));
+    assert_eq!(stream.read(&mut [0]).unwrap_or(0), 0);
+    assert_eq!(backend.request_count(), 0);
+}
+
+#[test]
+fn responds_with_a_4xx_to_a_malformed_request_and_serves_the_next() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let valid = request("look", 9000);
+
+    for (from, to) in [
+        ("X-Lane: look", "X-Lane: unheard-of"),
+        ("X-Org: acme", "X-Org: unheard-of"),
+        ("X-Remaining-Ms: 9000", "X-Remaining-Ms: soon"),
+        ("X-Txn: 0", "X-Txn: "),
+        ("GET /api?q=1 HTTP/1.1", "nonsense"),
+    ] {
+        assert_eq!(proxy.exchange(&valid.replace(from, to)).status(), 400, "{to}");
+    }
+    let too_large = valid.replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 62914560\r\n\r\n");
+    assert_eq!(proxy.exchange(&too_large).status(), 413);
+
+    assert_eq!(backend.request_count(), 0);
+    assert_eq!(proxy.exchange(&valid).status(), 200);
+}
+
+#[test]
+fn responds_with_400_to_an_invalid_request_and_closes_its_connection() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let (look, save, order) = (request("look", 9000), request("save", 9000), request("order", 9000));
+    let id_line = look.lines().find(|line| line.starts_with("X-Txn")).unwrap();
+    for text in [
+        look.replace("GET ", "POST "),
+        save.replace("POST ", "GET "),
+        order.replace("POST ", "PUT "),
+        order.replace("X-Org", "Idempotency-Key: 5c0f6e1a\r\nX-Org"),
+        save.replace("Idempotency-Key: 5c0f6e1a\r\n", ""),
+        look.replace("X-Txn: 0", "X-Txn: +"),
+        look.replace(id_line, &format!("{id_line}\r\n{id_line}")),
+        look.replace(&format!("{id_line}\r\n"), ""),
+        look.replace("X-Lane: look", "X-Lane: look\r\nX-Lane: save"),
+        look.replace("X-Remaining-Ms: 9000", "X-Remaining-Ms: -1"),
+        look.replace("X-Remaining-Ms: 9000", "X-Remaining-Ms: +9000"),
+        look.replace("X-Remaining-Ms: 9000", "X-Remaining-Ms: 99999999999999"),
+        look.replace("GET /api", "GET http://elsewhere/api"),
+        look.replace("GET /api?q=1", "CONNECT elsewhere:80"),
+    ] {
+        let mut stream = proxy.connect();
+
+        let reply = exchange(&mut stream, &text);
+
+        assert_eq!((reply.status(), reply.header("connection")), (400, Some("close")), "{text}");
+        assert!(read_message(&mut stream).is_none(), "{text}");
+    }
+    assert_eq!(backend.request_count(), 0);
+}
+
+#[test]
+fn cuts_a_timeout_longer_than_any_class_allows() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let text = request("look", 9000).replace("9000", "4294967295");
+
+    assert_eq!(proxy.exchange(&text).status(), 200);
+
+    let forwarded = backend.requests.lock().unwrap()[0].clone();
+    assert!(forwarded.header("x-remaining-ms").unwrap().parse::<u64>().unwrap() <= 30_000);
+}
+
+#[test]
+fn rejects_a_head_without_end() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut stream = proxy.connect();
+    let _ = stream.get_mut().write_all(b"GET /api HTTP/1.1\r\n");
+    for number in 0..2000 {
+        let header = format!("X-{number}: {}\r\n", "y".repeat(64));
+        // The proxy may have closed the connection meanwhile.
+        if stream.get_mut().write_all(header.as_bytes()).is_err() {
+            break;
+        }
+    }
+
+    wait_for_error(&mut stream);
+
+    assert_eq!(backend.request_count(), 0);
+}
+
+#[test]
+fn a_request_with_the_id_of_an_open_one_neither_ends_it_nor_gets_its_response() {
+    let (backend, release) = StubServer::holding_first_response("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let text = request("order", 20_000);
+    let mut first = proxy.begin_request(&text);
+    wait_for("attempt", || backend.request_count() == 1);
+
+    assert_eq!(proxy.exchange(&text).status(), 400);
+
+    release.send(()).unwrap();
+    assert_eq!(read_message(&mut first).expect("a response").status(), 200);
+    assert_eq!(backend.request_count(), 1);
+}
+
+#[test]
+fn accepts_a_repeated_request_whose_first_connection_is_seen_to_be_reset_only_afterwards() {
+    let (backend, _release) = StubServer::holding_first_response("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let text = request("order", 20_000);
+    let (mut first, mut second) = (proxy.connect(), proxy.connect());
+    assert_eq!(exchange(&mut second, READINESS_REQUEST).status(), 200);
+    first.get_mut().write_all(text.as_bytes()).unwrap();
+    wait_for("attempt", || backend.request_count() == 1);
+
+    // Both have arrived when the process goes on, and in this order.
+    proxy.signal("-STOP");
+    second.get_mut().write_all(text.as_bytes()).unwrap();
+    SockRef::from(first.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(first);
+    proxy.signal("-CONT");
+
+    assert_eq!(read_message(&mut second).expect("a response").status(), 200);
+    assert_eq!(backend.request_count(), 2);
+}
+
+#[test]
+fn a_repeated_id_does_not_get_the_late_response_to_its_first_request() {
+    // The first response is late, and attempts are not cancelled here.
+    let backend = StubServer::new(move |earlier_requests, _| {
+        std::thread::sleep(Duration::from_millis(1500));
+        let body = if earlier_requests == 0 { "first" } else { "second" };
+        Reply::Respond(response("200 OK", body))
+    });
+    let mut settings = default_settings();
+    settings["caps"]["cancel"] = json!(false);
+    let proxy = ProxyProcess::start(&settings, &serving_list(&[&backend]), silent_discovery().address);
+    let text = request("order", 600);
+    let status = proxy.exchange(&text).status();
+    assert!(status != 200 && status != 503, "{status}");
+
+    let reply = proxy.exchange(&text.replace("X-Remaining-Ms: 600", "X-Remaining-Ms: 20000"));
+
+    assert_eq!((reply.status(), reply.body.as_slice()), (200, b"second".as_slice()));
+    assert_eq!(backend.connection_count(), 2);
+}
--- /dev/null
+++ b/tests/race_conditions.rs
@@ -0,0 +1,159 @@
+//! Two events that end a request at the same moment: both happen while the process is stopped. Whichever
+//! the proxy handles first, each request has one final response, one outcome and one count.
+
+mod common;
+
+use common::configuration::{READINESS_REQUEST, default_settings, endpoint_list, listed_endpoint, request};
+use common::http::{exchange, read_message, response};
+use common::late_server::LateServer;
+use common::proxy_process::ProxyProcess;
+use common::stub_server::{Reply, StubServer, silent_discovery};
+use common::waiting::{TEST_TIMEOUT, wait_for};
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+/// The deadline of a request that expires while the process is stopped for [`PAST_SHORT_DEADLINE`].
+const SHORT_DEADLINE_MS: u64 = 1000;
+const PAST_SHORT_DEADLINE: Duration = Duration::from_millis(1200);
+/// The deadline of a request that does not expire during a test.
+const LONG_DEADLINE_MS: u64 = 9000;
+
+/// An unsafe request in flight at a backend that holds its responses.
+struct RequestInFlight {
+    proxy: ProxyProcess,
+    /// The client's connection, while it is open.
+    client: Option<BufReader<TcpStream>>,
+    release_response: Sender<()>,
+    response_written: Receiver<()>,
+}
+
+impl RequestInFlight {
+    fn start(remaining_ms: u64) -> Self {
+        let (release_response, released) = channel::<()>();
+        let (report_write, response_written) = channel();
+        let (released, report_write) = (Mutex::new(released), Mutex::new(report_write));
+        let backend = StubServer::with_connection_handler(move |stream| {
+            while read_message(stream).is_some() {
+                let _ = released.lock().unwrap().recv_timeout(TEST_TIMEOUT);
+                let _ = stream.get_mut().write_all(response("200 OK", "hello").as_bytes());
+                let _ = report_write.lock().unwrap().send(());
+            }
+        });
+        let proxy = ProxyProcess::with_management(&[&backend]);
+        let client = proxy.begin_request(&request("order", remaining_ms));
+        wait_for("attempt", || proxy.stats()["forwards"] == 1);
+        Self { proxy, client: Some(client), release_response, response_written }
+    }
+
+    /// Lets the backend respond, and returns when the response has been written.
+    fn respond(&mut self) {
+        self.release_response.send(()).unwrap();
+        self.response_written.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+
+    fn disconnect_client(&mut self) {
+        self.client = None;
+    }
+
+    /// Stops the process while these events happen, and checks that the request ended once.
+    fn check_single_end(mut self, events: impl FnOnce(&mut Self)) {
+        self.proxy.signal("-STOP");
+        events(&mut self);
+        self.proxy.signal("-CONT");
+        let Self { proxy, mut client, release_response, .. } = self;
+        let status = client.as_mut().map(|stream| read_message(stream).expect("a response").status());
+        wait_for("end", || proxy.stats()["outstanding"] == 0);
+
+        let results = proxy.stats()["results"]["order"].clone();
+        let counts: Vec<_> =
+            ["succeeded", "declined", "aborted"].map(|kind| results[kind].as_u64().unwrap()).into();
+        match status {
+            Some(200) => assert_eq!(counts, [1, 0, 0]),
+            Some(429 | 503) => assert_eq!(counts, [0, 1, 0]),
+            Some(_) => assert_eq!(counts, [0, 0, 1]),
+            // A client that has disconnected is counted once or not at all.
+            None => assert!(counts.iter().sum::<u64>() <= 1),
+        }
+        assert_eq!(proxy.stats()["forwards"], json!(1), "an unsafe request has one attempt");
+        // Nothing more comes of it on its connection, and the proxy goes on.
+        drop(release_response);
+        if let Some(mut stream) = client {
+            assert_eq!(exchange(&mut stream, READINESS_REQUEST).status(), 200);
+        }
+        assert_eq!(proxy.exchange(&request("look", 9000)).status(), 200);
+    }
+}
+
+#[test]
+fn a_request_ends_once_when_its_response_arrives_at_its_deadline() {
+    RequestInFlight::start(SHORT_DEADLINE_MS).check_single_end(|request| {
+        request.respond();
+        std::thread::sleep(PAST_SHORT_DEADLINE);
+    });
+    RequestInFlight::start(SHORT_DEADLINE_MS).check_single_end(|request| {
+        std::thread::sleep(PAST_SHORT_DEADLINE);
+        request.respond();
+    });
+}
+
+#[test]
+fn a_request_ends_once_when_its_response_arrives_as_the_client_disconnects() {
+    RequestInFlight::start(LONG_DEADLINE_MS).check_single_end(|request| {
+        request.respond();
+        request.disconnect_client();
+    });
+    RequestInFlight::start(LONG_DEADLINE_MS).check_single_end(|request| {
+        request.disconnect_client();
+        request.respond();
+    });
+}
+
+#[test]
+fn a_request_ends_once_when_the_client_disconnects_at_its_deadline() {
+    RequestInFlight::start(SHORT_DEADLINE_MS).check_single_end(|request| {
+        request.disconnect_client();
+        std::thread::sleep(PAST_SHORT_DEADLINE);
+    });
+}
+
+#[test]
+fn does_not_send_a_retry_over_a_connection_established_after_the_window_of_its_key() {
+    // The first attempt fails, wherever it is sent; the connection of the retry is established late.
+    let late = LateServer::with_full_backlog();
+    let failing = StubServer::new(|_, _| Reply::Close);
+    let mut settings = default_settings();
+    settings["caps"]["connect-timeout"] = json!(20.0);
+    settings["classes"][1]["window"] = json!(2.0);
+    let endpoints =
+        [listed_endpoint("s-0", late.address, "SERVING"), listed_endpoint("s-1", failing.address, "SERVING")];
+    let cached_list = endpoint_list(1, true, &endpoints);
+    let mut retries_seen = 0;
+    // Which of the two members comes first is drawn; that it is the late one each time is next to
+    // impossible.
+    for _ in 0..20 {
+        let proxy = ProxyProcess::start(&settings, &cached_list, silent_discovery().address);
+        let failed_before = failing.request_count();
+        let mut stream = proxy.connect();
+        // Its timer fires 1.6 s after its arrival, well inside the window, and it has 4 s in all.
+        stream.get_mut().write_all(request("save", 4000).as_bytes()).unwrap();
+        wait_for("connection attempt", || late.has_pending_connection());
+        if failing.request_count() == failed_before {
+            continue; // the late one was the first: it would be written in time
+        }
+        retries_seen += 1;
+
+        // The retry is given up at the end of the window, before the deadline of the request.
+        let start = Instant::now();
+        let status = read_message(&mut stream).expect("a response").status();
+
+        assert_eq!(status, 503, "a retry by the client does no harm");
+        assert!(start.elapsed() < Duration::from_millis(1200), "{:?}", start.elapsed());
+        assert_eq!(late.accept_all(), Vec::<String>::new());
+        break;
+    }
+    assert_eq!(retries_seen, 1);
+}
