Test that no two files import one another, and word the decision module in plain terms

tests/layers.rs reads the `use` lines of src and fleet-bench/src: no module imports itself through others, and layers import only what lies below them. Comments of src/decisions, src/state and src/interface say the same in the field's terms.

--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -51,7 +51,7 @@
         if class.late_priority_weight <= 0.0 { timeout.min(class.latency_objective) } else { timeout }
     }
 
-    /// The time that a call needs at the least to be worth beginning.
+    /// The least time left, in seconds, with which a call is begun.
     pub(super) fn min_time_left(&self, learned_class: usize) -> Time {
         MIN_TIME_LEFT * self.traffic.latency[learned_class].mean
     }
--- a/src/decisions/attempts.rs
+++ b/src/decisions/attempts.rs
@@ -40,8 +40,8 @@
         (self.now < write_deadline).then_some(Permission { scope, write_deadline })
     }
 
-    /// Sends a call, the first time or again, if it may be and a backend can be found. Tells whether it
-    /// was sent.
+    /// Sends a call, the first time or again, if it may be and a backend can be found. Returns whether
+    /// it was sent.
     pub(super) fn send(&mut self, key: CallKey, actions: &mut Vec<Action>) -> bool {
         let Some(Permission { scope, write_deadline }) = self.permitted_attempt(key) else { return false };
         let Some(index) = self.place(key, scope) else { return false };
--- a/src/decisions/completion.rs
+++ b/src/decisions/completion.rs
@@ -5,7 +5,7 @@
 use crate::state::{Attempt, BackendIndex, Balancer, Call, CallKey};
 
 impl Balancer {
-    /// An attempt has ended: its backend and its ordering key are told, and its call if that is unfinished.
+    /// An attempt has ended: updates its backend, its ordering key, and its call if that is unfinished.
     pub(super) fn on_attempt_ended(&mut self, ended: EndedAttempt, actions: &mut Vec<Action>) {
         let key = self.calls.key_of(ended.id);
         if let Some(index) = self.backends.index_of(ended.backend) {
@@ -99,19 +99,19 @@
     }
 
     /// Finishes a call from outside: its response has started, or its client has disconnected.
-    pub(super) fn finish_by_id(&mut self, id: RequestId, kept: Option<usize>, actions: &mut Vec<Action>) {
+    pub(super) fn finish_by_id(&mut self, id: RequestId, answered: Option<usize>, actions: &mut Vec<Action>) {
         if let Some(key) = self.calls.key_of(id) {
-            self.finish(key, kept, actions);
+            self.finish(key, answered, actions);
         }
     }
 
-    /// Drops a call, and ends its attempts but for `kept`, the one that was answered.
-    fn finish(&mut self, key: CallKey, kept: Option<usize>, actions: &mut Vec<Action>) {
+    /// Drops a call, and ends its attempts but for the one that was `answered`.
+    fn finish(&mut self, key: CallKey, answered: Option<usize>, actions: &mut Vec<Action>) {
         if self.calls[key].body.is_receiving {
             self.count_as_received(key);
         }
         let Some(call) = self.calls.remove(key) else { return };
-        self.end_attempts(&call, kept, actions);
+        self.end_attempts(&call, answered, actions);
         if call.is_waiting {
             self.waiting_queue.remove(key);
         }
@@ -123,11 +123,11 @@
 
     /// Attempts that have been written completely end only where cancellation is allowed, those that still
     /// wait for their connection always.
-    fn end_attempts(&mut self, call: &Call, kept: Option<usize>, actions: &mut Vec<Action>) {
+    fn end_attempts(&mut self, call: &Call, answered: Option<usize>, actions: &mut Vec<Action>) {
         let id = call.id;
         for (attempt, sent) in call.attempts.iter().enumerate() {
             self.backends[sent.backend].references -= 1;
-            if sent.is_in_flight() && kept != Some(attempt) {
+            if sent.is_in_flight() && answered != Some(attempt) {
                 let may_cancel = call.settings.cancellation_allowed;
                 let withdraw = Action::Withdraw { id, attempt };
                 actions.push(if may_cancel { Action::Cancel { id, attempt } } else { withdraw });
--- a/src/decisions/load_reports.rs
+++ b/src/decisions/load_reports.rs
@@ -7,7 +7,7 @@
 
 /// Weight of a new report in the service time of a backend.
 const SERVICE_TIME_WEIGHT: f64 = 0.3;
-/// Where only health checks bring load reports, one member is checked for each so many sends.
+/// Where only health checks bring load reports, one member is checked per this many sends.
 const SENDS_PER_HEALTH_CHECK: usize = 3;
 
 impl Balancer {
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Counts a send, and asks for the health check of the next member in turn if one is due.
+    /// Counts a send, and requests the health check of the next member in turn if one is due.
     pub(super) fn check_health_after_send(&mut self, actions: &mut Vec<Action>) {
         self.sends += 1;
         let members = &self.subset.members;
--- a/src/decisions/maintenance.rs
+++ b/src/decisions/maintenance.rs
@@ -1,10 +1,10 @@
-//! Maintenance: backends that operators take out of service and put back.
+//! Maintenance: backends that operators remove from service and put back.
 
 use crate::interface::*;
 use crate::state::Balancer;
 
 impl Balancer {
-    /// Takes a backend out of all that calls are placed on, whatever the list says, or puts it back.
+    /// Excludes a backend from placement, whatever the endpoint list says, or includes it again.
     pub(super) fn on_maintenance(
         &mut self,
         id: BackendId,
@@ -24,7 +24,7 @@
         self.assign_subset();
     }
 
-    /// It is a member, or had stood in for one of late.
+    /// It is a member, or was recently used in place of one.
     fn is_used(&self, id: BackendId) -> bool {
         let recently = self.now - self.slowness_memory();
         self.backends.index_of(id).is_some_and(|index| {
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -1,9 +1,9 @@
 //! The decisions of one balancer: events with their times in, actions out, in the types of
 //! [`crate::interface`]. What a balancer knows is in [`crate::state`].
 //!
-//! Each module has one concern, with its tuning constants and their reasons beside it. A request takes this
-//! way: `admission`, where its class asks for order `ordered_keys`, then `attempts` and `placement` for each
-//! attempt, `retransmission` while it is unanswered, and `completion`.
+//! Each module has one concern, with its tuning constants and their reasons. A request passes through them in
+//! this order: `admission`, `ordered_keys` where its class is ordered, then `attempts` and `placement` for
+//! each attempt, `retransmission` while it is unanswered, and `completion`.
 
 mod admission;
 mod attempts;
--- a/src/decisions/ordered_keys.rs
+++ b/src/decisions/ordered_keys.rs
@@ -10,7 +10,7 @@
     }
 
     /// Begins the next call of an ordering key, if it may run. Guards the order of keys: a call waits while
-    /// an earlier one is unfinished or has an attempt without its outcome, whoever ended it, and while the
+    /// an earlier one is unfinished or has an attempt without its outcome, and while the
     /// key rests after an attempt that may still be running.
     pub(super) fn advance(&mut self, ordering_key: u64, actions: &mut Vec<Action>) {
         let next = self.key_queues.next(ordering_key);
--- a/src/decisions/outliers.rs
+++ b/src/decisions/outliers.rs
@@ -1,4 +1,4 @@
-//! Outlier detection: how slow each backend is beside the usual latency, and which members are ejected.
+//! Outlier detection: how slow each backend is relative to the usual latency, and which members are ejected.
 
 use crate::interface::*;
 use crate::state::{Attempt, Backend, BackendIndex, Balancer, CallKey, Slowness};
@@ -17,7 +17,7 @@
 const SLOWNESS_MEMORY: f64 = 0.5;
 
 impl Balancer {
-    /// Takes in how long a successful attempt took, beside the usual latency of its class.
+    /// Learns from a successful attempt that took `duration` seconds, relative to the usual latency.
     pub(super) fn learn_success(&mut self, backend: BackendIndex, learned_class: usize, duration: Time) {
         let usual = self.traffic.latency[learned_class].mean;
         if usual > 0.0 {
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Takes in that an attempt failed after `duration` seconds.
+    /// Learns from an attempt that failed after `duration` seconds.
     pub(super) fn learn_failure(&mut self, backend: BackendIndex, learned_class: usize, duration: Time) {
         let usual = self.traffic.latency[learned_class].mean;
         let is_fast = duration < FAST_FAILURE * usual;
@@ -39,7 +39,7 @@
         self.backends[backend].slowness = Slowness { ratio, at: self.now };
     }
 
-    /// Learns from the attempts of a call in flight at backends that have answered nothing since. Tells
+    /// Learns from the attempts of a call in flight at backends that have answered nothing since. Returns
     /// whether one has answered since, and so is alive.
     pub(super) fn learn_from_waiting(&mut self, key: CallKey, has_failed: bool) -> bool {
         let mut is_alive = false;
@@ -101,7 +101,7 @@
     }
 
     /// The slowness of the best member that is not warming up, if there is one: those that warm up are fast
-    /// as they get little, and beside them all others would look bad in an overload, as those take the rest.
+    /// as they get little, and next to them all others would look bad in an overload, as those take the rest.
     fn best_slowness(&self) -> f64 {
         let best = |with_warming_up: bool| {
             let members = self.subset.members.iter().copied();
--- a/src/decisions/overload.rs
+++ b/src/decisions/overload.rs
@@ -7,7 +7,7 @@
 /// and once the excess has lasted.
 const MIN_CHANCE_DEVIATIONS: f64 = 0.5;
 /// A deviation is the root of the usual number of calls, or this part of it where that is more: at a busy
-/// balancer the root is small beside it.
+/// balancer the root is small relative to it.
 const USUAL_SPREAD: f64 = 0.35;
 /// What passes as chance narrows by this for each deviation of mean excess
 const NARROWING: f64 = 4.0;
@@ -15,7 +15,7 @@
 const CALM_EXCESS: f64 = 0.4;
 /// this part of the memory of the send rate.
 const EXCESS_MEMORY: f64 = 0.15;
-/// So many calls in flight at each backend are no overload, however far beyond the usual. Guards
+/// Up to this many calls in flight at each backend are no overload, however far beyond the usual. Guards
 /// against shedding by chance: where few balancers face few backends, one that stops, invalid
 /// responses or a brief burst soon double a usual four, and clients that are rejected come back at
 /// once and keep it up. An entry backend keeps a call in flight, mostly idle, while the tiers
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -60,15 +60,15 @@
         pool
     }
 
-    /// Leaves those with more than the mean load out of the draw: slow machines would be crowded whenever
-    /// both drawn are slow.
+    /// Drops backends with more than the mean load: slow machines would be overloaded whenever both that are
+    /// drawn are slow.
     fn drop_loaded(&self, pool: &mut Vec<BackendIndex>) {
         let mean = pool.iter().map(|index| self.load(*index)).sum::<f64>() / pool.len() as f64;
         pool.retain(|index| self.load(*index) <= mean * (1.0 + LOAD_TOLERANCE));
     }
 
-    /// Own calls in flight, this one included, times the service time that the backend reports beside the
-    /// fleet's, per weight. A backend that fails fast or hangs looks idle to such a count, so that its
+    /// Own calls in flight, this one included, times the service time that the backend reports relative to
+    /// the fleet's, per weight. A backend that fails fast or hangs looks idle to such a count, so that its
     /// slowness and failures count as load.
     fn load(&self, index: BackendIndex) -> f64 {
         let backend = &self.backends[index];
--- a/src/decisions/quotas.rs
+++ b/src/decisions/quotas.rs
@@ -7,7 +7,7 @@
 const BURST_SECONDS: Time = 1.0;
 
 impl Balancer {
-    /// Takes over new quotas. A tenant keeps what it has used: `previous` names its earlier place.
+    /// Applies new quotas. A tenant that had an index in the `previous` settings keeps what it has used.
     pub(super) fn apply_quotas(&mut self, settings: &Settings, previous: &[Option<usize>]) {
         let instances = settings.instance_count.max(1) as f64;
         let quota = |(tenant, previous): (&Tenant, &Option<usize>)| {
@@ -20,7 +20,7 @@
         self.quotas = settings.tenants.iter().zip(previous).map(quota).collect();
     }
 
-    /// Counts a request, and tells whether it exceeds its tenant's quota. Only admitted requests use up
+    /// Counts a request, and returns whether it exceeds its tenant's quota. Only admitted requests use up
     /// quota: clients retry rejected ones, and under overload these retries would put every tenant over.
     pub(super) fn count_arrival(&mut self, class: usize, tenant: Option<usize>) -> bool {
         let quota = tenant.and_then(|tenant| self.quotas.get_mut(tenant));
--- a/src/decisions/retransmission.rs
+++ b/src/decisions/retransmission.rs
@@ -10,7 +10,7 @@
 
 /// Least probability of a retry, as in the paper: what it needs to get past lost messages.
 const MIN_RETRY_PROBABILITY: f64 = 0.1;
-/// Ratio of the thresholds between which p falls: under the paper's 3, as retries cost whole work.
+/// Ratio of the thresholds between which p falls: under the paper's 3, as retries cost full work.
 const THRESHOLD_RATIO: f64 = 1.5;
 /// Least lower threshold, in calls. Guards against quiet balancers, where rate x T1 is under
 /// one and a waiting call would lower its own probability.
@@ -19,7 +19,7 @@
 const T1_DEVIATIONS: f64 = 4.0;
 /// T1 is at most this part of the time left, so that a retry can still be answered in it.
 pub(super) const MAX_T1_FRACTION: f64 = 0.4;
-/// T1 is spread by this part, lest failed calls of many balancers return in step.
+/// T1 is spread by this part, so that failed calls of many balancers are not retried in step.
 const T1_JITTER: f64 = 0.1;
 
 impl Balancer {
--- a/src/decisions/settings_change.rs
+++ b/src/decisions/settings_change.rs
@@ -14,7 +14,7 @@
 }
 
 impl Balancer {
-    /// Goes by these settings, completely and at once. What was learned of a class or a tenant stays with
+    /// Applies settings, completely and at once. What was learned of a class or a tenant stays with
     /// its name, and calls end by the settings with which they arrived.
     pub(super) fn apply_settings(&mut self, settings: Settings) {
         let new = Arc::new(settings);
--- a/src/decisions/slow_start.rs
+++ b/src/decisions/slow_start.rs
@@ -27,8 +27,8 @@
         may_be_sent && self.has_slow_start_budget(index, started_at)
     }
 
-    /// What was saved must not come at once from many balancers: parts of a request are drawn lots for
-    /// and then gone, not kept until they make a whole.
+    /// Tokens that were saved must not be spent at once by many balancers: a fraction of a token is the
+    /// probability of a send and is then spent, rather than saved until it makes a full one.
     fn has_slow_start_budget(&mut self, index: BackendIndex, started_at: Time) -> bool {
         let allowed = self.slow_start_rate(started_at);
         let burst = allowed * self.settings.slow_start_overload_window;
--- a/src/decisions/subset.rs
+++ b/src/decisions/subset.rs
@@ -43,7 +43,7 @@
         least.max(coverage)
     }
 
-    /// Assigns the subset anew, keeping the members that are still in service.
+    /// Assigns the subset again, keeping the members that are still in service.
     pub(super) fn assign_subset(&mut self) {
         let in_service = self.backends.indices().filter(|index| self.is_in_service(*index)).collect();
         let before = std::mem::replace(&mut self.subset.in_service, in_service);
--- a/src/decisions/traffic.rs
+++ b/src/decisions/traffic.rs
@@ -15,7 +15,7 @@
 const MAX_USUAL_LATENCY: f64 = 0.25;
 
 impl Balancer {
-    /// Takes over new settings. `previous` names the earlier place of each class, which keeps its latency.
+    /// Applies new classes. A class that had an index in the `previous` settings keeps what was learned.
     pub(super) fn apply_classes(&mut self, settings: &Settings, previous: &[Option<usize>]) {
         let fresh = ArrivalRates::starting_at(self.now);
         let arrivals = previous.iter().map(|class| class.map_or(fresh, |i| self.arrivals[i]));
@@ -29,7 +29,7 @@
         self.traffic.memory = RATE_MEMORY_T1S * MAX_T1_FRACTION * longest;
     }
 
-    /// Takes in the latency of a successful attempt.
+    /// Learns from the latency of a successful attempt, in seconds.
     pub(super) fn record_latency(&mut self, learned_class: usize, latency: Time, objective: Time) {
         let is_calm = self.pressure() <= 0.0;
         let latency = latency.min(MAX_USUAL_LATENCY * objective);
@@ -40,7 +40,7 @@
     }
 }
 
-/// The weight of the latest of so many samples: that of a plain mean at first.
+/// The weight of the latest of `samples` samples: that of a plain mean at first.
 fn sample_weight(samples: f64, is_calm: bool) -> f64 {
     let is_pressed = !is_calm && samples > 1.0 / LATENCY_WEIGHT;
     let part = if is_pressed { PRESSED_WEIGHT } else { 1.0 };
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -2,7 +2,7 @@
 
 use super::{BackendId, RequestId, Time};
 
-/// Names a timer: whoever is asked to set one hands the token back when it is due.
+/// Identifies a timer: the caller sets it, and hands the token back when it is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TimerToken(pub u64);
 
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -11,7 +11,7 @@
     pub class: usize,
     /// Index of its tenant, where there are any.
     pub tenant: Option<usize>,
-    /// Its ordering key, by which classes may ask for order.
+    /// Its ordering key; used where the class is ordered by key.
     pub key: Option<u64>,
     /// Time until the caller gives up, in seconds; where its body is still being received, from its end on.
     pub timeout: Time,
@@ -72,7 +72,7 @@
 /// What operators do to a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MaintenanceChange {
-    /// It is taken out of service.
+    /// It is removed from service.
     Begins,
     /// It may serve again, and has been restarted meanwhile.
     Ends,
@@ -85,7 +85,7 @@
     Request(Request),
     /// The body of a streamed request has been received completely: its time begins.
     BodyReceived(RequestId),
-    /// So much of the body of a streamed request has been forwarded that it can't be sent again.
+    /// More of the body of a streamed request has been forwarded than is buffered: it can't be sent again.
     BodyConsumed(RequestId),
     /// A streamed response has started: from now on the attempt is the caller's.
     ResponseStarted {
@@ -109,14 +109,14 @@
         /// The load report that came along.
         report: Option<LoadReport>,
     },
-    /// Operators take a backend out of service, or put it back.
+    /// Operators remove a backend from service, or put it back.
     Maintenance {
         /// Which.
         backend: BackendId,
         /// What they do.
         change: MaintenanceChange,
     },
-    /// A second process began or ceased to serve the same clients beside this one.
+    /// A second process has begun or ceased to serve the same clients as this one.
     SecondProcess {
         /// It is running.
         running: bool,
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -41,7 +41,7 @@
     pub deadline: Time,
     /// The part of the priority weight, from 0 to 1, of a response between objective and deadline.
     pub late_priority_weight: f64,
-    /// What a timely response counts, beside those of other classes.
+    /// What a timely response counts, relative to those of other classes.
     pub priority_weight: f64,
     /// What a second run would do.
     pub effect: Effect,
@@ -72,7 +72,7 @@
     pub quota_per_second: f64,
 }
 
-/// What a balancer is told at its start, and whenever it changes.
+/// The settings that a balancer gets at its start, and whenever they change.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The classes; requests name them by index.
@@ -101,11 +101,11 @@
     pub hedging_allowed: bool,
     /// Attempts that a request may have.
     pub max_attempts: usize,
-    /// The longest `Retry-After` that clients are told, in seconds; 0 where they don't honour it.
+    /// The longest `Retry-After` that clients are sent, in seconds; 0 where they don't honour it.
     pub max_retry_after: Time,
     /// The endpoint list is not pushed and has to be polled.
     pub must_poll_endpoints: bool,
-    /// After so many seconds without a poll, a balancer counts as notified of what was listed then.
+    /// After this time without a poll, in seconds, a balancer is deemed notified of what was listed then.
     pub endpoint_poll_limit: Time,
     /// The part of its capacity, from 0 to 1, that a backend has at its start,
     pub slow_start_initial_capacity: f64,
@@ -117,7 +117,7 @@
     pub slow_start_overload_window: Time,
     /// An ordering key rests for this time, in seconds, after an attempt that may still be running.
     pub key_rest_duration: Time,
-    /// Idle connections to a draining backend must be closed within this time, in seconds, where it is stated.
+    /// Idle connections to a draining backend must be closed within this time, in seconds, if stated.
     pub idle_close_limit: Option<Time>,
     /// Least span between two calls of [`Balancer::handle`](crate::Balancer::handle) at different times, in
     /// seconds: the resolution of timers and clocks.
--- a/src/proxy/engine/dispatcher.rs
+++ b/src/proxy/engine/dispatcher.rs
@@ -1,4 +1,4 @@
-//! Gives pending events to the decision module and carries out the actions that it asks for.
+//! Gives pending events to the decision module and carries out the actions that it returns.
 //!
 //! Owns the state that events and actions change, the timers and the settings in force. It spawns
 //! the tasks of attempts and health checks, and owes the module the end of each.
@@ -24,7 +24,7 @@
 /// Path of a health check whose response is a load report.
 const LOAD_REPORT_PATH: &str = "/-/load";
 
-/// An attempt that the decision module asks for.
+/// An attempt that the decision module wants made.
 struct SendCommand {
     request: RequestId,
     backend: BackendId,
--- a/src/proxy/engine/mod.rs
+++ b/src/proxy/engine/mod.rs
@@ -3,7 +3,7 @@
 //! It owns the module's clock and timers, the open requests and their attempts, and the connection
 //! pools of the backends. Whatever happens becomes an event of the module, and the actions that the
 //! module asks for become I/O. It owes each accepted request exactly one final response before its
-//! deadline, and the module the end of each attempt. What is owed is kept by the parts:
+//! deadline, and the module the end of each attempt. Its parts:
 //!
 //! - `requests`: the open requests and their final responses;
 //! - `attempts`: the running attempts;
@@ -243,7 +243,7 @@
         }
     }
 
-    /// Another process accepts requests of the same clients beside this one, or no longer does.
+    /// Another process has begun or ceased to accept requests of the same clients.
     pub fn set_second_process_running(&self, running: bool) {
         self.dispatcher.handle(self.dispatcher.state(), Event::SecondProcess { running });
     }
--- a/src/proxy/limits/budget.rs
+++ b/src/proxy/limits/budget.rs
@@ -34,7 +34,7 @@
         self.used.get() >= self.limit.get()
     }
 
-    /// Takes `units` out of the budget, or returns `None` if fewer are available.
+    /// Acquires `units` of the budget, or returns `None` if fewer are available.
     #[must_use]
     pub fn try_acquire(self: &Rc<Self>, units: usize) -> Option<Permit> {
         if units > self.available() {
@@ -49,7 +49,7 @@
     }
 }
 
-/// Units taken out of a [`Budget`], which are returned when this is dropped.
+/// Units acquired from a [`Budget`], which are returned when this is dropped.
 pub struct Permit {
     budget: Rc<Budget>,
     units: usize,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,7 +1,7 @@
 //! The proxy: hosts the decision module on sockets.
 //!
 //! [`downstream`] serves clients, [`engine`] drives the decisions, [`upstream`] talks to backends and
-//! [`control`] takes in configuration, endpoint lists and operators' calls.
+//! [`control`] handles configuration, endpoint lists and operators' calls.
 
 pub mod clock;
 pub mod control;
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -21,7 +21,7 @@
 /// a long response is that of its first bytes.
 const MAX_BUFFERING_TIME: Duration = Duration::from_millis(250);
 
-/// Builds the request of an exchange, once for each connection that it is sent on. None if its body
+/// Builds the request of an exchange, once for each connection that it is written to. None if its body
 /// can't be sent any more. The flag is to be set once the end of the body has been handed out.
 pub type BuildRequest<'a> = &'a dyn Fn(&SharedFlag) -> Option<Request<AttemptBody>>;
 
--- a/src/state/backend.rs
+++ b/src/state/backend.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::ops::{Index, IndexMut};
 
-/// The place of a backend in the table, for as long as a call or an attempt refers to it.
+/// The index of a backend in the table, valid for as long as a call or an attempt refers to it.
 pub(crate) type BackendIndex = usize;
 
 /// Latency of a backend relative to the usual one of the class; 1 is usual.
@@ -82,12 +82,12 @@
 pub(crate) struct BackendTable {
     backends: Vec<Backend>,
     by_id: HashMap<BackendId, BackendIndex>,
-    /// Places of forgotten backends, for new ones.
+    /// Indices of forgotten backends, for new ones.
     vacant: Vec<BackendIndex>,
 }
 
 impl BackendTable {
-    /// The place of a backend, if it is known.
+    /// The index of a backend, if it is known.
     pub fn index_of(&self, id: BackendId) -> Option<BackendIndex> {
         self.by_id.get(&id).copied()
     }
@@ -97,7 +97,7 @@
         self.by_id.len()
     }
 
-    /// Places in use or vacant.
+    /// All indices, in use or vacant.
     pub fn indices(&self) -> std::ops::Range<BackendIndex> {
         0..self.backends.len()
     }
@@ -107,7 +107,7 @@
         self.backends.iter()
     }
 
-    /// Takes over what the list says of a backend, which is added if it is not known.
+    /// Updates a backend from the endpoint list, or adds it if it is not known.
     pub fn upsert(&mut self, endpoint: &Endpoint, now: Time) -> BackendIndex {
         let Some(index) = self.index_of(endpoint.id) else {
             return self.add(Backend::new(endpoint.clone(), now));
--- a/src/state/balancer.rs
+++ b/src/state/balancer.rs
@@ -99,7 +99,7 @@
         self.calls.len()
     }
 
-    /// Backends that state is kept of.
+    /// Backends that the balancer keeps state of.
     #[must_use]
     pub fn backends_known(&self) -> usize {
         self.backends.known()
--- a/src/state/key_queues.rs
+++ b/src/state/key_queues.rs
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct KeyQueues {
     queues: HashMap<u64, KeyQueue>,
-    /// When there are as many queues, idle ones are dropped.
+    /// At this number of queues, idle ones are dropped.
     queue_limit: usize,
     /// The ordering key of each attempt in flight of a call that has ended.
     orphans: HashMap<AttemptId, u64>,
@@ -75,8 +75,8 @@
         Some(NextCall { key, rests_until: queue.rests_until })
     }
 
-    /// Takes an ended call out of its queue. Its attempts in flight become orphans, and go on holding up
-    /// the ordering key.
+    /// Removes an ended call from its queue. Its attempts in flight become orphans, and continue to block the
+    /// ordering key.
     pub fn remove(&mut self, ordering_key: u64, key: CallKey, call: &Call) {
         let Some(queue) = self.queues.get_mut(&ordering_key) else { return };
         queue.calls.retain(|queued| *queued != key);
@@ -97,7 +97,7 @@
         Some(ordering_key)
     }
 
-    /// Lets an ordering key rest until a time.
+    /// No call of the ordering key begins before this time.
     pub fn rest(&mut self, ordering_key: u64, until: Time) {
         if let Some(queue) = self.queues.get_mut(&ordering_key) {
             queue.rests_until = until;
--- a/src/state/smoothed_mean.rs
+++ b/src/state/smoothed_mean.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 
-/// A mean over a while, that moves towards each sample with the time since the last one.
+/// A mean over time that moves towards each sample with the time since the last one.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DecayingMean {
     mean: f64,
@@ -16,7 +16,7 @@
         Self { mean: 0.0, at: now }
     }
 
-    /// Takes in what held at `now`, with `memory` seconds as the time constant, and returns the mean.
+    /// Adds a sample taken at `now`, with `memory` seconds as the time constant, and returns the mean.
     pub fn update(&mut self, sample: f64, now: Time, memory: Time) -> f64 {
         let keep = (-(now - self.at) / memory).exp();
         self.mean = sample + (self.mean - sample) * keep;
--- /dev/null
+++ b/tests/layers.rs
@@ -0,0 +1,200 @@
+//! No two files import one another, directly or through others, and the layers of the proxy import only
+//! what lies below them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::Path;
+
+/// The path of a module below its crate, such as `proxy::engine::timers`.
+type ModulePath = Vec<String>;
+
+/// The modules of a crate, with those that each imports.
+struct Crate {
+    imports: BTreeMap<ModulePath, BTreeSet<ModulePath>>,
+}
+
+/// The text of a file without its comments and its unit tests.
+fn code_of(file: &Path) -> String {
+    let text = fs::read_to_string(file).unwrap();
+    let (code, _) = text.split_once("#[cfg(test)]").unwrap_or((&text, ""));
+    let lines = code.lines().map(|line| line.split_once("//").map_or(line, |(before, _)| before));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// All module files below a folder, with their module paths.
+fn module_files(folder: &Path, prefix: &[String]) -> Vec<(ModulePath, String)> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let name = path.file_stem().unwrap().to_str().unwrap().to_string();
+        let module = [prefix, std::slice::from_ref(&name)].concat();
+        if path.is_dir() && name != "bin" && name != "tests" {
+            files.extend(module_files(&path, &module));
+        } else if path.extension().is_some_and(|extension| extension == "rs")
+            && name != "main"
+            && name != "tests"
+        {
+            let module = if name == "mod" || name == "lib" { prefix.to_vec() } else { module };
+            files.push((module, code_of(&path)));
+        }
+    }
+    files
+}
+
+/// The paths that a `use` tree names, each as its words.
+fn expand(tree: &str) -> Vec<Vec<String>> {
+    let tree = tree.trim();
+    let Some((head, rest)) = tree.split_once('{') else {
+        let words = tree.split(" as ").next().unwrap_or("").split("::");
+        return vec![words.map(|word| word.trim().to_string()).filter(|word| !word.is_empty()).collect()];
+    };
+    let head: Vec<String> =
+        head.split("::").map(|w| w.trim().to_string()).filter(|w| !w.is_empty()).collect();
+    let body = rest.rsplit_once('}').map_or(rest, |(body, _)| body);
+    let branches = split_at_top_level(body).into_iter().flat_map(|branch| expand(&branch));
+    branches.map(|branch| [head.clone(), branch].concat()).collect()
+}
+
+fn split_at_top_level(body: &str) -> Vec<String> {
+    let mut depth = 0;
+    let mut parts = vec![String::new()];
+    for character in body.chars() {
+        match character {
+            '{' => depth += 1,
+            '}' => depth -= 1,
+            _ => {}
+        }
+        if character == ',' && depth == 0 {
+            parts.push(String::new());
+        } else {
+            parts.last_mut().unwrap().push(character);
+        }
+    }
+    parts.into_iter().filter(|part| !part.trim().is_empty()).collect()
+}
+
+impl Crate {
+    fn read(source: &Path) -> Self {
+        let files = module_files(source, &[]);
+        let known: BTreeSet<ModulePath> = files.iter().map(|(module, _)| module.clone()).collect();
+        let imports = files.iter().map(|(module, code)| (module.clone(), imports_of(module, code, &known)));
+        Self { imports: imports.collect() }
+    }
+
+    /// A module that imports itself through others, if there is one, with the way back to it.
+    fn circle(&self) -> Option<Vec<ModulePath>> {
+        self.imports.keys().find_map(|start| self.way(start, start, &mut BTreeSet::new()))
+    }
+
+    fn way(
+        &self,
+        from: &ModulePath,
+        to: &ModulePath,
+        seen: &mut BTreeSet<ModulePath>,
+    ) -> Option<Vec<ModulePath>> {
+        for next in &self.imports[from] {
+            if next == to {
+                return Some(vec![from.clone(), to.clone()]);
+            }
+            if seen.insert(next.clone())
+                && let Some(rest) = self.way(next, to, seen)
+            {
+                return Some([vec![from.clone()], rest].concat());
+            }
+        }
+        None
+    }
+}
+
+/// The modules of the crate that a module imports by `use`. A folder's own module re-exports its files, so
+/// that a path through it counts as an import of the file that is named, or of the folder's own module.
+fn imports_of(module: &ModulePath, code: &str, known: &BTreeSet<ModulePath>) -> BTreeSet<ModulePath> {
+    let mut imports = BTreeSet::new();
+    for statement in code.split(';') {
+        let statement = statement.trim_start();
+        let Some((before, tree)) = statement.split_once("use ") else { continue };
+        let is_re_export = before.contains("pub");
+        if is_re_export || !before.trim().is_empty() && !before.trim_end().ends_with(['}', '{', ']']) {
+            continue;
+        }
+        for words in expand(tree) {
+            let absolute = match words.first().map(String::as_str) {
+                Some("crate") => words[1..].to_vec(),
+                Some("self") => [module.as_slice(), &words[1..]].concat(),
+                Some("super") => {
+                    let supers = words.iter().take_while(|word| *word == "super").count();
+                    let kept = module.len().saturating_sub(supers);
+                    [&module[..kept], &words[supers..]].concat()
+                }
+                _ => [module.as_slice(), &words].concat(),
+            };
+            let named = (1..=absolute.len()).rev().map(|length| absolute[..length].to_vec());
+            if let Some(import) = named.into_iter().find(|path| known.contains(path))
+                && import != *module
+                && !is_own_child(module, &import)
+            {
+                imports.insert(import);
+            }
+        }
+    }
+    imports
+}
+
+/// A folder's module is made of its files: that it uses them is no import of another part.
+fn is_own_child(module: &ModulePath, import: &ModulePath) -> bool {
+    import.len() > module.len() && import.starts_with(module)
+}
+
+fn words(path: &str) -> ModulePath {
+    path.split("::").map(str::to_string).collect()
+}
+
+#[test]
+fn no_file_of_the_proxy_imports_itself_through_others() {
+    let proxy = Crate::read(Path::new("src"));
+
+    assert!(proxy.imports.len() > 50, "{} modules", proxy.imports.len());
+    assert_eq!(proxy.circle(), None);
+}
+
+#[test]
+fn no_file_of_the_scale_tests_imports_itself_through_others() {
+    let fleet_bench = Crate::read(Path::new("fleet-bench/src"));
+
+    assert!(fleet_bench.imports.len() > 50, "{} modules", fleet_bench.imports.len());
+    assert_eq!(fleet_bench.circle(), None);
+}
+
+#[test]
+fn the_layers_import_only_what_lies_below_them() {
+    let proxy = Crate::read(Path::new("src"));
+    let forbidden = [
+        ("proxy::upstream", ["proxy::engine", "proxy::downstream", "proxy::control"].as_slice()),
+        ("proxy::engine", &["proxy::downstream"]),
+        ("decisions", &["proxy", "wire"]),
+        ("state", &["proxy", "wire", "decisions"]),
+        ("interface", &["proxy", "wire", "decisions", "state"]),
+    ];
+
+    for (layer, above) in forbidden {
+        let files = proxy.imports.iter().filter(|(module, _)| module.starts_with(&words(layer)));
+        for (module, imports) in files {
+            let breach =
+                imports.iter().find(|import| above.iter().any(|above| import.starts_with(&words(above))));
+            assert_eq!(breach, None, "imported by {module:?}");
+        }
+    }
+}
+
+#[test]
+fn a_circle_is_found() {
+    let known = ["a", "b", "c"].map(words).into();
+    let codes =
+        [("a", "use crate::b::B;"), ("b", "use super::c::{self, C};"), ("c", "use crate::{a::A, b};")];
+    let imports = codes.map(|(module, code)| (words(module), imports_of(&words(module), code, &known)));
+    let planted = Crate { imports: imports.into() };
+
+    let circle = planted.circle();
+
+    assert_eq!(circle, Some(["a", "b", "c", "a"].map(words).to_vec()));
+}
