--- a/src/proxy/downstream/client_connection.rs
+++ b/src/proxy/downstream/client_connection.rs
@@ -248,6 +248,7 @@
         }
     }
 
+    /// Whether a head is arriving, its latest bytes recently, and has not timed out.
     fn is_head_progressing(&self) -> bool {
         let recently_received = self.received.silence() < MIN_SILENCE_BEFORE_EVICTION;
         self.is_receiving_head() && recently_received && !self.is_timed_out()
--- a/src/proxy/downstream/close_request.rs
+++ b/src/proxy/downstream/close_request.rs
@@ -28,7 +28,7 @@
         self.is_requested.get()
     }
 
-    /// Returns once [`Self::request`] has been called, once for each call.
+    /// Returns once [`Self::request`] has been called. Calls before the wait count as one.
     pub async fn requested(&self) {
         self.notify.notified().await;
     }
--- a/src/proxy/downstream/connection_task.rs
+++ b/src/proxy/downstream/connection_task.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// How long an evicted or timed out connection without a busy request may take to close.
+/// How long an evicted or timed out connection may take to close while no request awaits a response.
 const EVICTED_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Serves one client connection.
--- a/src/proxy/downstream/framing.rs
+++ b/src/proxy/downstream/framing.rs
@@ -20,7 +20,7 @@
     Body { remaining: u64 },
     /// The data of a chunk.
     ChunkData { remaining: u64 },
-    /// The end of the line behind the data of a chunk.
+    /// The line break that follows the data of a chunk.
     ChunkEnd,
     /// The line with the size of the next chunk.
     ChunkSize,
--- a/src/proxy/downstream/request_handler.rs
+++ b/src/proxy/downstream/request_handler.rs
@@ -87,10 +87,10 @@
     ) -> Result<ClientResponse, RequestError> {
         let method = request.method().clone();
         let mut request = self.read(request, received_head).await?;
-        let mut exchange = Exchange::new(client, self.engine.metrics().for_class(request.class()));
+        let mut accounting = RequestAccounting::new(client, self.engine.metrics().for_class(request.class()));
         let streamed_body = request.streamed_body();
         if streamed_body.is_none() {
-            exchange.request_complete();
+            accounting.request_complete();
         }
         let received = Instant::now();
         self.wait_for_request_id(request.client_request_id()).await;
@@ -100,12 +100,12 @@
         let mut submission = request.into_submission();
         submission.request.timeout = self.time_left(submission.request.timeout, received);
         let final_response = match admission {
-            Admission::Serve => self.submit(submission, streamed_body, &mut exchange).await?,
+            Admission::Serve => self.submit(submission, streamed_body, &mut accounting).await?,
             Admission::Reject => FinalResponse::Rejected(None),
         };
         let mut response = response::from_final_response(final_response, &method, client);
         let status = response.status();
-        response.body_mut().count_at_end(exchange.into_outstanding(), status);
+        response.body_mut().count_at_end(accounting.into_outstanding(), status);
         Ok(response)
     }
 
@@ -150,7 +150,7 @@
         &self,
         submission: Submission,
         streamed_body: Option<Rc<StreamedRequestBody>>,
-        exchange: &mut Exchange<'_>,
+        accounting: &mut RequestAccounting<'_>,
     ) -> Result<FinalResponse, RequestError> {
         let Submission { client_request_id, request, forwarded, body_permit: _body_permit } = submission;
         let submitted = self.engine.submit(client_request_id, request, forwarded);
@@ -165,7 +165,7 @@
                 end = body.finished() => end?,
             }
             self.engine.body_received(id);
-            exchange.request_complete();
+            accounting.request_complete();
         }
         Ok(receiver.await.unwrap_or(FinalResponse::Failed))
     }
@@ -185,14 +185,14 @@
 }
 
 /// A request and its response, as the connection and the metrics see them.
-struct Exchange<'a> {
+struct RequestAccounting<'a> {
     client: &'a ClientConnection,
     class_metrics: ClassMetrics,
     /// Set once the request is complete.
     outstanding: Option<OutstandingRequest>,
 }
 
-impl<'a> Exchange<'a> {
+impl<'a> RequestAccounting<'a> {
     fn new(client: &'a ClientConnection, class_metrics: ClassMetrics) -> Self {
         Self { client, class_metrics, outstanding: None }
     }
--- a/src/proxy/downstream/request_head.rs
+++ b/src/proxy/downstream/request_head.rs
@@ -20,8 +20,8 @@
 pub struct ParsedHead {
     /// The id that the client gave the request, unique among its requests in flight.
     pub client_request_id: u64,
-    /// The request as the decision module sees it, without an id (the engine assigns it) and as if its
-    /// body were buffered.
+    /// The request as the decision module sees it, without an id, which the engine assigns, and with
+    /// `streaming_body` unset, which depends on the body.
     pub request: Request,
 }
 
--- a/src/proxy/downstream/response.rs
+++ b/src/proxy/downstream/response.rs
@@ -6,6 +6,7 @@
 use super::response_body::ResponseBody;
 use crate::Time;
 use crate::proxy::engine::FinalResponse;
+use crate::proxy::upstream::attempt::LOAD_REPORT_HEADER;
 use crate::proxy::upstream::response_body::{BackendResponse, ResponseContent};
 use hyper::header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Response, StatusCode};
@@ -14,9 +15,6 @@
 /// A response to a client.
 pub type ClientResponse = Response<ResponseBody>;
 
-/// The load that a backend reports, which clients do not get.
-const LOAD_REPORT_HEADER: &str = "x-pressure";
-
 /// A response with a plain text as its body.
 pub fn text(status: StatusCode, text: impl Into<String>, client: &Rc<ClientConnection>) -> ClientResponse {
     let content = ResponseContent::Buffered(text.into().into());
@@ -53,6 +51,7 @@
     // For HEAD, the header states the length of the body that GET would return.
     let content_length = headers.get(CONTENT_LENGTH).filter(|_| method == Method::HEAD).cloned();
     *response.headers_mut() = forwarded_headers(headers);
+    // Load reports are for the proxy alone.
     response.headers_mut().remove(LOAD_REPORT_HEADER);
     if let Some(content_length) = content_length {
         response.headers_mut().insert(CONTENT_LENGTH, content_length);
--- a/src/proxy/downstream/response_body.rs
+++ b/src/proxy/downstream/response_body.rs
@@ -69,8 +69,8 @@
         }
     }
 
-    /// Counts the request as complete when its last byte is sent, before the end of the body that
-    /// follows, or as failed if the response breaks off.
+    /// Counts the request as complete when the last byte of the response is handed to the HTTP library,
+    /// before the end of the body that follows, or as failed if the response breaks off.
     fn record_progress(&mut self, next: Option<&Result<Bytes, StreamError>>) {
         match next {
             Some(Ok(data)) => {
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -89,7 +89,7 @@
         tokio::select! {
             () = self.accept(&listener) => {}
             () = self.close_timed_out() => {}
-            () = self.serve_until_stopped(stop_signal) => {}
+            () = self.begin_shutdown_on(stop_signal) => {}
         }
         self.serve_accepted(listener);
         self.serve_beside_successor().await;
@@ -156,8 +156,8 @@
         }
     }
 
-    /// Returns after `stop_signal`, once new connections are no longer to be accepted.
-    async fn serve_until_stopped(&self, stop_signal: impl Future<Output = ()>) {
+    /// Waits for the signal, begins the shutdown, and returns once new connections need no longer be accepted.
+    async fn begin_shutdown_on(&self, stop_signal: impl Future<Output = ()>) {
         stop_signal.await;
         let schedule = ShutdownSchedule::new(self.engine.longest_deadline());
         self.lifecycle.begin_shutdown(schedule);
--- a/src/proxy/downstream/shutdown_schedule.rs
+++ b/src/proxy/downstream/shutdown_schedule.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// SIGKILL follows SIGTERM after the longest deadline of a request, or after this if that is less,
+/// Upper bound on the longest deadline of a request, from which the time until SIGKILL is derived.
 const MAX_DEADLINE_BEFORE_SIGKILL: Duration = Duration::from_secs(3);
-/// and this margin.
+/// Time from that deadline until SIGKILL.
 const SIGKILL_MARGIN: Duration = Duration::from_millis(700);
 /// Requests that arrive after SIGTERM get their responses this long before SIGKILL.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
@@ -22,6 +22,7 @@
 /// request, they stay open for use, but not for so long that the last request has no time left, nor
 /// for longer than without the other process.
 const MAX_SERVICE_BESIDE_SUCCESSOR: Duration = Duration::from_secs(1);
+
 /// The times of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownSchedule {
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -20,7 +20,7 @@
 /// Response header with the value 1: the backend rejected the request before running it.
 const REJECTED_HEADER: &str = "x-turned-away";
 /// Response header with the load report of the backend.
-const LOAD_REPORT_HEADER: &str = "x-pressure";
+pub const LOAD_REPORT_HEADER: &str = "x-pressure";
 /// The `Host` of health checks.
 const HEALTH_CHECK_HOST: &str = "backend";
 /// The timeout of a health check, in connect timeouts.
