Name and word what three readings of the joined code found unclear, and order two checks as before

Cause: the code was read against, layer by layer, for changes of behaviour and for what a newcomer would not understand.

No difference in behaviour was found that a client, backend or operator could see. Two that could not be seen are undone: an idle connection's age is tested before the connection is polled, and a slow-start budget that is no number is drawn for as before. Each constant has a sentence of its own.

--- a/fleet-bench/src/fleet/settings.rs
+++ b/fleet-bench/src/fleet/settings.rs
@@ -13,7 +13,7 @@
 pub fn caller_settings(plan: &Plan, topology: &Topology, service: usize, caller_index: usize) -> Settings {
     let callers = &topology.services[service].callers;
     let machine = &topology.machines[callers[caller_index]];
-    let class = |effect| RequestClass { deadline: plan.call_timeout, effect, ..RequestClass::default() };
+    let class = |effect| RequestClass { max_timeout: plan.call_timeout, effect, ..RequestClass::default() };
     Settings {
         classes: CLASS_EFFECTS.map(class).into(),
         instance_count: callers.len(),
--- a/fleet-bench/src/slopes/case.rs
+++ b/fleet-bench/src/slopes/case.rs
@@ -52,7 +52,7 @@
         let class = |i: usize| RequestClass {
             name: i.to_string(),
             latency_objective: LATENCY_OBJECTIVE,
-            deadline: REQUEST_TIMEOUT,
+            max_timeout: REQUEST_TIMEOUT,
             ..RequestClass::default()
         };
         let quota_per_second = QUOTA_OVER_RATE * self.request_rate() * self.instances as f64;
--- a/src/decisions/endpoints.rs
+++ b/src/decisions/endpoints.rs
@@ -4,12 +4,12 @@
 use crate::state::{BackendIndex, Balancer, Timer};
 use rand::Rng;
 
-/// Mean wait before a failed call for the list is made again, in seconds after the failure
+/// Mean wait from a failed poll to the next one, in seconds. The later of this and the next one holds.
 const POLL_BACKOFF_AFTER_FAILURE: Time = 0.25;
-/// and after the call began: 6 s after a return all counts as notified, also where two calls take 2 s to
-/// fail after it.
+/// Mean wait from the begin of the previous retry to the next one, in seconds: 6 s after a return of
+/// discovery all counts as notified, also where two polls take 2 s to fail after it.
 const POLL_BACKOFF_AFTER_START: Time = 1.0;
-/// Both are spread from this part of the mean on, evenly up to this much more: what failed may be busy.
+/// Waits are spread evenly from this part of the mean to this part plus one: discovery may be busy.
 const MIN_BACKOFF_PART: f64 = 0.5;
 /// The first polls of balancers are spread over this part of the longest interval between polls.
 const FIRST_POLL_SPREAD: f64 = 0.5;
--- a/src/decisions/outliers.rs
+++ b/src/decisions/outliers.rs
@@ -1,4 +1,4 @@
-//! Outlier detection: how slow each backend is relative to the usual latency, and which members are ejected.
+//! Outlier detection: how slow each backend is relative to the usual latency, and which are outliers.
 
 use crate::interface::*;
 use crate::state::{Attempt, Backend, BackendIndex, Balancer, CallKey, Slowness};
@@ -9,9 +9,9 @@
 const SLOWNESS_WEIGHT: f64 = 0.2;
 /// How much slower than usual a failed attempt makes its backend look.
 const FAILURE_SLOWNESS: f64 = 8.0;
-/// A failure within this part of the usual latency is no sign of load,
+/// A failure within this part of the usual latency is no sign of load.
 const FAST_FAILURE: f64 = 0.5;
-/// and has this weight: a backend that fails at once is idle in between, and would be chosen again.
+/// Weight of such a failure: a backend that fails at once is idle in between, and would be chosen again.
 const FAST_FAILURE_WEIGHT: f64 = 0.5;
 /// What is known of a backend is forgotten over this part of the memory of the send rate.
 const SLOWNESS_MEMORY: f64 = 0.5;
@@ -112,7 +112,7 @@
         best(false).or_else(|| best(true)).unwrap_or(f64::INFINITY)
     }
 
-    /// Listed backends that get little or nothing now: those in maintenance, and ejected members.
+    /// Listed backends that get little or nothing now: those in maintenance, and outliers.
     #[must_use]
     pub fn backends_avoided(&self) -> usize {
         let listed = self.listed_endpoints();
--- a/src/decisions/overload.rs
+++ b/src/decisions/overload.rs
@@ -2,18 +2,18 @@
 
 use crate::state::Balancer;
 
-/// Deviations beyond the usual number of calls that chance explains, at first
+/// Deviations beyond the usual number of calls that chance explains at first.
 const MAX_CHANCE_DEVIATIONS: f64 = 3.5;
-/// and once the excess has lasted.
+/// Deviations beyond the usual number that chance explains once the excess has lasted.
 const MIN_CHANCE_DEVIATIONS: f64 = 0.5;
 /// A deviation is the root of the usual number of calls, or this part of it where that is more: at a busy
 /// balancer the root is small relative to it.
 const USUAL_SPREAD: f64 = 0.35;
-/// What passes as chance narrows by this for each deviation of mean excess
+/// What passes as chance narrows by this for each deviation of mean excess beyond `CALM_EXCESS`.
 const NARROWING: f64 = 4.0;
-/// beyond this one, averaged over
+/// Mean excess, in deviations, up to which nothing narrows.
 const CALM_EXCESS: f64 = 0.4;
-/// this part of the memory of the send rate.
+/// The excess is averaged over this part of the memory of the send rate.
 const EXCESS_MEMORY: f64 = 0.15;
 /// Up to this many calls in flight at each backend are no overload, however far beyond the usual. Guards
 /// against shedding by chance: where few balancers face few backends, one that stops, invalid
--- a/src/decisions/retransmission.rs
+++ b/src/decisions/retransmission.rs
@@ -1,8 +1,8 @@
 //! Retransmission control, after Hong, Huang and Yan, "Controlling Retransmission Rate For Mitigating SIP
 //! Overload": a call that is unanswered or has failed when one of its doubling timers fires is retried with
-//! probability p, and p falls as the number of unanswered calls rises from one to three T1-worths of the
-//! average send rate. By Little's law that number over that rate is the mean wait, so p compares the mean
-//! wait with T1.
+//! probability p, and p falls as the number of unanswered calls rises from one T1-worth of the average
+//! send rate to `THRESHOLD_RATIO` times that (the paper: three). By Little's law that number over that
+//! rate is the mean wait, so p compares the mean wait with T1.
 
 use crate::interface::*;
 use crate::state::{Balancer, CallKey, Timer};
--- a/src/decisions/slow_start.rs
+++ b/src/decisions/slow_start.rs
@@ -34,11 +34,12 @@
         let burst = allowed * self.settings.slow_start_overload_window;
         let budget = &mut self.backends[index].slow_start_budget;
         let available = budget.refill(self.now, allowed, burst);
-        if available < 1.0 {
-            let is_drawn = self.random.random::<f64>() < available;
-            budget.tokens = f64::from(is_drawn);
+        if available >= 1.0 {
+            return true;
         }
-        budget.tokens >= 1.0
+        let is_drawn = self.random.random::<f64>() < available;
+        budget.tokens = f64::from(is_drawn);
+        is_drawn
     }
 
     /// Requests a second that this balancer may send to a backend that started at `started_at`. All members
--- a/src/decisions/subset.rs
+++ b/src/decisions/subset.rs
@@ -6,9 +6,9 @@
 pub(super) const MIN_MEMBERS: usize = 2;
 /// The same at the entry tier, where more of them even out what each happens to get.
 const MIN_ENTRY_MEMBERS: usize = 3;
-/// Members for each call in flight on average, where connections are free: more tell backends apart,
+/// Members for each call in flight on average, where connections are free: more tell backends apart.
 const MEMBERS_PER_CALL: f64 = 1.0;
-/// and where they have a cost: fewer reuse connections and stay under backends' limits on them.
+/// The same where connections have a cost: fewer members reuse them and stay under backends' limits.
 const MEMBERS_PER_CALL_AT_A_COST: f64 = 0.25;
 /// Members in other zones, where crossing zones has a price.
 const MIN_CROSS_ZONE_MEMBERS: usize = 2;
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,6 +1,6 @@
 //! What a balancer wants done.
 
-use super::{BackendId, RequestId, Time};
+use super::ids::{BackendId, RequestId, Time};
 
 /// Identifies a timer: the caller sets it, and hands the token back when it is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/src/interface/endpoint.rs
+++ b/src/interface/endpoint.rs
@@ -1,6 +1,6 @@
 //! The endpoint list: the backends as discovery knows them.
 
-use super::{BackendId, Time};
+use super::ids::{BackendId, Time};
 
 /// The lifecycle of a backend in the endpoint list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -1,6 +1,9 @@
 //! What happens to a balancer.
 
-use super::{BackendId, EndpointUpdate, RequestId, Settings, Time, TimerToken};
+use super::action::TimerToken;
+use super::endpoint::EndpointUpdate;
+use super::ids::{BackendId, RequestId, Time};
+use super::settings::Settings;
 
 /// A request that has arrived.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a balancer. Their names in the configuration are those of the protocol page; see
 //! `docs/GLOSSARY.md`.
 
-use super::Time;
+use super::ids::Time;
 
 /// The backends among which repeats of a request are recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +38,7 @@
     /// A response within this time, in seconds, has its full priority weight.
     pub latency_objective: Time,
     /// How long a client waits at most, over all its tries, in seconds.
-    pub deadline: Time,
+    pub max_timeout: Time,
     /// The part of the priority weight, from 0 to 1, of a response between objective and deadline.
     pub late_priority_weight: f64,
     /// What a timely response counts, relative to those of other classes.
@@ -54,7 +54,7 @@
         Self {
             name: String::new(),
             latency_objective: 0.5,
-            deadline: 1.0,
+            max_timeout: 1.0,
             late_priority_weight: 0.0,
             priority_weight: 1.0,
             effect: Effect::Safe,
@@ -107,13 +107,13 @@
     pub must_poll_endpoints: bool,
     /// After this time without a poll, in seconds, a balancer is deemed notified of what was listed then.
     pub endpoint_poll_limit: Time,
-    /// The part of its capacity, from 0 to 1, that a backend has at its start,
+    /// The part of its capacity, from 0 to 1, that a backend has at its start.
     pub slow_start_initial_capacity: f64,
-    /// and the time after which it has all of it, in seconds.
+    /// The time from its start after which a backend has its full capacity, in seconds.
     pub slow_start_duration: Time,
-    /// A backend in slow start that is sent more than this multiple of its present capacity
+    /// The multiple of its present capacity beyond which a backend in slow start is overloaded.
     pub slow_start_overload_multiple: f64,
-    /// for this time, in seconds, is overloaded.
+    /// The time for which it has to be sent more than that to be overloaded, in seconds.
     pub slow_start_overload_window: Time,
     /// An ordering key rests for this time, in seconds, after an attempt that may still be running.
     pub key_rest_duration: Time,
--- a/src/proxy/control/config/raw.rs
+++ b/src/proxy/control/config/raw.rs
@@ -61,7 +61,8 @@
     pub(super) stats: RawStats,
     #[serde(default)]
     pub(super) tier: usize,
-    /// A value that is not an integer counts as no version at startup, and is rejected on a reload.
+    /// A value that is not a whole number from 0 on counts as no version at startup, and is rejected on a
+    /// reload; null counts as absent in both.
     #[serde(default)]
     pub(super) version: serde_json::Value,
     #[serde(default)]
@@ -162,7 +163,7 @@
     /// Discovery pushes changes: the proxy watches the list all the time.
     #[default]
     Automatic,
-    /// The decision module polls the list: it starts and ends each watch.
+    /// The decision module polls the list: it starts each watch, and a failed call ends it.
     Subscribe,
 }
 
@@ -177,9 +178,9 @@
     /// Initial capacity in the slow start, as a fraction of the full one.
     pub(super) cold_share: Option<f64>,
     pub(super) drain_grace: Option<f64>,
-    /// A backend that is warming up fails at this multiple of its capacity,
+    /// A backend that is warming up is overloaded at this multiple of its capacity, if it lasts.
     pub(super) fall_multiple: Option<f64>,
-    /// if it lasts this long.
+    /// How long that has to last.
     pub(super) tip_after: Option<f64>,
     /// Rest of an ordering key after an attempt that may still run.
     pub(super) settle_after_doubt: Option<f64>,
--- a/src/proxy/control/config/translation.rs
+++ b/src/proxy/control/config/translation.rs
@@ -57,7 +57,7 @@
         let zone = zone_index(&mut self.zones, &self.zone);
         let proxy = self.proxy_settings()?;
         let settings = self.module_settings(zone)?;
-        Ok(SettingsSnapshot { settings, proxy })
+        Ok(SettingsSnapshot { balancer: settings, proxy })
     }
 
     fn proxy_settings(&self) -> Result<ProxySettings, ConfigError> {
@@ -134,10 +134,10 @@
             |key: &str, value: f64| not_negative(format_args!("settings.classes[{index}].{key}"), value);
         let default = RequestClass::default();
         // If only one of latency objective and deadline is given, it is both.
-        let deadline = self.hard_limit.or(self.on_time).unwrap_or(default.deadline);
+        let deadline = self.hard_limit.or(self.on_time).unwrap_or(default.max_timeout);
         Ok(RequestClass {
             latency_objective: seconds("on-time", self.on_time.unwrap_or(deadline))?,
-            deadline: seconds("hard-limit", deadline)?,
+            max_timeout: seconds("hard-limit", deadline)?,
             late_priority_weight: self.late_worth.unwrap_or(default.late_priority_weight),
             priority_weight: self.worth.unwrap_or(default.priority_weight),
             effect: match self.effect {
--- a/src/proxy/control/discovery/mod.rs
+++ b/src/proxy/control/discovery/mod.rs
@@ -36,7 +36,7 @@
     /// The clock that the times in watch events refer to.
     fn clock(&self) -> &Clock;
     /// Whether the backend is still in use, so that its id must not be released.
-    fn is_referenced(&self, backend: BackendId) -> bool;
+    fn is_backend_known(&self, backend: BackendId) -> bool;
 }
 
 /// Keeps the endpoint list of its listener up to date.
@@ -212,13 +212,13 @@
 
     /// Whether the decision module schedules the calls after a failure.
     fn must_poll(&self) -> bool {
-        self.listener.settings().settings.must_poll_endpoints
+        self.listener.settings().balancer.must_poll_endpoints
     }
 
     /// Longest time that a call may wait for a change: without a poll for so long, the proxy is deemed
     /// not to have been notified.
     fn poll_limit(&self) -> Duration {
-        let limit_seconds = self.listener.settings().settings.endpoint_poll_limit;
+        let limit_seconds = self.listener.settings().balancer.endpoint_poll_limit;
         Duration::try_from_secs_f64(limit_seconds).unwrap_or(Duration::MAX)
     }
 
@@ -241,7 +241,7 @@
         let event = if list.reset { WatchEvent::Full(endpoints) } else { WatchEvent::Changes(endpoints) };
         self.listener.on_watch_event(event);
         self.has_responded.send_replace(true);
-        self.names.borrow_mut().release_unless(|id| self.listener.is_referenced(id));
+        self.names.borrow_mut().release_unless(|id| self.listener.is_backend_known(id));
     }
 
     /// The last list stays in force; the decision module is notified if it is to schedule the next call.
--- a/src/proxy/control/discovery/timing.rs
+++ b/src/proxy/control/discovery/timing.rs
@@ -16,8 +16,9 @@
 //! | after a failure            | 0.1 + 1.25 x 1.5 = 1.98 s   |
 //!
 //! "Pushed" means that this module decides when to call again, "polled" that the decision module does
-//! (by `POLL_BACKOFF_AFTER_FAILURE` and its neighbours there). "Generations restart" means that the successful response shows
-//! that discovery has restarted its generation numbers, so that one more call fetches the full list. A
+//! (by `POLL_BACKOFF_AFTER_FAILURE` and `POLL_BACKOFF_AFTER_START` in `src/decisions/endpoints.rs`).
+//! "Generations restart" means that the successful response shows that discovery has restarted its
+//! generation numbers, so that one more call fetches the full list. A
 //! new address by SIGHUP is to be in effect within 4 s; the calls there fetch the full list, for which
 //! discovery does not wait, so that they fail after 1.25 s and 1.88 s. All in seconds:
 //!
--- a/src/proxy/control/instance_lock.rs
+++ b/src/proxy/control/instance_lock.rs
@@ -69,13 +69,13 @@
         }
     }
 
-    /// Publishes a fingerprint of the settings in force to other processes. Without a lock it does
+    /// Publishes the fingerprint of the file in force to other processes. Without a lock it does
     /// nothing.
     ///
     /// # Errors
     ///
     /// Fails if the file of published settings can't be written.
-    pub fn publish_settings(&self, fingerprint: &str) -> io::Result<()> {
+    pub fn publish_fingerprint(&self, fingerprint: &str) -> io::Result<()> {
         match &self.held {
             Some(held) => std::fs::write(&held.settings_path, fingerprint),
             None => Ok(()),
--- a/src/proxy/control/reload.rs
+++ b/src/proxy/control/reload.rs
@@ -155,7 +155,7 @@
     fn apply_settings(&self, mut snapshot: SettingsSnapshot) -> Result<bool, ConfigError> {
         let ReloadTargets { engine, discovery, .. } = &self.targets;
         // A running proxy has numbered its zones already.
-        snapshot.settings.zone = discovery.zone_index(&snapshot.proxy.zone);
+        snapshot.balancer.zone = discovery.zone_index(&snapshot.proxy.zone);
         let in_force = engine.settings();
         snapshot.check_supersedes(&in_force)?;
         if snapshot == *in_force {
@@ -187,7 +187,7 @@
         let Some(instance_lock) = &self.targets.instance_lock else {
             return;
         };
-        if let Err(error) = instance_lock.publish_settings(&self.fingerprint()) {
+        if let Err(error) = instance_lock.publish_fingerprint(&self.fingerprint()) {
             log!("balancer-proxy: cannot publish settings to the other process: {error}");
         }
     }
--- a/src/proxy/downstream/request_handler.rs
+++ b/src/proxy/downstream/request_handler.rs
@@ -52,7 +52,7 @@
 
     /// Whether the proxy accepts requests and has backends to send them to.
     pub fn is_ready(&self) -> bool {
-        self.engine.has_endpoints() && self.lifecycle.is_serving()
+        self.engine.has_listed_backend() && self.lifecycle.is_serving()
     }
 
     /// Handles the request whose head has arrived, and returns the response to it.
--- a/src/proxy/downstream/request_head.rs
+++ b/src/proxy/downstream/request_head.rs
@@ -41,8 +41,8 @@
         let client_request_id = client_request_id(headers)?;
         let class_index = class_index(headers, &settings.proxy.classes)?;
         let tenant = tenant_index(headers, &settings.proxy.tenants)?;
-        let class = &settings.settings.classes[class_index];
-        let timeout = timeout(headers, class.deadline)?;
+        let class = &settings.balancer.classes[class_index];
+        let timeout = timeout(headers, class.max_timeout)?;
         let idempotency_key = single_value(headers, "idempotency-key")?;
         check_method(method, class.effect)?;
         check_idempotency_key(idempotency_key, class.effect)?;
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Waits for the signal, begins the shutdown, and returns once new connections need no longer be accepted.
+    /// Waits for the signal, begins the shutdown, and returns once no more connections need be accepted.
     async fn begin_shutdown_on(&self, stop_signal: impl Future<Output = ()>) {
         stop_signal.await;
         let schedule = ShutdownSchedule::new(self.engine.longest_deadline());
--- a/src/proxy/engine/decisions.rs
+++ b/src/proxy/engine/decisions.rs
@@ -50,7 +50,7 @@
         match event {
             PendingEvent::Plain(event) => self.balancer.handle(now, event, actions),
             PendingEvent::Settings(snapshot) => {
-                self.balancer.handle(now, Event::Settings(&snapshot.settings), actions);
+                self.balancer.handle(now, Event::Settings(&snapshot.balancer), actions);
             }
             PendingEvent::Watch(event) => self.handle_watch_event(now, event, actions),
         }
--- a/src/proxy/engine/dispatcher.rs
+++ b/src/proxy/engine/dispatcher.rs
@@ -1,7 +1,7 @@
 //! Gives pending events to the decision module and carries out the actions that it returns.
 //!
 //! Owns the state that events and actions change, the timers and the settings in force. It spawns
-//! the tasks of attempts and health checks, and owes the module the end of each.
+//! the tasks of attempts and health checks, and reports the end of each to the module.
 
 use super::attempts::{AttemptId, RunningAttempt, SentAttempt};
 use super::decisions::PendingEvent;
@@ -64,7 +64,7 @@
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
         let clock = Clock::start();
-        let state = State::new(clock, seed, settings.settings.clone(), max_backend_connections);
+        let state = State::new(clock, seed, settings.balancer.clone(), max_backend_connections);
         Rc::new_cyclic(|this| Self {
             this: this.clone(),
             clock,
@@ -145,7 +145,7 @@
         let (Some(request), Some(pool), Some(this)) = (request, pool, self.this.upgrade()) else {
             return state.report_not_sent(command.request, command.backend);
         };
-        state.endpoints.make_connection_available();
+        state.endpoints.evict_idle_if_full();
         let id = AttemptId { request: command.request, number: request.next_attempt() };
         let deadline = request.attempt_deadline(command.decided_at, command.timeout);
         let response_deadline = response_deadline(request, deadline, command.decided_at);
@@ -201,7 +201,7 @@
         let (Some(pool), Some(this)) = (state.endpoints.pool(backend), self.this.upgrade()) else {
             return;
         };
-        let wants_load_report = self.settings.borrow().settings.health_checks_for_load_reports;
+        let wants_load_report = self.settings.borrow().balancer.health_checks_for_load_reports;
         let path = if wants_load_report { LOAD_REPORT_PATH } else { HEALTH_PATH };
         let check = attempt::health_check(pool, path, self.clock);
         tokio::task::spawn_local(async move {
--- a/src/proxy/engine/endpoints.rs
+++ b/src/proxy/engine/endpoints.rs
@@ -118,14 +118,14 @@
     /// Closes the idle connections to a backend.
     pub(super) fn close_idle(&self, backend: BackendId) {
         if let Some(pool) = self.pools.get(&backend) {
-            pool.close_idle();
+            pool.retire_connections();
         }
     }
 
     /// Closes the connections that have been idle for too long.
     pub(super) fn close_expired(&self) {
         for pool in self.pools.values() {
-            pool.close_expired();
+            pool.sweep_idle();
         }
     }
 
@@ -133,7 +133,7 @@
     /// where backends are replaced all the time. A pool with a single reference is used by no attempt
     /// and no health check.
     pub(super) fn forget_removed(&mut self, clock: &Clock) {
-        self.pools.retain(|_, pool| Rc::strong_count(pool) > 1 || !pool.is_expired(clock));
+        self.pools.retain(|_, pool| Rc::strong_count(pool) > 1 || !pool.can_be_forgotten(clock));
     }
 
     /// Sets how many connections may be open at once, and closes idle ones beyond that.
@@ -143,7 +143,7 @@
     }
 
     /// Closes an idle connection if no further one may be opened, as an attempt may need one.
-    pub(super) fn make_connection_available(&self) {
+    pub(super) fn evict_idle_if_full(&self) {
         if self.connections.is_full() {
             self.evict_oldest_idle();
         }
--- a/src/proxy/engine/mod.rs
+++ b/src/proxy/engine/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! It owns the module's clock and timers, the open requests and their attempts, and the connection
 //! pools of the backends. Whatever happens becomes an event of the module, and the actions that the
-//! module asks for become I/O. It owes each accepted request exactly one final response before its
-//! deadline, and the module the end of each attempt. Its parts:
+//! module asks for become I/O. It guarantees each accepted request exactly one final response before
+//! its deadline, and reports the end of each attempt to the module. Its parts:
 //!
 //! - `requests`: the open requests and their final responses;
 //! - `attempts`: the running attempts;
@@ -116,7 +116,7 @@
     }
 
     /// The time by which sends must end to a backend whose drain or maintenance begins now.
-    fn send_deadline_of_drain(&self) -> Time {
+    fn send_deadline_from_now(&self) -> Time {
         let grace = self.settings().proxy.drain_grace_period.as_secs_f64();
         self.dispatcher.clock.now() + SEND_GRACE_FRACTION * grace
     }
@@ -131,7 +131,7 @@
         let mut state = self.dispatcher.state();
         match change {
             MaintenanceChange::Begins => {
-                state.endpoints.begin_maintenance(backend, self.send_deadline_of_drain());
+                state.endpoints.begin_maintenance(backend, self.send_deadline_from_now());
             }
             MaintenanceChange::Ends => state.endpoints.end_maintenance(backend),
         }
@@ -145,7 +145,7 @@
 
     /// Whether a backend in service has ever been listed.
     #[must_use]
-    pub fn has_endpoints(&self) -> bool {
+    pub fn has_listed_backend(&self) -> bool {
         self.has_endpoints.get()
     }
 
@@ -288,7 +288,7 @@
     /// Brings the pools up to date with the endpoint list, and notifies the module.
     fn on_watch_event(&self, event: WatchEvent) {
         let mut state = self.dispatcher.state();
-        let last_send = self.send_deadline_of_drain();
+        let last_send = self.send_deadline_from_now();
         state.endpoints.apply_watch_event(&event, last_send, &self.settings().proxy);
         if endpoints::lists_in_service(&event) {
             self.has_endpoints.set(true);
@@ -306,7 +306,7 @@
 
     /// Whether the backend is in maintenance, or has been listed and not been gone for longer than
     /// sends to it may take.
-    fn is_referenced(&self, backend: BackendId) -> bool {
+    fn is_backend_known(&self, backend: BackendId) -> bool {
         self.dispatcher.state().endpoints.is_referenced(backend)
     }
 }
--- a/src/proxy/engine/requests.rs
+++ b/src/proxy/engine/requests.rs
@@ -1,6 +1,6 @@
 //! The open requests and their final responses.
 //!
-//! Owns the obligation to give each accepted request exactly one final response: the sending end of
+//! Guarantees each accepted request exactly one final response: the sending end of
 //! its channel lives in [`OpenRequests`] and is consumed when the request is closed.
 
 use crate::proxy::settings::SettingsSnapshot;
@@ -42,7 +42,7 @@
 impl OpenRequest {
     /// Whether the settings allow another attempt.
     pub(super) fn has_attempt_left(&self) -> bool {
-        self.attempts_sent < self.settings.settings.max_attempts
+        self.attempts_sent < self.settings.balancer.max_attempts
     }
 
     /// Counts an attempt, and returns its number.
--- a/src/proxy/engine/supervisor.rs
+++ b/src/proxy/engine/supervisor.rs
@@ -7,7 +7,7 @@
 /// the core.
 const RESTART_DELAY: Duration = Duration::from_millis(10);
 
-/// Runs a task to its end, and restarts it whenever it panics: a panic then costs what was owed for
+/// Runs a task to its end, and restarts it whenever it panics: a panic then loses the work for
 /// one event, and not for all that follow.
 pub(super) async fn restart_on_panic<F>(task: impl Fn() -> F)
 where
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -174,7 +174,7 @@
     }
 
     /// One line of JSON. `discovered` and `ejected` are the numbers of backends that are listed, and of
-    /// those that receive no requests.
+    /// those in maintenance or outliers, which receive few requests or none.
     ///
     /// # Errors
     ///
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Default, PartialEq)]
 pub struct SettingsSnapshot {
     /// The settings of the decision module.
-    pub settings: Settings,
+    pub balancer: Settings,
     /// The settings that only the proxy needs.
     pub proxy: ProxySettings,
 }
@@ -20,7 +20,7 @@
     /// The longest deadline of all request classes, in seconds; 0 without classes.
     #[must_use]
     pub fn longest_deadline(&self) -> Time {
-        self.settings.classes.iter().map(|class| class.deadline).fold(0.0, Time::max)
+        self.balancer.classes.iter().map(|class| class.max_timeout).fold(0.0, Time::max)
     }
 
     /// Checks that this snapshot may replace the one `in_force`. Files can arrive late or twice, so
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -3,7 +3,7 @@
 
 use super::connection::{Connection, ConnectionOrigin};
 use super::exchange::{BuildRequest, ExchangeError, ReceivedBody, ReceivedResponse, exchange};
-use super::exchange_progress::ExchangeOptions;
+use super::exchange_progress::ExchangeContext;
 use super::forwarded_request::ForwardedRequest;
 use super::load_report;
 use super::pool::{CheckedOutConnection, ConnectionLease, ConnectionPool};
@@ -69,7 +69,7 @@
     let AttemptParameters { pool, request, clock, response_deadline, write_deadline, written, metrics } =
         parameters;
     let build_request = |final_data: &SharedFlag| request.build(response_deadline - clock.now(), final_data);
-    let options = ExchangeOptions {
+    let options = ExchangeContext {
         request_written: written,
         write_deadline: write_deadline.is_finite().then(|| clock.instant_at(write_deadline)),
         metrics: Some(metrics),
@@ -87,7 +87,7 @@
         Some(request)
     };
     let timeout = HEALTH_CHECK_CONNECT_TIMEOUTS * pool.connect_timeout();
-    let options = ExchangeOptions::default();
+    let options = ExchangeContext::default();
     let result = tokio::time::timeout(timeout, run(&pool, &clock, &build_request, &options)).await;
     result.unwrap_or(AttemptResult::without_response(Outcome::Timeout))
 }
@@ -103,7 +103,7 @@
     pool: &Rc<ConnectionPool>,
     clock: &Clock,
     build_request: BuildRequest<'_>,
-    options: &ExchangeOptions,
+    options: &ExchangeContext,
 ) -> AttemptResult {
     match exchange_with_backend(pool, clock, build_request, options).await {
         Ok(completed) => completed.into_result(),
@@ -117,7 +117,7 @@
     pool: &Rc<ConnectionPool>,
     clock: &Clock,
     build_request: BuildRequest<'_>,
-    options: &ExchangeOptions,
+    options: &ExchangeContext,
 ) -> Result<CompletedExchange, Outcome> {
     let generation = pool.generation();
     let mut has_new_connection_failed = false;
@@ -130,7 +130,7 @@
         }
         match exchange(&mut connection, origin, build_request, options).await {
             Ok(response) => return Ok(CompletedExchange { response, connection, lease }),
-            Err(ExchangeError::InvalidResponse) => return Err(Outcome::Reset),
+            Err(ExchangeError::NoValidResponse) => return Err(Outcome::Reset),
             Err(ExchangeError::BodyConsumed) => return Err(Outcome::NoConnection),
             // A reused connection may have been closed while it was idle. A new one is replaced only
             // once: after two failures a third connection would fail in the same way.
--- a/src/proxy/upstream/connection.rs
+++ b/src/proxy/upstream/connection.rs
@@ -1,7 +1,7 @@
 //! An HTTP connection to a backend. It makes progress only while its owner polls it, so that
 //! dropping it ends the exchange and closes the socket at once.
 
-use super::exchange_progress::{ResponseActivity, WriteProgress};
+use super::exchange_progress::{RequestWriteState, ResponseActivity};
 use super::request_body::AttemptBody;
 use super::socket::BackendSocket;
 use crate::proxy::limits::MAX_HEAD_BYTES;
@@ -36,7 +36,7 @@
     sender: http1::SendRequest<AttemptBody>,
     driver: Driver,
     activity: ResponseActivity,
-    progress: Rc<WriteProgress>,
+    progress: Rc<RequestWriteState>,
 }
 
 /// Connects to `address` within `timeout`.
@@ -47,7 +47,7 @@
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let activity = ResponseActivity::default();
-    let progress = Rc::<WriteProgress>::default();
+    let progress = Rc::<RequestWriteState>::default();
     let socket = BackendSocket::new(stream, activity.clone(), progress.clone());
     let mut builder = http1::Builder::new();
     // The head of a response must not grow without bound.
@@ -91,7 +91,7 @@
     }
 
     /// How much of the current request has been written.
-    pub(super) fn progress(&self) -> &Rc<WriteProgress> {
+    pub(super) fn progress(&self) -> &Rc<RequestWriteState> {
         &self.progress
     }
 }
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -3,7 +3,7 @@
 
 use super::body_chunks::BodyChunks;
 use super::connection::{Connection, ConnectionOrigin};
-use super::exchange_progress::ExchangeOptions;
+use super::exchange_progress::ExchangeContext;
 use super::request_body::AttemptBody;
 use super::shared_flag::SharedFlag;
 use crate::proxy::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
@@ -57,7 +57,7 @@
     BodyConsumed,
     /// The request may have run.
     #[error("the response is missing, incomplete or invalid")]
-    InvalidResponse,
+    NoValidResponse,
 }
 
 /// Sends a request and waits for its response. The response must be complete, or too long to be
@@ -70,7 +70,7 @@
     connection: &mut Connection,
     origin: ConnectionOrigin,
     build_request: BuildRequest<'_>,
-    options: &ExchangeOptions,
+    options: &ExchangeContext,
 ) -> Result<ReceivedResponse, ExchangeError> {
     let activity = connection.activity().clone();
     activity.clear();
@@ -84,7 +84,7 @@
     hyper::ext::on_informational(&mut request, move |_| informational_activity.clear());
     let result = tokio::select! {
         result = send_and_receive(connection, request, &options.request_written) => result,
-        () = activity.stalled() => Err(ExchangeError::InvalidResponse),
+        () = activity.stalled() => Err(ExchangeError::NoValidResponse),
     };
     match result {
         Err(ExchangeError::NotSent) if build_request(progress.final_data()).is_none() => {
@@ -101,14 +101,14 @@
 ) -> Result<ReceivedResponse, ExchangeError> {
     let response = match connection.send(request).await {
         Some(Ok(response)) => response,
-        _ if request_written.get() => return Err(ExchangeError::InvalidResponse),
+        _ if request_written.get() => return Err(ExchangeError::NoValidResponse),
         _ => return Err(ExchangeError::NotSent),
     };
     if !is_valid(&response) {
-        return Err(ExchangeError::InvalidResponse);
+        return Err(ExchangeError::NoValidResponse);
     }
     let (head, incoming) = response.into_parts();
-    let body = receive_body(connection, incoming).await.ok_or(ExchangeError::InvalidResponse)?;
+    let body = receive_body(connection, incoming).await.ok_or(ExchangeError::NoValidResponse)?;
     Ok(ReceivedResponse { head, body })
 }
 
--- a/src/proxy/upstream/exchange_progress.rs
+++ b/src/proxy/upstream/exchange_progress.rs
@@ -50,7 +50,7 @@
 
 /// How an exchange is observed and bounded from outside.
 #[derive(Clone, Default)]
-pub struct ExchangeOptions {
+pub struct ExchangeContext {
     /// Set once the complete request has been written. The engine shares it: when it ends the
     /// attempt, the flag decides whether the request may run.
     pub request_written: SharedFlag,
@@ -62,17 +62,17 @@
 
 /// How much of the current request has been written.
 #[derive(Default)]
-pub struct WriteProgress {
-    options: RefCell<ExchangeOptions>,
+pub struct RequestWriteState {
+    options: RefCell<ExchangeContext>,
     /// The end of the body has been handed out: the next write contains the last byte.
     final_data: SharedFlag,
     /// Data that arrives before the request has been written is an error.
     rejects_early_data: Cell<bool>,
 }
 
-impl WriteProgress {
+impl RequestWriteState {
     /// A new request is about to be written.
-    pub fn begin(&self, options: &ExchangeOptions) {
+    pub fn begin(&self, options: &ExchangeContext) {
         options.request_written.set(false);
         self.final_data.set(false);
         self.options.replace(options.clone());
--- a/src/proxy/upstream/pool.rs
+++ b/src/proxy/upstream/pool.rs
@@ -29,6 +29,14 @@
     since: Instant,
 }
 
+impl IdleConnection {
+    /// The connection, if the backend has not closed it meanwhile.
+    fn into_reusable(self) -> Option<Self> {
+        let connection = self.connection.into_reusable()?;
+        Some(Self { connection, ..self })
+    }
+}
+
 /// The connections to one backend. Times are those of the proxy's clock, in seconds.
 pub struct ConnectionPool {
     address: Cell<SocketAddr>,
@@ -80,14 +88,14 @@
     /// when sends must end.
     pub fn update(&self, address: SocketAddr, drain_deadline: Option<Time>) {
         if self.address.replace(address) != address || drain_deadline.is_some() {
-            self.close_idle();
+            self.retire_connections();
         }
         self.send_deadlines.set_drain(drain_deadline);
     }
 
     /// The backend is removed from the endpoint list: sends must end by `deadline`.
     pub fn mark_removed(&self, deadline: Time) {
-        self.close_idle();
+        self.retire_connections();
         self.send_deadlines.set_removed(deadline);
     }
 
@@ -98,7 +106,7 @@
 
     /// The backend is removed, and its grace period is over.
     #[must_use]
-    pub fn is_expired(&self, clock: &Clock) -> bool {
+    pub fn can_be_forgotten(&self, clock: &Clock) -> bool {
         self.send_deadlines.is_expired(clock.now())
     }
 
@@ -109,21 +117,21 @@
     }
 
     /// Closes the idle connections, and those in use as soon as they become idle.
-    pub fn close_idle(&self) {
+    pub fn retire_connections(&self) {
         self.generation.set(self.generation.get() + 1);
         self.idle.borrow_mut().clear();
     }
 
     /// Closes connections that have been idle for too long or were closed by the backend.
-    pub fn close_expired(&self) {
-        let reusable = self.idle.take().into_iter().filter_map(|idle| self.check_idle(idle)).collect();
-        self.idle.replace(reusable);
+    pub fn sweep_idle(&self) {
+        let reusable = self.idle.take().into_iter().filter_map(IdleConnection::into_reusable);
+        let fresh = reusable.filter(|idle| self.is_fresh(idle)).collect();
+        self.idle.replace(fresh);
     }
 
-    fn check_idle(&self, idle: IdleConnection) -> Option<IdleConnection> {
-        let IdleConnection { connection, permit, since } = idle;
-        let connection = connection.into_reusable()?;
-        (since.elapsed() < self.max_idle_time.get()).then_some(IdleConnection { connection, permit, since })
+    /// The connection has not been idle for too long.
+    fn is_fresh(&self, idle: &IdleConnection) -> bool {
+        idle.since.elapsed() < self.max_idle_time.get()
     }
 
     /// Since when the connection that has been idle longest has been so.
@@ -164,7 +172,10 @@
     fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         while let Some(index) = idle.iter().rposition(|idle| idle.since.elapsed() >= MIN_IDLE_TIME) {
-            if let Some(reusable) = self.check_idle(idle.remove(index)) {
+            let candidate = idle.remove(index);
+            if self.is_fresh(&candidate)
+                && let Some(reusable) = candidate.into_reusable()
+            {
                 return Some(reusable);
             }
         }
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -2,7 +2,7 @@
 //! request a little later than the rest: until then the request can still be stopped or moved to
 //! another connection.
 
-use super::exchange_progress::{ResponseActivity, WriteProgress};
+use super::exchange_progress::{RequestWriteState, ResponseActivity};
 use socket2::SockRef;
 use std::future::Future;
 use std::io::{self, Read};
@@ -45,7 +45,7 @@
 pub struct BackendSocket {
     stream: TcpStream,
     activity: ResponseActivity,
-    progress: Rc<WriteProgress>,
+    progress: Rc<RequestWriteState>,
     /// A byte that is accepted but not written yet.
     delayed_byte: Option<u8>,
     delay: Pin<Box<Sleep>>,
@@ -56,7 +56,7 @@
 
 impl BackendSocket {
     /// Wraps a connected stream, and reports to `activity` and `progress`.
-    pub fn new(stream: TcpStream, activity: ResponseActivity, progress: Rc<WriteProgress>) -> Self {
+    pub fn new(stream: TcpStream, activity: ResponseActivity, progress: Rc<RequestWriteState>) -> Self {
         let delay = Box::pin(tokio::time::sleep(Duration::ZERO));
         Self { stream, activity, progress, delayed_byte: None, delay, is_delay_extended: false }
     }
@@ -85,7 +85,7 @@
 
     /// Decides whether the last byte may be written.
     fn check_last_byte(&self) -> Result<(), AbortedExchange> {
-        if self.progress.is_too_early() && self.is_readable() {
+        if self.progress.is_too_early() && self.has_pending_input() {
             return Err(AbortedExchange::EarlyData);
         }
         // Checked here and not only by a timer: after the process was suspended, all of its timers
@@ -98,7 +98,7 @@
 
     /// Data or the end of the stream has arrived, whether or not the runtime has reported it. This
     /// consumes a byte of the data: the connection must not be used after a positive result.
-    fn is_readable(&self) -> bool {
+    fn has_pending_input(&self) -> bool {
         let socket = SockRef::from(&self.stream);
         !matches!((&*socket).read(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
--- a/src/state/balancer.rs
+++ b/src/state/balancer.rs
@@ -1,9 +1,14 @@
 //! All that one balancer knows, as one small structure for each concern.
 
-use super::{
-    ArrivalRates, BackendIndex, BackendTable, CallTable, DecayingMean, KeyQueues, MaintenanceTable, Quota,
-    Traffic, WaitingQueue,
-};
+use super::backend::{BackendIndex, BackendTable};
+use super::call::CallTable;
+use super::decaying_rate::ArrivalRates;
+use super::key_queues::KeyQueues;
+use super::maintenance_table::MaintenanceTable;
+use super::quota::Quota;
+use super::smoothed_mean::DecayingMean;
+use super::traffic::Traffic;
+use super::waiting_queue::WaitingQueue;
 use crate::{BackendId, Endpoint, Settings, Status, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/src/state/waiting_queue.rs
+++ b/src/state/waiting_queue.rs
@@ -2,7 +2,7 @@
 
 use super::call::CallKey;
 
-/// Calls in the order of their ranks; among equals the last to come is admitted first.
+/// Calls in the order of their ranks; among equals the first to arrive is admitted first.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingQueue {
     /// Ranks and calls, the best last.
--- a/tests/common/balancer_harness.rs
+++ b/tests/common/balancer_harness.rs
@@ -6,7 +6,7 @@
 
 /// A class with a latency objective of 1 s and a deadline of 2 s.
 pub fn request_class(effect: Effect) -> RequestClass {
-    RequestClass { latency_objective: 1.0, deadline: 2.0, effect, ..RequestClass::default() }
+    RequestClass { latency_objective: 1.0, max_timeout: 2.0, effect, ..RequestClass::default() }
 }
 
 /// A tenant with a quota in requests per second.
--- a/tests/decisions/edge_cases.rs
+++ b/tests/decisions/edge_cases.rs
@@ -10,7 +10,7 @@
     Settings {
         classes: vec![RequestClass {
             latency_objective: 0.0,
-            deadline: 0.0,
+            max_timeout: 0.0,
             priority_weight: 0.0,
             ..request_class(Effect::Safe)
         }],
--- a/tests/endpoint_churn.rs
+++ b/tests/endpoint_churn.rs
@@ -35,7 +35,7 @@
         ..ProxySettings::default()
     };
     let metrics = Metrics::new(&proxy);
-    Engine::start(SettingsSnapshot { settings: safe_settings(), proxy }.into(), 1, 10, metrics)
+    Engine::start(SettingsSnapshot { balancer: safe_settings(), proxy }.into(), 1, 10, metrics)
 }
 
 #[test]
@@ -66,15 +66,15 @@
 
         // Many times the grace period and the interval of the next sweep.
         let mut pauses = 0;
-        while (2..49).any(|id| engine.is_referenced(BackendId(id))) {
+        while (2..49).any(|id| engine.is_backend_known(BackendId(id))) {
             pause().await;
             pauses += 1;
             assert!(pauses < 1000, "they are not forgotten");
         }
-        assert!(engine.is_referenced(BackendId(49)), "the one that is listed");
-        assert!(engine.is_referenced(BackendId(1)), "the one with an attempt in flight");
+        assert!(engine.is_backend_known(BackendId(49)), "the one that is listed");
+        assert!(engine.is_backend_known(BackendId(1)), "the one with an attempt in flight");
         engine.client_disconnected(id);
-        while engine.is_referenced(BackendId(1)) {
+        while engine.is_backend_known(BackendId(1)) {
             pause().await;
             pauses += 1;
             assert!(pauses < 2000, "it is not forgotten");
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -131,7 +131,6 @@
             let named = (1..=absolute.len()).rev().map(|length| absolute[..length].to_vec());
             if let Some(import) = named.into_iter().find(|path| known.contains(path))
                 && import != *module
-                && !is_own_child(module, &import)
             {
                 imports.insert(import);
             }
@@ -140,11 +139,6 @@
     imports
 }
 
-/// A folder's module is made of its files: that it uses them is no import of another part.
-fn is_own_child(module: &ModulePath, import: &ModulePath) -> bool {
-    import.len() > module.len() && import.starts_with(module)
-}
-
 fn words(path: &str) -> ModulePath {
     path.split("::").map(str::to_string).collect()
 }
@@ -171,6 +165,11 @@
     let forbidden = [
         ("proxy::upstream", ["proxy::engine", "proxy::downstream", "proxy::control"].as_slice()),
         ("proxy::engine", &["proxy::downstream"]),
+        ("proxy::control::config", &["proxy::engine", "proxy::downstream"]),
+        ("proxy::control::discovery", &["proxy::engine", "proxy::downstream"]),
+        ("proxy::control::endpoint_list", &["proxy::engine", "proxy::downstream"]),
+        ("proxy::control::instance_lock", &["proxy::engine", "proxy::downstream"]),
+        ("proxy::control::maintenance_store", &["proxy::engine", "proxy::downstream"]),
         ("decisions", &["proxy", "wire"]),
         ("state", &["proxy", "wire", "decisions"]),
         ("interface", &["proxy", "wire", "decisions", "state"]),
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -47,7 +47,7 @@
         Settings {
             classes: vec![RequestClass {
                 latency_objective: 2.0,
-                deadline: 4.0,
+                max_timeout: 4.0,
                 late_priority_weight: 0.5,
                 ..request_class(Effect::Safe)
             }],
--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -271,7 +271,7 @@
 
     let lock = acquire(&folder.base());
     lock.announce_listening().unwrap();
-    lock.publish_settings("3\n").unwrap();
+    lock.publish_fingerprint("3\n").unwrap();
 
     assert!(lock.is_shared() && lock.other_is_listening() && lock.other_settings_differ("3\n"));
     assert_eq!(folder.contents(), before);
@@ -303,7 +303,7 @@
 
     let lock = acquire(&folder.base());
     lock.announce_listening().unwrap();
-    lock.publish_settings("00c0ffee00c0ffee, version 7\n").unwrap();
+    lock.publish_fingerprint("00c0ffee00c0ffee, version 7\n").unwrap();
 
     let expected = contents([
         ("dewpier-127.0.0.1:7070.seat-0", "listening"),
@@ -313,7 +313,7 @@
     let first = File::open(folder.file("dewpier-127.0.0.1:7070.seat-0")).unwrap();
     assert!(matches!(first.try_lock_shared(), Err(std::fs::TryLockError::WouldBlock)));
     // Shorter settings replace longer ones.
-    lock.publish_settings("00c0ffee00c0ffee\n").unwrap();
+    lock.publish_fingerprint("00c0ffee00c0ffee\n").unwrap();
     assert_eq!(folder.read("dewpier-127.0.0.1:7070.seat-0.settings"), "00c0ffee00c0ffee\n");
 }
 
