--- a/src/decisions/endpoints.rs
+++ b/src/decisions/endpoints.rs
@@ -51,8 +51,8 @@
         actions.push(Action::SetTimer { at, token: Timer::EndpointPoll.into() });
     }
 
-    /// Closes idle connections to a draining backend: on the notice, and after each outcome
-    /// there, as what was in flight at the notice leaves a connection behind.
+    /// Closes idle connections to a draining backend: on the notification, and after each
+    /// outcome there, as an attempt that was in flight then leaves a connection behind.
     pub(super) fn close_idle_if_draining(&self, index: BackendIndex, actions: &mut Vec<Action>) {
         let endpoint = &self.backends[index].endpoint;
         if self.settings.idle_close_limit.is_some() && endpoint.status == Status::Draining {
--- a/src/decisions/settings_change.rs
+++ b/src/decisions/settings_change.rs
@@ -4,7 +4,7 @@
 use crate::state::Balancer;
 use std::sync::Arc;
 
-/// Subsets are dealt out alike by both: members stay.
+/// Both assign the same subsets, so that the members stay.
 fn have_same_subsets(old: &Settings, new: &Settings) -> bool {
     old.instance_count == new.instance_count
         && old.instance_index == new.instance_index
--- a/src/decisions/subset.rs
+++ b/src/decisions/subset.rs
@@ -70,9 +70,9 @@
         let (local, remote): (Vec<_>, Vec<_>) = in_service.partition(|index| !self.is_cross_zone(**index));
         let size = self.subset_size();
         let least = self.min_subset_size();
-        let mut assigned = self.deal(local, least, size);
-        assigned.extend(self.deal(remote, MIN_CROSS_ZONE_MEMBERS.max(least - MIN_MEMBERS), 0));
-        // One that was used becomes a member after its maintenance, whatever was dealt meanwhile.
+        let mut assigned = self.assign_from(local, least, size);
+        assigned.extend(self.assign_from(remote, MIN_CROSS_ZONE_MEMBERS.max(least - MIN_MEMBERS), 0));
+        // One that was used becomes a member after its maintenance, whatever was assigned meanwhile.
         let in_service = self.subset.in_service.iter().copied();
         let is_owed = |index: &BackendIndex| {
             self.maintenance.was_used(self.backends[*index].endpoint.id) && !assigned.contains(index)
@@ -82,10 +82,10 @@
         assigned
     }
 
-    /// Deals out backends in rounds, each a shuffle of its own, so that every one is in as many subsets as
-    /// the next: with few balancers a plain random draw would leave some in none. At least `least` are dealt,
-    /// and `size` if that is more.
-    fn deal(&self, mut backends: Vec<BackendIndex>, least: usize, size: usize) -> Vec<BackendIndex> {
+    /// Assigns backends in rounds, each with a shuffle of its own, so that all are in about as many subsets:
+    /// with few balancers a plain random draw would leave some in none. At least `least` are assigned, and
+    /// `size` if that is more.
+    fn assign_from(&self, mut backends: Vec<BackendIndex>, least: usize, size: usize) -> Vec<BackendIndex> {
         let count = backends.len();
         let base = least.min(count);
         let subsets = count.div_ceil(base.max(1)).max(1);
@@ -96,7 +96,7 @@
         let start = van_der_corput(place, subsets) * count / subsets;
         backends
             .sort_by_cached_key(|index| (hash_in_round(self.backends[*index].endpoint.id, round), *index));
-        let dealt = size.max(base).min(count);
-        (0..dealt).map(|offset| backends[(start + offset) % count]).collect()
+        let assigned = size.max(base).min(count);
+        (0..assigned).map(|offset| backends[(start + offset) % count]).collect()
     }
 }
--- a/src/proxy/control/management.rs
+++ b/src/proxy/control/management.rs
@@ -1,6 +1,6 @@
 //! The management address: answers the calls of operators, one a connection.
 //!
-//! Every caller gets an answer or an end of its connection within two timeouts, and callers that send
+//! Every caller gets a response or an end of its connection within two timeouts, and callers that send
 //! nothing can't keep others from being answered.
 
 use super::maintenance::Maintenance;
@@ -20,7 +20,7 @@
 
 /// Connections open at once. Their descriptors are reserved.
 pub const MAX_MANAGEMENT_CONNECTIONS: usize = 16;
-/// Bounds the time in which a call arrives, and again the time in which its answer is read.
+/// Bounds the time in which a call arrives, and again the time in which its response is read.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a failed `accept`, which may fail again at once.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -64,7 +64,7 @@
         }
         let this = self.clone();
         let connection = tokio::task::spawn_local(async move {
-            // An error means that the caller has disconnected, so that nobody waits for an answer.
+            // An error means that the caller has disconnected, so that nobody waits for a response.
             let _ = this.serve(stream).await;
         });
         self.connections.borrow_mut().push_back(connection.abort_handle());
@@ -116,7 +116,7 @@
 async fn write_and_close(mut stream: TcpStream, line: &str) -> io::Result<()> {
     stream.write_all(line.as_bytes()).await?;
     stream.shutdown().await?;
-    // Closing a socket with unread input resets the connection, and the answer could be lost.
+    // Closing a socket with unread input resets the connection, and the response could be lost.
     tokio::io::copy(&mut stream.take(MAX_LINE_BYTES), &mut tokio::io::sink()).await?;
     Ok(())
 }
