--- a/src/state/backend.rs
+++ b/src/state/backend.rs
@@ -11,6 +11,7 @@
 /// Latency of a backend relative to the usual one of the class; 1 is usual.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Slowness {
+    /// Latency over the usual one.
     pub ratio: f64,
     /// When the ratio was last updated.
     pub at: Time,
@@ -26,11 +27,13 @@
 /// What is known of a backend.
 #[derive(Debug)]
 pub(crate) struct Backend {
+    /// What the endpoint list says of it.
     pub endpoint: Endpoint,
     /// Attempts in flight whose request has been received completely.
     pub in_flight: usize,
     /// Attempts of unfinished calls that refer to it.
     pub references: usize,
+    /// How slow it is relative to the usual latency.
     pub slowness: Slowness,
     /// When it last answered an attempt successfully.
     pub last_success_at: Time,
--- a/src/state/balancer.rs
+++ b/src/state/balancer.rs
@@ -47,28 +47,37 @@
 /// its time, and returns actions.
 #[derive(Debug)]
 pub struct Balancer {
+    /// The settings in force.
     pub(crate) settings: Arc<Settings>,
     /// The time of the latest event, in seconds.
     pub(crate) now: Time,
     /// Where all random draws come from, in the order of the decisions.
     pub(crate) random: SmallRng,
+    /// Requests without a final response.
     pub(crate) calls: CallTable,
+    /// What is known of each backend.
     pub(crate) backends: BackendTable,
+    /// The backends to which this balancer sends first.
     pub(crate) subset: SubsetAssignment,
+    /// Rates and usual latencies.
     pub(crate) traffic: Traffic,
-    /// By class.
+    /// Rates of arriving requests, by class.
     pub(crate) arrivals: Vec<ArrivalRates>,
-    /// By tenant.
+    /// What is left of the quotas, by tenant.
     pub(crate) quotas: Vec<Quota>,
     /// Calls that wait for admission.
     pub(crate) waiting_queue: WaitingQueue,
     /// Mean excess of calls in flight, in deviations from the usual number.
     pub(crate) mean_excess: DecayingMean,
+    /// Calls that run singly, by ordering key.
     pub(crate) key_queues: KeyQueues,
+    /// Backends in maintenance or recently returned.
     pub(crate) maintenance: MaintenanceTable,
+    /// Means of the load reports.
     pub(crate) fleet_load: FleetLoad,
     /// Attempts sent so far.
     pub(crate) sends: usize,
+    /// When the endpoint list is polled.
     pub(crate) endpoint_polls: EndpointPolls,
     /// A second process serves the same clients, and there are twice as many balancers for the time.
     pub(crate) second_process: bool,
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -13,15 +13,20 @@
 /// One attempt of a call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
+    /// Where it went.
     pub backend: BackendIndex,
+    /// The backend's cell at the time.
     pub cell: u32,
+    /// The backend's zone at the time.
     pub zone: u32,
+    /// When it was sent, in seconds.
     pub sent_at: Time,
     /// None while it is in flight.
     pub outcome: Option<Outcome>,
 }
 
 impl Attempt {
+    /// It has no outcome yet.
     pub fn is_in_flight(&self) -> bool {
         self.outcome.is_none()
     }
@@ -57,6 +62,7 @@
 /// A request without a final response.
 #[derive(Debug)]
 pub(crate) struct Call {
+    /// The request's id.
     pub id: RequestId,
     /// The settings in force when it arrived, by which it ends.
     pub settings: Arc<Settings>,
@@ -72,12 +78,15 @@
     pub deadline: Time,
     /// The time that it has from the complete receipt of its body, in seconds.
     pub timeout: Time,
+    /// Its doubling timers.
     pub retry_timer: RetryTimer,
+    /// Its attempts, in the order of the sends.
     pub attempts: Vec<Attempt>,
     /// The key by which its class orders requests.
     pub ordering_key: Option<u64>,
     /// It waits for its turn, for admission or for its ordering key; nothing of it has been sent.
     pub is_waiting: bool,
+    /// How far its body has come.
     pub body: BodyProgress,
     /// Its last attempt found no capacity or no connection, and it waits to be retried.
     pub lacks_capacity: bool,
@@ -143,14 +152,17 @@
         self.by_id.len() - self.waiting - self.receiving
     }
 
+    /// The key of the call with this id.
     pub fn key_of(&self, id: RequestId) -> Option<CallKey> {
         self.by_id.get(&id).copied()
     }
 
+    /// The call has not ended.
     pub fn contains(&self, key: CallKey) -> bool {
         self.calls.contains_key(key)
     }
 
+    /// Adds a call, and counts it if it waits.
     pub fn insert(&mut self, call: Call) -> CallKey {
         let id = call.id;
         self.waiting += usize::from(call.is_waiting);
@@ -159,6 +171,7 @@
         key
     }
 
+    /// Removes an ended call, and no longer counts it.
     pub fn remove(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(key)?;
         self.by_id.remove(&call.id);
@@ -174,6 +187,7 @@
         self.lacking_capacity -= usize::from(before);
     }
 
+    /// All calls, in no particular order.
     pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Call> {
         self.calls.values_mut()
     }
--- a/src/state/key_queues.rs
+++ b/src/state/key_queues.rs
@@ -60,6 +60,7 @@
         self.queues.get(&ordering_key).map_or(0, |queue| queue.calls.len())
     }
 
+    /// Adds a call to the queue of its ordering key, and drops idle queues if there are many.
     pub fn push(&mut self, ordering_key: u64, call: CallKey, now: Time) {
         if self.queues.len() >= self.queue_limit {
             self.queues.retain(|_, queue| !queue.is_idle(now));
--- a/src/state/maintenance_table.rs
+++ b/src/state/maintenance_table.rs
@@ -43,6 +43,7 @@
         self.states.insert(backend, MaintenanceState { in_maintenance: true, since: now, was_used });
     }
 
+    /// The state of a backend that is in maintenance or has returned recently.
     pub fn get_mut(&mut self, backend: BackendId) -> Option<&mut MaintenanceState> {
         self.states.get_mut(&backend)
     }
--- a/src/state/quota.rs
+++ b/src/state/quota.rs
@@ -6,6 +6,7 @@
 /// One balancer's part of a tenant's quota.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Quota {
+    /// The rate at which quota becomes available.
     pub requests_per_second: f64,
     /// The most requests that unused quota is kept for.
     pub burst: f64,
--- a/src/state/scope.rs
+++ b/src/state/scope.rs
@@ -5,6 +5,7 @@
 /// The backends to which an attempt may go.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Scope {
+    /// All backends.
     Anywhere,
     /// Those of this zone.
     Zone(u32),
@@ -13,6 +14,7 @@
 }
 
 impl Scope {
+    /// An attempt may go to the backend.
     pub fn contains(self, endpoint: &Endpoint) -> bool {
         match self {
             Scope::Anywhere => true,
--- a/src/state/waiting_queue.rs
+++ b/src/state/waiting_queue.rs
@@ -16,6 +16,7 @@
 }
 
 impl WaitingQueue {
+    /// Adds a call with its rank.
     pub fn insert(&mut self, rank: f64, key: CallKey) {
         let place = self.entries.partition_point(|entry| entry.rank < rank);
         self.entries.insert(place, RankedCall { rank, key });
@@ -31,6 +32,7 @@
         self.entries.pop().map(|best| best.key)
     }
 
+    /// Removes a call that no longer waits.
     pub fn remove(&mut self, key: CallKey) {
         self.entries.retain(|entry| entry.key != key);
     }
