--- a/src/decisions/retransmission.rs
+++ b/src/decisions/retransmission.rs
@@ -1,8 +1,8 @@
 //! Retransmission control, after Hong, Huang and Yan, "Controlling Retransmission Rate For Mitigating SIP
 //! Overload": a call that is unanswered or has failed when one of its doubling timers fires is retried with
-//! probability p, and p falls as the number of unanswered calls rises from one to three T1-worths of the
-//! average send rate. By Little's law that number over that rate is the mean wait, so p compares the mean
-//! wait with T1.
+//! probability p, and p falls as the number of unanswered calls rises from one T1-worth of the average
+//! send rate to `THRESHOLD_RATIO` times that (the paper: three). By Little's law that number over that
+//! rate is the mean wait, so p compares the mean wait with T1.
 
 use crate::interface::*;
 use crate::state::{Balancer, CallKey, Timer};
@@ -10,7 +10,7 @@
 
 /// Least probability of a retry, as in the paper: what it needs to get past lost messages.
 const MIN_RETRY_PROBABILITY: f64 = 0.1;
-/// Ratio of the thresholds between which p falls: under the paper's 3, as retries cost whole work.
+/// Ratio of the thresholds between which p falls: under the paper's 3, as retries cost full work.
 const THRESHOLD_RATIO: f64 = 1.5;
 /// Least lower threshold, in calls. Guards against quiet balancers, where rate x T1 is under
 /// one and a waiting call would lower its own probability.
@@ -19,7 +19,7 @@
 const T1_DEVIATIONS: f64 = 4.0;
 /// T1 is at most this part of the time left, so that a retry can still be answered in it.
 pub(super) const MAX_T1_FRACTION: f64 = 0.4;
-/// T1 is spread by this part, lest failed calls of many balancers return in step.
+/// T1 is spread by this part, so that failed calls of many balancers are not retried in step.
 const T1_JITTER: f64 = 0.1;
 
 impl Balancer {
--- a/src/decisions/slow_start.rs
+++ b/src/decisions/slow_start.rs
@@ -27,18 +27,19 @@
         may_be_sent && self.has_slow_start_budget(index, started_at)
     }
 
-    /// What was saved must not come at once from many balancers: parts of a request are drawn lots for
-    /// and then gone, not kept until they make a whole.
+    /// Tokens that were saved must not be spent at once by many balancers: a fraction of a token is the
+    /// probability of a send and is then spent, rather than saved until it makes a full one.
     fn has_slow_start_budget(&mut self, index: BackendIndex, started_at: Time) -> bool {
         let allowed = self.slow_start_rate(started_at);
         let burst = allowed * self.settings.slow_start_overload_window;
         let budget = &mut self.backends[index].slow_start_budget;
         let available = budget.refill(self.now, allowed, burst);
-        if available < 1.0 {
-            let is_drawn = self.random.random::<f64>() < available;
-            budget.tokens = f64::from(is_drawn);
+        if available >= 1.0 {
+            return true;
         }
-        budget.tokens >= 1.0
+        let is_drawn = self.random.random::<f64>() < available;
+        budget.tokens = f64::from(is_drawn);
+        is_drawn
     }
 
     /// Requests a second that this balancer may send to a backend that started at `started_at`. All members
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,8 +1,8 @@
 //! What a balancer wants done.
 
-use super::{BackendId, RequestId, Time};
+use super::ids::{BackendId, RequestId, Time};
 
-/// Names a timer: whoever is asked to set one hands the token back when it is due.
+/// Identifies a timer: the caller sets it, and hands the token back when it is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TimerToken(pub u64);
 
--- a/src/proxy/downstream/request_head.rs
+++ b/src/proxy/downstream/request_head.rs
@@ -20,8 +20,8 @@
 pub struct ParsedHead {
     /// The id that the client gave the request, unique among its requests in flight.
     pub client_request_id: u64,
-    /// The request as the decision module sees it, without an id (the engine assigns it) and as if its
-    /// body were buffered.
+    /// The request as the decision module sees it, without an id, which the engine assigns, and with
+    /// `streaming_body` unset, which depends on the body.
     pub request: Request,
 }
 
@@ -41,8 +41,8 @@
         let client_request_id = client_request_id(headers)?;
         let class_index = class_index(headers, &settings.proxy.classes)?;
         let tenant = tenant_index(headers, &settings.proxy.tenants)?;
-        let class = &settings.settings.classes[class_index];
-        let timeout = timeout(headers, class.deadline)?;
+        let class = &settings.balancer.classes[class_index];
+        let timeout = timeout(headers, class.max_timeout)?;
         let idempotency_key = single_value(headers, "idempotency-key")?;
         check_method(method, class.effect)?;
         check_idempotency_key(idempotency_key, class.effect)?;
