Name the engine's closing of connections as its pools do, and a class's timeout after what it is

Cause: one more reading. The engine said close_idle, close_expired and is_referenced for what the pools call retire_connections and sweep_idle and the listener is_backend_known; a class's maximum timeout was first held in a local called deadline. Names and comments only.

--- a/src/bin/simulator-adapter/batch.rs
+++ b/src/bin/simulator-adapter/batch.rs
@@ -1,5 +1,5 @@
 //! A batch of events. Owns the instance selected and the list being filled, both of which end with the
-//! batch, and owes the simulator one reply.
+//! batch, and produces one reply for the simulator.
 
 use super::endpoint_lists::EndpointLists;
 use super::instances::{Instance, InstanceIndex, Instances, RunningInstance};
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -35,7 +35,7 @@
         scope.contains(&self.backends[backend].endpoint) && !tried.contains(&backend)
     }
 
-    /// The usable members, and others in the stead of members that are warming up and have had their part:
+    /// The usable members, and others in place of members that are warming up and have used up their budget:
     /// what those can't take must not all fall on the few warm ones that a subset happens to hold.
     fn candidates(&mut self, scope: Scope, tried: &[BackendIndex]) -> Vec<BackendIndex> {
         let mut pool = self.subset.members.clone();
--- a/src/decisions/slow_start.rs
+++ b/src/decisions/slow_start.rs
@@ -7,7 +7,7 @@
 
 /// Part of what would overload a backend that is warming up that all balancers together plan to send it.
 const OWN_RATE_MARGIN: f64 = 0.35;
-/// The same where backends report their rates, as traffic that is uneven takes nothing of it then.
+/// The same where backends report their rates, as uneven traffic uses up none of the margin then.
 const REPORTED_RATE_MARGIN: f64 = 0.5;
 
 impl Balancer {
@@ -19,8 +19,8 @@
         started_at.filter(|start| self.now < start + self.settings.slow_start_duration)
     }
 
-    /// In service, and, while it is warming up, within this balancer's part of what it can take. That
-    /// budget is its members' alone.
+    /// In service, and, while it is warming up, within this balancer's part of what it can take. Only
+    /// members have such a budget.
     pub(super) fn is_usable(&mut self, index: BackendIndex) -> bool {
         let Some(started_at) = self.warming_up_since(index) else { return self.is_in_service(index) };
         let may_be_sent = self.is_in_service(index) && self.subset.members.contains(&index);
@@ -42,7 +42,7 @@
         is_drawn
     }
 
-    /// Requests a second that this balancer may send to a backend that started at `started_at`. All members
+    /// Requests a second that this balancer may send to a backend that started at `started_at`. All balancers
     /// that do likewise together send it the usual part of what is served (under overload less than what
     /// is sent), times its present capacity, times a margin. Where warm backends report what they serve,
     /// each balancer takes an even part of that: what a busy one sends its own members would be more
--- a/src/proxy/control/config/translation.rs
+++ b/src/proxy/control/config/translation.rs
@@ -133,11 +133,11 @@
         let seconds =
             |key: &str, value: f64| not_negative(format_args!("settings.classes[{index}].{key}"), value);
         let default = RequestClass::default();
-        // If only one of latency objective and deadline is given, it is both.
-        let deadline = self.hard_limit.or(self.on_time).unwrap_or(default.max_timeout);
+        // If only one of latency objective and maximum timeout is given, it is both.
+        let max_timeout = self.hard_limit.or(self.on_time).unwrap_or(default.max_timeout);
         Ok(RequestClass {
-            latency_objective: seconds("on-time", self.on_time.unwrap_or(deadline))?,
-            max_timeout: seconds("hard-limit", deadline)?,
+            latency_objective: seconds("on-time", self.on_time.unwrap_or(max_timeout))?,
+            max_timeout: seconds("hard-limit", max_timeout)?,
             late_priority_weight: self.late_worth.unwrap_or(default.late_priority_weight),
             priority_weight: self.worth.unwrap_or(default.priority_weight),
             effect: match self.effect {
--- a/src/proxy/engine/dispatcher.rs
+++ b/src/proxy/engine/dispatcher.rs
@@ -128,7 +128,7 @@
             }
             Action::SetTimer { at, token } => self.timers.set(at, Timer::Decision(token)),
             Action::HealthCheck(backend) => self.check_health(state, backend),
-            Action::CloseIdleConnections(backend) => state.endpoints.close_idle(backend),
+            Action::CloseIdleConnections(backend) => state.endpoints.retire_connections(backend),
             Action::WatchEndpoints => {
                 if let Some(discovery) = self.discovery() {
                     discovery.start_watch();
--- a/src/proxy/engine/endpoints.rs
+++ b/src/proxy/engine/endpoints.rs
@@ -37,11 +37,11 @@
     }
 
     /// Whether a backend has a pool or is in maintenance.
-    pub(super) fn is_referenced(&self, backend: BackendId) -> bool {
+    pub(super) fn is_known(&self, backend: BackendId) -> bool {
         self.pools.contains_key(&backend) || self.maintenance_deadlines.contains_key(&backend)
     }
 
-    /// Applies the time-outs of these settings to all connections.
+    /// Applies the timeouts of these settings to all connections.
     pub(super) fn set_timeouts(&self, settings: &ProxySettings) {
         for pool in self.pools.values() {
             pool.set_timeouts(settings.connect_timeout, settings.idle_timeout);
@@ -115,15 +115,15 @@
         pool.update(*address, drain_deadline);
     }
 
-    /// Closes the idle connections to a backend.
-    pub(super) fn close_idle(&self, backend: BackendId) {
+    /// Closes the idle connections to a backend, and those in use as soon as they become idle.
+    pub(super) fn retire_connections(&self, backend: BackendId) {
         if let Some(pool) = self.pools.get(&backend) {
             pool.retire_connections();
         }
     }
 
     /// Closes the connections that have been idle for too long.
-    pub(super) fn close_expired(&self) {
+    pub(super) fn sweep_idle(&self) {
         for pool in self.pools.values() {
             pool.sweep_idle();
         }
--- a/src/proxy/engine/mod.rs
+++ b/src/proxy/engine/mod.rs
@@ -279,7 +279,7 @@
             tokio::time::sleep(IDLE_SWEEP_INTERVAL).await;
             let mut state = self.dispatcher.state();
             state.endpoints.forget_removed(&self.dispatcher.clock);
-            state.endpoints.close_expired();
+            state.endpoints.sweep_idle();
         }
     }
 }
@@ -307,6 +307,6 @@
     /// Whether the backend is in maintenance, or has been listed and not been gone for longer than
     /// sends to it may take.
     fn is_backend_known(&self, backend: BackendId) -> bool {
-        self.dispatcher.state().endpoints.is_referenced(backend)
+        self.dispatcher.state().endpoints.is_known(backend)
     }
 }
--- a/src/wire/settings.rs
+++ b/src/wire/settings.rs
@@ -109,11 +109,12 @@
     let default = RequestClass::default();
     let effect = effect(pairs, index)?;
     let latency_objective = pairs.number(&path("on-time"))?;
-    let deadline = pairs.number_or(&path("hard-limit"), latency_objective.unwrap_or(default.max_timeout))?;
+    let max_timeout =
+        pairs.number_or(&path("hard-limit"), latency_objective.unwrap_or(default.max_timeout))?;
     Ok(RequestClass {
         name: pairs.required(&path("name"))?.to_string(),
-        latency_objective: latency_objective.unwrap_or(deadline),
-        max_timeout: deadline,
+        latency_objective: latency_objective.unwrap_or(max_timeout),
+        max_timeout,
         late_priority_weight: pairs.number_or(&path("late-worth"), default.late_priority_weight)?,
         priority_weight: pairs.number_or(&path("worth"), default.priority_weight)?,
         effect,
