--- /dev/null
+++ b/crates/balancer/tests/subset_cover/fleet.rs
@@ -0,0 +1,290 @@
+//! A fleet of balancers before the same backends, and the changes that happen to it.
+
+use balancer::{
+    Action, BackendId, Balancer, Endpoint, EndpointUpdate, Event, MaintenanceChange, Settings, Status, Time,
+    ZoneId,
+};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The range of the number of balancers.
+pub const BALANCERS: std::ops::RangeInclusive<usize> = 1..=40;
+/// The range of the number of backends.
+pub const BACKENDS: std::ops::RangeInclusive<u32> = 1..=120;
+/// The range of the number of zones.
+const ZONES: std::ops::RangeInclusive<u32> = 1..=9;
+/// The cost of crossing zones where crossing has a price.
+const CROSS_ZONE_COST: f64 = 0.05;
+/// The time between two changes, in seconds: longer than any slow start.
+const CHANGE_INTERVAL: Time = 60.0;
+
+/// Whether crossing zones has a price.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crossing {
+    /// All zones are alike.
+    Free,
+    /// A call to another zone has a cost.
+    Priced,
+}
+
+/// The size of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    /// The number of balancers.
+    pub balancers: usize,
+    /// The number of backends at the start.
+    pub backends: u32,
+    /// The number of zones, over which balancers and backends are drawn.
+    pub zones: u32,
+}
+
+impl FleetSize {
+    /// Draws a size.
+    pub fn draw(random: &mut SmallRng) -> Self {
+        Self {
+            balancers: random.random_range(BALANCERS),
+            backends: random.random_range(BACKENDS),
+            zones: random.random_range(ZONES),
+        }
+    }
+}
+
+/// A change of the endpoint list or of the maintenance of one backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendChange {
+    /// A backend is added to the list.
+    Added(BackendId),
+    /// A backend is removed from the list.
+    Removed(BackendId),
+    /// A backend is listed as draining.
+    Draining(BackendId),
+    /// Operators take a backend out of service.
+    MaintenanceBegins(BackendId),
+    /// Operators put a backend back into service.
+    MaintenanceEnds(BackendId),
+}
+
+impl BackendChange {
+    /// Returns the backend that changes.
+    pub fn backend(self) -> BackendId {
+        match self {
+            Self::Added(id)
+            | Self::Removed(id)
+            | Self::Draining(id)
+            | Self::MaintenanceBegins(id)
+            | Self::MaintenanceEnds(id) => id,
+        }
+    }
+}
+
+/// One balancer of the fleet.
+struct FleetBalancer {
+    zone: ZoneId,
+    balancer: Balancer,
+}
+
+/// A fleet of balancers, all of which have been notified of the same list and settings.
+pub struct Fleet {
+    size: FleetSize,
+    crossing: Crossing,
+    random: SmallRng,
+    now: Time,
+    balancers: Vec<FleetBalancer>,
+    listed: BTreeMap<BackendId, Endpoint>,
+    in_maintenance: BTreeSet<BackendId>,
+    next_backend: u32,
+}
+
+impl Fleet {
+    /// Starts a fleet. The seed decides the zones and all changes.
+    pub fn start(seed: u64, size: FleetSize, crossing: Crossing) -> Self {
+        let mut fleet = Self {
+            size,
+            crossing,
+            random: SmallRng::seed_from_u64(seed),
+            now: 0.0,
+            balancers: Vec::new(),
+            listed: BTreeMap::new(),
+            in_maintenance: BTreeSet::new(),
+            next_backend: 0,
+        };
+        for _ in 0..size.backends {
+            let endpoint = fleet.draw_endpoint();
+            fleet.listed.insert(endpoint.id, endpoint);
+        }
+        fleet.resize(size.balancers);
+        fleet
+    }
+
+    /// Returns the number of balancers.
+    pub fn balancers(&self) -> usize {
+        self.balancers.len()
+    }
+
+    /// Returns the backends in service.
+    pub fn in_service(&self) -> BTreeSet<BackendId> {
+        let in_service = self.listed.values().filter(|endpoint| endpoint.status == Status::InService);
+        in_service.map(|endpoint| endpoint.id).filter(|id| !self.in_maintenance.contains(id)).collect()
+    }
+
+    /// Returns the subset of each balancer.
+    pub fn subsets(&self) -> Vec<BTreeSet<BackendId>> {
+        self.balancers.iter().map(|each| each.balancer.members().collect()).collect()
+    }
+
+    /// Returns the subset that each balancer would have if it had just started.
+    pub fn subsets_after_start(&self) -> Vec<BTreeSet<BackendId>> {
+        let started = (0..self.balancers.len()).map(|index| self.start_balancer(index));
+        started.map(|balancer| balancer.members().collect()).collect()
+    }
+
+    /// Draws a change of one backend, and notifies all balancers.
+    pub fn change_backend(&mut self) -> BackendChange {
+        self.now += CHANGE_INTERVAL;
+        let change = self.draw_backend_change();
+        match change {
+            BackendChange::Added(_) => {
+                let endpoint = self.draw_endpoint();
+                self.update_list(endpoint);
+            }
+            BackendChange::Removed(id) => {
+                let removed = Endpoint { status: Status::Removed, ..self.listed[&id].clone() };
+                self.update_list(removed);
+            }
+            BackendChange::Draining(id) => {
+                let draining = Endpoint { status: Status::Draining, ..self.listed[&id].clone() };
+                self.update_list(draining);
+            }
+            BackendChange::MaintenanceBegins(id) => {
+                self.in_maintenance.insert(id);
+                self.notify_all(Event::Maintenance { backend: id, change: MaintenanceChange::Begins });
+            }
+            BackendChange::MaintenanceEnds(id) => {
+                self.in_maintenance.remove(&id);
+                self.notify_all(Event::Maintenance { backend: id, change: MaintenanceChange::Ends });
+            }
+        }
+        change
+    }
+
+    /// Changes the number of balancers to one in `BALANCERS`, and the settings of all balancers.
+    pub fn change_balancer_count(&mut self) {
+        let count = self.random.random_range(BALANCERS);
+        self.resize(count);
+    }
+
+    /// Introduces or removes the price of crossing zones.
+    pub fn toggle_crossing_price(&mut self) {
+        self.crossing = match self.crossing {
+            Crossing::Free => Crossing::Priced,
+            Crossing::Priced => Crossing::Free,
+        };
+        self.apply_settings();
+    }
+
+    /// Restarts a balancer, which then knows the current list only.
+    pub fn restart_a_balancer(&mut self) {
+        let index = self.random.random_range(0..self.balancers.len());
+        self.balancers[index].balancer = self.start_balancer(index);
+    }
+
+    fn draw_backend_change(&mut self) -> BackendChange {
+        let ids: Vec<BackendId> = self.listed.keys().copied().collect();
+        let drawn = *ids.choose(&mut self.random).unwrap_or(&BackendId(0));
+        let is_last = self.in_service().len() <= 1;
+        let change = match self.random.random_range(0..8) {
+            _ if is_last => BackendChange::Added(BackendId(self.next_backend)),
+            0..=2 => BackendChange::Added(BackendId(self.next_backend)),
+            3 | 4 => BackendChange::Removed(drawn),
+            5 => BackendChange::Draining(drawn),
+            _ if self.in_maintenance.contains(&drawn) => BackendChange::MaintenanceEnds(drawn),
+            _ => BackendChange::MaintenanceBegins(drawn),
+        };
+        if let BackendChange::Removed(id) = change {
+            self.in_maintenance.remove(&id);
+            self.notify_all(Event::Maintenance { backend: id, change: MaintenanceChange::Ends });
+        }
+        change
+    }
+
+    fn draw_endpoint(&mut self) -> Endpoint {
+        let id = BackendId(self.next_backend);
+        self.next_backend += 1;
+        let zone = ZoneId(self.random.random_range(0..self.size.zones));
+        Endpoint { id, zone, ..Endpoint::default() }
+    }
+
+    /// Changes one entry of the list. Some balancers get the changed entry, the others the whole list.
+    fn update_list(&mut self, endpoint: Endpoint) {
+        if endpoint.status == Status::Removed {
+            self.listed.remove(&endpoint.id);
+        } else {
+            self.listed.insert(endpoint.id, endpoint.clone());
+        }
+        let whole_list: Vec<Endpoint> = self.listed.values().cloned().collect();
+        let changes = [endpoint];
+        for index in 0..self.balancers.len() {
+            let update = if self.random.random() {
+                EndpointUpdate::Changes(&changes)
+            } else {
+                EndpointUpdate::Full(&whole_list)
+            };
+            self.notify(index, Event::Endpoints(update));
+        }
+    }
+
+    fn settings(&self, index: usize) -> Settings {
+        Settings {
+            instance_count: self.balancers.len(),
+            instance_index: index,
+            zone: self.balancers[index].zone,
+            cross_zone_cost: if self.crossing == Crossing::Priced { CROSS_ZONE_COST } else { 0.0 },
+            ..crate::common::fixtures::safe_settings()
+        }
+    }
+
+    /// Returns a balancer that has just started with the current list.
+    fn start_balancer(&self, index: usize) -> Balancer {
+        let mut balancer = Balancer::new(self.now, index as u64, self.settings(index));
+        let list: Vec<Endpoint> = self.listed.values().cloned().collect();
+        let mut actions: Vec<Action> = Vec::new();
+        for id in &self.in_maintenance {
+            let change = MaintenanceChange::Begins;
+            balancer.handle(self.now, Event::Maintenance { backend: *id, change }, &mut actions);
+        }
+        balancer.handle(self.now, Event::Endpoints(EndpointUpdate::Cached(&list)), &mut actions);
+        balancer
+    }
+
+    /// Starts or ends balancers until there are `count`, and applies the settings of that number.
+    fn resize(&mut self, count: usize) {
+        self.balancers.truncate(count);
+        while self.balancers.len() < count {
+            let zone = ZoneId(self.random.random_range(0..self.size.zones));
+            let balancer = Balancer::new(self.now, 0, Settings::default());
+            self.balancers.push(FleetBalancer { zone, balancer });
+            let index = self.balancers.len() - 1;
+            self.balancers[index].balancer = self.start_balancer(index);
+        }
+        self.apply_settings();
+    }
+
+    fn apply_settings(&mut self) {
+        for index in 0..self.balancers.len() {
+            let settings = self.settings(index);
+            self.notify(index, Event::Settings(&settings));
+        }
+    }
+
+    fn notify_all(&mut self, event: Event<'_>) {
+        for index in 0..self.balancers.len() {
+            self.notify(index, event);
+        }
+    }
+
+    fn notify(&mut self, index: usize, event: Event<'_>) {
+        self.balancers[index].balancer.handle(self.now, event, &mut Vec::new());
+    }
+}
