Even out subsets where crossing zones has a price, and smooth their least size

Now a balancer has at least its share of all backends from its own zone, and remote members are assigned evenly. The least size rounds up for as many balancers as its fraction says, so that one more backend enlarges few subsets (12 balancers, 60 backends: all 12 at once before). The first step no longer depends on the least size, so that balancers with and without remote backends agree on it.

The test of slopes took a timer without a retry for certain in each case; with 90 backends there is none now, as each timer retries. It asks for a time where there was one, and for a timer with a retry in each case.

--- a/crates/balancer/src/decisions/fleet_assignment.rs
+++ b/crates/balancer/src/decisions/fleet_assignment.rs
@@ -15,6 +15,8 @@
 
 /// The greatest number of backends that the first step assigns to a balancer, over their mean.
 const MAX_ASSIGNED_OVER_MEAN: f64 = 1.25;
+/// The number of backends that the first step may assign to any balancer, however small their mean is.
+const MIN_ROOM: usize = 2;
 /// The mean number of subsets of a backend up to which backends stop offering themselves at the mean.
 const MEAN_WITHOUT_TOLERANCE: f64 = 4.0;
 /// The subsets beyond the mean in which a backend may be, for each that the mean is over
@@ -31,6 +33,9 @@
 
 /// The round whose hashes order the backends.
 const ORDER_ROUND: u64 = 0;
+/// The fraction of the golden ratio. Its multiples are spread evenly over the unit interval.
+const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_894_9;
+
 /// The first of the rounds whose hashes assign each backend to one balancer.
 const FIRST_ASSIGNMENT_ROUND: u64 = 1;
 /// The first of the rounds whose hashes are the offers to balancers.
@@ -60,13 +65,23 @@
 pub(super) struct FleetShape {
     /// The number of balancers; at least 1.
     pub balancers: usize,
-    /// The number of members that each subset has at least, as far as there are backends.
-    pub min_members: usize,
+    /// The number of members that a subset has at least, as far as there are backends. Some balancers round a
+    /// fraction up and the others down, so that one more backend enlarges few subsets.
+    pub min_members: f64,
+}
+
+impl FleetShape {
+    /// Returns the least number of members of a balancer.
+    fn min_members_of(self, balancer: usize) -> usize {
+        let offset = (balancer as f64 * GOLDEN_RATIO_FRACTION).fract();
+        (self.min_members + offset) as usize
+    }
 }
 
 /// The members that are due to each balancer of a fleet.
 #[derive(Debug)]
 pub(super) struct FleetAssignment {
+    shape: FleetShape,
     /// In the order of their hashes.
     backends: Vec<AssignableBackend>,
     /// The members of each balancer, as positions in `backends`.
@@ -81,14 +96,16 @@
         backends.sort_by_cached_key(|backend| hash_in_round(backend.id, ORDER_ROUND));
         let memberships = vec![0; backends.len()];
         let balancers = shape.balancers.max(1);
-        let min_members = shape.min_members.min(backends.len());
-        let mean = backends.len() as f64 / balancers as f64;
-        let max_members = min_members.max((MAX_ASSIGNED_OVER_MEAN * mean).ceil() as usize);
-        let subsets = Subsets::new(balancers, max_members);
-        let mut assignment = Self { backends, subsets, memberships };
-        assignment.assign_each_backend();
-        assignment.fill_by_offers(min_members);
-        assignment.fill_by_least_memberships(min_members);
+        let count = backends.len();
+        let shape = FleetShape { balancers, min_members: shape.min_members.min(count as f64) };
+        let mean = count as f64 / balancers as f64;
+        let max_assigned = ((MAX_ASSIGNED_OVER_MEAN * mean).ceil() as usize).max(MIN_ROOM);
+        let capacity = max_assigned.max(shape.min_members.ceil() as usize);
+        let subsets = Subsets::new(balancers, capacity);
+        let mut assignment = Self { shape, backends, subsets, memberships };
+        assignment.assign_each_backend(max_assigned);
+        assignment.fill_by_offers();
+        assignment.fill_by_least_memberships();
         assignment
     }
 
@@ -117,26 +134,25 @@
         DueMember { index: self.backends[position].index, memberships_over_mean }
     }
 
-    /// Assigns each backend to one balancer.
-    fn assign_each_backend(&mut self) {
+    /// Assigns each backend to one balancer. The result does not depend on the least number of members.
+    fn assign_each_backend(&mut self, max_assigned: usize) {
         for position in 0..self.backends.len() {
             let id = self.backends[position].id;
             let rounds = FIRST_ASSIGNMENT_ROUND..FIRST_ASSIGNMENT_ROUND + MAX_HASHED_ATTEMPTS;
             let mut hashed = rounds.map(|round| self.hashed_balancer(id, round));
-            let has_room = |balancer: &usize| self.subsets.has_room(*balancer);
+            let has_room = |balancer: &usize| self.subsets.of(*balancer).len() < max_assigned;
             let balancer = hashed.find(has_room).or_else(|| (0..self.subsets.balancers()).find(has_room));
             self.add_member(balancer.expect("the bound is over the mean"), position);
         }
     }
 
-    /// Lets the backends offer themselves until each subset has `min_members`, or all offers are made.
-    fn fill_by_offers(&mut self, min_members: usize) {
+    /// Lets the backends offer themselves until no subset lacks a member, or all offers are made.
+    fn fill_by_offers(&mut self) {
         let balancers = self.subsets.balancers();
-        let is_incomplete = |balancer: &usize| self.subsets.of(*balancer).len() < min_members;
-        let mut incomplete = (0..balancers).filter(is_incomplete).count();
+        let mut incomplete = (0..balancers).filter(|balancer| self.lacks_members(*balancer)).count();
         let rounds = |offers: usize| (offers * balancers).div_ceil(self.backends.len().max(1));
         let even_rounds = rounds(EVEN_OFFERS_PER_BALANCER);
-        let bounds = self.membership_bounds(min_members);
+        let bounds = self.membership_bounds();
         for round in 0..rounds(MAX_OFFERS_PER_BALANCER) {
             let max_memberships = if round < even_rounds { bounds.even } else { bounds.most };
             for position in 0..self.backends.len() {
@@ -148,19 +164,18 @@
                 }
                 let id = self.backends[position].id;
                 let balancer = self.hashed_balancer(id, FIRST_OFFER_ROUND + round as u64);
-                let subset = self.subsets.of(balancer);
-                if subset.len() < min_members && !subset.contains(&position) {
-                    incomplete -= usize::from(subset.len() + 1 == min_members);
+                if self.lacks_members(balancer) && !self.subsets.of(balancer).contains(&position) {
                     self.add_member(balancer, position);
+                    incomplete -= usize::from(!self.lacks_members(balancer));
                 }
             }
         }
     }
 
-    /// Adds the backends in the fewest subsets to the subsets that have less than `min_members`.
-    fn fill_by_least_memberships(&mut self, min_members: usize) {
+    /// Adds the backends in the fewest subsets to the subsets that lack members.
+    fn fill_by_least_memberships(&mut self) {
         for balancer in 0..self.subsets.balancers() {
-            while self.subsets.of(balancer).len() < min_members {
+            while self.lacks_members(balancer) {
                 let subset = self.subsets.of(balancer);
                 let others = (0..self.backends.len()).filter(|position| !subset.contains(position));
                 let Some(fewest) = others.min_by_key(|position| self.memberships[*position]) else { break };
@@ -169,10 +184,14 @@
         }
     }
 
-    /// Returns the bounds on the memberships of a backend by offers, if each subset has `min_members`.
-    fn membership_bounds(&self, min_members: usize) -> MembershipBounds {
-        let mean = (self.subsets.balancers() * min_members) as f64 / self.backends.len().max(1) as f64;
-        let mean = mean.max(1.0);
+    fn lacks_members(&self, balancer: usize) -> bool {
+        self.subsets.of(balancer).len() < self.shape.min_members_of(balancer)
+    }
+
+    /// Returns the bounds on the memberships of a backend by offers, if all subsets have their least size.
+    fn membership_bounds(&self) -> MembershipBounds {
+        let memberships = self.subsets.balancers() as f64 * self.shape.min_members;
+        let mean = (memberships / self.backends.len().max(1) as f64).max(1.0);
         let tolerance = TOLERANCE_BEYOND * (mean - MEAN_WITHOUT_TOLERANCE).max(0.0);
         MembershipBounds {
             even: (mean + tolerance).ceil() as usize,
@@ -226,10 +245,6 @@
         &self.positions[first..first + length]
     }
 
-    fn has_room(&self, balancer: usize) -> bool {
-        self.lengths[balancer] < self.capacity
-    }
-
     fn push(&mut self, balancer: usize, position: usize) {
         self.positions[balancer * self.capacity + self.lengths[balancer]] = position;
         self.lengths[balancer] += 1;
--- a/crates/balancer/src/decisions/subset.rs
+++ b/crates/balancer/src/decisions/subset.rs
@@ -136,7 +136,8 @@
         let assignable =
             |index: &BackendIndex| AssignableBackend { index: *index, id: endpoints.get(*index).id };
         let backends: Vec<_> = self.in_service.iter().map(assignable).collect();
-        let mut due = if settings.cross_zone_cost > 0.0 {
+        let has_remote = self.in_service.iter().any(|index| is_cross_zone(endpoints.get(*index), settings));
+        let mut due = if has_remote {
             self.assign_by_zone(backends, inputs)
         } else {
             let shape =
@@ -156,7 +157,7 @@
     ///
     /// A balancer does not know how many others are in its zone. Each backend is therefore assigned to one
     /// balancer of any zone, and the members within the zone are assigned as if all balancers were in this
-    /// zone. Of the other zones, the balancer takes the backends that it prefers.
+    /// zone, and those in other zones likewise.
     fn assign_by_zone(
         &self,
         backends: Vec<AssignableBackend>,
@@ -170,25 +171,29 @@
             // How many balancers of this zone have a backend is not known.
             members.into_iter().map(|member| DueMember { memberships_over_mean: 1.0, ..member })
         };
-        let min_local = self.min_size(settings);
-        let min_remote = MIN_CROSS_ZONE_MEMBERS.max(min_local - MIN_MEMBERS);
-        let covered = members(backends.clone(), 0, 0);
+        // A zone with few balancers has few backends, too, and each balancer takes most of them.
+        let min_local = self.min_size(settings).max(self.backends_per_balancer(settings));
+        let min_remote = (min_local - MIN_MEMBERS as f64).max(MIN_CROSS_ZONE_MEMBERS as f64);
+        let covered = members(backends.clone(), 0.0, 0);
         let (mut due, mut due_remote): (Vec<_>, Vec<_>) = covered.partition(|member| is_local(member.index));
         let (local, remote): (Vec<_>, Vec<_>) =
             backends.into_iter().partition(|backend| is_local(backend.index));
         let wanted = self.high_watermark;
-        extend_to(&mut due, members(local, min_local, wanted), wanted.max(min_local));
-        extend_to(&mut due_remote, members(remote, 0, min_remote), min_remote);
+        extend_to(&mut due, members(local, min_local, wanted), wanted.max(min_local.ceil() as usize));
+        extend_to(&mut due_remote, members(remote, min_remote, 0), min_remote.ceil() as usize);
         due.extend(due_remote);
         due
     }
 
     /// Returns the least number of members, with which a choice between two is possible and the subsets of
     /// many backends differ little in size.
-    fn min_size(&self, settings: &Settings) -> usize {
+    fn min_size(&self, settings: &Settings) -> f64 {
         let least = if settings.tier.is_entry() { MIN_ENTRY_MEMBERS } else { MIN_MEMBERS };
-        let mean = self.in_service.len() as f64 / settings.instance_count.max(1) as f64;
-        least.max((MIN_SIZE_OVER_MEAN * mean).ceil() as usize)
+        (MIN_SIZE_OVER_MEAN * self.backends_per_balancer(settings)).max(least as f64)
+    }
+
+    fn backends_per_balancer(&self, settings: &Settings) -> f64 {
+        self.in_service.len() as f64 / settings.instance_count.max(1) as f64
     }
 }
 
--- a/crates/balancer/tests/concerns/fleet_assignment.rs
+++ b/crates/balancer/tests/concerns/fleet_assignment.rs
@@ -22,7 +22,8 @@
 
 /// Assigns this many backends.
 fn assign(count: u32, balancers: usize, min_members: usize) -> FleetAssignment {
-    FleetAssignment::new(backends(count), FleetShape { balancers, min_members })
+    let shape = FleetShape { balancers, min_members: min_members as f64 };
+    FleetAssignment::new(backends(count), shape)
 }
 
 /// Returns the number of subsets of each backend that is in one.
@@ -88,3 +89,15 @@
     assert!(assign(5, 3, 2).members(3, 0).is_empty());
     assert!(assign(0, 3, 2).members(0, 4).is_empty());
 }
+
+#[test]
+fn rounds_a_fraction_of_a_member_up_for_as_many_balancers() {
+    let shape = FleetShape { balancers: 40, min_members: 3.25 };
+
+    let assignment = FleetAssignment::new(backends(20), shape);
+
+    let sizes: Vec<_> = (0..40).map(|balancer| assignment.members(balancer, 0).len()).collect();
+    assert!(sizes.iter().all(|size| [3, 4].contains(size)), "{sizes:?}");
+    let rounded_up = sizes.iter().filter(|size| **size == 4).count();
+    assert!((9..=11).contains(&rounded_up), "{rounded_up}");
+}
--- a/crates/fleet-bench/tests/slopes.rs
+++ b/crates/fleet-bench/tests/slopes.rs
@@ -44,11 +44,23 @@
     assert_eq!([cases, spreads, minima].map(|t| t.rows.len()), [8; 3]);
     let (median, lowest) = (numbers(cases, "request"), numbers(minima, "request"));
     assert!(lowest.iter().zip(&median).all(|(l, m)| l <= m), "{minima:?}");
-    for name in
-        ["request", "response", "timer without", "all events", "changed", "full", "first", "settings change"]
-    {
+    for name in [
+        "request",
+        "response",
+        "timer with retry",
+        "all events",
+        "changed",
+        "full",
+        "first",
+        "settings change",
+    ] {
         assert!(numbers(cases, name).iter().all(|us| *us > 0.0), "{name}: {cases:?}");
     }
+    // A balancer that retries at each timer has none without a retry.
+    let without_retry: Vec<_> =
+        column(cases, "timer without").into_iter().filter(|us| **us != Value::Absent).collect();
+    assert!(without_retry.len() >= 6, "{cases:?}");
+    assert!(without_retry.iter().all(|us| matches!(us, Value::Number(us) if *us > 0.0)), "{cases:?}");
     // Without faults all requests succeed, and as many are open as the plan says.
     assert!(numbers(cases, "unserved").iter().all(|n| *n == 0.0), "{cases:?}");
     let expected = [6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 6.0, 20.0];
