Derive the counts of calls from their states, so that none is subtracted twice

What callers saw: after streamed requests that had waited and then had too little time left, the unanswered calls counted one too many each for the rest of the process's life, which lowers the probability of retries; a debug build panicked.

Cause: only a dispatch added a call to the receiving ones, and the end of any call that no longer waited subtracted it. The instants that crossed: the end of the wait, and the dispatch that does not follow it where too little time is left.

Why this holds: a call has a stage, the counts of a call follow from its state alone, and each change of a state subtracts the counts before and adds those after it. Seen to fail without it: 2 unanswered calls of 1.

--- a/crates/balancer/src/decisions/calls/call.rs
+++ b/crates/balancer/src/decisions/calls/call.rs
@@ -42,7 +42,7 @@
     /// In the order of the sends.
     attempts: Vec<Attempt>,
     ordering_key: Option<u64>,
-    pub(super) is_queued: bool,
+    pub(super) stage: CallStage,
     pub(super) body: BodyProgress,
     /// Whether the latest attempt found no capacity or no connection, and the call waits for a retry.
     pub(super) lacks_capacity: bool,
@@ -50,6 +50,17 @@
     alternative: Option<BackendIndex>,
 }
 
+/// How far a call has come before its first attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallStage {
+    /// The call waits for admission or for its ordering key.
+    Queued,
+    /// The call does not wait, or waits no longer, and has not been dispatched.
+    Undispatched,
+    /// The call has been dispatched, and counts as sent.
+    Dispatched,
+}
+
 impl Call {
     /// Returns a call that arrives at `now`, with its timeout and its T1 in seconds and no attempt.
     pub fn new(request: &Request, settings: Arc<Settings>, now: Time, timeout: Time, t1: Time) -> Self {
@@ -66,7 +77,7 @@
             retry_timer: RetryTimer::new(t1),
             attempts: Vec::new(),
             ordering_key: None,
-            is_queued: false,
+            stage: CallStage::Undispatched,
             body: BodyProgress { is_streamed: is_receiving, is_receiving, is_consumed: false },
             lacks_capacity: false,
             alternative: None,
@@ -193,7 +204,7 @@
 
     /// Returns whether the call waits for admission or for its ordering key. Such a call has no attempt.
     pub fn is_queued(&self) -> bool {
-        self.is_queued
+        self.stage == CallStage::Queued
     }
 
     /// Sets the backend to which a retry is sent.
@@ -208,7 +219,7 @@
 
     /// Dispatches a call that has waited, with a new T1 in seconds.
     pub(super) fn leave_queue(&mut self, now: Time, t1: Time) {
-        self.is_queued = false;
+        self.stage = CallStage::Undispatched;
         self.dispatched_at = now;
         self.retry_timer.set_t1(t1);
     }
--- a/crates/balancer/src/decisions/calls/mod.rs
+++ b/crates/balancer/src/decisions/calls/mod.rs
@@ -5,6 +5,7 @@
 pub(super) use call::Call;
 
 use crate::interface::{RequestId, Settings, Time};
+use call::CallStage;
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::ops::{Index, IndexMut};
@@ -21,11 +22,9 @@
     Dispatched,
 }
 
-/// All calls without a final response, and the number of calls in each state that matters to decisions.
-#[derive(Debug, Default)]
-pub(super) struct CallTable {
-    calls: SlotMap<CallKey, Call>,
-    by_id: HashMap<RequestId, CallKey>,
+/// The numbers of calls in the states that matter to decisions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct StateCounts {
     /// Calls that wait for admission or for their ordering key.
     queued: usize,
     /// Dispatched calls whose body is still being received.
@@ -34,6 +33,37 @@
     lacking_capacity: usize,
 }
 
+impl StateCounts {
+    /// Returns the counts of one call, which follow from its state.
+    fn of(call: &Call) -> Self {
+        Self {
+            queued: usize::from(call.stage == CallStage::Queued),
+            receiving: usize::from(call.stage == CallStage::Dispatched && call.body.is_receiving),
+            lacking_capacity: usize::from(call.lacks_capacity),
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.queued += other.queued;
+        self.receiving += other.receiving;
+        self.lacking_capacity += other.lacking_capacity;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.queued -= other.queued;
+        self.receiving -= other.receiving;
+        self.lacking_capacity -= other.lacking_capacity;
+    }
+}
+
+/// All calls without a final response, and the number of calls in each state that matters to decisions.
+#[derive(Debug, Default)]
+pub(super) struct CallTable {
+    calls: SlotMap<CallKey, Call>,
+    by_id: HashMap<RequestId, CallKey>,
+    counts: StateCounts,
+}
+
 impl CallTable {
     /// Returns the number of calls.
     pub fn len(&self) -> usize {
@@ -42,12 +72,12 @@
 
     /// Returns the number of dispatched calls whose request has been received completely.
     pub fn unanswered(&self) -> usize {
-        self.by_id.len() - self.queued - self.receiving
+        self.by_id.len() - self.counts.queued - self.counts.receiving
     }
 
     /// Returns the number of calls whose latest attempt found no capacity, and that wait for a retry.
     pub fn lacking_capacity(&self) -> usize {
-        self.lacking_capacity
+        self.counts.lacking_capacity
     }
 
     /// Returns the key of the call with this request id.
@@ -63,8 +93,10 @@
     /// Adds a call.
     pub fn insert(&mut self, mut call: Call, state: InitialState) -> CallKey {
         let id = call.id;
-        call.is_queued = state == InitialState::Queued;
-        self.queued += usize::from(call.is_queued);
+        if state == InitialState::Queued {
+            call.stage = CallStage::Queued;
+        }
+        self.counts.add(StateCounts::of(&call));
         let key = self.calls.insert(call);
         self.by_id.insert(id, key);
         key
@@ -74,39 +106,41 @@
     pub fn remove(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(key)?;
         self.by_id.remove(&call.id);
-        self.queued -= usize::from(call.is_queued);
-        self.lacking_capacity -= usize::from(call.lacks_capacity);
+        self.counts.subtract(StateCounts::of(&call));
         Some(call)
     }
 
+    /// Changes the state of a call, and the counts with it.
+    fn change(&mut self, key: CallKey, change: impl FnOnce(&mut Call)) {
+        let call = &mut self.calls[key];
+        self.counts.subtract(StateCounts::of(call));
+        change(call);
+        self.counts.add(StateCounts::of(call));
+    }
+
     /// Records that a call no longer waits, and gives it a new T1 in seconds.
     pub fn leave_queue(&mut self, key: CallKey, now: Time, t1: Time) {
-        self.queued -= 1;
-        self.calls[key].leave_queue(now, t1);
+        self.change(key, |call| call.leave_queue(now, t1));
     }
 
-    /// Counts a dispatched call as receiving, if its body is still being received.
+    /// Records that a call is dispatched.
     pub fn record_dispatch(&mut self, key: CallKey) {
-        self.receiving += usize::from(self.calls[key].body.is_receiving);
+        self.change(key, |call| call.stage = CallStage::Dispatched);
     }
 
     /// Records that the body of a call is no longer being received.
     pub fn stop_receiving(&mut self, key: CallKey) {
-        let call = &mut self.calls[key];
-        self.receiving -= usize::from(!call.is_queued);
-        call.body.is_receiving = false;
+        self.change(key, |call| call.body.is_receiving = false);
     }
 
     /// Records that the latest attempt of a call found no capacity or no connection.
     pub fn record_lack_of_capacity(&mut self, key: CallKey) {
-        let lacked_capacity = std::mem::replace(&mut self.calls[key].lacks_capacity, true);
-        self.lacking_capacity += usize::from(!lacked_capacity);
+        self.change(key, |call| call.lacks_capacity = true);
     }
 
     /// Records that a call has been sent again.
     pub fn clear_lack_of_capacity(&mut self, key: CallKey) {
-        let lacked_capacity = std::mem::take(&mut self.calls[key].lacks_capacity);
-        self.lacking_capacity -= usize::from(lacked_capacity);
+        self.change(key, |call| call.lacks_capacity = false);
     }
 
     /// Lets all calls follow a change of settings.
--- a/crates/balancer/tests/concerns/calls.rs
+++ b/crates/balancer/tests/concerns/calls.rs
@@ -95,6 +95,23 @@
     assert_eq!(table.unanswered(), 1);
 }
 
+/// What happened: a streamed request that had waited, and then had too little time left, ended without having been
+/// dispatched. It was subtracted from the receiving calls, to which only a dispatch adds: a debug build panicked,
+/// and in a release build the unanswered calls were one too many for good. Found by reading; this test showed 2
+/// unanswered calls of 1.
+#[test]
+fn a_streamed_call_that_ends_undispatched_after_its_wait_leaves_the_counts_as_they_were() {
+    let mut table = CallTable::default();
+    let key = table.insert(streamed_call(1), InitialState::Queued);
+    table.insert(safe_call(2), InitialState::Dispatched);
+
+    table.leave_queue(key, 1.0, 0.5);
+    table.stop_receiving(key);
+    table.remove(key);
+
+    assert_eq!(table.unanswered(), 1);
+}
+
 #[test]
 fn counts_a_call_that_lacks_capacity_once_and_until_it_is_sent_again_or_ends() {
     let mut table = CallTable::default();
