Write the log by a thread of its own, so that a full pipe does not stop the proxy

What callers saw: with a full pipe for the standard error that nobody reads, nothing was answered and no signal handled.

Cause: the one thread of the proxy wrote the lines itself, and a write to a full pipe waits until somebody reads it.

Not taken: to ask before each write whether it would wait, as two processes may share the pipe and fill it in between.

SharedAddress of the tests has a file of its own, and so has the stage of a call.

--- a/crates/balancer-proxy/src/lib.rs
+++ b/crates/balancer-proxy/src/lib.rs
@@ -16,7 +16,7 @@
 //! | backends | [`upstream`] | pools connections, sends attempts, reads responses |
 //! | sources | [`control`] | configuration, discovery, instance lock, maintenance store |
 //!
-//! All layers share [`clock`], [`limits`], [`metrics`], [`settings`], [`watch_event`] and
+//! All layers share [`clock`], [`limits`], [`log_writer`], [`metrics`], [`settings`], [`watch_event`] and
 //! [`stream_error`].
 //!
 //! # The way of a request
@@ -39,7 +39,7 @@
 //! `Rc`, `Cell` and `RefCell`, and no borrow of shared state is held across an `await`. The code between
 //! two `await`s is therefore one turn that no other task can interrupt: a reload, for example, takes
 //! effect in one turn, so that no request meets settings of two files. The price is that a turn that
-//! blocks, such as a log line to a full pipe, stops the whole process.
+//! blocks stops the whole process. Only log lines, which may block, are written by a thread of their own.
 //!
 //! # Ownership
 //!
@@ -70,6 +70,7 @@
 pub mod downstream;
 pub mod engine;
 pub mod limits;
+pub mod log_writer;
 pub mod metrics;
 pub mod process;
 pub mod settings;
@@ -77,12 +78,10 @@
 pub mod upstream;
 pub mod watch_event;
 
-/// Writes a line to the log, which is the standard error. A line that can't be written is dropped, as the
-/// panic of `eprintln` would end the task that logs.
+/// Logs a line to the standard error, without waiting for it to be written; see [`log_writer`].
 #[macro_export]
 macro_rules! log {
-    ($($part:tt)*) => {{
-        use std::io::Write;
-        let _ = writeln!(std::io::stderr(), $($part)*);
-    }};
+    ($($part:tt)*) => {
+        $crate::log_writer::write_line(format_args!($($part)*))
+    };
 }
--- a/crates/balancer-proxy/tests/common/takeover.rs
+++ b/crates/balancer-proxy/tests/common/takeover.rs
@@ -6,7 +6,8 @@
 
 use super::configuration::request;
 use super::http::read_message;
-use super::proxy_process::{ProxyProcess, SharedAddress};
+use super::proxy_process::ProxyProcess;
+use super::shared_address::SharedAddress;
 
 /// Begins this many requests, each on a connection of its own.
 pub fn begin_requests(process: &ProxyProcess, count: usize) -> Vec<BufReader<TcpStream>> {
--- a/crates/balancer-proxy/tests/graceful_shutdown.rs
+++ b/crates/balancer-proxy/tests/graceful_shutdown.rs
@@ -7,7 +7,8 @@
     READINESS_REQUEST, configuration, default_settings, request, request_with_framing, serving_list,
 };
 use common::http::{connect, exchange, read_message};
-use common::proxy_process::{ProxyCommand, ProxyProcess, SharedAddress, exit_code, proxy_command};
+use common::proxy_process::{ProxyCommand, ProxyProcess, exit_code, proxy_command};
+use common::shared_address::SharedAddress;
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::json;
--- a/crates/balancer-proxy/tests/instance_lock.rs
+++ b/crates/balancer-proxy/tests/instance_lock.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use balancer_proxy::control::instance_lock::InstanceLock;
-use common::proxy_process::SharedAddress;
+use common::shared_address::SharedAddress;
 
 #[test]
 fn an_instance_lock_is_free_again_after_its_process_has_exited() {
--- a/crates/balancer-proxy/tests/instance_lock_format.rs
+++ b/crates/balancer-proxy/tests/instance_lock_format.rs
@@ -9,7 +9,7 @@
 use balancer_proxy::control::instance_lock::InstanceLock;
 use common::configuration::{default_configuration, request};
 use common::http::exchange;
-use common::proxy_process::SharedAddress;
+use common::shared_address::SharedAddress;
 use common::state_folder::{StateFolder, contents};
 use common::stub_server::StubServer;
 use common::waiting::wait_for;
--- a/crates/balancer-proxy/tests/listener_handover.rs
+++ b/crates/balancer-proxy/tests/listener_handover.rs
@@ -15,7 +15,8 @@
 
 use common::configuration::{default_configuration, request};
 use common::http::{connect, exchange};
-use common::proxy_process::{ProxyProcess, SharedAddress, exit_code};
+use common::proxy_process::{ProxyProcess, exit_code};
+use common::shared_address::SharedAddress;
 use common::stub_server::StubServer;
 use common::takeover::{assert_all_served, begin_requests, first_offer};
 use std::fs::File;
--- a/crates/balancer-proxy/tests/listener_offer.rs
+++ b/crates/balancer-proxy/tests/listener_offer.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::configuration::{default_configuration, request};
-use common::proxy_process::{SharedAddress, exit_code};
+use common::proxy_process::exit_code;
+use common::shared_address::SharedAddress;
 use common::stub_server::{StubServer, silent_discovery};
 use common::takeover::{assert_all_served, begin_requests, first_offer};
 use common::waiting::wait_for;
--- a/crates/balancer-proxy/tests/maintenance_record_format.rs
+++ b/crates/balancer-proxy/tests/maintenance_record_format.rs
@@ -8,7 +8,8 @@
 
 use balancer_proxy::control::maintenance_store::MaintenanceStore;
 use common::configuration::{default_configuration, request};
-use common::proxy_process::{ProxyProcess, SharedAddress};
+use common::proxy_process::ProxyProcess;
+use common::shared_address::SharedAddress;
 use common::state_folder::{StateFolder, contents};
 use common::stub_server::StubServer;
 use common::waiting::wait_for;
--- a/crates/balancer-proxy/tests/readiness.rs
+++ b/crates/balancer-proxy/tests/readiness.rs
@@ -8,7 +8,8 @@
 };
 use common::http::response;
 use common::late_server::LateServer;
-use common::proxy_process::{ProxyProcess, SharedAddress};
+use common::proxy_process::ProxyProcess;
+use common::shared_address::SharedAddress;
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::json;
--- a/crates/balancer-proxy/tests/settings_reload_by_two_processes.rs
+++ b/crates/balancer-proxy/tests/settings_reload_by_two_processes.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::proxy_process::{ProxyProcess, SharedAddress};
+use common::proxy_process::ProxyProcess;
 use common::settings_reload::{settings_metrics, versioned_configuration};
+use common::shared_address::SharedAddress;
 use common::stub_server::StubServer;
 use common::waiting::wait_for;
 use std::time::{Duration, Instant};
--- a/crates/balancer-proxy/tests/upgrade.rs
+++ b/crates/balancer-proxy/tests/upgrade.rs
@@ -4,7 +4,8 @@
 
 use common::configuration::{default_configuration, endpoint_list, listed_endpoint, request};
 use common::http::{connect, exchange, read_message, response};
-use common::proxy_process::{SharedAddress, exit_code};
+use common::proxy_process::exit_code;
+use common::shared_address::SharedAddress;
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::json;
--- a/crates/balancer-proxy/tests/upgrade_maintenance.rs
+++ b/crates/balancer-proxy/tests/upgrade_maintenance.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::configuration::{default_configuration, request};
-use common::proxy_process::SharedAddress;
+use common::shared_address::SharedAddress;
 use common::stub_server::StubServer;
 use common::waiting::wait_for;
 use serde_json::json;
--- a/crates/balancer/src/decisions/calls/call.rs
+++ b/crates/balancer/src/decisions/calls/call.rs
@@ -1,5 +1,6 @@
 //! One call without a final response.
 
+use super::call_stage::CallStage;
 use crate::decisions::attempts::Attempt;
 use crate::decisions::retransmission::RetryTimer;
 use crate::interface::{
@@ -50,17 +51,6 @@
     alternative: Option<BackendIndex>,
 }
 
-/// How far a call has come before its first attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallStage {
-    /// The call waits for admission or for its ordering key.
-    Queued,
-    /// The call does not wait, or waits no longer, and has not been dispatched.
-    Undispatched,
-    /// The call has been dispatched, and counts as sent.
-    Dispatched,
-}
-
 impl Call {
     /// Returns a call that arrives at `now`, with its timeout and its T1 in seconds and no attempt.
     pub fn new(request: &Request, settings: Arc<Settings>, now: Time, timeout: Time, t1: Time) -> Self {
--- a/crates/balancer/src/decisions/calls/mod.rs
+++ b/crates/balancer/src/decisions/calls/mod.rs
@@ -1,9 +1,11 @@
 //! The calls without a final response.
 
 mod call;
+mod call_stage;
 
 pub(super) use call::Call;
 
+use self::call_stage::CallStage;
 use crate::interface::{RequestId, Settings, Time};
 use call::CallStage;
 use slotmap::SlotMap;
