--- a/crates/balancer/src/decisions/calls/mod.rs
+++ b/crates/balancer/src/decisions/calls/mod.rs
@@ -7,7 +7,6 @@
 
 use self::call_stage::CallStage;
 use crate::interface::{RequestId, Settings, Time};
-use call::CallStage;
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::ops::{Index, IndexMut};
