--- a/crates/balancer/src/decisions/outlier_detection.rs
+++ b/crates/balancer/src/decisions/outlier_detection.rs
@@ -107,9 +107,9 @@
         }
     }
 
-    /// Records that an attempt has been in flight for `waited` seconds. The latency will be at least that long,
-    /// so that a wait tells something only if it exceeds the latency that the backend is known for. Otherwise a
-    /// wait just before the response would make the backend look faster than it is.
+    /// Records that an attempt has been in flight for `waited` seconds. The latency will be at least that
+    /// long, so that a wait tells something only if it exceeds the latency that the backend is known for. A
+    /// wait just before the response would otherwise make the backend look faster than it is.
     pub fn record_wait(&mut self, index: BackendIndex, waited: Time, expected: Time, now: Time) {
         if waited > self.relative_latency(index, now) * expected {
             self.record_latency(index, waited, expected, now);
