Check the paths of the capacity page and of what is open, and the modules that contributors are told of

CONTRIBUTING named modules outliers and endpoints, which are outlier_detection and endpoint_table, and the capacity page a test from the wrong folder; a test finds both now. The error of fleet-bench for a missing program names the option that there is. The reason of FULL_SERVICE_FRACTION is in a few words; the story behind it: in a rolling restart with 3.7 s to SIGKILL, the entry tier used the proxy restarted before only 2.2 s after the signal to the next one, so that 0.65 of the time is served in full.

--- a/crates/balancer-proxy/src/downstream/shutdown_schedule.rs
+++ b/crates/balancer-proxy/src/downstream/shutdown_schedule.rs
@@ -12,10 +12,7 @@
 /// Time from the deadline of all responses to SIGKILL.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 /// Fraction of the time from SIGTERM to SIGKILL in which clients are served as before, on open and on new
-/// connections. Guards against a time without any proxy: in a rolling restart with 3.7 s to SIGKILL, the
-/// entry tier used the proxy restarted before only 2.2 s after the signal to the next one, and until then
-/// the clients were served on the open connections alone. Where the time to SIGKILL is much shorter than
-/// the operators state, requests that arrive late are lost.
+/// connections: long enough for clients to find the proxies that were restarted before.
 const FULL_SERVICE_FRACTION: f64 = 0.65;
 /// Longest time of service where another process accepts the new connections. The open connections are
 /// then still served, and each of them carries one more request at most. A close could cross a request,
--- a/crates/fleet-bench/src/error.rs
+++ b/crates/fleet-bench/src/error.rs
@@ -64,7 +64,7 @@
         at: f64,
     },
     /// The proxy's program does not exist.
-    #[error("{}: no such program (build it, or name it by --proxy)", path.display())]
+    #[error("{}: no such program (build it, or name it by --program)", path.display())]
     ProgramMissing {
         /// Path at which the program was expected.
         path: PathBuf,
--- a/crates/fleet-bench/tests/control.rs
+++ b/crates/fleet-bench/tests/control.rs
@@ -82,5 +82,5 @@
 fn a_missing_program_is_reported() {
     let message = failure_of(&["control", "--program", "/absent"]);
 
-    assert!(message.contains("/absent: no such program"), "{message}");
+    assert!(message.contains("/absent: no such program (build it, or name it by --program)"), "{message}");
 }
--- a/crates/repository-checks/tests/documentation.rs
+++ b/crates/repository-checks/tests/documentation.rs
@@ -4,15 +4,23 @@
 use std::fs;
 use std::path::Path;
 
+/// The page that names the modules of the concerns, and where their list begins and ends.
+const CONTRIBUTING: &str = "CONTRIBUTING.md";
+const CONCERNS_BEGIN: &str = "in a module named after it, with private fields:";
+const CONCERNS_END: &str = ". ";
+/// The folder of these modules.
+const DECISIONS: &str = "crates/balancer/src/decisions";
 /// The pages whose paths are checked.
-const PAGES: [&str; 8] = [
+const PAGES: [&str; 10] = [
     "README.md",
     "CONTRIBUTING.md",
     "deploy/example/README.md",
     "docs/ARCHITECTURE.md",
+    "docs/CAPACITY.md",
     "docs/configuration.md",
     "docs/design.md",
     "docs/on-call.md",
+    "docs/open.md",
     "docs/runbook.md",
 ];
 /// The folders with which a path of the repository may begin.
@@ -72,3 +80,37 @@
 
     assert_eq!(paths, ["docs/src/proxy/absent.rs", "docs/design.md"]);
 }
+
+/// Returns the names of the modules in the list of the concerns.
+fn concerns_in(text: &str) -> Vec<&str> {
+    let (_, list) = text.split_once(CONCERNS_BEGIN).unwrap_or_default();
+    let (list, _) = list.split_once(CONCERNS_END).unwrap_or((list, ""));
+    list.split('`').skip(1).step_by(2).collect()
+}
+
+/// Returns whether a concern has a module of its name.
+fn is_module(concern: &str) -> bool {
+    let folder = in_repository(DECISIONS);
+    folder.join(format!("{concern}.rs")).exists() || folder.join(concern).join("mod.rs").exists()
+}
+
+#[test]
+fn every_concern_that_the_contributing_page_names_is_a_module() {
+    let text = fs::read_to_string(in_repository(CONTRIBUTING)).unwrap();
+
+    let concerns = concerns_in(&text);
+    let unknown: Vec<_> = concerns.iter().filter(|concern| !is_module(concern)).collect();
+
+    assert!(concerns.len() > 5, "{concerns:?}");
+    assert!(unknown.is_empty(), "{unknown:?}");
+}
+
+#[test]
+fn finds_a_concern_without_a_module() {
+    let text = "One type for each, in a module named after it, with private fields:\n`subset`, `absent`. More `words`.";
+
+    let concerns = concerns_in(text);
+
+    assert_eq!(concerns, ["subset", "absent"]);
+    assert!(is_module("subset") && !is_module("absent"));
+}
