--- a/crates/balancer-proxy/tests/common/takeover.rs
+++ b/crates/balancer-proxy/tests/common/takeover.rs
@@ -4,10 +4,13 @@
 use std::net::TcpStream;
 use std::path::PathBuf;
 
-use super::configuration::request;
+use serde_json::Value;
+
+use super::configuration::{default_configuration, request};
 use super::http::read_message;
 use super::proxy_process::ProxyProcess;
 use super::shared_address::SharedAddress;
+use super::stub_server::StubServer;
 
 /// Begins this many requests, each on a connection of its own.
 pub fn begin_requests(process: &ProxyProcess, count: usize) -> Vec<BufReader<TcpStream>> {
@@ -22,7 +25,42 @@
     }
 }
 
-/// The socket on which the first process of an address offers its listener.
-pub fn first_offer(address: &SharedAddress) -> PathBuf {
-    address.state_file("seat-0.listener")
+/// A backend that responds at once, and an address whose processes know that backend.
+pub struct Service {
+    /// The backend.
+    pub backend: StubServer,
+    /// The address.
+    pub address: SharedAddress,
+    /// The configuration of all processes.
+    pub configuration: Value,
+}
+
+impl Service {
+    /// Starts the backend, and no process yet.
+    pub fn new() -> Self {
+        Self::at(SharedAddress::new())
+    }
+
+    /// Like [`Service::new`], at this address.
+    pub fn at(address: SharedAddress) -> Self {
+        let backend = StubServer::responding_with("hello");
+        let configuration = default_configuration(&[&backend]);
+        Self { backend, address, configuration }
+    }
+
+    /// Starts a process with a management address of its own.
+    pub fn start(&self) -> ProxyProcess {
+        self.address.start(&self.configuration)
+    }
+
+    /// The socket on which the first process of the address offers its listener.
+    pub fn first_offer(&self) -> PathBuf {
+        self.address.state_file("seat-0.listener")
+    }
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self::new()
+    }
 }
--- a/crates/balancer-proxy/tests/listener_handover.rs
+++ b/crates/balancer-proxy/tests/listener_handover.rs
@@ -13,12 +13,10 @@
 
 mod common;
 
-use common::configuration::{default_configuration, request};
+use common::configuration::request;
 use common::http::{connect, exchange};
 use common::proxy_process::{ProxyProcess, exit_code};
-use common::shared_address::SharedAddress;
-use common::stub_server::StubServer;
-use common::takeover::{assert_all_served, begin_requests, first_offer};
+use common::takeover::{Service, assert_all_served, begin_requests};
 use std::fs::File;
 use std::io::Write;
 use std::os::unix::net::UnixStream;
@@ -28,11 +26,9 @@
 
 #[test]
 fn the_successor_serves_what_waits_when_the_old_process_is_killed() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let mut old = address.start(&configuration);
-    let next = address.start(&configuration);
+    let service = Service::new();
+    let mut old = service.start();
+    let next = service.start();
     next.wait_until_ready();
 
     old.signal("-STOP");
@@ -43,16 +39,14 @@
     next.signal("-CONT");
 
     assert_all_served(clients);
-    assert_eq!(backend.request_count(), 30);
+    assert_eq!(service.backend.request_count(), 30);
 }
 
 #[test]
 fn the_successor_accepts_what_arrives_while_the_old_process_is_stopped() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let old = address.start(&configuration);
-    let next = address.start(&configuration);
+    let service = Service::new();
+    let old = service.start();
+    let next = service.start();
     next.wait_until_ready();
 
     old.signal("-STOP");
@@ -62,11 +56,9 @@
 
 #[test]
 fn the_old_process_serves_alone_again_when_its_successor_is_killed() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let old = address.start(&configuration);
-    let mut next = address.start(&configuration);
+    let service = Service::new();
+    let old = service.start();
+    let mut next = service.start();
 
     old.signal("-STOP");
     next.signal("-STOP");
@@ -76,24 +68,22 @@
     old.signal("-CONT");
 
     assert_all_served(clients);
-    let another = address.start(&configuration);
+    let another = service.start();
     another.wait_until_ready();
     assert_eq!(another.exchange(&request("look", 9000)).status(), 200);
 }
 
 #[test]
 fn a_successor_that_ends_half_way_leaves_the_offer_as_it_was() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let old = address.start(&configuration);
+    let service = Service::new();
+    let old = service.start();
 
     // It ends before it has read the descriptor.
     for _ in 0..20 {
-        drop(UnixStream::connect(first_offer(&address)).unwrap());
+        drop(UnixStream::connect(service.first_offer()).unwrap());
     }
 
-    let next = address.start(&configuration);
+    let next = service.start();
     next.wait_until_ready();
     drop(old);
     assert_all_served(begin_requests(&next, 5));
@@ -101,13 +91,11 @@
 
 #[test]
 fn two_successors_at_once_accept_from_the_same_queue() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let mut old = address.start(&configuration);
+    let service = Service::new();
+    let mut old = service.start();
     let (mut second, third) = std::thread::scope(|scope| {
-        let second = scope.spawn(|| address.start(&configuration));
-        let third = scope.spawn(|| address.start(&configuration));
+        let second = scope.spawn(|| service.start());
+        let third = scope.spawn(|| service.start());
         (second.join().unwrap(), third.join().unwrap())
     });
     third.wait_until_ready();
@@ -127,12 +115,10 @@
 
 #[test]
 fn takes_over_three_times_in_a_row() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let mut running = address.start(&configuration);
+    let service = Service::new();
+    let mut running = service.start();
     for _ in 0..3 {
-        let next = address.start(&configuration);
+        let next = service.start();
         next.wait_until_ready();
 
         running.signal("-TERM");
@@ -145,13 +131,11 @@
 
 #[test]
 fn binds_a_listener_beside_an_older_version_that_offers_none() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let mut old = address.start(&configuration);
-    std::fs::remove_file(first_offer(&address)).unwrap();
+    let service = Service::new();
+    let mut old = service.start();
+    std::fs::remove_file(service.first_offer()).unwrap();
 
-    let next = address.start(&configuration);
+    let next = service.start();
     next.wait_until_ready();
     old.signal("-TERM");
 
@@ -161,12 +145,10 @@
 
 #[test]
 fn shares_the_address_with_an_older_version_that_asks_for_no_listener() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let mut old = address.start(&configuration);
+    let service = Service::new();
+    let mut old = service.start();
     // An older version has a lock and a listener of its own.
-    let lock = File::create(address.state_file("seat-1")).unwrap();
+    let lock = File::create(service.address.state_file("seat-1")).unwrap();
     lock.lock().unwrap();
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_reuse_port(true).unwrap();
@@ -185,12 +167,10 @@
 
 #[test]
 fn tells_that_the_listener_was_handed_over() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let old = address.start(&configuration);
+    let service = Service::new();
+    let old = service.start();
 
-    let next = address.start(&configuration);
+    let next = service.start();
 
     let said = |process: &ProxyProcess| process.starting_log.iter().any(|line| line == TAKEN_OVER);
     assert!(!said(&old) && said(&next));
--- a/crates/balancer-proxy/tests/listener_offer.rs
+++ b/crates/balancer-proxy/tests/listener_offer.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use common::configuration::{default_configuration, request};
+use common::configuration::request;
 use common::proxy_process::exit_code;
 use common::shared_address::SharedAddress;
-use common::stub_server::{StubServer, silent_discovery};
-use common::takeover::{assert_all_served, begin_requests, first_offer};
+use common::stub_server::silent_discovery;
+use common::takeover::{Service, assert_all_served, begin_requests};
 use common::waiting::wait_for;
 use rustix::net::{RecvAncillaryBuffer, RecvFlags, recvmsg};
 use std::io::IoSliceMut;
@@ -24,46 +24,41 @@
 
 #[test]
 fn replaces_the_socket_of_a_process_that_was_killed() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let mut killed = address.start(&configuration);
+    let service = Service::new();
+    let mut killed = service.start();
     killed.child.kill().unwrap();
     killed.child.wait().unwrap();
-    assert!(first_offer(&address).exists(), "the socket of the killed process");
+    assert!(service.first_offer().exists(), "the socket of the killed process");
 
-    let restarted = address.start(&configuration);
+    let restarted = service.start();
 
     assert_eq!(restarted.exchange(&request("look", 9000)).status(), 200);
-    let next = address.start(&configuration);
+    let next = service.start();
     drop(restarted);
     assert_all_served(begin_requests(&next, 5));
 }
 
 #[test]
 fn removes_the_socket_at_the_end() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let mut process = address.start(&default_configuration(&[&backend]));
-    assert!(first_offer(&address).exists());
+    let service = Service::new();
+    let mut process = service.start();
+    assert!(service.first_offer().exists());
 
     process.signal("-TERM");
 
     assert_eq!(exit_code(&mut process.child), Some(0));
-    assert!(!first_offer(&address).exists());
+    assert!(!service.first_offer().exists());
 }
 
 #[test]
 fn binds_a_listener_when_the_offer_hands_over_nothing() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let old = address.start(&configuration);
-    std::fs::remove_file(first_offer(&address)).unwrap();
+    let service = Service::new();
+    let old = service.start();
+    std::fs::remove_file(service.first_offer()).unwrap();
     // It accepts no connection, and the successor waits for the descriptor in vain.
-    let _hanging = UnixListener::bind(first_offer(&address)).unwrap();
+    let _hanging = UnixListener::bind(service.first_offer()).unwrap();
 
-    let next = address.start(&configuration);
+    let next = service.start();
 
     next.wait_until_ready();
     drop(old);
@@ -72,13 +67,11 @@
 
 #[test]
 fn starts_and_takes_over_where_the_path_is_too_long_for_a_socket() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::in_folder_with_long_name();
-    let configuration = default_configuration(&[&backend]);
-    let mut old = address.start(&configuration);
-    assert!(!first_offer(&address).exists());
+    let service = Service::at(SharedAddress::in_folder_with_long_name());
+    let mut old = service.start();
+    assert!(!service.first_offer().exists());
 
-    let next = address.start(&configuration);
+    let next = service.start();
     next.wait_until_ready();
     old.signal("-TERM");
 
@@ -89,25 +82,22 @@
 
 #[test]
 fn a_process_without_management_address_offers_nothing_and_keeps_its_address_to_itself() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let configuration = default_configuration(&[&backend]);
-    let old = address.start_without_management(&configuration);
+    let service = Service::new();
+    let old = service.address.start_without_management(&service.configuration);
 
-    let mut second = address.spawn(&configuration, silent_discovery().address);
+    let mut second = service.address.spawn(&service.configuration, silent_discovery().address);
 
     assert_eq!(exit_code(&mut second), Some(1), "the address is in use");
-    assert!(!first_offer(&address).exists());
+    assert!(!service.first_offer().exists());
     assert_eq!(old.exchange(&request("look", 9000)).status(), 200);
 }
 
 #[test]
 fn other_users_cannot_connect_to_the_socket() {
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let _process = address.start(&default_configuration(&[&backend]));
+    let service = Service::new();
+    let _process = service.start();
 
-    let mode = first_offer(&address).metadata().unwrap().permissions().mode();
+    let mode = service.first_offer().metadata().unwrap().permissions().mode();
 
     assert_eq!(mode & 0o777, 0o600);
 }
@@ -139,17 +129,16 @@
     if std::fs::metadata("/proc/self").unwrap().uid() != 0 {
         return; // only root can run a program as another user
     }
-    let backend = StubServer::responding_with("hello");
-    let address = SharedAddress::new();
-    let process = address.start(&default_configuration(&[&backend]));
-    std::fs::set_permissions(first_offer(&address), PermissionsExt::from_mode(0o666)).unwrap();
+    let service = Service::new();
+    let process = service.start();
+    std::fs::set_permissions(service.first_offer(), PermissionsExt::from_mode(0o666)).unwrap();
     // Folders on the way may be closed to the other user.
     let open_folder = tempfile::tempdir_in("/tmp").unwrap();
     std::fs::set_permissions(open_folder.path(), PermissionsExt::from_mode(0o755)).unwrap();
     let program = open_folder.path().join("test");
     link(&std::env::current_exe().unwrap(), &program);
     let socket = open_folder.path().join("socket");
-    link(&first_offer(&address), &socket);
+    link(&service.first_offer(), &socket);
 
     let status = Command::new(&program)
         .args(["--exact", "connects_as_another_user"])
