Close the offer's descriptor of the listener with the offer, not a turn later

Found on a last reading of the handover. The end of an offer aborted its task, which owned a descriptor of the listener and was dropped only when the runtime ran again. Until then the listener stayed open after the last accept, without a successor or beside an older version: connections that arrived meanwhile were reset, in a window wider than before the handover.

The offer owns the descriptor now, and the task borrows it for each handover.

--- a/crates/balancer-proxy/src/control/listener_handover.rs
+++ b/crates/balancer-proxy/src/control/listener_handover.rs
@@ -21,6 +21,7 @@
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
@@ -41,6 +42,9 @@
 pub struct ListenerOffer {
     path: PathBuf,
     task: JoinHandle<()>,
+    /// Owned here and not by the task, which ends only when the runtime runs again: the listener has to be closed
+    /// with the offer, as nobody accepts the connections that still arrive.
+    _listener: Rc<OwnedFd>,
 }
 
 impl ListenerOffer {
@@ -52,10 +56,10 @@
     /// Fails if the listener has no descriptor left, or if the socket can't be created, for example because the
     /// path is too long for the address of a socket.
     pub fn start(path: PathBuf, listener: &impl AsFd) -> io::Result<Self> {
-        let listener = listener.as_fd().try_clone_to_owned()?;
+        let listener = Rc::new(listener.as_fd().try_clone_to_owned()?);
         let offer = bind_offer(&path)?;
-        let task = tokio::task::spawn_local(hand_over_to_successors(offer, listener));
-        Ok(Self { path, task })
+        let task = tokio::task::spawn_local(hand_over_to_successors(offer, Rc::downgrade(&listener)));
+        Ok(Self { path, task, _listener: listener })
     }
 }
 
@@ -80,11 +84,12 @@
     UnixListener::from_std(socket.into())
 }
 
-/// Hands a descriptor of the listener to each process that connects. Never returns.
-async fn hand_over_to_successors(offer: UnixListener, listener: OwnedFd) {
+/// Hands a descriptor of the listener to each process that connects, until the listener is closed.
+async fn hand_over_to_successors(offer: UnixListener, listener: Weak<OwnedFd>) {
     loop {
         match offer.accept().await {
             Ok((successor, _)) => {
+                let Some(listener) = listener.upgrade() else { return };
                 if let Err(error) = hand_over(&successor, listener.as_fd()) {
                     log!("handover: the listener could not be handed over: {error}");
                 }
--- a/crates/balancer-proxy/src/downstream/client_listener.rs
+++ b/crates/balancer-proxy/src/downstream/client_listener.rs
@@ -80,7 +80,7 @@
     /// accept, as the system resets a connection that arrives in between.
     pub(super) fn close(self) -> io::Result<Vec<TcpStream>> {
         let Self { listener, offer } = self;
-        drop(offer); // a descriptor that is left keeps the listener open, and nobody would accept from it
+        drop(offer); // closes its descriptor of the listener, which would stay open otherwise
         let listener = listener.into_std()?;
         let mut streams = Vec::new();
         while let Ok((stream, _)) = listener.accept() {
