--- a/crates/balancer-proxy/tests/soak/play.rs
+++ b/crates/balancer-proxy/tests/soak/play.rs
@@ -125,11 +125,16 @@
 
 /// Sends the signals, and SIGKILL at the earliest time that the operators' pages allow.
 fn terminate(scenario: &Scenario, old: &mut ProxyProcess, maintenance: Option<Instant>) -> Times {
-    let before: Vec<_> = scenario.signals.iter().filter(|signal| signal.is_before).collect();
+    let mut before: Vec<TimedSignal> = scenario.signals.clone();
+    before.retain(|signal| signal.is_before);
+    before.sort_by_key(|signal| std::cmp::Reverse(signal.offset));
+    let mut remaining = before.first().map_or(Duration::ZERO, |first| first.offset);
     for signal in before {
+        std::thread::sleep(remaining - signal.offset);
+        remaining = signal.offset;
         old.signal(signal.signal);
-        std::thread::sleep(signal.offset / 10);
     }
+    std::thread::sleep(remaining);
     let terminated = Instant::now();
     old.signal("-TERM");
     let mut after: Vec<TimedSignal> = scenario.signals.clone();
--- a/crates/balancer/src/decisions/fleet_assignment.rs
+++ b/crates/balancer/src/decisions/fleet_assignment.rs
@@ -124,14 +124,13 @@
             positions.extend(others.iter().take(missing));
         }
         positions.sort_unstable();
-        positions.into_iter().map(|position| self.due_member(position)).collect()
-    }
-
-    fn due_member(&self, position: usize) -> DueMember {
         let sum: usize = self.memberships.iter().sum();
         let mean = sum as f64 / self.backends.len() as f64;
-        let memberships_over_mean = self.memberships[position] as f64 / mean;
-        DueMember { index: self.backends[position].index, memberships_over_mean }
+        let due_member = |position: usize| DueMember {
+            index: self.backends[position].index,
+            memberships_over_mean: self.memberships[position] as f64 / mean,
+        };
+        positions.into_iter().map(due_member).collect()
     }
 
     /// Assigns each backend to one balancer. The result does not depend on the least number of members.
