Test the end of the listener's offer in a program that starts no process

Cause: of the test, not of the offer. Between the start of a process and the execution of its program the new process has a copy of each descriptor, also of those that are closed at that execution. The listener stays open for that time, and a connection to it is established. The proxy itself starts no process.

The test is the same, in a file whose tests start no process. Looked for the same elsewhere: three tests took the address of a closed listener for one that refuses connections; they now hold a bound socket that never listens, which refuses for as long as it exists.

--- a/crates/balancer-proxy/tests/common/mod.rs
+++ b/crates/balancer-proxy/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod body;
 pub mod client_disconnect;
+pub mod closed_address;
 pub mod configuration;
 pub mod http;
 pub mod late_server;
--- a/crates/balancer-proxy/tests/forwarding.rs
+++ b/crates/balancer-proxy/tests/forwarding.rs
@@ -11,11 +11,11 @@
 use balancer_proxy::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
 use balancer_proxy::upstream::pool::{ConnectionPool, ConnectionTimeouts};
 use balancer_proxy::upstream::shared_flag::SharedFlag;
+use common::closed_address::ClosedAddress;
 use common::configuration::{READINESS_REQUEST, default_settings, endpoint_list, listed_endpoint, request};
 use common::proxy_process::ProxyProcess;
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::{TEST_TIMEOUT, wait_for, wait_for_disconnect};
-use std::net::TcpListener;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
@@ -53,8 +53,8 @@
 
 #[test]
 fn rejects_an_unsafe_request_that_reached_no_backend() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let cached_list = endpoint_list(1, true, &[listed_endpoint("s-1", closed, "SERVING")]);
+    let closed = ClosedAddress::new();
+    let cached_list = endpoint_list(1, true, &[listed_endpoint("s-1", closed.address, "SERVING")]);
     let proxy = ProxyProcess::start(&default_settings(), &cached_list, silent_discovery().address);
 
     assert_eq!(proxy.exchange(&request("order", 1000)).status(), 503);
--- a/crates/balancer-proxy/tests/listener_offer.rs
+++ b/crates/balancer-proxy/tests/listener_offer.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use balancer_proxy::control::listener_handover::ListenerOffer;
 use common::configuration::request;
 use common::proxy_process::exit_code;
 use common::shared_address::SharedAddress;
@@ -12,7 +11,6 @@
 use rustix::net::{RecvAncillaryBuffer, RecvFlags, recvmsg};
 use std::io::IoSliceMut;
 use std::mem::MaybeUninit;
-use std::net::{TcpListener, TcpStream};
 use std::os::unix::fs::{MetadataExt, PermissionsExt, symlink};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::os::unix::process::CommandExt;
@@ -155,23 +153,3 @@
         log.iter().any(|line| line.contains("the process belongs to another user"))
     });
 }
-
-/// A descriptor that the end of an offer left open would go on taking connections that nobody accepts, and they
-/// would be reset later.
-#[test]
-fn the_end_of_an_offer_closes_its_descriptor_before_anything_else_runs() {
-    let folder = tempfile::tempdir().unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let offer = ListenerOffer::start(folder.path().join("offer"), &listener).unwrap();
-        tokio::task::yield_now().await; // the task of the offer has begun
-
-        drop(offer);
-        drop(listener);
-
-        assert!(TcpStream::connect(address).is_err(), "the listener is still open");
-    });
-}
--- a/crates/balancer-proxy/tests/management.rs
+++ b/crates/balancer-proxy/tests/management.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::closed_address::ClosedAddress;
 use common::configuration::{
     configuration_with_management, default_settings, endpoint_list, listed_endpoint, request,
 };
@@ -132,8 +133,8 @@
 
 #[test]
 fn metrics_count_a_request_that_reached_no_backend_as_rejected() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let cached_list = endpoint_list(1, true, &[listed_endpoint("s-1", closed, "SERVING")]);
+    let closed = ClosedAddress::new();
+    let cached_list = endpoint_list(1, true, &[listed_endpoint("s-1", closed.address, "SERVING")]);
     let configuration = configuration_with_management(&default_settings(), &cached_list);
     let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
 
--- a/crates/balancer-proxy/tests/readiness.rs
+++ b/crates/balancer-proxy/tests/readiness.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::closed_address::ClosedAddress;
 use common::configuration::{
     configuration, configuration_with_management, default_settings, endpoint_list, request, serving_list,
 };
@@ -13,7 +14,6 @@
 use common::stub_server::{Reply, StubServer, silent_discovery};
 use common::waiting::wait_for;
 use serde_json::json;
-use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
@@ -30,11 +30,6 @@
     ready && (proxy.management.is_none() || proxy.management_call("status\n").starts_with("OK"))
 }
 
-/// An address on which nothing listens.
-fn closed_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// A discovery whose responses take longer than a start may wait.
 fn slow_discovery(list: String) -> StubServer {
     StubServer::new(move |_, _| {
@@ -75,7 +70,8 @@
     let with_management = configuration_with_management(&default_settings(), &cached_list);
     let (silent, late) = (silent_discovery(), LateServer::with_full_backlog());
     let slow = slow_discovery(cached_list.to_string());
-    let discoveries = [closed_address(), silent.address, slow.address, late.address];
+    let closed = ClosedAddress::new();
+    let discoveries = [closed.address, silent.address, slow.address, late.address];
     let mut starts: Vec<Start> = Vec::new();
     // Four proxies start after another one was killed, and four while another one still runs: these
     // ask discovery first.
