Count the second half of a connect timeout from the second connection attempt

What callers saw: an attempt that got no connection, and waited for its next retransmission timer, although its backend had capacity again.

Cause: the first connection attempt had the whole timeout as a bound of its own, counted from its start. If the proxy stands still for that time right after the start, the timers of both halves have elapsed when it goes on; the first attempt has then failed by its own bound, and no second one is started. The system repeats the first attempt only after a second.

Why this holds: both attempts share one bound for the second half, which begins with the second attempt; no time that passed before it can use it up. Without a standstill the whole is as long as before.

--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -3,7 +3,7 @@
 
 use crate::control::endpoint_list::RawEndpointList;
 use crate::upstream::attempt_body::AttemptBody;
-use crate::upstream::connection::{Connection, connect};
+use crate::upstream::connection::{Connection, connect_within};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use hyper::client::conn::TrySendError;
@@ -139,7 +139,7 @@
         let idle = self.idle_connection.take().and_then(Connection::into_reusable);
         match idle {
             Some(connection) => Ok(connection),
-            None => connect(self.address, connect_timeout).await.map_err(CallError::Connect),
+            None => connect_within(connect_timeout, self.address).await.map_err(CallError::Connect),
         }
     }
 }
--- a/crates/balancer-proxy/src/upstream/connection.rs
+++ b/crates/balancer-proxy/src/upstream/connection.rs
@@ -45,8 +45,17 @@
 /// # Errors
 ///
 /// Returns an error if the connection is refused or fails, or if the timeout elapses.
-pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
-    let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
+pub(crate) async fn connect_within(timeout: Duration, address: SocketAddr) -> io::Result<Connection> {
+    tokio::time::timeout(timeout, connect(address)).await?
+}
+
+/// Connects to `address`, for as long as the caller waits.
+///
+/// # Errors
+///
+/// Returns an error if the connection is refused or fails.
+pub(super) async fn connect(address: SocketAddr) -> io::Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let activity = ResponseActivity::default();
     let progress = Rc::<RequestWriteState>::default();
--- a/crates/balancer-proxy/src/upstream/pool.rs
+++ b/crates/balancer-proxy/src/upstream/pool.rs
@@ -197,17 +197,23 @@
     /// slow, the next one usually is not. Without the second attempt, a request would get no connection
     /// and wait for its next retransmission timer. The cost is that a backend that is slow to accept gets
     /// up to twice as many connections.
+    ///
+    /// The second half of the timeout begins with the second attempt. If the process stood still while the first
+    /// half elapsed, an end counted from the start would have passed before a second attempt could begin.
     async fn connect(&self) -> io::Result<Connection> {
         let address = self.address.get();
-        let timeout = self.connect_timeout();
-        let mut first = pin!(connect(address, timeout));
-        if let Ok(connected) = tokio::time::timeout(timeout / 2, first.as_mut()).await {
+        let half_timeout = self.connect_timeout() / 2;
+        let mut first = pin!(connect(address));
+        if let Ok(connected) = tokio::time::timeout(half_timeout, first.as_mut()).await {
             return connected;
         }
-        let Some(_second_permit) = self.budget.try_acquire(1) else { return first.await };
+        let Some(_second_permit) = self.budget.try_acquire(1) else {
+            return tokio::time::timeout(half_timeout, first).await?;
+        };
         tokio::select! {
             connected = first => connected,
-            connected = connect(address, timeout / 2) => connected,
+            connected = connect(address) => connected,
+            () = tokio::time::sleep(half_timeout) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
 }
--- a/crates/balancer-proxy/src/upstream/pool/tests.rs
+++ b/crates/balancer-proxy/src/upstream/pool/tests.rs
@@ -3,7 +3,9 @@
 use super::{CheckedOutConnection, ConnectionPool, ConnectionTimeouts, MIN_IDLE_TIME};
 use crate::limits::Budget;
 use crate::upstream::connection::ConnectionOrigin;
-use std::net::{SocketAddr, TcpListener};
+use socket2::{Domain, Socket, Type};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -131,3 +133,38 @@
         assert!(pool.idle_since().is_none());
     });
 }
+
+/// Returns a listener that has capacity for one connection until that is accepted.
+fn listener_with_short_backlog() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    socket.into()
+}
+
+/// A process that stands still for the whole timeout right after the start of a connection attempt finds the
+/// timers of both halves elapsed when it goes on. The attempt got no connection then, although the backend had
+/// capacity again: the system repeats the first attempt only after a second.
+#[test]
+fn starts_a_second_connection_attempt_after_a_standstill_for_the_whole_timeout() {
+    let listener = listener_with_short_backlog();
+    let address = listener.local_addr().unwrap();
+    let _first_in_backlog = TcpStream::connect(address).unwrap();
+    let timeouts = ConnectionTimeouts { connect: Duration::from_millis(800), idle: TEST_TIMEOUT };
+    let pool = Rc::new(ConnectionPool::new(address, Budget::new(4), timeouts));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+
+    let connection = runtime.block_on(async {
+        let mut check_out = pin!(pool.check_out(pool.generation()));
+        tokio::select! {
+            biased;
+            _ = check_out.as_mut() => panic!("the backlog is full"),
+            () = std::future::ready(()) => {} // the attempt has begun
+        }
+        std::thread::sleep(timeouts.connect);
+        listener.accept().unwrap(); // the backlog has capacity from here on
+        check_out.await
+    });
+
+    assert!(connection.is_some());
+}
