Keep every bit of a call's key in the tokens of its timers

What callers saw, or would have after 15 hours at 10,000 reuses a second of one slot of the call table: no retry, and no failure at the deadline, as each timer of a call in that slot was taken for one of a call that had ended.

Cause: a token is a key of 64 bits, shifted up by the two bits of the purpose. The two highest bits of the slot's version were lost, which differ from 0 after 2^29 reuses of the slot.

Why this holds: the lowest bit of the version is always set for a slot with a call, and the highest bit of a slot's number never is, as memory ends long before 2^31 calls are open. Those two are left out in place of the two that tell calls apart.

--- a/crates/balancer/src/decisions/timer.rs
+++ b/crates/balancer/src/decisions/timer.rs
@@ -24,6 +24,12 @@
 /// The number of low bits of a call's token that encode the purpose.
 const PURPOSE_BITS: u32 = 2;
 const PURPOSE_MASK: u64 = (1 << PURPOSE_BITS) - 1;
+/// The number of bits above the purpose that encode the slot of the call in the table. Memory ends long
+/// before as many calls are open.
+const SLOT_BITS: u32 = 31;
+const SLOT_MASK: u64 = (1 << SLOT_BITS) - 1;
+/// The number of low bits of a key's integer that are the slot; those above are the version of the slot.
+const KEY_SLOT_BITS: u32 = 32;
 const RETRY: u64 = 0;
 const DEADLINE: u64 = 1;
 const QUEUE_WAIT: u64 = 2;
@@ -36,7 +42,7 @@
             Timer::Deadline(key) => (key, DEADLINE),
             Timer::QueueWait(key) => (key, QUEUE_WAIT),
         };
-        TimerToken(1 + (key.data().as_ffi() << PURPOSE_BITS | purpose))
+        TimerToken(1 + (pack(key) << PURPOSE_BITS | purpose))
     }
 }
 
@@ -46,7 +52,7 @@
             return Self::EndpointPoll;
         }
         let packed = token - 1;
-        let key = CallKey::from(KeyData::from_ffi(packed >> PURPOSE_BITS));
+        let key = unpack(packed >> PURPOSE_BITS);
         match packed & PURPOSE_MASK {
             DEADLINE => Self::Deadline(key),
             QUEUE_WAIT => Self::QueueWait(key),
@@ -54,3 +60,18 @@
         }
     }
 }
+
+/// Returns a key in as few bits as the purpose leaves in a token. The version of a slot with a call is odd,
+/// so that its lowest bit tells nothing. Every other bit is needed: two calls that have had a slot one after
+/// the other differ in the version only.
+fn pack(key: CallKey) -> u64 {
+    let key = key.data().as_ffi();
+    let half_version = key >> (KEY_SLOT_BITS + 1);
+    half_version << SLOT_BITS | key & SLOT_MASK
+}
+
+/// Returns the key that [`pack`] has packed.
+fn unpack(packed: u64) -> CallKey {
+    let version = packed >> SLOT_BITS << 1 | 1;
+    CallKey::from(KeyData::from_ffi(version << KEY_SLOT_BITS | packed & SLOT_MASK))
+}
