Show that a streamed response outlasts repeated SIGTERMs and is completed

A platform may repeat SIGTERM, and each repetition would cut short what the first one has granted.

The new test streams a response beyond the time of the kill, with three SIGTERMs on the way; the response is complete and the exit code 0.

--- a/crates/balancer-proxy/tests/graceful_shutdown.rs
+++ b/crates/balancer-proxy/tests/graceful_shutdown.rs
@@ -10,13 +10,18 @@
 use common::proxy_process::{ProxyCommand, ProxyProcess, exit_code, proxy_command};
 use common::shared_address::SharedAddress;
 use common::stub_server::{Reply, StubServer, silent_discovery};
-use common::waiting::wait_for;
+use common::waiting::{TEST_TIMEOUT, wait_for};
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
+/// Longer than the time to SIGKILL, which is at most 3.7 s after SIGTERM.
+const BEYOND_THE_KILL: Duration = Duration::from_millis(3900);
+
 /// Sends a signal, given as an option of `kill`. Returns whether the process existed.
 #[must_use]
 fn send_signal(child: &Child, signal: &str) -> bool {
@@ -209,6 +214,36 @@
     }
 }
 
+/// A response that has begun is owed in full, however long it takes: whoever wants the process gone sooner kills it.
+/// A platform may repeat SIGTERM, and a repetition must not cut short what the first one has granted.
+#[test]
+fn a_response_being_streamed_is_completed_after_sigterm_however_often_it_is_repeated() {
+    let rest = "x".repeat(100_000);
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 1 + rest.len());
+    let (release, released) = channel();
+    let released = Mutex::new(released);
+    let backend = StubServer::with_connection_handler(move |stream| {
+        if read_message(stream).is_some() {
+            stream.get_mut().write_all(format!("{head}x").as_bytes()).unwrap();
+            released.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+            stream.get_mut().write_all(rest.as_bytes()).unwrap();
+        }
+    });
+    let mut proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut client = proxy.begin_request(&request("look", 500));
+    client.fill_buf().unwrap(); // the response has begun
+
+    for _ in 0..3 {
+        proxy.signal("-TERM");
+        std::thread::sleep(BEYOND_THE_KILL / 3);
+    }
+    release.send(()).unwrap();
+
+    let response = read_message(&mut client).expect("a response");
+    assert_eq!((response.status(), response.body.len()), (200, 100_001));
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
+}
+
 #[test]
 fn sigterm_before_readiness_is_a_graceful_shutdown() {
     let backend = StubServer::responding_with("hello");
