Count a response as the use of its connection, also one to a readiness request

What callers saw: at the limit of connections, a health checker's connection on which only `/-/ready` had been asked was closed after 0.5 s of silence in place of 2 s, before others that had never sent anything.

Cause: a connection counts as used once a request has been read to its end. The proxy answers readiness and invalid requests without reading them to the end, so that those never counted.

Why this holds: the end of a response counts as use, whatever the response was to.

--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -66,7 +66,7 @@
 /// The progress of the requests and responses of one client connection.
 pub(super) struct RequestProgress {
     phase: Cell<RequestPhase>,
-    /// Set once a request has been complete.
+    /// Set once a request has been complete, or has got a response without being read to its end.
     has_completed_request: Cell<bool>,
     /// The time at which the last response finished; at first, the time at which the connection was
     /// accepted.
@@ -120,6 +120,7 @@
     pub(super) fn finish_response(&self) {
         let now = Instant::now();
         self.idle_since.set(now);
+        self.has_completed_request.set(true);
         let next_has_started = self.received.pipelined.take();
         let phase = if next_has_started { RequestPhase::Head { started: now } } else { RequestPhase::Idle };
         self.phase.set(phase);
--- a/crates/balancer-proxy/src/downstream/request_progress/tests.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress/tests.rs
@@ -63,6 +63,20 @@
     assert!(!served.is_evictable_as_silent());
 }
 
+/// The proxy responds to a readiness request, and to an invalid one, without reading it to its end. A connection that had
+/// asked for nothing else was taken for one that has never sent a request, and closed after 0.5 s in place of 2 s.
+#[test]
+fn a_connection_that_has_got_a_response_is_not_evictable_as_silent() {
+    let progress = RequestProgress::new();
+    progress.record_bytes();
+    progress.complete_head();
+    progress.finish_response();
+
+    std::thread::sleep(MIN_SILENCE_BEFORE_EVICTION);
+
+    assert!(!progress.is_evictable_as_silent());
+}
+
 #[test]
 fn a_client_that_does_not_read_stays_busy_until_the_write_timeout() {
     let progress = RequestProgress::new();
--- a/crates/balancer-proxy/tests/connection_limits.rs
+++ b/crates/balancer-proxy/tests/connection_limits.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::configuration::{
-    configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
+    READINESS_REQUEST, configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
 };
 use common::http::{HttpMessage, exchange, read_message, response};
 use common::proxy_process::ProxyProcess;
@@ -67,6 +67,28 @@
     drop(new);
 }
 
+/// A connection on which only readiness was asked for is in use by a health checker, which asks again on it.
+#[test]
+fn keeps_a_connection_that_asks_for_readiness_among_silent_ones() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = proxy_with_few_sockets(&backend);
+    let mut health_checker = proxy.connect();
+    assert_eq!(exchange(&mut health_checker, READINESS_REQUEST).status(), 200);
+    let silent = open_connections(&proxy, 8);
+    std::thread::sleep(Duration::from_millis(700)); // until silent connections may be closed
+
+    let new = open_connections(&proxy, 20);
+    wait_for("closed connections", || {
+        silent.iter().any(|stream| {
+            stream.get_ref().set_nonblocking(true).unwrap();
+            stream.get_ref().peek(&mut [0]).is_ok_and(|length| length == 0)
+        })
+    });
+
+    assert_eq!(exchange(&mut health_checker, READINESS_REQUEST).status(), 200);
+    drop(new);
+}
+
 #[test]
 fn closes_connections_behind_their_responses_near_the_limit() {
     let backend = StubServer::responding_with("hello");
