Count a wait in progress as a latency only where it exceeds the known one

What callers saw: of 800 requests at four idle backends that answer alike, one backend got 765 to 770 (backends_with_the_same_latency_get_even_shares_when_idle, on the list of known failures).

Cause: a retry timer that fires just before the response recorded the wait so far as the latency of the backend, which then looked a little faster than the others, and placement drops whatever has more than the mean load.

Why this holds: a wait is a lower bound of a latency, and is recorded only if it is more than what the backend is known for; it can no longer make a backend look faster. The listed test fails without it, and passed 50 of 50 with it.

--- a/crates/balancer/src/decisions/balancer/attempts.rs
+++ b/crates/balancer/src/decisions/balancer/attempts.rs
@@ -144,7 +144,7 @@
                 continue;
             }
             match silence {
-                Silence::Waiting => outliers.record_latency(backend, waited, expected, self.now),
+                Silence::Waiting => outliers.record_wait(backend, waited, expected, self.now),
                 Silence::Failed => outliers.record_failure(backend, waited, expected, self.now),
             }
         }
--- a/crates/balancer/src/decisions/outlier_detection.rs
+++ b/crates/balancer/src/decisions/outlier_detection.rs
@@ -109,6 +109,16 @@
         }
     }
 
+    /// Records that an attempt has been in flight for `waited` seconds, where `expected` is the expected
+    /// latency. The latency will be at least the wait, so that a wait tells something only if it exceeds the
+    /// latency that the backend is known for. Otherwise a wait just before the response would make the
+    /// backend look faster than it is.
+    pub fn record_wait(&mut self, index: BackendIndex, waited: Time, expected: Time, now: Time) {
+        if waited > self.relative_latency(index, now) * expected {
+            self.record_latency(index, waited, expected, now);
+        }
+    }
+
     /// Records that an attempt failed after `duration` seconds, where `expected` is the expected latency.
     pub fn record_failure(&mut self, index: BackendIndex, duration: Time, expected: Time, now: Time) {
         let is_fast = duration < FAST_FAILURE_FRACTION * expected;
