Tell the balancer which processes serve its clients by a type, and identify attempts by one

Event::SecondProcess had a boolean field; Event::ServingProcesses carries the enum that the decisions use. Four types named AttemptId stood in four places, one with another field name; there is one, in the interface of the decision module.

--- a/crates/balancer-proxy/src/control/reload.rs
+++ b/crates/balancer-proxy/src/control/reload.rs
@@ -111,7 +111,7 @@
         };
         let other_process = instance_lock.other_process();
         self.set_capacities(other_process);
-        self.targets.engine.set_second_process(other_process);
+        self.targets.engine.set_other_process(other_process);
         let previous = self.other_process.replace(other_process);
         let has_ended = previous.is_running() && !other_process.is_running();
         if !has_ended && !instance_lock.other_settings_differ(&self.fingerprint()) {
--- a/crates/balancer-proxy/src/engine/attempts.rs
+++ b/crates/balancer-proxy/src/engine/attempts.rs
@@ -4,17 +4,10 @@
 //! first; the removal aborts its task, and later events find no attempt with its id.
 
 use crate::upstream::shared_flag::SharedFlag;
-use balancer::{AttemptNumber, BackendId, RequestId, Time};
+use balancer::{AttemptId, BackendId, Time};
 use std::collections::HashMap;
 use tokio::task::AbortHandle;
 
-/// Identifies an attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) struct AttemptId {
-    pub(super) request: RequestId,
-    pub(super) number: AttemptNumber,
-}
-
 /// The progress of writing the request of a running attempt to the backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WriteProgress {
--- a/crates/balancer-proxy/src/engine/attempts/tests.rs
+++ b/crates/balancer-proxy/src/engine/attempts/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of the table of running attempts.
 
-use super::{AttemptId, AttemptNumber, RunningAttempt, RunningAttempts, SentAttempt, WriteProgress};
+use super::{RunningAttempt, RunningAttempts, SentAttempt, WriteProgress};
 use crate::upstream::shared_flag::SharedFlag;
-use balancer::{BackendId, RequestId};
+use balancer::{AttemptId, AttemptNumber, BackendId, RequestId};
 
 const ID: AttemptId = AttemptId { request: RequestId(7), number: AttemptNumber(1) };
 const SENT: SentAttempt = SentAttempt { backend: BackendId(3), sent_at: 2.5 };
--- a/crates/balancer-proxy/src/engine/dispatcher.rs
+++ b/crates/balancer-proxy/src/engine/dispatcher.rs
@@ -3,7 +3,7 @@
 //! Owns the state that events and actions change, the timers and the settings in force. The dispatcher
 //! spawns the tasks of attempts and health checks, and reports the end of each to the module.
 
-use super::attempts::{AttemptId, RunningAttempt, SentAttempt};
+use super::attempts::{RunningAttempt, SentAttempt};
 use super::decisions::PendingEvent;
 use super::requests::FinalResponse;
 use super::state::State;
@@ -15,7 +15,7 @@
 use crate::upstream::attempt::{self, AttemptParameters, AttemptResult};
 use crate::upstream::load_report;
 use crate::upstream::shared_flag::SharedFlag;
-use balancer::{Action, BackendId, Event, RequestId, Time};
+use balancer::{Action, AttemptId, BackendId, Event, RequestId, Time};
 use std::cell::{RefCell, RefMut};
 use std::rc::{Rc, Weak};
 
--- a/crates/balancer-proxy/src/engine/mod.rs
+++ b/crates/balancer-proxy/src/engine/mod.rs
@@ -38,7 +38,7 @@
 use super::metrics::{BackendCounts, Metrics};
 use super::settings::SettingsSnapshot;
 use super::watch_event::WatchEvent;
-use balancer::{BackendId, Event, MaintenanceChange, Time};
+use balancer::{BackendId, Event, MaintenanceChange, ServingProcesses, Time};
 use decisions::PendingEvent;
 use dispatcher::Dispatcher;
 use scheduling_lag::SchedulingLag;
@@ -133,9 +133,12 @@
     }
 
     /// Notifies the decision module whether another process serves the same clients.
-    pub fn set_second_process(&self, other_process: OtherProcess) {
-        let running = other_process.is_running();
-        self.dispatcher.handle(self.dispatcher.state(), Event::SecondProcess { running });
+    pub fn set_other_process(&self, other_process: OtherProcess) {
+        let processes = match other_process {
+            OtherProcess::Absent => ServingProcesses::One,
+            OtherProcess::Running => ServingProcesses::Two,
+        };
+        self.dispatcher.handle(self.dispatcher.state(), Event::ServingProcesses(processes));
     }
 
     /// Returns whether a backend in service has ever been listed.
--- a/crates/balancer-proxy/src/engine/state.rs
+++ b/crates/balancer-proxy/src/engine/state.rs
@@ -4,13 +4,13 @@
 //! backends. Each end of an attempt passes through [`State`], so that the module is notified of the end
 //! once, and the client of a request gets the first response.
 
-use super::attempts::{AttemptId, RunningAttempts, WriteProgress};
+use super::attempts::{RunningAttempts, WriteProgress};
 use super::decisions::Decisions;
 use super::endpoints::Endpoints;
 use super::requests::{FinalResponse, OpenRequest, OpenRequests};
 use crate::clock::Clock;
 use crate::upstream::attempt::AttemptResult;
-use balancer::{AttemptNumber, BackendId, EndedAttempt, Event, Outcome, RequestId, Settings};
+use balancer::{AttemptId, AttemptNumber, BackendId, EndedAttempt, Event, Outcome, RequestId, Settings};
 
 /// The state that events and actions change.
 pub(super) struct State {
--- a/crates/balancer-proxy/src/engine/submission.rs
+++ b/crates/balancer-proxy/src/engine/submission.rs
@@ -2,11 +2,10 @@
 //! requests early when their clients disconnect or the process ends.
 
 use super::Engine;
-use super::attempts::AttemptId;
 use super::requests::{FinalResponse, OpenRequest};
 use super::timers::Timer;
 use crate::upstream::forwarded_request::ForwardedRequest;
-use balancer::{Event, Request, RequestId, Time};
+use balancer::{AttemptId, Event, Request, RequestId, Time};
 use std::rc::Rc;
 use std::time::Instant;
 use thiserror::Error;
--- a/crates/balancer-proxy/src/engine/timers.rs
+++ b/crates/balancer-proxy/src/engine/timers.rs
@@ -3,9 +3,8 @@
 //! Owns the queue of timers and the wait for the first one. Timers are never cancelled: when a timer
 //! expires, its request or attempt may have ended before.
 
-use super::attempts::AttemptId;
 use crate::clock::Clock;
-use balancer::{RequestId, Time, TimerToken};
+use balancer::{AttemptId, RequestId, Time, TimerToken};
 use std::cell::RefCell;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
--- a/crates/balancer/src/decisions/backends/mod.rs
+++ b/crates/balancer/src/decisions/backends/mod.rs
@@ -11,19 +11,9 @@
 use crate::decisions::slow_start::{SlowStart, WarmRate};
 use crate::decisions::subset::{self, AssignmentInputs, Subset};
 use crate::decisions::traffic::Traffic;
-use crate::interface::{BackendId, Endpoint, LoadReport, Settings, Status, Time};
+use crate::interface::{BackendId, Endpoint, LoadReport, ServingProcesses, Settings, Status, Time};
 use crate::support::BackendIndex;
 
-/// The processes that serve the clients of each balancer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum ServingProcesses {
-    /// This process alone.
-    #[default]
-    One,
-    /// This process and another one, which takes over or is taken over.
-    Two,
-}
-
 /// All that a balancer knows of backends, one field for each concern.
 #[derive(Debug, Default)]
 pub(super) struct Backends {
--- a/crates/balancer/src/decisions/balancer/mod.rs
+++ b/crates/balancer/src/decisions/balancer/mod.rs
@@ -6,7 +6,7 @@
 mod endpoint_updates;
 
 use super::admission::Admission;
-use super::backends::{Backends, ServingProcesses};
+use super::backends::Backends;
 use super::calls::CallTable;
 use super::endpoint_polls::EndpointPolls;
 use super::ordered_keys::OrderedKeys;
@@ -78,8 +78,7 @@
                 self.backends.record_load_report(backend, report, self.now);
             }
             Event::Maintenance { backend, change } => self.on_maintenance(backend, change, actions),
-            Event::SecondProcess { running: true } => self.backends.set_processes(ServingProcesses::Two),
-            Event::SecondProcess { running: false } => self.backends.set_processes(ServingProcesses::One),
+            Event::ServingProcesses(processes) => self.backends.set_processes(processes),
             Event::Endpoints(update) => self.on_endpoint_update(update, actions),
             Event::Settings(settings) => self.apply_settings(settings.clone()),
         }
--- a/crates/balancer/src/decisions/ordered_keys.rs
+++ b/crates/balancer/src/decisions/ordered_keys.rs
@@ -4,7 +4,7 @@
 //! and while the key rests after an attempt that may still be running at its backend.
 
 use super::calls::{Call, CallKey};
-use crate::interface::{AttemptNumber, Outcome, RequestId, Time};
+use crate::interface::{AttemptId, AttemptNumber, Outcome, RequestId, Time};
 use std::collections::{HashMap, VecDeque};
 
 /// The number of queues at which idle ones are dropped for the first time.
@@ -27,13 +27,6 @@
     }
 }
 
-/// An attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct AttemptId {
-    request: RequestId,
-    attempt: AttemptNumber,
-}
-
 /// The call at the front of a queue, none of whose predecessors has an attempt in flight.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NextCall {
@@ -89,14 +82,14 @@
         for (attempt, sent) in call.numbered_attempts() {
             if sent.is_in_flight() {
                 queue.orphaned_attempts += 1;
-                self.orphans.insert(AttemptId { request: call.id(), attempt }, ordering_key);
+                self.orphans.insert(AttemptId { request: call.id(), number: attempt }, ordering_key);
             }
         }
     }
 
     /// Records that an attempt has ended. Returns its ordering key if the attempt was an orphan.
     pub fn settle_orphan(&mut self, request: RequestId, attempt: AttemptNumber) -> Option<u64> {
-        let ordering_key = self.orphans.remove(&AttemptId { request, attempt })?;
+        let ordering_key = self.orphans.remove(&AttemptId { request, number: attempt })?;
         if let Some(queue) = self.queues.get_mut(&ordering_key) {
             queue.orphaned_attempts -= 1;
         }
--- a/crates/balancer/src/interface/event.rs
+++ b/crates/balancer/src/interface/event.rs
@@ -82,6 +82,16 @@
     Ends,
 }
 
+/// The processes that serve the clients of a balancer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServingProcesses {
+    /// This process alone.
+    #[default]
+    One,
+    /// This process and another one, which takes over or is taken over.
+    Two,
+}
+
 /// An event that a balancer decides about.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event<'a> {
@@ -121,11 +131,8 @@
         /// The change of its maintenance.
         change: MaintenanceChange,
     },
-    /// A second process has begun or ceased to serve the same clients as this one.
-    SecondProcess {
-        /// Whether the second process is running.
-        running: bool,
-    },
+    /// The processes that serve the clients of this balancer are these from now on.
+    ServingProcesses(ServingProcesses),
     /// An update of the endpoint list arrived, or failed to arrive.
     Endpoints(EndpointUpdate<'a>),
     /// New settings are in force from now on. The indices of classes and tenants in later requests refer to
--- a/crates/balancer/src/interface/ids.rs
+++ b/crates/balancer/src/interface/ids.rs
@@ -46,3 +46,12 @@
 /// The number of an attempt among the attempts of its request, from 0, in the order of the sends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptNumber(pub usize);
+
+/// Identifies an attempt of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The request.
+    pub request: RequestId,
+    /// The number of the attempt.
+    pub number: AttemptNumber,
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -63,9 +63,9 @@
 
 pub use decisions::Balancer;
 pub use interface::{
-    Action, AttemptNumber, BackendId, CellId, ClassIndex, Effect, EndedAttempt, Endpoint, EndpointUpdate,
-    Event, IdempotencyGroup, LoadReport, MaintenanceChange, Outcome, Request, RequestClass, RequestId,
-    Settings, Status, Tenant, TenantIndex, Tier, Time, TimerToken, ZoneId,
+    Action, AttemptId, AttemptNumber, BackendId, CellId, ClassIndex, Effect, EndedAttempt, Endpoint,
+    EndpointUpdate, Event, IdempotencyGroup, LoadReport, MaintenanceChange, Outcome, Request, RequestClass,
+    RequestId, ServingProcesses, Settings, Status, Tenant, TenantIndex, Tier, Time, TimerToken, ZoneId,
 };
 
 /// The example of the front page, run as a test.
--- a/crates/balancer/tests/decisions/overload_level.rs
+++ b/crates/balancer/tests/decisions/overload_level.rs
@@ -6,7 +6,7 @@
 use crate::common::actions::{SentAttempt, TimedAction, is_rejected, rejections, sends};
 use crate::common::balancer_harness::BalancerHarness;
 use crate::common::fixtures::{endpoint, endpoints, safe_settings};
-use balancer::{BackendId, EndpointUpdate, Event, Outcome, Settings, Tier, Time};
+use balancer::{BackendId, EndpointUpdate, Event, Outcome, ServingProcesses, Settings, Tier, Time};
 
 /// Returns the settings of a balancer at the entry tier.
 fn entry_settings(instance_count: usize) -> Settings {
@@ -109,14 +109,14 @@
 }
 
 /// Returns the number of forty requests arriving together that a balancer sends at once, after a hundred
-/// served requests and these notifications of a second process.
-fn admitted_after(second_process_running: &[bool]) -> usize {
+/// served requests and these notifications of the processes that serve its clients.
+fn admitted_after(notifications: &[ServingProcesses]) -> usize {
     let mut harness = BalancerHarness::new(entry_settings(1), &[endpoint(1), endpoint(2)]);
     for id in 0..100 {
         harness.serve(id, 0.1);
     }
-    for running in second_process_running {
-        harness.handle(Event::SecondProcess { running: *running });
+    for processes in notifications {
+        harness.handle(Event::ServingProcesses(*processes));
     }
     admitted_at_once(&mut harness, 1000..1040)
 }
@@ -126,10 +126,11 @@
     let alone = admitted_after(&[]);
     assert!((10..40).contains(&alone), "{alone}");
 
-    let half = admitted_after(&[true]);
+    let half = admitted_after(&[ServingProcesses::Two]);
 
     assert!(2 * half <= alone + 1 && half > 0, "{half} beside another, {alone} alone");
-    assert_eq!(admitted_after(&[true, true, false]), alone);
+    let in_turn = [ServingProcesses::Two, ServingProcesses::Two, ServingProcesses::One];
+    assert_eq!(admitted_after(&in_turn), alone);
 }
 
 #[test]
--- a/crates/balancer/tests/replay/agenda.rs
+++ b/crates/balancer/tests/replay/agenda.rs
@@ -1,17 +1,8 @@
 //! The agenda of a simulation: planned occurrences, in the order of their times.
 
-use balancer::{AttemptNumber, BackendId, RequestId, Time, TimerToken};
+use balancer::{AttemptId, BackendId, RequestId, Time, TimerToken};
 use std::collections::BTreeMap;
 
-/// Identifies an attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AttemptId {
-    /// The request.
-    pub request: RequestId,
-    /// The number of the attempt.
-    pub number: AttemptNumber,
-}
-
 /// An occurrence in a simulation.
 #[derive(Clone, Copy, Debug)]
 pub enum Occurrence {
--- a/crates/balancer/tests/replay/attempts.rs
+++ b/crates/balancer/tests/replay/attempts.rs
@@ -1,10 +1,11 @@
 //! The requests of a simulation, and their attempts.
 
-use crate::agenda::{AttemptId, Occurrence};
+use crate::agenda::Occurrence;
 use crate::simulated_backends::AttemptEnd;
 use crate::simulation::{OpenRequest, Simulation};
 use balancer::{
-    AttemptNumber, BackendId, ClassIndex, EndedAttempt, Event, Outcome, Request, RequestId, TenantIndex, Time,
+    AttemptId, AttemptNumber, BackendId, ClassIndex, EndedAttempt, Event, Outcome, Request, RequestId,
+    TenantIndex, Time,
 };
 use rand::Rng;
 
--- a/crates/balancer/tests/replay/coverage.rs
+++ b/crates/balancer/tests/replay/coverage.rs
@@ -1,6 +1,6 @@
 //! Counts the kinds of events, actions and outcomes that occur.
 
-use balancer::{Action, EndpointUpdate, Event, MaintenanceChange, Outcome};
+use balancer::{Action, EndpointUpdate, Event, MaintenanceChange, Outcome, ServingProcesses};
 use std::collections::BTreeMap;
 
 /// All kinds of events, actions and outcomes of attempts that have to occur.
@@ -93,8 +93,8 @@
         Event::HealthCheckEnded { .. } => "HealthCheckEnded",
         Event::Maintenance { change: MaintenanceChange::Begins, .. } => "MaintenanceBegins",
         Event::Maintenance { change: MaintenanceChange::Ends, .. } => "MaintenanceEnds",
-        Event::SecondProcess { running: true } => "SecondProcessRuns",
-        Event::SecondProcess { running: false } => "SecondProcessEnds",
+        Event::ServingProcesses(ServingProcesses::Two) => "SecondProcessRuns",
+        Event::ServingProcesses(ServingProcesses::One) => "SecondProcessEnds",
         Event::Endpoints(EndpointUpdate::Changes(_)) => "Changes",
         Event::Endpoints(EndpointUpdate::Full(_)) => "Full",
         Event::Endpoints(EndpointUpdate::Cached(_)) => "Cached",
--- a/crates/balancer/tests/replay/simulation.rs
+++ b/crates/balancer/tests/replay/simulation.rs
@@ -1,10 +1,13 @@
 //! A balancer on virtual time, among simulated clients, backends, operators and discovery.
 
-use crate::agenda::{Agenda, AttemptId, Occurrence, PlannedOccurrence};
+use crate::agenda::{Agenda, Occurrence, PlannedOccurrence};
 use crate::attempts::OpenAttempt;
 use crate::scenario::{Change, Scenario};
 use crate::simulated_backends::SimulatedBackends;
-use balancer::{Action, Balancer, Endpoint, EndpointUpdate, Event, Outcome, RequestId, Settings, Time};
+use balancer::{
+    Action, AttemptId, Balancer, Endpoint, EndpointUpdate, Event, Outcome, RequestId, ServingProcesses,
+    Settings, Time,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -143,8 +146,8 @@
             Change::Maintenance(backend, change) => {
                 self.handle(Event::Maintenance { backend: *backend, change: *change });
             }
-            Change::SecondProcessBegins => self.handle(Event::SecondProcess { running: true }),
-            Change::SecondProcessEnds => self.handle(Event::SecondProcess { running: false }),
+            Change::SecondProcessBegins => self.handle(Event::ServingProcesses(ServingProcesses::Two)),
+            Change::SecondProcessEnds => self.handle(Event::ServingProcesses(ServingProcesses::One)),
             Change::Settings(settings) => {
                 self.settings = settings.as_ref().clone();
                 self.handle(Event::Settings(settings));
--- a/crates/fleet-bench/src/fleet/caller.rs
+++ b/crates/fleet-bench/src/fleet/caller.rs
@@ -22,10 +22,10 @@
 use super::scenario::Scenario;
 use crate::error::Error;
 use accounting::FailureKind;
-use balancer::{Action, Balancer, EndpointUpdate, Event, Outcome};
+use balancer::{Action, AttemptId, Balancer, EndpointUpdate, Event, Outcome};
 use calls::AttemptOrder;
 use environment::Environment;
-use event_queue::{AttemptId, CallerEvent};
+use event_queue::CallerEvent;
 use message::Message;
 use std::time::Instant;
 
--- a/crates/fleet-bench/src/fleet/caller/calls.rs
+++ b/crates/fleet-bench/src/fleet/caller/calls.rs
@@ -2,7 +2,7 @@
 
 use super::accounting::{FailedCall, FailureKind, SentAttempt};
 use super::endpoint_list::EndpointList;
-use super::event_queue::{AttemptId, CallerEvent};
+use super::event_queue::CallerEvent;
 use super::network::{AttemptTimes, Network};
 use super::requests::{InFlight, Requests};
 use super::run_state::RunState;
@@ -11,7 +11,7 @@
 use crate::fleet::plan::Plan;
 use crate::fleet::scenario::Scenario;
 use crate::fleet::settings::CLASS_EFFECTS;
-use balancer::{BackendId, EndedAttempt, Outcome, Request, RequestId, Time};
+use balancer::{AttemptId, BackendId, EndedAttempt, Outcome, Request, RequestId, Time};
 
 /// An attempt that the balancer asks for.
 #[derive(Clone, Copy, Debug)]
--- a/crates/fleet-bench/src/fleet/caller/environment.rs
+++ b/crates/fleet-bench/src/fleet/caller/environment.rs
@@ -7,7 +7,7 @@
 use super::calls::{AttemptOrder, Calls};
 use super::deliveries;
 use super::discovery_client::DiscoveryClient;
-use super::event_queue::{AttemptId, CallerEvent, EventQueue};
+use super::event_queue::{CallerEvent, EventQueue};
 use super::message::Message;
 use super::run_state::RunState;
 use crate::error::Error;
@@ -17,8 +17,8 @@
 use crate::fleet::scenario::Scenario;
 use crate::fleet::settings::caller_settings;
 use balancer::{
-    Balancer, EndedAttempt, Endpoint, EndpointUpdate, Event, Outcome, Request, RequestId, Settings, Time,
-    TimerToken, ZoneId,
+    AttemptId, Balancer, EndedAttempt, Endpoint, EndpointUpdate, Event, Outcome, Request, RequestId,
+    Settings, Time, TimerToken, ZoneId,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/fleet-bench/src/fleet/caller/event_queue.rs
+++ b/crates/fleet-bench/src/fleet/caller/event_queue.rs
@@ -1,18 +1,9 @@
 //! The virtual clock of a caller: its pending events in the order of their times.
 
-use balancer::{AttemptNumber, Outcome, RequestId, Time, TimerToken};
+use balancer::{AttemptId, Outcome, Time, TimerToken};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 
-/// An attempt of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct AttemptId {
-    /// The call.
-    pub request: RequestId,
-    /// The number of the attempt.
-    pub number: AttemptNumber,
-}
-
 /// Something that happens to a caller.
 #[derive(Clone, Copy, Debug)]
 pub enum CallerEvent {
--- a/crates/fleet-bench/src/fleet/caller/requests.rs
+++ b/crates/fleet-bench/src/fleet/caller/requests.rs
@@ -1,8 +1,7 @@
 //! The open calls of a caller and their attempts in flight.
 
-use super::event_queue::AttemptId;
 use crate::fleet::checker::{Checker, NewCall, OpenCall, Violation};
-use balancer::{RequestId, Time};
+use balancer::{AttemptId, RequestId, Time};
 use std::collections::HashMap;
 
 /// An attempt in flight.
