Name the address that can't be listened on, and where an invalid one was read

What operators saw: `Address already in use` without the address, and the name of an environment variable that was not set where an address in the file was invalid.

Cause: the errors of binding had no context, and every invalid address was reported by its variable.

Now the error has the address, and names the variable or the key that the text came from. The check of the runbook reads the module of the new text, too.

--- a/crates/balancer-proxy/src/control/config/environment.rs
+++ b/crates/balancer-proxy/src/control/config/environment.rs
@@ -8,12 +8,19 @@
 
 /// Names the path of the configuration file.
 const CONFIG_PATH: &str = "RELAY_CONFIG";
-/// Overrides the key `listen` of the file.
-const LISTEN_ADDRESS: &str = "RELAY_LISTEN";
-/// Overrides the key `discovery` of the file at startup.
-const DISCOVERY_ADDRESS: &str = "RELAY_DISCOVERY";
-/// Overrides the key `management` of the file.
-const MANAGEMENT_ADDRESS: &str = "RELAY_MANAGEMENT";
+/// The address for clients.
+const LISTEN: AddressSource = AddressSource { variable: "RELAY_LISTEN", key: "listen" };
+/// The address of discovery, whose variable counts at startup only.
+const DISCOVERY: AddressSource = AddressSource { variable: "RELAY_DISCOVERY", key: "discovery" };
+/// The address for management calls.
+const MANAGEMENT: AddressSource = AddressSource { variable: "RELAY_MANAGEMENT", key: "management" };
+
+/// The environment variable of an address, and the key of the file that the variable overrides.
+#[derive(Clone, Copy)]
+struct AddressSource {
+    variable: &'static str,
+    key: &'static str,
+}
 
 /// Returns the path of the configuration file.
 pub(super) fn config_path() -> Result<String, ConfigError> {
@@ -43,7 +50,7 @@
     /// file, or a text is no address.
     pub(super) fn resolve(file: &RawConfig, mode: LoadMode) -> Result<Self, ConfigError> {
         Ok(Self {
-            listen: resolve_address(LISTEN_ADDRESS, file.listen.as_deref())?,
+            listen: resolve_address(LISTEN, file.listen.as_deref())?,
             discovery: discovery_address(file.discovery.as_deref(), mode)?,
             management: management_address(file.management.as_deref())?,
         })
@@ -51,25 +58,32 @@
 }
 
 /// Returns the address in an environment variable, or the address of the file if the variable is not set.
-fn resolve_address(name: &'static str, in_file: Option<&str>) -> Result<SocketAddr, ConfigError> {
-    let text = read_variable(name).or_else(|not_set| in_file.map(str::to_string).ok_or(not_set))?;
-    parse_address(name, &text)
+fn resolve_address(source: AddressSource, in_file: Option<&str>) -> Result<SocketAddr, ConfigError> {
+    match (read_variable(source.variable), in_file) {
+        (Ok(text), _) => parse_address(source.variable, &text),
+        (Err(_), Some(text)) => parse_address(source.key, text),
+        (Err(not_set), None) => Err(not_set),
+    }
 }
 
 /// Returns the address of discovery. At startup the environment has precedence. On a reload the file has
 /// precedence: the file may have been replaced since startup, and the environment of a process cannot be.
 fn discovery_address(in_file: Option<&str>, mode: LoadMode) -> Result<SocketAddr, ConfigError> {
     match (mode, in_file) {
-        (LoadMode::Reload, Some(text)) => parse_address("discovery", text),
-        _ => resolve_address(DISCOVERY_ADDRESS, in_file),
+        (LoadMode::Reload, Some(text)) => parse_address(DISCOVERY.key, text),
+        _ => resolve_address(DISCOVERY, in_file),
     }
 }
 
 /// Returns the address for management calls, if there is one. An empty text counts as absent.
 fn management_address(in_file: Option<&str>) -> Result<Option<SocketAddr>, ConfigError> {
-    let in_environment = std::env::var(MANAGEMENT_ADDRESS).ok().filter(|text| !text.is_empty());
+    let in_environment = read_variable(MANAGEMENT.variable).ok().filter(|text| !text.is_empty());
     let in_file = in_file.filter(|text| !text.is_empty());
-    in_environment.as_deref().or(in_file).map(|text| parse_address("management", text)).transpose()
+    match (in_environment, in_file) {
+        (Some(text), _) => parse_address(MANAGEMENT.variable, &text).map(Some),
+        (None, Some(text)) => parse_address(MANAGEMENT.key, text).map(Some),
+        (None, None) => Ok(None),
+    }
 }
 
 fn parse_address(field: &str, text: &str) -> Result<SocketAddr, ConfigError> {
--- a/crates/balancer-proxy/src/process/mod.rs
+++ b/crates/balancer-proxy/src/process/mod.rs
@@ -53,7 +53,10 @@
     let file_stamp = FileStamp::of_config_file();
     let mut config = Config::load(LoadMode::Startup)?;
     let management = match config.management {
-        Some(address) => Some(ManagementResources::open(address, config.listen).await?),
+        Some(address) => {
+            let resources = ManagementResources::open(address, config.listen).await;
+            Some(resources.map_err(StartError::listening_on(address))?)
+        }
         None => None,
     };
     let has_management = management.is_some();
@@ -68,7 +71,8 @@
         proxy.wait_for_endpoint_list().await;
     }
     let sharing = if has_management { AddressSharing::Shared } else { AddressSharing::Exclusive };
-    let mut listener = ClientListener::open(config.listen, sharing, instance_lock.as_deref()).await?;
+    let listener = ClientListener::open(config.listen, sharing, instance_lock.as_deref()).await;
+    let mut listener = listener.map_err(StartError::listening_on(config.listen))?;
     if let Some(instance_lock) = &instance_lock {
         listener.offer_to_successor(instance_lock);
     }
--- a/crates/balancer-proxy/tests/startup_configuration.rs
+++ b/crates/balancer-proxy/tests/startup_configuration.rs
@@ -4,9 +4,10 @@
 
 use common::configuration::{configuration, default_settings, endpoint_list, request, serving_list};
 use common::http::response;
-use common::proxy_process::{ProxyProcess, proxy_command};
+use common::proxy_process::{ProxyCommand, ProxyProcess, proxy_command};
 use common::stub_server::{Reply, StubServer, silent_discovery};
-use serde_json::json;
+use serde_json::{Value, json};
+use std::net::TcpListener;
 
 #[test]
 fn exits_with_one_log_line_on_an_invalid_configuration() {
@@ -30,6 +31,53 @@
     }
 }
 
+/// Starts a proxy that must fail, and returns its log.
+fn failed_start(configuration: &Value, variables: &[(&str, &str)], removed: &[&str]) -> String {
+    let ProxyCommand { mut command, .. } =
+        proxy_command(&configuration.to_string(), silent_discovery().address);
+    command.envs(variables.iter().copied());
+    for variable in removed {
+        command.env_remove(variable);
+    }
+    let output = command.output().unwrap();
+    assert!(!output.status.success());
+    String::from_utf8(output.stderr).unwrap()
+}
+
+/// Operators saw `Address already in use` without the address, and could not tell which of the two was meant.
+#[test]
+fn a_failed_start_names_the_address_that_is_in_use() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let configuration = configuration(&default_settings(), &endpoint_list(1, true, &[]));
+
+    for variable in ["RELAY_LISTEN", "RELAY_MANAGEMENT"] {
+        let log = failed_start(&configuration, &[(variable, &address)], &[]);
+
+        let expected = format!("balancer-proxy: cannot listen on {address}: ");
+        assert!(log.starts_with(&expected), "{variable}: {log}");
+    }
+}
+
+/// Operators saw the name of an environment variable that was not set, for an invalid address in the file.
+#[test]
+fn a_failed_start_names_where_an_invalid_address_was_read() {
+    let mut in_file = configuration(&default_settings(), &endpoint_list(1, true, &[]));
+    let addresses =
+        [("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery"), ("RELAY_MANAGEMENT", "management")];
+    for (variable, key) in addresses {
+        let from_environment = failed_start(&in_file, &[(variable, "nowhere")], &[]);
+        in_file[key] = json!("nowhere");
+        let from_file = failed_start(&in_file, &[], &[variable]);
+        in_file.as_object_mut().unwrap().remove(key);
+
+        for (log, name) in [(from_environment, variable), (from_file, key)] {
+            let expected = format!("balancer-proxy: {name}: expected address:port, got 'nowhere'");
+            assert!(log.starts_with(&expected), "{log}");
+        }
+    }
+}
+
 #[test]
 fn absent_keys_have_defaults_and_unknown_keys_are_skipped() {
     let backend = StubServer::new(|_, message| {
--- a/crates/repository-checks/tests/log_lines/sources.rs
+++ b/crates/repository-checks/tests/log_lines/sources.rs
@@ -12,8 +12,8 @@
 /// The attribute whose first argument is the text of an error.
 pub const ERROR_ATTRIBUTE: &str = "#[error(";
 /// The modules whose errors are contained in log lines.
-pub const MODULES_OF_LOGGED_ERRORS: [&str; 3] =
-    ["control::config::error", "control::discovery::client", "settings"];
+pub const MODULES_OF_LOGGED_ERRORS: [&str; 4] =
+    ["control::config::error", "control::discovery::client", "process::error", "settings"];
 
 /// A source file.
 pub struct SourceFile {
