Serve a request that arrived unnoticed before its idle connection is closed

Cause: a task learns of bytes only between two rounds of tasks of the runtime. Idle connections were closed in one round, and what had arrived on them while the other tasks of that round ran was discarded unseen after the end of the sending side.

Why this holds: the last step before the close asks the system itself for unread bytes, with no other task in between. What is left is a request that arrives between two system calls in a row, which no close of an idle connection can rule out in HTTP/1.1.

--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -5,7 +5,9 @@
 use super::close_request::CloseRequest;
 use super::framing::RequestFraming;
 use super::request_progress::RequestProgress;
+use socket2::SockRef;
 use std::cell::RefCell;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::Interest;
@@ -75,11 +77,12 @@
 
     /// Returns once the connection is to be closed. The close request is withdrawn if a request has
     /// arrived, or its head is arriving, since the close was requested.
-    pub(super) async fn wait_for_close_request(&self) {
+    pub(super) async fn wait_for_close_request(&self, stream: &TcpStream) {
         loop {
             self.close_request.wait().await;
             tokio::task::yield_now().await; // lets the connection read the bytes that have arrived
-            if !self.progress.is_busy() && !self.progress.is_head_progressing() {
+            let is_in_use = self.progress.is_busy() || self.progress.is_head_progressing();
+            if !is_in_use && !self.has_unread_request(stream) {
                 return;
             }
             self.close_request.withdraw();
@@ -87,16 +90,23 @@
     }
 
     /// Returns once no head is arriving, as a close would cut the head off.
-    pub(super) async fn wait_between_requests(&self) {
+    pub(super) async fn wait_between_requests(&self, stream: &TcpStream) {
         loop {
             tokio::task::yield_now().await; // lets the connection read the bytes that have arrived
-            if !self.progress.is_receiving_head() {
+            if !self.progress.is_receiving_head() && !self.has_unread_request(stream) {
                 return;
             }
             tokio::time::sleep(HEAD_POLL_INTERVAL).await;
         }
     }
 
+    /// Returns whether a request has arrived of which nothing has been read. The runtime asks the system for new
+    /// bytes between two rounds of tasks, and the task of this connection reads them in the next round. Those
+    /// that arrived while other tasks of this round ran would be discarded by a close.
+    fn has_unread_request(&self, stream: &TcpStream) -> bool {
+        !self.progress.has_request_in_flight() && has_unread_bytes(stream)
+    }
+
     /// Drives `connection` until it ends, or until the client disconnects from a request.
     pub(super) async fn serve_until_disconnect<T>(
         &self,
@@ -123,3 +133,9 @@
         }
     }
 }
+
+/// Asks the system whether bytes have arrived that have not been read.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut first_byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut first_byte).is_ok_and(|length| length > 0)
+}
--- a/crates/balancer-proxy/src/downstream/connection_task.rs
+++ b/crates/balancer-proxy/src/downstream/connection_task.rs
@@ -53,7 +53,7 @@
         tokio::select! {
             biased; // a request that has arrived is read before the connection is closed
             () = client.serve_until_disconnect(connection.as_mut(), &self.stream) => return,
-            () = client.wait_for_close_request() => {
+            () = client.wait_for_close_request(&self.stream) => {
                 self.close(connection).await;
                 return;
             }
@@ -85,7 +85,7 @@
     /// Returns once a shutdown closes the connection, and no head is arriving.
     async fn wait_for_shutdown(&self) {
         self.lifecycle.wait_until_closing().await;
-        self.slot.connection().wait_between_requests().await;
+        self.slot.connection().wait_between_requests(&self.stream).await;
     }
 
     /// Closes a connection that was evicted or timed out. A request that becomes complete at the last
@@ -105,3 +105,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
