--- a/crates/balancer-proxy/tests/soak/main.rs
+++ b/crates/balancer-proxy/tests/soak/main.rs
@@ -1,5 +1,6 @@
 //! Soak: the proxy as its operators run it, with clients that go on until SIGKILL, which comes as early as the
-//! pages allow, signals in series, takeovers, crowds and bad backends. One seed is one play.
+//! pages allow, signals in series, takeovers, crowds, bad backends and a discovery that is away. One seed is one
+//! play.
 //!
 //! `SOAK_SEEDS=200 SOAK_FIRST_SEED=1000 cargo test --release -p balancer-proxy --test soak` plays more seeds.
 
@@ -8,6 +9,7 @@
 
 mod backends;
 mod client;
+mod discovery;
 mod play;
 mod scenario;
 mod verdict;
--- a/crates/balancer-proxy/tests/soak/play.rs
+++ b/crates/balancer-proxy/tests/soak/play.rs
@@ -2,6 +2,7 @@
 
 use super::backends::{self, Arrivals};
 use super::client::{self, ClientPlan, Exchange};
+use super::discovery::DiscoveryStub;
 use super::scenario::{Scenario, TimedSignal};
 use super::verdict::{Observations, Times, breaches};
 use crate::common::configuration::{configuration, default_settings, serving_list};
@@ -33,7 +34,8 @@
     let backends = backends::start(scenario, &arrivals);
     let address = SharedAddress::new();
     let configuration = play_configuration(scenario, &backends);
-    let mut old = address.start(&configuration);
+    let discovery = DiscoveryStub::start(scenario.discovery);
+    let mut old = address.start_with_discovery(&configuration, discovery.address());
     old.wait_until_ready();
 
     let is_over = Arc::new(AtomicBool::new(false));
@@ -42,7 +44,7 @@
     let maintenance = scenario.has_maintenance.then(|| begin_maintenance(&old));
     std::thread::sleep(scenario.service);
     let successor = scenario.has_successor.then(|| {
-        let next = address.start(&configuration);
+        let next = address.start_with_discovery(&configuration, discovery.address());
         next.wait_until_ready();
         next
     });
--- a/crates/balancer-proxy/tests/soak/scenario.rs
+++ b/crates/balancer-proxy/tests/soak/scenario.rs
@@ -18,6 +18,19 @@
     Silent,
 }
 
+/// The behaviour of discovery, which never sends a list: the processes serve from the cached one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Calls get no response.
+    Silent,
+    /// Nothing listens.
+    Refusing,
+    /// Each connection is closed after its call.
+    Closing,
+    /// Calls get an error.
+    Failing,
+}
+
 /// A signal that is sent to the old process.
 #[derive(Clone, Copy, Debug)]
 pub struct TimedSignal {
@@ -50,6 +63,8 @@
     pub service: Duration,
     /// The signals beside the first SIGTERM.
     pub signals: Vec<TimedSignal>,
+    /// The behaviour of discovery.
+    pub discovery: Discovery,
 }
 
 impl Scenario {
@@ -72,6 +87,12 @@
             longest_deadline: milliseconds(random, 600..2000),
             service: milliseconds(random, 400..900),
             signals: draw_signals(random),
+            discovery: match random.random_range(0..4) {
+                0 => Discovery::Refusing,
+                1 => Discovery::Closing,
+                2 => Discovery::Failing,
+                _ => Discovery::Silent,
+            },
         }
     }
 
