Forget the names of zones that neither settings nor backends use

What operators would see: memory that grows by each zone that discovery, or a rejected file, has ever named.

Cause: the id of a zone was its position in a list that only grew, and a reload numbered its zone before its version was checked.

Why this holds: after each list the names are kept that settings in force have named, and those of the zones of backends in use. No id is used twice, so that an attempt's record of its zone never stands for another one; a zone that returns gets a new id, and a retry within the zone of an earlier attempt is then not made, which is the safe side. A reload numbers its zone once it is in force.

The new test fails without it: 101 names for 2.

--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -71,7 +71,7 @@
             listener,
             address: Cell::new(address),
             address_epoch: Cell::new(0),
-            names: RefCell::new(EndpointNames::new(settings.proxy.zones.clone())),
+            names: RefCell::new(EndpointNames::new(&settings.proxy.zones)),
             list_generation: Cell::new(None),
             watch_task: RefCell::default(),
             last_call: Cell::new(LastCall::Succeeded),
@@ -104,9 +104,16 @@
         self.address.get()
     }
 
-    /// Returns the id of a zone, which stays the same as long as the process runs.
-    pub fn zone_id(&self, name: &str) -> ZoneId {
-        self.names.borrow_mut().zone_id(name)
+    /// Returns the id of a zone that settings or listed backends have named.
+    #[must_use]
+    pub fn find_zone(&self, name: &str) -> Option<ZoneId> {
+        self.names.borrow().find_zone(name)
+    }
+
+    /// Returns the id of a zone that the settings in force name, which stays the same as long as the process
+    /// runs.
+    pub fn settings_zone(&self, name: &str) -> ZoneId {
+        self.names.borrow_mut().settings_zone(name)
     }
 
     /// Returns the id of the backend with this name.
--- a/crates/balancer-proxy/src/control/endpoint_list.rs
+++ b/crates/balancer-proxy/src/control/endpoint_list.rs
@@ -1,6 +1,9 @@
 //! The endpoint list in the JSON of discovery, and its translation for the decision module, which has
 //! ids in place of the names of backends and zones.
 
+mod zone_names;
+
+use self::zone_names::ZoneNames;
 use crate::clock::Clock;
 use crate::watch_event::ListedEndpoint;
 use balancer::{BackendId, CellId, Endpoint, Status, ZoneId};
@@ -82,23 +85,35 @@
 /// The ids of backends and zones in this process, by their names.
 #[derive(Debug)]
 pub(super) struct EndpointNames {
-    /// Names of the zones. The id of a zone is its position here, and never changes.
-    zones: Vec<String>,
+    /// The zones of the settings and of the known backends.
+    zones: ZoneNames,
     /// The id of each backend, by its name.
     ids: HashMap<String, BackendId>,
     /// All values of `ids`, so that a free id is found without a search through the map.
     assigned_ids: HashSet<BackendId>,
+    /// The zone of each listed backend.
+    zone_of: HashMap<BackendId, ZoneId>,
 }
 
 impl EndpointNames {
-    /// Creates a table with these zones and no backends.
-    pub(super) fn new(zones: Vec<String>) -> Self {
-        Self { zones, ids: HashMap::new(), assigned_ids: HashSet::new() }
+    /// Creates a table with these zones of the settings and no backends.
+    pub(super) fn new(zones: &[String]) -> Self {
+        Self {
+            zones: ZoneNames::from_settings(zones),
+            ids: HashMap::new(),
+            assigned_ids: HashSet::new(),
+            zone_of: HashMap::new(),
+        }
+    }
+
+    /// Returns the id of a zone that settings or backends in use have named.
+    pub(super) fn find_zone(&self, name: &str) -> Option<ZoneId> {
+        self.zones.find(name)
     }
 
-    /// Returns the id of a zone. A new zone gets the next id, and keeps that id.
-    pub(super) fn zone_id(&mut self, name: &str) -> ZoneId {
-        zone_id(&mut self.zones, name)
+    /// Returns the id of a zone that the settings in force name. A new zone gets the next id, and keeps that id.
+    pub(super) fn settings_zone(&mut self, name: &str) -> ZoneId {
+        self.zones.id_for_settings(name)
     }
 
     /// Returns the id of a backend: the hash of its name, or the next free number if another backend has
@@ -116,11 +131,14 @@
         id
     }
 
-    /// Releases the ids of all backends that are not in use. A backend that returns gets the same id
-    /// again, as the id depends on the name.
+    /// Releases the ids of all backends that are not in use, and the names of zones that no other backend is
+    /// in. A backend that returns gets the same id again, as the id depends on the name.
     pub(super) fn retain_ids(&mut self, is_in_use: impl Fn(BackendId) -> bool) {
         self.ids.retain(|_, id| is_in_use(*id));
         self.assigned_ids.retain(|id| is_in_use(*id));
+        self.zone_of.retain(|id, _| is_in_use(*id));
+        let zones_in_use: HashSet<ZoneId> = self.zone_of.values().copied().collect();
+        self.zones.retain(|zone| zones_in_use.contains(&zone));
     }
 
     /// Translates endpoints. Their start times become times of `clock`.
@@ -131,10 +149,13 @@
     fn translate_endpoint(&mut self, raw: &RawEndpoint, clock: &Clock) -> ListedEndpoint {
         let is_valid_weight = |weight: &f64| weight.is_finite() && *weight >= 0.0;
         let started_at_seconds = raw.started_at_ms / MILLISECONDS_PER_SECOND;
+        let id = self.id(&raw.instance_id);
+        let zone = self.zones.id(&raw.zone);
+        self.zone_of.insert(id, zone);
         let endpoint = Endpoint {
-            id: self.id(&raw.instance_id),
+            id,
             cell: CellId(raw.cell),
-            zone: self.zone_id(&raw.zone),
+            zone,
             weight: raw.weight.filter(is_valid_weight).unwrap_or(DEFAULT_WEIGHT),
             status: raw.lifecycle.into(),
             started_at: (raw.started_at_ms > 0.0).then(|| clock.from_unix_time(started_at_seconds)),
--- a/crates/balancer-proxy/src/control/endpoint_list/tests.rs
+++ b/crates/balancer-proxy/src/control/endpoint_list/tests.rs
@@ -12,7 +12,7 @@
 }
 
 fn empty_names() -> EndpointNames {
-    EndpointNames::new(Vec::new())
+    EndpointNames::new(&[])
 }
 
 #[test]
@@ -53,11 +53,57 @@
 
 #[test]
 fn zones_keep_the_ids_of_the_settings_and_new_zones_follow() {
-    let mut names = EndpointNames::new(vec!["east".to_string(), "west".to_string()]);
+    let mut names = EndpointNames::new(&["east".to_string(), "west".to_string()]);
 
-    assert_eq!(names.zone_id("north"), ZoneId(2));
-    assert_eq!(names.zone_id("west"), ZoneId(1));
-    assert_eq!(names.zone_id("north"), ZoneId(2));
+    assert_eq!(names.settings_zone("north"), ZoneId(2));
+    assert_eq!(names.settings_zone("west"), ZoneId(1));
+    assert_eq!(names.settings_zone("north"), ZoneId(2));
+}
+
+/// Returns the zone of one backend as a list gives it.
+fn zone_of_listed_backend(names: &mut EndpointNames, zone: &str) -> ZoneId {
+    let endpoint =
+        r#"{"instanceId": "s-0", "hostPort": "127.0.0.1:80", "lifecycle": "SERVING", "zone": "ZONE"}"#;
+    let list = format!(r#"{{"generation": 1, "reset": true, "instances": [{endpoint}]}}"#);
+    let listed = names.translate(parse(&list.replace("ZONE", zone)).instances, &Clock::start());
+    listed[0].endpoint.zone
+}
+
+/// The names of zones were kept for as long as the process ran, however many discovery or rejected settings named.
+#[test]
+fn forgets_the_names_of_zones_that_no_backend_in_use_is_in() {
+    let mut names = EndpointNames::new(&["east".to_string()]);
+
+    for index in 0..100 {
+        zone_of_listed_backend(&mut names, &format!("zone-{index}"));
+        names.retain_ids(|_| true);
+    }
+
+    assert_eq!(names.zones.len(), 2);
+    assert!(names.find_zone("east").is_some() && names.find_zone("zone-99").is_some());
+}
+
+#[test]
+fn a_zone_that_was_forgotten_gets_an_id_that_no_zone_has_had() {
+    let mut names = empty_names();
+    let first = zone_of_listed_backend(&mut names, "east");
+    let second = zone_of_listed_backend(&mut names, "west");
+    names.retain_ids(|_| true);
+
+    let again = zone_of_listed_backend(&mut names, "east");
+
+    assert!(again != first && again != second);
+}
+
+#[test]
+fn a_zone_that_settings_name_keeps_its_id_without_backends() {
+    let mut names = empty_names();
+    let zone = names.settings_zone("east");
+
+    names.retain_ids(|_| false);
+
+    assert_eq!(names.find_zone("east"), Some(zone));
+    assert_eq!(zone_of_listed_backend(&mut names, "east"), zone);
 }
 
 #[test]
--- a/crates/balancer-proxy/src/control/reload.rs
+++ b/crates/balancer-proxy/src/control/reload.rs
@@ -170,13 +170,17 @@
     /// Fails without any change if the settings may not replace those in force.
     fn apply_settings(&self, mut snapshot: SettingsSnapshot) -> Result<bool, ConfigError> {
         let ReloadTargets { engine, discovery, .. } = &self.targets;
-        // A running proxy has its own zone numbers, in the order in which the zones appeared.
-        snapshot.balancer.zone = discovery.zone_id(&snapshot.proxy.zone);
+        // A running proxy has its own zone numbers, in the order in which the zones appeared. A zone without a
+        // number is another one than that in force, and gets its number only if these settings do come into force.
+        if let Some(zone) = discovery.find_zone(&snapshot.proxy.zone) {
+            snapshot.balancer.zone = zone;
+        }
         let in_force = engine.settings();
         snapshot.check_supersedes(&in_force)?;
         if snapshot == *in_force {
             return Ok(false);
         }
+        snapshot.balancer.zone = discovery.settings_zone(&snapshot.proxy.zone);
         engine.apply_settings(snapshot);
         discovery.handle_settings_change();
         log!("balancer-proxy: new settings in force{}", version_suffix(&engine.settings()));
