Wait for the count of a response in the test of the stand-in discovery's counters

The stand-in counts a response once it has been written, and the client may have read it before.

The condition is the same; it is waited for, for at most the time of a step.

--- a/crates/fleet-bench/tests/discovery.rs
+++ b/crates/fleet-bench/tests/discovery.rs
@@ -178,6 +178,11 @@
         client.poll("/api/targets?since=1&timeout_ms=1");
     }
 
+    // A response is counted once it has been written, and may have been read before.
+    let deadline = Instant::now() + STEP_TIMEOUT;
+    while discovery.counts()[0].response_bytes <= 7 * 100 && Instant::now() < deadline {
+        std::thread::yield_now();
+    }
     let counts = discovery.counts()[0];
 
     assert_eq!(counts.polls, 7);
