Keep the count of dropped log lines until its report has found room

What operators would see: too few lines reported as dropped. (By reading.)

Cause: the count was set to 0 before its report was queued. Under a flood each place in the queue is taken again at once, so that the report was dropped, too, and counted as the one line that was missing.

Why this holds: a report that finds no room leaves its count for the next one. The text of the report is a line of the runbook still; the check now reads the formats of both invocations.

--- a/crates/balancer-proxy/src/log_writer.rs
+++ b/crates/balancer-proxy/src/log_writer.rs
@@ -3,7 +3,6 @@
 //! A pipe that nobody reads blocks its writer. The lines wait for the thread in a queue of bounded length, and a
 //! line that finds the queue full is dropped and counted, so that the thread of the proxy never waits.
 
-use crate::log;
 use std::fmt::Arguments;
 use std::io::Write;
 use std::sync::OnceLock;
@@ -38,25 +37,54 @@
 impl LogWriter {
     /// Starts the thread. Without a thread all lines are dropped.
     fn start() -> Self {
-        let (tasks, received) = sync_channel(MAX_WAITING_LINES);
+        let (writer, received) = Self::with_queue(MAX_WAITING_LINES);
         let thread = std::thread::Builder::new().name("log".to_string());
         let _ = thread.spawn(move || write_lines(&received));
-        Self { tasks, dropped: AtomicU64::new(0) }
+        writer
     }
 
+    /// Creates a queue for this many lines, without a thread.
+    fn with_queue(lines: usize) -> (Self, Receiver<Task>) {
+        let (tasks, received) = sync_channel(lines);
+        (Self { tasks, dropped: AtomicU64::new(0) }, received)
+    }
+
+    /// Queues a line, or counts it as dropped if the queue is full.
     fn write(&self, line: String) {
-        if self.tasks.try_send(Task::Write(line)).is_err() {
+        if !self.try_write(line) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
+
+    /// Queues a line, and returns whether the queue had room for it.
+    fn try_write(&self, line: String) -> bool {
+        self.tasks.try_send(Task::Write(line)).is_ok()
+    }
+
+    /// Logs how many lines have been dropped. The count stays for the next report if the queue is full again.
+    fn report_dropped(&self) {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped == 0 {
+            return;
+        }
+        let report = log_line(format_args!("log: {dropped} lines dropped, as they were not read in time"));
+        if !self.try_write(report) {
+            self.dropped.fetch_add(dropped, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Logs a line, without waiting for it to be written.
 pub fn write_line(line: Arguments<'_>) {
+    LOG_WRITER.get_or_init(LogWriter::start).write(log_line(line));
+}
+
+/// Returns the text of a line, cut off if it is too long.
+fn log_line(line: Arguments<'_>) -> String {
     let mut line = line.to_string();
     line.truncate(line.floor_char_boundary(MAX_LINE_BYTES));
     line.push('\n');
-    LOG_WRITER.get_or_init(LogWriter::start).write(line);
+    line
 }
 
 /// Waits until all lines so far have been written, but not for long if nobody reads them.
@@ -79,15 +107,11 @@
                 let _ = done.send(());
             }
         }
-        report_dropped();
+        if let Some(writer) = LOG_WRITER.get() {
+            writer.report_dropped();
+        }
     }
 }
 
-/// Logs how many lines have been dropped, once the queue has room again.
-fn report_dropped() {
-    let Some(writer) = LOG_WRITER.get() else { return };
-    let dropped = writer.dropped.swap(0, Ordering::Relaxed);
-    if dropped > 0 {
-        log!("log: {dropped} lines dropped, as they were not read in time");
-    }
-}
+#[cfg(test)]
+mod tests;
--- a/crates/repository-checks/tests/log_lines/sources.rs
+++ b/crates/repository-checks/tests/log_lines/sources.rs
@@ -7,8 +7,8 @@
 
 /// The folder of the sources that are searched. The module of a file is its path below this folder.
 pub const SOURCE_ROOT: &str = "crates/balancer-proxy/src";
-/// The invocation whose first argument is the format of a log line.
-const LOG_INVOCATION: &str = "log!(";
+/// The invocations whose first argument is the format of a log line.
+const LOG_INVOCATIONS: [&str; 2] = ["log!(", "log_line(format_args!("];
 /// The attribute whose first argument is the text of an error.
 pub const ERROR_ATTRIBUTE: &str = "#[error(";
 /// The modules whose errors are contained in log lines.
@@ -45,7 +45,10 @@
                 Some(literal) => {
                     literals.insert(LoggedText::new(&self.module, &literal_content(literal)));
                 }
-                None => assert_ne!(opening, LOG_INVOCATION, "in {}: not a literal: {argument}", self.module),
+                None => {
+                    let is_log_line = LOG_INVOCATIONS.contains(&opening);
+                    assert!(!is_log_line, "in {}: not a literal: {argument}", self.module);
+                }
             }
         }
         literals
@@ -95,7 +98,10 @@
 
 /// Returns the log lines of these files.
 pub fn log_lines_of(files: &[SourceFile]) -> BTreeSet<LoggedText> {
-    files.iter().flat_map(|file| file.literals_after(LOG_INVOCATION)).collect()
+    let log_lines_of_file = |file: &SourceFile| {
+        LOG_INVOCATIONS.map(|invocation| file.literals_after(invocation)).into_iter().flatten()
+    };
+    files.iter().flat_map(log_lines_of_file).collect()
 }
 
 /// Returns the error texts of the modules whose errors are contained in log lines.
