--- a/crates/repository-checks/tests/log_lines/sources.rs
+++ b/crates/repository-checks/tests/log_lines/sources.rs
@@ -41,14 +41,11 @@
                 continue;
             }
             let argument = self.code[position + opening.len()..].trim_start();
-            match argument.strip_prefix('"') {
-                Some(literal) => {
-                    literals.insert(LoggedText::new(&self.module, &literal_content(literal)));
-                }
-                None => {
-                    let is_log_line = LOG_INVOCATIONS.contains(&opening);
-                    assert!(!is_log_line, "in {}: not a literal: {argument}", self.module);
-                }
+            if let Some(literal) = argument.strip_prefix('"') {
+                literals.insert(LoggedText::new(&self.module, &literal_content(literal)));
+            } else {
+                let is_log_line = LOG_INVOCATIONS.contains(&opening);
+                assert!(!is_log_line, "in {}: not a literal: {argument}", self.module);
             }
         }
         literals
