--- a/crates/balancer/src/decisions/balancer/arrivals.rs
+++ b/crates/balancer/src/decisions/balancer/arrivals.rs
@@ -3,7 +3,7 @@
 use super::Balancer;
 use crate::decisions::admission::{max_wait, min_time_left, retry_after, useful_timeout};
 use crate::decisions::admission_queue::Rank;
-use crate::decisions::calls::{Call, CallKey, InitialState};
+use crate::decisions::calls::{Call, CallKey, CallStage};
 use crate::decisions::retransmission::first_interval;
 use crate::decisions::timer::Timer;
 use crate::interface::{Action, ClassIndex, Request, RequestId, Time};
@@ -22,8 +22,8 @@
         let call = Call::new(&request, self.settings.clone(), self.now, timeout, t1);
         let call = call.with_ordering_key(ordering_key);
         let is_queued = must_wait || ordering_key.is_some();
-        let state = if is_queued { InitialState::Queued } else { InitialState::Dispatched };
-        let key = self.calls.insert(call, state);
+        let stage = if is_queued { CallStage::Queued } else { CallStage::Undispatched };
+        let key = self.calls.insert(call, stage);
         if !request.streaming_body {
             self.set_deadline_timer(key, actions);
         }
--- a/crates/balancer/src/decisions/calls/call_stage.rs
+++ b/crates/balancer/src/decisions/calls/call_stage.rs
@@ -2,7 +2,7 @@
 
 /// How far a call has come before its first attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallStage {
+pub(in crate::decisions) enum CallStage {
     /// The call waits for admission or for its ordering key.
     Queued,
     /// The call does not wait, or waits no longer, and has not been dispatched.
--- a/crates/balancer/src/decisions/calls/mod.rs
+++ b/crates/balancer/src/decisions/calls/mod.rs
@@ -4,8 +4,8 @@
 mod call_stage;
 
 pub(super) use call::Call;
+pub(super) use call_stage::CallStage;
 
-use self::call_stage::CallStage;
 use crate::interface::{RequestId, Settings, Time};
 use slotmap::SlotMap;
 use std::collections::HashMap;
@@ -14,15 +14,6 @@
 /// The key of a call in the table. Keys are never reused.
 pub(super) type CallKey = slotmap::DefaultKey;
 
-/// The state of a call at its insertion into the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum InitialState {
-    /// The call waits for admission or for its ordering key.
-    Queued,
-    /// The call is dispatched at once.
-    Dispatched,
-}
-
 /// The numbers of calls in the states that matter to decisions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct StateCounts {
@@ -91,12 +82,10 @@
         self.calls.contains_key(key)
     }
 
-    /// Adds a call.
-    pub fn insert(&mut self, mut call: Call, state: InitialState) -> CallKey {
+    /// Adds a call in this stage.
+    pub fn insert(&mut self, mut call: Call, stage: CallStage) -> CallKey {
         let id = call.id;
-        if state == InitialState::Queued {
-            call.stage = CallStage::Queued;
-        }
+        call.stage = stage;
         self.counts.add(StateCounts::of(&call));
         let key = self.calls.insert(call);
         self.by_id.insert(id, key);
--- a/crates/balancer/tests/concerns/call.rs
+++ b/crates/balancer/tests/concerns/call.rs
@@ -3,7 +3,7 @@
 use super::fixtures::{
     T1, TIMEOUT, attempt, backend_indices, call_of, request, request_class, safe_call, settings_with_effect,
 };
-use crate::decisions::calls::{Call, CallTable, InitialState};
+use crate::decisions::calls::{Call, CallStage, CallTable};
 use crate::interface::{
     AttemptNumber, ClassIndex, Effect, Outcome, Request, Settings, Tenant, TenantIndex, Time,
 };
@@ -34,7 +34,7 @@
     let streamed = Request { streaming_body: true, ..request(1) };
     let settings = settings_with_effect(Effect::Safe);
     let mut table = CallTable::default();
-    let key = table.insert(call_of(streamed, settings), InitialState::Dispatched);
+    let key = table.insert(call_of(streamed, settings), CallStage::Undispatched);
     table.record_dispatch(key);
     let deadline_while_receiving = table[key].deadline();
     let time_left_while_receiving = table[key].time_left(100.0);
@@ -83,7 +83,7 @@
 #[test]
 fn the_timers_of_a_call_that_was_queued_start_at_its_dispatch_and_its_deadline_stays() {
     let mut table = CallTable::default();
-    let key = table.insert(safe_call(1), InitialState::Queued);
+    let key = table.insert(safe_call(1), CallStage::Queued);
 
     let new_t1 = 0.2;
     table.leave_queue(key, 1.0, new_t1);
@@ -133,7 +133,7 @@
     let without = Settings { classes: classes(&["b"]), tenants: tenants(&["y"]), ..Settings::default() };
     let mut table = CallTable::default();
     let of_tenant = Request { tenant: Some(TenantIndex(0)), ..request(1) };
-    let key = table.insert(call_of(of_tenant, old.clone()), InitialState::Dispatched);
+    let key = table.insert(call_of(of_tenant, old.clone()), CallStage::Undispatched);
 
     table.follow_settings(&old, &moved);
     let moved_class = table[key].current_class();
--- a/crates/balancer/tests/concerns/calls.rs
+++ b/crates/balancer/tests/concerns/calls.rs
@@ -1,7 +1,7 @@
 //! The call table: which calls have no final response, and how many are in each state.
 
 use super::fixtures::{call_of, request, safe_call, settings_with_effect};
-use crate::decisions::calls::{Call, CallTable, InitialState};
+use crate::decisions::calls::{Call, CallStage, CallTable};
 use crate::interface::{Effect, Request, RequestId};
 
 /// Returns a call whose body is still being received.
@@ -13,7 +13,7 @@
 #[test]
 fn finds_a_call_by_its_request_until_the_call_has_ended() {
     let mut table = CallTable::default();
-    let key = table.insert(safe_call(7), InitialState::Dispatched);
+    let key = table.insert(safe_call(7), CallStage::Undispatched);
     let found = table.key_of(RequestId(7));
 
     let removed = table.remove(key);
@@ -28,10 +28,10 @@
 #[test]
 fn does_not_reuse_the_key_of_an_ended_call() {
     let mut table = CallTable::default();
-    let ended = table.insert(safe_call(1), InitialState::Dispatched);
+    let ended = table.insert(safe_call(1), CallStage::Undispatched);
     table.remove(ended);
 
-    let key = table.insert(safe_call(2), InitialState::Dispatched);
+    let key = table.insert(safe_call(2), CallStage::Undispatched);
 
     assert_ne!(key, ended);
     assert!(table.contains(key));
@@ -41,8 +41,8 @@
 #[test]
 fn a_queued_call_is_unanswered_from_its_dispatch_on() {
     let mut table = CallTable::default();
-    let key = table.insert(safe_call(1), InitialState::Queued);
-    table.insert(safe_call(2), InitialState::Queued);
+    let key = table.insert(safe_call(1), CallStage::Queued);
+    table.insert(safe_call(2), CallStage::Queued);
     let unanswered_while_queued = table.unanswered();
 
     table.leave_queue(key, 1.0, 0.5);
@@ -58,8 +58,8 @@
 #[test]
 fn a_call_that_ends_while_it_is_queued_is_no_longer_counted() {
     let mut table = CallTable::default();
-    let ended = table.insert(safe_call(1), InitialState::Queued);
-    table.insert(safe_call(2), InitialState::Dispatched);
+    let ended = table.insert(safe_call(1), CallStage::Queued);
+    table.insert(safe_call(2), CallStage::Undispatched);
 
     table.remove(ended);
 
@@ -70,7 +70,7 @@
 #[test]
 fn a_streamed_call_is_unanswered_from_the_end_of_its_body_on() {
     let mut table = CallTable::default();
-    let key = table.insert(streamed_call(1), InitialState::Dispatched);
+    let key = table.insert(streamed_call(1), CallStage::Undispatched);
     table.record_dispatch(key);
     let unanswered_while_receiving = table.unanswered();
 
@@ -84,7 +84,7 @@
 #[test]
 fn a_body_that_ends_while_its_call_is_queued_is_not_counted_as_received_twice() {
     let mut table = CallTable::default();
-    let key = table.insert(streamed_call(1), InitialState::Queued);
+    let key = table.insert(streamed_call(1), CallStage::Queued);
 
     table.stop_receiving(key);
     let unanswered_while_queued = table.unanswered();
@@ -102,8 +102,8 @@
 #[test]
 fn a_streamed_call_that_ends_undispatched_after_its_wait_leaves_the_counts_as_they_were() {
     let mut table = CallTable::default();
-    let key = table.insert(streamed_call(1), InitialState::Queued);
-    table.insert(safe_call(2), InitialState::Dispatched);
+    let key = table.insert(streamed_call(1), CallStage::Queued);
+    table.insert(safe_call(2), CallStage::Undispatched);
 
     table.leave_queue(key, 1.0, 0.5);
     table.stop_receiving(key);
@@ -115,8 +115,8 @@
 #[test]
 fn counts_a_call_that_lacks_capacity_once_and_until_it_is_sent_again_or_ends() {
     let mut table = CallTable::default();
-    let retried = table.insert(safe_call(1), InitialState::Dispatched);
-    let ended = table.insert(safe_call(2), InitialState::Dispatched);
+    let retried = table.insert(safe_call(1), CallStage::Undispatched);
+    let ended = table.insert(safe_call(2), CallStage::Undispatched);
 
     table.record_lack_of_capacity(retried);
     table.record_lack_of_capacity(retried);
--- a/crates/balancer/tests/concerns/fixtures.rs
+++ b/crates/balancer/tests/concerns/fixtures.rs
@@ -1,7 +1,7 @@
 //! Backends, classes and calls that the tests of several concerns start from.
 
 use crate::decisions::attempts::Attempt;
-use crate::decisions::calls::{Call, CallKey, CallTable, InitialState};
+use crate::decisions::calls::{Call, CallKey, CallStage, CallTable};
 use crate::interface::{
     BackendId, CellId, Effect, Endpoint, Outcome, Request, RequestClass, RequestId, Settings, Time, ZoneId,
 };
@@ -57,7 +57,7 @@
 /// Returns the keys of queued calls of safe requests, which are numbered from 0.
 pub fn call_keys<const COUNT: usize>() -> [CallKey; COUNT] {
     let mut table = CallTable::default();
-    std::array::from_fn(|id| table.insert(safe_call(id as u64), InitialState::Queued))
+    std::array::from_fn(|id| table.insert(safe_call(id as u64), CallStage::Queued))
 }
 
 /// Returns an attempt that was sent to a backend in cell 0 and zone 0 at time 0.
--- a/crates/balancer/tests/concerns/timer.rs
+++ b/crates/balancer/tests/concerns/timer.rs
@@ -1,7 +1,7 @@
 //! Timers and the tokens by which the caller hands them back.
 
 use super::fixtures::safe_call;
-use crate::decisions::calls::{CallKey, CallTable, InitialState};
+use crate::decisions::calls::{CallKey, CallStage, CallTable};
 use crate::decisions::timer::Timer;
 use crate::interface::TimerToken;
 use slotmap::KeyData;
@@ -11,11 +11,11 @@
 fn call_keys() -> Vec<CallKey> {
     let mut table = CallTable::default();
     let first: Vec<CallKey> =
-        (0..10).map(|id| table.insert(safe_call(id), InitialState::Dispatched)).collect();
+        (0..10).map(|id| table.insert(safe_call(id), CallStage::Undispatched)).collect();
     for ended in &first[..5] {
         table.remove(*ended);
     }
-    let later = (10..20).map(|id| table.insert(safe_call(id), InitialState::Dispatched));
+    let later = (10..20).map(|id| table.insert(safe_call(id), CallStage::Undispatched));
     first.iter().copied().chain(later).collect()
 }
 
