Use the field's names for what is assigned, and put the numbering of settings' zones where it is used

Members are assigned, not due, to a balancer; a constant that bounds an assignment says so; TOLERANCE_FRACTION is a fraction; connect_within takes the address first, as connect does; retain_backends forgets zones, too; a connection has had a request, or has not.

The position of a zone in the settings was computed beside the names of the endpoint list, which number zones by themselves now: it belongs to the translation of the settings, its only user.

--- a/crates/balancer-proxy/src/control/config/translation.rs
+++ b/crates/balancer-proxy/src/control/config/translation.rs
@@ -3,9 +3,9 @@
 
 use super::error::ConfigError;
 use super::raw::RawLimits;
-use crate::control::endpoint_list::zone_id;
 use crate::limits::ProcessLimits;
 use crate::settings::{ProxySettings, SettingsSnapshot};
+use balancer::ZoneId;
 use balancer_settings::{InvalidQuantity, RawSettings, VALID_QUANTITY};
 use std::time::Duration;
 
@@ -74,6 +74,16 @@
     Ok(SettingsSnapshot { balancer, proxy })
 }
 
+/// Returns the id of a zone, which is the position of its name in `zones`. A new name is appended.
+fn zone_id(zones: &mut Vec<String>, name: &str) -> ZoneId {
+    let index = zones.iter().position(|zone| zone == name).unwrap_or_else(|| {
+        zones.push(name.to_string());
+        zones.len() - 1
+    });
+    // Memory ends long before the number of zones exceeds the range.
+    ZoneId(u32::try_from(index).unwrap_or(u32::MAX))
+}
+
 /// Returns the settings that only the proxy needs.
 fn proxy_settings(settings: &RawSettings) -> Result<ProxySettings, ConfigError> {
     let RawSettings { caps, rules, .. } = settings;
--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -139,7 +139,7 @@
         let idle = self.idle_connection.take().and_then(Connection::into_reusable);
         match idle {
             Some(connection) => Ok(connection),
-            None => connect_within(connect_timeout, self.address).await.map_err(CallError::Connect),
+            None => connect_within(self.address, connect_timeout).await.map_err(CallError::Connect),
         }
     }
 }
--- a/crates/balancer-proxy/src/control/endpoint_list.rs
+++ b/crates/balancer-proxy/src/control/endpoint_list.rs
@@ -72,16 +72,6 @@
     }
 }
 
-/// Returns the id of a zone, which is the position of its name in `zones`. A new name is appended.
-pub(super) fn zone_id(zones: &mut Vec<String>, name: &str) -> ZoneId {
-    let index = zones.iter().position(|zone| zone == name).unwrap_or_else(|| {
-        zones.push(name.to_string());
-        zones.len() - 1
-    });
-    // Memory ends long before the number of zones exceeds the range.
-    ZoneId(u32::try_from(index).unwrap_or(u32::MAX))
-}
-
 /// The ids of backends and zones in this process, by their names.
 #[derive(Debug)]
 pub(super) struct EndpointNames {
@@ -133,7 +123,7 @@
 
     /// Releases the ids of all backends that are not in use, and the names of zones that no other backend is
     /// in. A backend that returns gets the same id again, as the id depends on the name.
-    pub(super) fn retain_ids(&mut self, is_in_use: impl Fn(BackendId) -> bool) {
+    pub(super) fn retain_backends(&mut self, is_in_use: impl Fn(BackendId) -> bool) {
         self.ids.retain(|_, id| is_in_use(*id));
         self.assigned_ids.retain(|id| is_in_use(*id));
         self.zone_of.retain(|id, _| is_in_use(*id));
--- a/crates/balancer-proxy/src/control/endpoint_list/tests.rs
+++ b/crates/balancer-proxy/src/control/endpoint_list/tests.rs
@@ -36,7 +36,7 @@
     let mut names = empty_names();
     let id = names.id(COLLIDING_NAMES[0]);
 
-    names.retain_ids(|_| false);
+    names.retain_backends(|_| false);
 
     assert_eq!(names.id(COLLIDING_NAMES[1]), id);
 }
@@ -46,7 +46,7 @@
     let mut names = empty_names();
     let ids = COLLIDING_NAMES.map(|name| names.id(name));
 
-    names.retain_ids(|id| id == ids[1]);
+    names.retain_backends(|id| id == ids[1]);
 
     assert_eq!(names.id(COLLIDING_NAMES[1]), ids[1]);
 }
@@ -78,7 +78,7 @@
 
     for zone in &zones {
         zone_of_listed_backend(&mut names, zone);
-        names.retain_ids(|_| true);
+        names.retain_backends(|_| true);
     }
 
     let kept: Vec<&String> = zones.iter().filter(|zone| names.find_zone(zone).is_some()).collect();
@@ -91,7 +91,7 @@
     let mut names = empty_names();
     let first = zone_of_listed_backend(&mut names, "east");
     let second = zone_of_listed_backend(&mut names, "west");
-    names.retain_ids(|_| true);
+    names.retain_backends(|_| true);
 
     let again = zone_of_listed_backend(&mut names, "east");
 
@@ -103,7 +103,7 @@
     let mut names = empty_names();
     let zone = names.settings_zone("east");
 
-    names.retain_ids(|_| false);
+    names.retain_backends(|_| false);
 
     assert_eq!(names.find_zone("east"), Some(zone));
     assert_eq!(zone_of_listed_backend(&mut names, "east"), zone);
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -67,7 +67,7 @@
 pub(super) struct RequestProgress {
     phase: Cell<RequestPhase>,
     /// Set once a request has been complete, or has got a response without being read to its end.
-    has_completed_request: Cell<bool>,
+    has_had_request: Cell<bool>,
     /// The time at which the last response finished; at first, the time at which the connection was
     /// accepted.
     idle_since: Cell<Instant>,
@@ -83,7 +83,7 @@
         let now = Instant::now();
         Self {
             phase: Cell::new(RequestPhase::Head { started: now }),
-            has_completed_request: Cell::new(false),
+            has_had_request: Cell::new(false),
             idle_since: Cell::new(now),
             received: ReceivedBytes::new(now),
             write_blocked_since: Cell::new(None),
@@ -113,14 +113,14 @@
     /// Records that a request is complete.
     pub(super) fn complete_request(&self) {
         self.phase.set(RequestPhase::AwaitingResponse);
-        self.has_completed_request.set(true);
+        self.has_had_request.set(true);
     }
 
     /// Records that the response to the current request is finished.
     pub(super) fn finish_response(&self) {
         let now = Instant::now();
         self.idle_since.set(now);
-        self.has_completed_request.set(true);
+        self.has_had_request.set(true);
         let next_has_started = self.received.pipelined.take();
         let phase = if next_has_started { RequestPhase::Head { started: now } } else { RequestPhase::Idle };
         self.phase.set(phase);
@@ -181,10 +181,10 @@
         self.phase.get() == RequestPhase::Idle && self.idle_since.get().elapsed() >= MIN_IDLE_BEFORE_EVICTION
     }
 
-    /// Returns whether the connection has never completed a request, and has received no byte for long
+    /// Returns whether the connection has never had a request, and has received no byte for long
     /// enough to be evicted.
     pub(super) fn is_evictable_as_silent(&self) -> bool {
-        !self.has_completed_request.get() && self.received.silence() >= MIN_SILENCE_BEFORE_EVICTION
+        !self.has_had_request.get() && self.received.silence() >= MIN_SILENCE_BEFORE_EVICTION
     }
 
     /// Returns the time at which the last response finished; at first, the time at which the connection
--- a/crates/balancer-proxy/src/upstream/connection.rs
+++ b/crates/balancer-proxy/src/upstream/connection.rs
@@ -45,7 +45,7 @@
 /// # Errors
 ///
 /// Returns an error if the connection is refused or fails, or if the timeout elapses.
-pub(crate) async fn connect_within(timeout: Duration, address: SocketAddr) -> io::Result<Connection> {
+pub(crate) async fn connect_within(address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
     tokio::time::timeout(timeout, connect(address)).await?
 }
 
--- a/crates/balancer/src/decisions/fleet_assignment.rs
+++ b/crates/balancer/src/decisions/fleet_assignment.rs
@@ -1,5 +1,5 @@
-//! Fleet assignment: which backends are due to each balancer of a fleet, as a function of the backends, the
-//! number of balancers and the size of a subset alone.
+//! Fleet assignment: which backends are members of each balancer of a fleet, as a function of the backends,
+//! the number of balancers and the size of a subset alone.
 //!
 //! All balancers that know the same backends compute the same assignment, whatever they knew before, so that
 //! no backend is left out. The assignment has two steps:
@@ -7,8 +7,8 @@
 //! 1. Each backend is assigned to one balancer, by consistent hashing with bounded loads. Every backend is
 //!    then in a subset.
 //! 2. Balancers with too few members get more. The backends offer themselves in rounds, in each of them to
-//!    one balancer by their hashes, and a balancer takes the first offers until its subset is full. One that
-//!    leaves makes room in its own subsets alone.
+//!    one balancer by their hashes, and a balancer takes the first offers until its subset is full. A backend
+//!    that leaves makes room in its own subsets alone.
 
 use crate::interface::BackendId;
 use crate::support::{BackendIndex, bucket_in_round, hash_in_round};
@@ -16,12 +16,12 @@
 /// The greatest number of backends that the first step assigns to a balancer, over their mean.
 const MAX_ASSIGNED_OVER_MEAN: f64 = 1.25;
 /// The number of backends that the first step may assign to any balancer, however small their mean is.
-const MIN_ROOM: usize = 2;
+const MIN_ASSIGNMENT_BOUND: usize = 2;
 /// The mean number of subsets of a backend up to which backends stop offering themselves at the mean.
 const MEAN_WITHOUT_TOLERANCE: f64 = 4.0;
 /// The subsets beyond the mean in which a backend may be, for each that the mean is over
 /// `MEAN_WITHOUT_TOLERANCE`. In many subsets, random differences even out.
-const TOLERANCE_BEYOND: f64 = 0.5;
+const TOLERANCE_FRACTION: f64 = 0.5;
 /// The greatest number of subsets that a backend offers itself to, over the mean of all backends.
 const MAX_MEMBERSHIPS_OVER_MEAN: f64 = 1.5;
 /// The balancers that a backend tries in the first step by its hashes, before it takes any with room.
@@ -42,6 +42,7 @@
 const FIRST_OFFER_ROUND: u64 = 1 << 16;
 /// The first of the rounds whose hashes are the preferences of a balancer.
 const FIRST_PREFERENCE_ROUND: u64 = 1 << 23;
+
 /// A backend that can be assigned.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AssignableBackend {
@@ -51,9 +52,9 @@
     pub id: BackendId,
 }
 
-/// A member that is due to a balancer.
+/// A member that is assigned to a balancer.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct DueMember {
+pub(super) struct AssignedMember {
     /// The index of the backend at this balancer.
     pub index: BackendIndex,
     /// The number of subsets of the fleet that have the backend, over the mean of all backends.
@@ -78,7 +79,7 @@
     }
 }
 
-/// The members that are due to each balancer of a fleet.
+/// The members that are assigned to each balancer of a fleet.
 #[derive(Debug)]
 pub(super) struct FleetAssignment {
     shape: FleetShape,
@@ -99,7 +100,7 @@
         let count = backends.len();
         let shape = FleetShape { balancers, min_members: shape.min_members.min(count as f64) };
         let mean = count as f64 / balancers as f64;
-        let max_assigned = ((MAX_ASSIGNED_OVER_MEAN * mean).ceil() as usize).max(MIN_ROOM);
+        let max_assigned = ((MAX_ASSIGNED_OVER_MEAN * mean).ceil() as usize).max(MIN_ASSIGNMENT_BOUND);
         let capacity = max_assigned.max(shape.min_members.ceil() as usize);
         let subsets = Subsets::new(balancers, capacity);
         let mut assignment = Self { shape, backends, subsets, memberships };
@@ -109,16 +110,16 @@
         assignment
     }
 
-    /// Returns the members that are due to the balancer with this index, and further ones by its own
+    /// Returns the members that are assigned to the balancer with this index, and further ones by its own
     /// preferences until there are `wanted`, as far as there are backends. The members are in the order of
     /// their hashes.
-    pub fn members(&self, balancer: usize, wanted: usize) -> Vec<DueMember> {
-        let due = self.subsets.of(balancer);
-        let mut positions = due.to_vec();
+    pub fn members(&self, balancer: usize, wanted: usize) -> Vec<AssignedMember> {
+        let assigned = self.subsets.of(balancer);
+        let mut positions = assigned.to_vec();
         if positions.len() < wanted {
             let round = FIRST_PREFERENCE_ROUND + balancer as u64;
             let mut others: Vec<_> = (0..self.backends.len()).collect();
-            others.retain(|position| !due.contains(position));
+            others.retain(|position| !assigned.contains(position));
             others.sort_by_cached_key(|position| hash_in_round(self.backends[*position].id, round));
             let missing = wanted - positions.len();
             positions.extend(others.iter().take(missing));
@@ -126,11 +127,11 @@
         positions.sort_unstable();
         let sum: usize = self.memberships.iter().sum();
         let mean = sum as f64 / self.backends.len() as f64;
-        let due_member = |position: usize| DueMember {
+        let assigned_member = |position: usize| AssignedMember {
             index: self.backends[position].index,
             memberships_over_mean: self.memberships[position] as f64 / mean,
         };
-        positions.into_iter().map(due_member).collect()
+        positions.into_iter().map(assigned_member).collect()
     }
 
     /// Assigns each backend to one balancer. The result does not depend on the least number of members.
@@ -191,7 +192,7 @@
     fn membership_bounds(&self) -> MembershipBounds {
         let memberships = self.subsets.balancers() as f64 * self.shape.min_members;
         let mean = (memberships / self.backends.len().max(1) as f64).max(1.0);
-        let tolerance = TOLERANCE_BEYOND * (mean - MEAN_WITHOUT_TOLERANCE).max(0.0);
+        let tolerance = TOLERANCE_FRACTION * (mean - MEAN_WITHOUT_TOLERANCE).max(0.0);
         MembershipBounds {
             even: (mean + tolerance).ceil() as usize,
             most: (MAX_MEMBERSHIPS_OVER_MEAN * mean).ceil() as usize,
--- a/crates/balancer/src/decisions/subset.rs
+++ b/crates/balancer/src/decisions/subset.rs
@@ -2,7 +2,7 @@
 //! first.
 
 use super::endpoint_table::EndpointTable;
-use super::fleet_assignment::{AssignableBackend, DueMember, FleetAssignment, FleetShape};
+use super::fleet_assignment::{AssignableBackend, AssignedMember, FleetAssignment, FleetShape};
 use super::maintenance::Maintenance;
 use crate::interface::{Endpoint, Settings, Time};
 use crate::support::BackendIndex;
@@ -37,11 +37,11 @@
     pub now: Time,
 }
 
-/// A member that is no longer due to this balancer.
+/// A member that is no longer assigned to this balancer.
 #[derive(Clone, Copy, Debug)]
 struct LeavingMember {
     index: BackendIndex,
-    /// The time by which all calls have ended that began while the member was due, in seconds.
+    /// The time by which all calls have ended that began while the member was assigned, in seconds.
     until: Time,
 }
 
@@ -50,11 +50,11 @@
 pub(super) struct Subset {
     /// In ascending order.
     in_service: Vec<BackendIndex>,
-    /// The members that are due to this balancer by the latest assignment.
-    due: Vec<DueMember>,
+    /// The members that are assigned to this balancer by the latest assignment.
+    assigned: Vec<AssignedMember>,
     /// The members that are leaving.
     leaving: Vec<LeavingMember>,
-    /// The members that are due, then those that are leaving.
+    /// The members that are assigned, then those that are leaving.
     members: Vec<BackendIndex>,
     /// The greatest number of members that the calls in flight have ever called for.
     high_watermark: usize,
@@ -78,8 +78,8 @@
 
     /// Returns the number of subsets of the fleet that have a member, over the mean of all backends.
     pub fn memberships_over_mean(&self, member: BackendIndex) -> f64 {
-        let due = self.due.iter().find(|due| due.index == member);
-        due.map_or(1.0, |due| due.memberships_over_mean)
+        let assigned = self.assigned.iter().find(|assigned| assigned.index == member);
+        assigned.map_or(1.0, |assigned| assigned.memberships_over_mean)
     }
 
     /// Returns the number of balancers that have a backend as a member, if each of `balancers` has as many
@@ -105,39 +105,40 @@
     }
 
     /// Assigns the subset again, now that `in_service` are the backends in service in ascending order.
-    /// Members that were due before and are still in service stay until their calls have ended.
+    /// Members that were assigned before and are still in service stay until their calls have ended.
     pub fn assign(&mut self, in_service: Vec<BackendIndex>, inputs: AssignmentInputs<'_>) {
         self.in_service = in_service;
         self.raise_high_watermark(inputs.calls_in_flight, inputs.settings);
-        let due = self.due_members(inputs);
-        let previous = std::mem::replace(&mut self.due, due);
+        let assigned = self.assigned_members(inputs);
+        let previous = std::mem::replace(&mut self.assigned, assigned);
         self.update_leaving(&previous, inputs);
-        let due = self.due.iter().map(|member| member.index);
-        self.members = due.chain(self.leaving.iter().map(|member| member.index)).collect();
+        let assigned = self.assigned.iter().map(|member| member.index);
+        self.members = assigned.chain(self.leaving.iter().map(|member| member.index)).collect();
     }
 
-    /// Adds the members that were due before to those that are leaving, unless they still are, and drops
+    /// Adds the members that were assigned before to those that are leaving, unless they still are, and drops
     /// those that have left.
-    fn update_leaving(&mut self, previous: &[DueMember], inputs: AssignmentInputs<'_>) {
+    fn update_leaving(&mut self, previous: &[AssignedMember], inputs: AssignmentInputs<'_>) {
         let AssignmentInputs { settings, now, .. } = inputs;
         let until = now + settings.longest_timeout();
-        let Self { in_service, due, leaving, .. } = self;
-        let is_due = |index| due.iter().any(|member| member.index == index);
+        let Self { in_service, assigned, leaving, .. } = self;
+        let is_assigned = |index| assigned.iter().any(|member| member.index == index);
         leaving.retain(|member| member.until >= now);
         leaving.extend(previous.iter().map(|member| LeavingMember { index: member.index, until }));
-        leaving
-            .retain(|LeavingMember { index, .. }| in_service.binary_search(index).is_ok() && !is_due(*index));
+        leaving.retain(|LeavingMember { index, .. }| {
+            in_service.binary_search(index).is_ok() && !is_assigned(*index)
+        });
     }
 
-    /// Returns the members that are due to this balancer: a function of the backends in service, the settings
-    /// and the high watermark, so that all balancers agree on who has which backend.
-    fn due_members(&self, inputs: AssignmentInputs<'_>) -> Vec<DueMember> {
+    /// Returns the members that are assigned to this balancer: a function of the backends in service, the
+    /// settings and the high watermark, so that all balancers agree on who has which backend.
+    fn assigned_members(&self, inputs: AssignmentInputs<'_>) -> Vec<AssignedMember> {
         let AssignmentInputs { settings, endpoints, maintenance, .. } = inputs;
         let assignable =
             |index: &BackendIndex| AssignableBackend { index: *index, id: endpoints.get(*index).id };
         let backends: Vec<_> = self.in_service.iter().map(assignable).collect();
         let has_remote = self.in_service.iter().any(|index| is_cross_zone(endpoints.get(*index), settings));
-        let mut due = if has_remote {
+        let mut assigned = if has_remote {
             self.assign_by_zone(backends, inputs)
         } else {
             let shape =
@@ -147,9 +148,9 @@
         // A backend that was used becomes a member after its maintenance, whatever was assigned in the
         // meantime.
         let was_used = self.in_service.iter().filter(|index| maintenance.was_used(endpoints.get(**index).id));
-        let returning = was_used.map(|index| DueMember { index: *index, memberships_over_mean: 1.0 });
-        extend_to(&mut due, returning, usize::MAX);
-        due
+        let returning = was_used.map(|index| AssignedMember { index: *index, memberships_over_mean: 1.0 });
+        extend_to(&mut assigned, returning, usize::MAX);
+        assigned
     }
 
     /// Returns the members of this balancer where crossing zones has a price: most are in its own zone, and a
@@ -162,27 +163,28 @@
         &self,
         backends: Vec<AssignableBackend>,
         inputs: AssignmentInputs<'_>,
-    ) -> Vec<DueMember> {
+    ) -> Vec<AssignedMember> {
         let AssignmentInputs { settings, endpoints, .. } = inputs;
         let is_local = |index: BackendIndex| !is_cross_zone(endpoints.get(index), settings);
         let members = |backends: Vec<AssignableBackend>, min_members, wanted| {
             let shape = FleetShape { balancers: settings.instance_count, min_members };
             let members = FleetAssignment::new(backends, shape).members(settings.instance_index, wanted);
             // How many balancers of this zone have a backend is not known.
-            members.into_iter().map(|member| DueMember { memberships_over_mean: 1.0, ..member })
+            members.into_iter().map(|member| AssignedMember { memberships_over_mean: 1.0, ..member })
         };
         // A zone with few balancers has few backends, too, and each balancer takes most of them.
         let min_local = self.min_size(settings).max(self.backends_per_balancer(settings));
         let min_remote = (min_local - MIN_MEMBERS as f64).max(MIN_CROSS_ZONE_MEMBERS as f64);
         let covered = members(backends.clone(), 0.0, 0);
-        let (mut due, mut due_remote): (Vec<_>, Vec<_>) = covered.partition(|member| is_local(member.index));
+        let (mut assigned, mut assigned_remote): (Vec<_>, Vec<_>) =
+            covered.partition(|member| is_local(member.index));
         let (local, remote): (Vec<_>, Vec<_>) =
             backends.into_iter().partition(|backend| is_local(backend.index));
         let wanted = self.high_watermark;
-        extend_to(&mut due, members(local, min_local, wanted), wanted.max(min_local.ceil() as usize));
-        extend_to(&mut due_remote, members(remote, min_remote, 0), min_remote.ceil() as usize);
-        due.extend(due_remote);
-        due
+        extend_to(&mut assigned, members(local, min_local, wanted), wanted.max(min_local.ceil() as usize));
+        extend_to(&mut assigned_remote, members(remote, min_remote, 0), min_remote.ceil() as usize);
+        assigned.extend(assigned_remote);
+        assigned
     }
 
     /// Returns the least number of members, with which a choice between two is possible and the subsets of
@@ -212,7 +214,7 @@
 }
 
 /// Adds those of `others` that are not in `members` yet, until there are `wanted` members.
-fn extend_to(members: &mut Vec<DueMember>, others: impl Iterator<Item = DueMember>, wanted: usize) {
+fn extend_to(members: &mut Vec<AssignedMember>, others: impl Iterator<Item = AssignedMember>, wanted: usize) {
     for other in others {
         let is_member = members.iter().any(|member| member.index == other.index);
         if members.len() < wanted && !is_member {
--- a/crates/balancer/tests/concerns/fleet_assignment.rs
+++ b/crates/balancer/tests/concerns/fleet_assignment.rs
@@ -1,4 +1,4 @@
-//! Fleet assignment: the members that are due to each balancer.
+//! Fleet assignment: the members that are assigned to each balancer.
 
 use crate::decisions::fleet_assignment::{AssignableBackend, FleetAssignment, FleetShape};
 use crate::interface::BackendId;
@@ -60,15 +60,15 @@
 }
 
 #[test]
-fn gives_a_balancer_as_many_members_as_wanted_with_those_that_are_due_among_them() {
+fn gives_a_balancer_as_many_members_as_wanted_with_those_that_are_assigned_among_them() {
     let assignment = assign(30, 10, 3);
 
-    let due = assignment.members(4, 0);
+    let assigned = assignment.members(4, 0);
     let wanted = assignment.members(4, 12);
     let all = assignment.members(4, 100);
 
     assert_eq!([wanted.len(), all.len()], [12, 30]);
-    assert!(due.iter().all(|member| wanted.iter().any(|other| other.index == member.index)));
+    assert!(assigned.iter().all(|member| wanted.iter().any(|other| other.index == member.index)));
 }
 
 #[test]
--- a/crates/balancer/tests/subset_cover/main.rs
+++ b/crates/balancer/tests/subset_cover/main.rs
@@ -136,7 +136,7 @@
     for (seed, mut fleet) in fleets(crossing) {
         for step in 0..CHANGES {
             let changed = fleet.change_backend();
-            // A member that is no longer due stays until its calls have ended.
+            // A member that is no longer assigned stays until its calls have ended.
             fleet.settle();
 
             let memberships = memberships(&fleet.subsets());
