--- a/crates/balancer/src/interface/event.rs
+++ b/crates/balancer/src/interface/event.rs
@@ -131,7 +131,7 @@
         /// The change of its maintenance.
         change: MaintenanceChange,
     },
-    /// The processes that serve the clients of this balancer are these from now on.
+    /// From now on the clients of this balancer are served by this process alone, or by a second one, too.
     ServingProcesses(ServingProcesses),
     /// An update of the endpoint list arrived, or failed to arrive.
     Endpoints(EndpointUpdate<'a>),
