Copy bodies into counted memory instead of storing the chunks of the HTTP library

Cause: a body was stored as the list of chunks that the HTTP library returned. Each is a slice of a read buffer: 32 bytes in the list, and the read buffer of 8 KiB stays allocated while one slice of it is stored. The budget counted the bytes of the body only.

Change: BodyBuffer copies a body into one allocation of at most the bytes that its permit counts; no chunk is kept. Bodies of responses and the lists of discovery, which had the same cause, take it too. Buffered bodies are passed on in pieces of 16 KiB, as the HTTP library copies each into a write buffer that never shrinks. The bound on a buffered body had two definitions; one is left.

BodyChunks lost take_concatenated and its test: that test stands with BodyBuffer now. The text of a list that is too long has a row of its own.

--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -3,11 +3,13 @@
 
 use crate::control::endpoint_list::RawEndpointList;
 use crate::upstream::attempt_body::AttemptBody;
+use crate::upstream::body_buffer::BodyBuffer;
 use crate::upstream::connection::{Connection, connect_within};
-use http_body_util::{BodyExt, Limited};
+use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,9 +39,12 @@
     /// The response has this status, which is not a success.
     #[error("unexpected response status {0}")]
     Status(u16),
-    /// The response body is incomplete or exceeds [`MAX_LIST_BYTES`].
+    /// The response body is incomplete.
     #[error("cannot read the response body: {0}")]
-    Body(#[source] Box<dyn StdError + Send + Sync>),
+    Body(#[source] hyper::Error),
+    /// The response body exceeds [`MAX_LIST_BYTES`].
+    #[error("the response body is longer than {MAX_LIST_BYTES} bytes")]
+    BodyTooLong,
     /// The response body is not an endpoint list.
     #[error("invalid endpoint list: {0}")]
     InvalidList(#[from] serde_json::Error),
@@ -123,15 +128,13 @@
         let response = connection.send(request).await.ok_or(CallError::ConnectionClosed)?;
         let response = response.map_err(TrySendError::into_error)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect();
-        let body = connection.drive(body).await.ok_or(CallError::ConnectionClosed)?;
-        let body = body.map_err(CallError::Body)?;
+        let body = read_body(&mut connection, response.into_body()).await?;
         if !status.is_success() {
             return Err(CallError::Status(status.as_u16()));
         }
 
         self.idle_connection = connection.into_reusable();
-        Ok(serde_json::from_slice(&body.to_bytes())?)
+        Ok(serde_json::from_slice(&body)?)
     }
 
     /// Takes the idle connection if it can still be used, or else establishes a new connection.
@@ -143,3 +146,13 @@
         }
     }
 }
+
+/// Reads the complete body of a response.
+async fn read_body(connection: &mut Connection, mut incoming: Incoming) -> Result<Bytes, CallError> {
+    let mut buffer = BodyBuffer::new(MAX_LIST_BYTES);
+    while let Some(frame) = connection.drive(incoming.frame()).await.ok_or(CallError::ConnectionClosed)? {
+        let chunk = frame.map_err(CallError::Body)?.into_data().unwrap_or_default();
+        buffer.append(chunk).map_err(|_| CallError::BodyTooLong)?;
+    }
+    Ok(buffer.into_bytes())
+}
--- a/crates/balancer-proxy/src/downstream/request.rs
+++ b/crates/balancer-proxy/src/downstream/request.rs
@@ -5,7 +5,7 @@
 use super::forwarded_headers::remove_hop_by_hop_headers;
 use super::request_error::RequestError;
 use super::request_head::ParsedHead;
-use crate::limits::{Budget, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Permit};
+use crate::limits::{Budget, MAX_BODY_BYTES, Permit, max_buffered_bytes};
 use crate::settings::SettingsSnapshot;
 use crate::stream_error::StreamError;
 use crate::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
@@ -112,7 +112,7 @@
     }
     check_target(&parts.uri)?;
     let head = ParsedHead::parse(&parts.method, &parts.headers, &settings)?;
-    let Some(body_permit) = body_budget.try_acquire(buffered_bytes(length)) else {
+    let Some(body_permit) = body_budget.try_acquire(max_buffered_bytes(length)) else {
         let class = settings.proxy.class_name(head.request.class).to_string();
         return Err(RequestError::BodyCapacityExhausted { class });
     };
@@ -126,12 +126,6 @@
     if is_path { Ok(()) } else { Err(RequestError::InvalidTarget) }
 }
 
-/// Returns how many bytes of a body of this length are buffered.
-fn buffered_bytes(length: Option<u64>) -> usize {
-    let length = length.and_then(|length| usize::try_from(length).ok());
-    length.unwrap_or(MAX_BUFFERED_BODY_BYTES).min(MAX_BUFFERED_BODY_BYTES)
-}
-
 /// Reads the complete body if it can be buffered, and otherwise only its beginning.
 async fn read_body(
     body: Incoming,
@@ -142,7 +136,7 @@
         return Ok(ForwardedBody::Buffered(Bytes::new()));
     }
     let source = StreamedRequestBody::new(body, received_head.body_timeout);
-    match source.read_buffered(MAX_BUFFERED_BODY_BYTES).await? {
+    match source.read_buffered().await? {
         Some(content) => Ok(ForwardedBody::Buffered(content)),
         None => Ok(ForwardedBody::Streamed { body: source, length }),
     }
--- a/crates/balancer-proxy/src/downstream/response_body.rs
+++ b/crates/balancer-proxy/src/downstream/response_body.rs
@@ -2,6 +2,7 @@
 //! until the body ends or is dropped. When dropped, it notifies the connection that the response is finished.
 
 use super::client_connection::ClientConnection;
+use crate::limits::split_piece;
 use crate::metrics::OutstandingRequest;
 use crate::stream_error::StreamError;
 use crate::upstream::response_body::ResponseContent;
@@ -56,9 +57,11 @@
         match &mut self.content {
             None => Poll::Ready(None),
             Some(ResponseContent::Buffered(data)) => {
-                let data = std::mem::take(data);
-                self.content = None;
-                Poll::Ready(Some(Ok(data)))
+                let piece = split_piece(data);
+                if data.is_empty() {
+                    self.content = None;
+                }
+                Poll::Ready(Some(Ok(piece)))
             }
             Some(ResponseContent::Streamed(stream)) => {
                 let next = ready!(stream.poll_next(cx));
--- a/crates/balancer-proxy/src/limits/mod.rs
+++ b/crates/balancer-proxy/src/limits/mod.rs
@@ -1,6 +1,6 @@
 //! Bounds on the resources that the process uses.
 //!
-//! - `message_size`: the largest messages that the proxy accepts
+//! - `message_size`: the largest messages that the proxy accepts, and the pieces of their bodies
 //! - `capacities`: numbers of connections and of bytes, derived from the limits of the process
 //! - `budget`: counts the units of a resource in use against an upper bound
 
@@ -10,4 +10,6 @@
 
 pub use budget::{Budget, Permit};
 pub use capacities::{Capacities, OtherProcess, ProcessLimits};
-pub use message_size::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES};
+pub use message_size::{
+    MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, MAX_PIECE_BYTES, max_buffered_bytes, split_piece,
+};
--- a/crates/balancer-proxy/src/upstream/attempt.rs
+++ b/crates/balancer-proxy/src/upstream/attempt.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use balancer::{LoadReport, Outcome, Time};
+use bytes::Bytes;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
 use std::rc::Rc;
@@ -85,8 +86,7 @@
     clock: Clock,
 ) -> AttemptResult {
     let build_request = |end_of_body: &CompletionFlag| {
-        end_of_body.set();
-        let mut request = Request::new(AttemptBody::empty());
+        let mut request = Request::new(AttemptBody::buffered(Bytes::new(), end_of_body.clone()));
         *request.uri_mut() = Uri::from_static(path);
         request.headers_mut().insert(HOST, HeaderValue::from_static(HEALTH_CHECK_HOST));
         Some(request)
--- a/crates/balancer-proxy/src/upstream/body_chunks.rs
+++ b/crates/balancer-proxy/src/upstream/body_chunks.rs
@@ -1,9 +1,11 @@
-//! The buffered beginning of a body, in the chunks in which it arrived.
+//! The buffered beginning of a body that is streamed, in the pieces in which it is passed on.
 
-use bytes::{Bytes, BytesMut};
+use crate::limits::split_piece;
+use bytes::Bytes;
 use std::collections::VecDeque;
 
-/// The buffered chunks of a body, in the order in which they arrived.
+/// The pieces of a body that are buffered, in their order. None is longer than
+/// [`MAX_PIECE_BYTES`](crate::limits::MAX_PIECE_BYTES).
 #[derive(Debug, Default)]
 pub(super) struct BodyChunks {
     chunks: VecDeque<Bytes>,
@@ -12,10 +14,12 @@
 }
 
 impl BodyChunks {
-    /// Appends a chunk.
-    pub(super) fn push(&mut self, chunk: Bytes) {
-        self.bytes += chunk.len();
-        self.chunks.push_back(chunk);
+    /// Creates the pieces of `beginning`, followed by `next_chunk`.
+    pub(super) fn new(beginning: Bytes, next_chunk: Option<Bytes>) -> Self {
+        let mut chunks = Self::default();
+        chunks.push(beginning);
+        chunks.push(next_chunk.unwrap_or_default());
+        chunks
     }
 
     /// Returns the length of all chunks together, in bytes.
@@ -46,14 +50,12 @@
         self.bytes = 0;
     }
 
-    /// Removes all chunks and returns them as one chunk.
-    pub(super) fn take_concatenated(&mut self) -> Bytes {
-        let mut complete = BytesMut::with_capacity(self.bytes);
-        for chunk in &self.chunks {
-            complete.extend_from_slice(chunk);
+    /// Appends the pieces of a content.
+    fn push(&mut self, mut content: Bytes) {
+        self.bytes += content.len();
+        while !content.is_empty() {
+            self.chunks.push_back(split_piece(&mut content));
         }
-        self.clear();
-        complete.freeze()
     }
 }
 
--- a/crates/balancer-proxy/src/upstream/exchange.rs
+++ b/crates/balancer-proxy/src/upstream/exchange.rs
@@ -2,11 +2,12 @@
 //! streamed.
 
 use super::attempt_body::AttemptBody;
+use super::body_buffer::BodyBuffer;
 use super::body_chunks::BodyChunks;
 use super::completion_flag::CompletionFlag;
 use super::connection::{Connection, ConnectionOrigin};
 use super::exchange_state::{EarlyInput, ExchangeContext};
-use crate::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use crate::limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, max_buffered_bytes};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -81,7 +82,7 @@
     let write_state = connection.write_state().clone();
     write_state.start_request(context);
     let mut request = build_request(write_state.end_of_body()).ok_or(ExchangeError::BodyConsumed)?;
-    let is_buffered = matches!(request.body(), AttemptBody::Buffered(_));
+    let is_buffered = matches!(request.body(), AttemptBody::Buffered { .. });
     let is_early_input_stale = origin == ConnectionOrigin::Reused && is_buffered;
     let early_input = if is_early_input_stale { EarlyInput::Stale } else { EarlyInput::PartOfResponse };
     write_state.set_early_input(early_input);
@@ -130,22 +131,25 @@
 /// early.
 async fn receive_body(connection: &mut Connection, mut incoming: Incoming) -> Option<ReceivedBody> {
     let announced_bytes = incoming.size_hint().exact();
-    let mut received = BodyChunks::default();
     if announced_bytes.is_some_and(|bytes| bytes > MAX_BUFFERED_BODY_BYTES as u64) {
-        return Some(ReceivedBody::Streamed { received, incoming });
+        return Some(ReceivedBody::Streamed { received: BodyChunks::default(), incoming });
     }
+    let mut buffer = BodyBuffer::new(max_buffered_bytes(announced_bytes));
     let mut buffering_timeout = pin!(tokio::time::sleep(MAX_RESPONSE_BUFFERING_TIME));
-    while received.bytes() <= MAX_BUFFERED_BODY_BYTES {
+    let excess = loop {
         let frame = tokio::select! {
             biased;
             frame = connection.drive(incoming.frame()) => frame?,
-            () = buffering_timeout.as_mut(), if announced_bytes.is_none() => break,
+            () = buffering_timeout.as_mut(), if announced_bytes.is_none() => break None,
         };
         let Some(frame) = frame else {
-            return Some(ReceivedBody::Buffered(received.take_concatenated()));
+            return Some(ReceivedBody::Buffered(buffer.into_bytes()));
         };
         // Trailers need not be forwarded.
-        received.push(frame.ok()?.into_data().unwrap_or_default());
-    }
-    Some(ReceivedBody::Streamed { received, incoming })
+        let chunk = frame.ok()?.into_data().unwrap_or_default();
+        if let Err(excess) = buffer.append(chunk) {
+            break Some(excess);
+        }
+    };
+    Some(ReceivedBody::Streamed { received: BodyChunks::new(buffer.into_bytes(), excess), incoming })
 }
--- a/crates/balancer-proxy/src/upstream/forwarded_request.rs
+++ b/crates/balancer-proxy/src/upstream/forwarded_request.rs
@@ -70,9 +70,7 @@
     fn attempt_body(&self, end_of_body: &CompletionFlag) -> Option<AttemptBody> {
         match &self.body {
             ForwardedBody::Buffered(complete) => {
-                end_of_body.set();
-                let content = (!complete.is_empty()).then(|| complete.clone());
-                Some(AttemptBody::Buffered(content))
+                Some(AttemptBody::buffered(complete.clone(), end_of_body.clone()))
             }
             ForwardedBody::Streamed { body, .. } if body.is_consumed() => None,
             ForwardedBody::Streamed { body, .. } => {
--- a/crates/balancer-proxy/src/upstream/mod.rs
+++ b/crates/balancer-proxy/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub(crate) mod attempt_body;
+pub(crate) mod body_buffer;
 mod body_chunks;
 pub mod completion_flag;
 pub(crate) mod connection;
--- a/crates/balancer-proxy/src/upstream/request_body.rs
+++ b/crates/balancer-proxy/src/upstream/request_body.rs
@@ -2,10 +2,11 @@
 //! buffered is streamed at the rate of the slower side. The beginning of a streamed body stays buffered, so
 //! that the request can be sent again, until data after this beginning has been forwarded.
 
+use super::body_buffer::BodyBuffer;
 use super::body_chunks::BodyChunks;
 use super::completion_flag::CompletionFlag;
 use super::transfer_rate::TransferRateMonitor;
-use crate::limits::MAX_BODY_BYTES;
+use crate::limits::{MAX_BODY_BYTES, max_buffered_bytes};
 use crate::stream_error::StreamError;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -103,30 +104,40 @@
         Rc::new(Self { state: RefCell::new(state) })
     }
 
-    /// Buffers the body until it is complete, and returns the complete body. Returns `None` once more than
-    /// `max_bytes` are buffered, as the body must then be streamed.
+    /// Buffers the body until it is complete, and returns the complete body. Returns `None` once the body is
+    /// longer than [`MAX_BUFFERED_BODY_BYTES`](crate::limits::MAX_BUFFERED_BODY_BYTES), as the body must then be streamed.
     ///
     /// # Errors
     ///
     /// Returns an error if the body ends early, is too slow, or is longer than [`MAX_BODY_BYTES`].
-    pub async fn read_buffered(&self, max_bytes: usize) -> Result<Option<Bytes>, StreamError> {
-        let is_complete = tokio::select! {
-            filled = std::future::poll_fn(|cx| self.poll_fill(cx, max_bytes)) => filled?,
+    pub async fn read_buffered(&self) -> Result<Option<Bytes>, StreamError> {
+        let mut buffer = BodyBuffer::new(max_buffered_bytes(self.state.borrow().remaining_bytes));
+        let excess = tokio::select! {
+            filled = std::future::poll_fn(|cx| self.poll_fill(cx, &mut buffer)) => filled?,
             () = self.wait_until_too_slow() => return Err(StreamError::Stalled),
         };
-        Ok(is_complete.then(|| self.state.borrow_mut().buffered.take_concatenated()))
+        let beginning = buffer.into_bytes();
+        if excess.is_none() {
+            return Ok(Some(beginning));
+        }
+        self.state.borrow_mut().buffered = BodyChunks::new(beginning, excess);
+        Ok(None)
     }
 
-    /// Buffers more than `max_bytes`, or the complete body. Returns whether the body is complete.
-    fn poll_fill(&self, cx: &mut Context<'_>, max_bytes: usize) -> Poll<Result<bool, StreamError>> {
+    /// Fills the buffer. Returns the first chunk for which the buffer has no room, or `None` once the body is
+    /// complete.
+    fn poll_fill(
+        &self,
+        cx: &mut Context<'_>,
+        buffer: &mut BodyBuffer,
+    ) -> Poll<Result<Option<Bytes>, StreamError>> {
         let mut state = self.state.borrow_mut();
         while let Some(chunk) = ready!(state.poll_next(cx)).transpose()? {
-            state.buffered.push(chunk);
-            if state.buffered.bytes() > max_bytes {
-                return Poll::Ready(Ok(false));
+            if let Err(excess) = buffer.append(chunk) {
+                return Poll::Ready(Ok(Some(excess)));
             }
         }
-        Poll::Ready(Ok(true))
+        Poll::Ready(Ok(None))
     }
 
     /// Returns once the complete body has been received.
--- a/crates/balancer-proxy/tests/common/proxy_process.rs
+++ b/crates/balancer-proxy/tests/common/proxy_process.rs
@@ -167,6 +167,14 @@
         serde_json::from_str(stats).unwrap()
     }
 
+    /// Returns a figure of `/proc/PID/status` in kilobytes, such as `VmRSS`.
+    pub fn memory_kb(&self, figure: &str) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let mut lines = status.lines();
+        let value = lines.find_map(|line| line.strip_prefix(figure)?.strip_prefix(':')).unwrap();
+        value.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
     /// Returns the number of open file descriptors of the process.
     pub fn open_descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
--- a/crates/balancer-proxy/tests/common/socket_table.rs
+++ b/crates/balancer-proxy/tests/common/socket_table.rs
@@ -39,12 +39,47 @@
     sockets_in(state).into_iter().filter(|other| *other == ports).count()
 }
 
+/// Returns the number of bytes that have arrived on the established sockets with this local port, and that
+/// their process has not read.
+pub fn unread_bytes_on_port(port: u16) -> usize {
+    let established = rows().into_iter().filter(|row| row.state == TCP_ESTABLISHED);
+    established.filter(|row| row.ports.local == port).map(|row| row.unread_bytes).sum()
+}
+
+/// Returns the number of bytes that have arrived on the established sockets whose peer has this port, and
+/// that their process has not read.
+pub fn unread_bytes_from_port(port: u16) -> usize {
+    let established = rows().into_iter().filter(|row| row.state == TCP_ESTABLISHED);
+    established.filter(|row| row.ports.remote == port).map(|row| row.unread_bytes).sum()
+}
+
 fn sockets_in(state: &str) -> Vec<ConnectionPorts> {
+    rows().into_iter().filter(|row| row.state == state).map(|row| row.ports).collect()
+}
+
+/// A row of the table.
+struct SocketRow {
+    ports: ConnectionPorts,
+    state: String,
+    /// The number of bytes that have arrived and not been read.
+    unread_bytes: usize,
+}
+
+fn rows() -> Vec<SocketRow> {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
-    // Columns: number, local address, remote address, state.
-    let selected = rows.filter(|row| row[3] == state);
-    selected.map(|row| ConnectionPorts { local: port(row[1]), remote: port(row[2]) }).collect()
+    table.lines().skip(1).map(parse_row).collect()
+}
+
+/// Parses a row with the columns number, local address, remote address, state, and lengths of the queues of
+/// unsent and unread bytes.
+fn parse_row(row: &str) -> SocketRow {
+    let columns: Vec<_> = row.split_whitespace().collect();
+    let (_, unread) = columns[4].split_once(':').unwrap();
+    SocketRow {
+        ports: ConnectionPorts { local: port(columns[1]), remote: port(columns[2]) },
+        state: columns[3].to_string(),
+        unread_bytes: usize::from_str_radix(unread, 16).unwrap(),
+    }
 }
 
 /// Returns the port of an address such as `0100007F:1F90`.
--- a/crates/balancer-proxy/tests/streaming_memory.rs
+++ b/crates/balancer-proxy/tests/streaming_memory.rs
@@ -13,13 +13,6 @@
 /// Upper bound on the resident memory of a proxy while many long bodies are streamed, in kilobytes.
 const MAX_MEMORY_KB: usize = 32 << 10;
 
-/// Returns the resident memory of the process in kilobytes.
-fn memory_kb(proxy: &ProxyProcess) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmRSS")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 /// Starts a backend that responds to a GET with this long body, and neither reads the body of a POST nor
 /// responds to it during the test.
 fn backend_with_long_response(body: &'static [u8]) -> StubServer {
@@ -57,7 +50,8 @@
     wait_for("all attempts", || backend.connection_count() == 40);
 
     // The bodies that are being streamed have 1.3 GB in total.
-    assert!(memory_kb(&proxy) < MAX_MEMORY_KB, "{} kB", memory_kb(&proxy));
+    let memory_kb = proxy.memory_kb("VmRSS");
+    assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
     drop(writers);
     let readers: Vec<_> = readers
         .into_iter()
@@ -68,5 +62,6 @@
     for reader in readers {
         assert!(reader.join().unwrap());
     }
-    assert!(memory_kb(&proxy) < MAX_MEMORY_KB, "{} kB", memory_kb(&proxy));
+    let memory_kb = proxy.memory_kb("VmRSS");
+    assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
 }
