Count time in which no backend takes a long body against the time of the request

The proxy went on sending to that backend.

Cause: the time of a request with a streamed body started when the proxy had read the last byte, and nothing is read while the backend takes nothing. The monitor of slow clients counts only time in which a chunk is awaited, so that neither side had a limit, and as no attempt ended, no failure was recorded.

Change: time in which the client is not awaited counts against the timeout. Gaps since the client was last awaited, and after which no more bytes followed than socket buffers hold, add up. When they use up the timeout, the engine ends the attempts and reports BodyStalled; the module counts the failure against the backend and rejects the request, as no backend has all of it. After a shorter pause, the timeout is what the pause left. The last byte cannot have been written before the last read, from which the time counts, so that no order of that write and the stall is left in which nobody counts. The same timer covers streamed requests that wait for admission, a key or a retry.

Decisions: none of the recorded scenarios changes. stalled_bodies is a new one, and its digests are the only new ones, as the coverage of events demands it.

--- a/crates/balancer-proxy/src/engine/dispatcher.rs
+++ b/crates/balancer-proxy/src/engine/dispatcher.rs
@@ -5,7 +5,7 @@
 
 use super::attempts::{RunningAttempt, SentAttempt};
 use super::decision_module::PendingEvent;
-use super::requests::FinalResponse;
+use super::requests::{FinalResponse, OpenRequest};
 use super::state::EngineState;
 use super::timers::{Timer, Timers};
 use crate::clock::Clock;
@@ -206,11 +206,29 @@
             Timer::Decision(token) => state.decision_module.push(Event::Timer(token)),
             Timer::WriteDeadline(id) => state.expire_write_deadline(id),
             Timer::AttemptDeadline(id) => state.expire_attempt_deadline(id),
+            Timer::BodyStall(id) => self.check_body_stall(&mut state, id),
             Timer::RequestDeadline(id) => state.expire_request_deadline(id),
         }
         self.decide(state);
     }
 
+    /// Ends a streamed request if the last byte of its body may have waited to be received for the whole
+    /// timeout of the request. Checks again later if that time has not passed. Does nothing once the body is
+    /// complete.
+    fn check_body_stall(&self, state: &mut EngineState, id: RequestId) {
+        let time_until_stall = state.requests.get(id).and_then(OpenRequest::time_until_body_stall);
+        let Some(time_until_stall) = time_until_stall else {
+            return;
+        };
+        let now = self.clock.now();
+        if time_until_stall > 0.0 {
+            return self.timers.set(now + time_until_stall, Timer::BodyStall(id));
+        }
+        state.end_stalled_request(id);
+        // The module responds to the events of the call above; this timer ends the request in any case.
+        self.timers.set(now, Timer::RequestDeadline(id));
+    }
+
     /// Starts a health check of a backend. Does nothing if the backend has no connection pool.
     fn check_health(&self, state: &EngineState, backend: BackendId) {
         let (Some(pool), Some(this)) = (state.endpoints.pool(backend), self.weak_self.upgrade()) else {
--- a/crates/balancer-proxy/src/engine/requests.rs
+++ b/crates/balancer-proxy/src/engine/requests.rs
@@ -64,6 +64,13 @@
         (0..self.attempts_sent).map(AttemptNumber)
     }
 
+    /// Returns the time in seconds until the last byte of a streamed body may have waited to be received for
+    /// the whole timeout of the request, if nothing is received until then; 0 or less if that time has
+    /// passed. Returns `None` once the body is complete.
+    pub(super) fn time_until_body_stall(&self) -> Option<Time> {
+        Some(self.timeout - self.forwarded.time_body_unreceived()?.as_secs_f64())
+    }
+
     /// Returns the deadline of an attempt that is sent `now`: `timeout` seconds later, but not after the
     /// deadline of the request. Without a timeout, the deadline of the request applies, which is infinite
     /// while the body is still being received.
@@ -145,10 +152,11 @@
     }
 
     /// Starts the timeout of a request whose body is complete `now`, and returns the request, or `None` if
-    /// it is not open.
+    /// it is not open. The timeout counts from the time at which the client may have sent the last byte.
     pub(super) fn start_timeout(&mut self, id: RequestId, now: Time) -> Option<&OpenRequest> {
         let request = self.by_id.get_mut(&id)?;
-        request.deadline = (now + request.timeout).min(self.shutdown_deadline);
+        let last_byte_sent_at = now - request.forwarded.last_byte_delay().as_secs_f64();
+        request.deadline = (last_byte_sent_at + request.timeout).min(self.shutdown_deadline);
         Some(request)
     }
 
--- a/crates/balancer-proxy/src/engine/state.rs
+++ b/crates/balancer-proxy/src/engine/state.rs
@@ -103,6 +103,19 @@
         }
     }
 
+    /// Ends the attempts of a request whose body no backend takes, and notifies the module, which responds to
+    /// the client.
+    pub(super) fn end_stalled_request(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let sent_attempts = request.sent_attempt_numbers();
+        self.decision_module.push(Event::BodyStalled(id));
+        for number in sent_attempts {
+            self.expire_attempt_deadline(AttemptId { request: id, number });
+        }
+    }
+
     /// Fails a request that is still open at its deadline because the module has not decided in time. The
     /// module is notified of the end as a disconnect of the client.
     pub(super) fn expire_request_deadline(&mut self, id: RequestId) {
--- a/crates/balancer-proxy/src/engine/submission.rs
+++ b/crates/balancer-proxy/src/engine/submission.rs
@@ -84,6 +84,9 @@
         if deadline.is_finite() {
             self.dispatcher.timers.set(deadline, Timer::RequestDeadline(id));
         }
+        if request.streaming_body {
+            self.dispatcher.timers.set(now + timeout, Timer::BodyStall(id));
+        }
         self.dispatcher.handle(state, Event::Request(request));
         Ok(submitted)
     }
--- a/crates/balancer-proxy/src/engine/timers.rs
+++ b/crates/balancer-proxy/src/engine/timers.rs
@@ -20,6 +20,9 @@
     WriteDeadline(AttemptId),
     /// The time by which an attempt must have its response.
     AttemptDeadline(AttemptId),
+    /// The earliest time at which the last byte of a streamed body may have waited to be received for the
+    /// whole timeout of the request.
+    BodyStall(RequestId),
     /// The time by which a request must have its final response.
     RequestDeadline(RequestId),
 }
--- a/crates/balancer-proxy/src/upstream/forwarded_request.rs
+++ b/crates/balancer-proxy/src/upstream/forwarded_request.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Request header with the time that remains for the response, in whole milliseconds.
 const REMAINING_TIME_HEADER: &str = "x-remaining-ms";
@@ -60,6 +61,24 @@
         Some(request)
     }
 
+    /// Returns for how long the last byte of a streamed body may have waited to be received; see
+    /// [`StreamedRequestBody::time_unreceived`]. Returns `None` once the body is complete.
+    pub(crate) fn time_body_unreceived(&self) -> Option<Duration> {
+        match &self.body {
+            ForwardedBody::Buffered(_) => None,
+            ForwardedBody::Streamed { body, .. } => body.time_unreceived(),
+        }
+    }
+
+    /// Returns for how long the last byte of a complete body may have waited to be received. A body that was
+    /// buffered has not waited.
+    pub(crate) fn last_byte_delay(&self) -> Duration {
+        match &self.body {
+            ForwardedBody::Buffered(_) => Duration::ZERO,
+            ForwardedBody::Streamed { body, .. } => body.last_byte_delay(),
+        }
+    }
+
     /// Returns whether a part of the body has been forwarded and is no longer buffered, so that the body
     /// cannot be sent again.
     pub(crate) fn is_consumed(&self) -> bool {
--- a/crates/balancer-proxy/src/upstream/request_body.rs
+++ b/crates/balancer-proxy/src/upstream/request_body.rs
@@ -60,7 +60,10 @@
                     }
                 }
                 Poll::Ready(Some(Err(_))) => self.finish(Err(StreamError::Disconnected)),
-                Poll::Ready(None) => self.finish(Ok(())),
+                Poll::Ready(None) => {
+                    self.transfer_rate.record_chunk(0);
+                    self.finish(Ok(()));
+                }
             }
         }
     }
@@ -105,7 +108,8 @@
     }
 
     /// Buffers the body until it is complete, and returns the complete body. Returns `None` once the body is
-    /// longer than [`MAX_BUFFERED_BODY_BYTES`](crate::limits::MAX_BUFFERED_BODY_BYTES), as the body must then be streamed.
+    /// longer than [`MAX_BUFFERED_BODY_BYTES`](crate::limits::MAX_BUFFERED_BODY_BYTES), as the body must then
+    /// be streamed.
     ///
     /// # Errors
     ///
@@ -167,6 +171,21 @@
         }
     }
 
+    /// Returns for how long the last byte of the body may have waited in the buffers of sockets, because no
+    /// attempt took the next chunk. Returns zero while the client is awaited, and `None` once the body has
+    /// ended.
+    #[must_use]
+    pub fn time_unreceived(&self) -> Option<Duration> {
+        let state = self.state.borrow();
+        state.end.is_none().then(|| state.transfer_rate.time_unreceived())
+    }
+
+    /// Returns for how long the last byte of a complete body may have waited in the buffers of sockets before
+    /// the byte was received.
+    pub(super) fn last_byte_delay(&self) -> Duration {
+        self.state.borrow().transfer_rate.recorded_gaps()
+    }
+
     /// Returns whether data after the buffered beginning has been forwarded, so that the body cannot be sent
     /// again.
     pub(super) fn is_consumed(&self) -> bool {
--- a/crates/balancer-proxy/src/upstream/transfer_rate.rs
+++ b/crates/balancer-proxy/src/upstream/transfer_rate.rs
@@ -1,11 +1,41 @@
-//! Detection of stalled senders, whose bodies arrive below a minimum transfer rate.
+//! Detection of stalled senders, whose bodies arrive below a minimum transfer rate, and of bodies that are
+//! not received because the receiving side is stalled.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Minimum average transfer rate of a body beyond its base timeout, in bytes per second.
 const MIN_TRANSFER_BYTES_PER_SECOND: f64 = 40e3;
 
+/// Largest number of bytes that a client may have written and the proxy not read, in the send buffer of the
+/// client and the receive buffer of the proxy. These are the largest buffers that Linux grants by default, of
+/// 4 MiB and 6 MiB.
+const MAX_SOCKET_BUFFER_BYTES: usize = 10 << 20;
+
+/// Least wait for a chunk after which the chunk counts as sent during the wait. After a shorter wait, the
+/// chunk may have been in the send buffer of the client, which is transmitted once the proxy has read what
+/// arrived before.
+const MIN_WAIT_FOR_SENT_CHUNK: Duration = Duration::from_millis(50);
+/// Least gap that is recorded, which bounds the number of recorded gaps.
+const MIN_RECORDED_GAP: Duration = Duration::from_millis(50);
+
+/// A time in which no chunk was received although none was awaited from the sender.
+struct Gap {
+    duration: Duration,
+    /// The number of bytes received before the gap.
+    received_bytes: usize,
+}
+
+impl Gap {
+    /// Returns whether the last byte of the body may have been sent before the end of the gap, if
+    /// `received_bytes` have been received up to now. More bytes than socket buffers hold were not all sent
+    /// by then.
+    fn may_follow_last_byte(&self, received_bytes: usize) -> bool {
+        received_bytes - self.received_bytes <= MAX_SOCKET_BUFFER_BYTES
+    }
+}
+
 /// Compares the time spent waiting for a body with the time that the received bytes may take. Time in which
 /// no chunk is awaited, because the receiving side is slower, does not count.
 pub(super) struct TransferRateMonitor {
@@ -13,6 +43,10 @@
     base_timeout: Duration,
     /// The time since which the next chunk is awaited; `None` if no chunk is awaited.
     waiting_since: Option<Instant>,
+    /// The time at which the last chunk was received; at first, the time of the creation.
+    last_received_at: Instant,
+    /// The gaps before the end of which the last byte may have been sent, in their order.
+    gaps: VecDeque<Gap>,
     /// The sum of the waits for the chunks received so far.
     waited: Duration,
     /// The number of bytes received so far.
@@ -22,7 +56,14 @@
 impl TransferRateMonitor {
     /// Creates the monitor of a body that may take `base_timeout` in addition to the time for its bytes.
     pub(super) fn new(base_timeout: Duration) -> Self {
-        Self { base_timeout, waiting_since: None, waited: Duration::ZERO, received_bytes: 0 }
+        Self {
+            base_timeout,
+            waiting_since: None,
+            last_received_at: Instant::now(),
+            gaps: VecDeque::new(),
+            waited: Duration::ZERO,
+            received_bytes: 0,
+        }
     }
 
     /// Returns the number of bytes received.
@@ -35,11 +76,14 @@
         self.waiting_since.get_or_insert_with(Instant::now);
     }
 
-    /// Records that a chunk of this length has been received.
+    /// Records that a chunk of this length, or the end of the body, has been received.
     pub(super) fn record_chunk(&mut self, bytes: usize) {
+        self.record_gap();
         self.waited += self.current_wait();
         self.waiting_since = None;
+        self.last_received_at = Instant::now();
         self.received_bytes += bytes;
+        self.remove_outdated_gaps();
     }
 
     /// Returns whether the body has been awaited for longer than the sum of its base timeout and the time
@@ -48,6 +92,46 @@
         self.waited + self.current_wait() > self.base_timeout + time_allowed_for(self.received_bytes)
     }
 
+    /// Returns for how long the receiving side may have delayed the last byte after the sender had sent it:
+    /// the sum of the gaps since the sender was last awaited, and of the time since the last chunk. Returns
+    /// zero while the sender is awaited.
+    pub(super) fn time_unreceived(&self) -> Duration {
+        if self.is_sender_awaited() { Duration::ZERO } else { self.recorded_gaps() + self.current_gap() }
+    }
+
+    /// Returns the sum of the gaps before the end of which the last byte may have been sent.
+    pub(super) fn recorded_gaps(&self) -> Duration {
+        self.gaps.iter().map(|gap| gap.duration).sum()
+    }
+
+    /// Records the gap that ends with a chunk. The last byte of the body was not sent before a chunk that was
+    /// sent just now.
+    fn record_gap(&mut self) {
+        if self.is_sender_awaited() {
+            self.gaps.clear();
+        }
+        let duration = self.current_gap();
+        if duration >= MIN_RECORDED_GAP {
+            self.gaps.push_back(Gap { duration, received_bytes: self.received_bytes });
+        }
+    }
+
+    /// Returns whether a chunk is awaited that the sender has not sent.
+    fn is_sender_awaited(&self) -> bool {
+        self.current_wait() >= MIN_WAIT_FOR_SENT_CHUNK
+    }
+
+    fn remove_outdated_gaps(&mut self) {
+        while self.gaps.front().is_some_and(|gap| !gap.may_follow_last_byte(self.received_bytes)) {
+            self.gaps.pop_front();
+        }
+    }
+
+    /// Returns the time since the last chunk, or zero while a chunk is awaited.
+    fn current_gap(&self) -> Duration {
+        if self.waiting_since.is_some() { Duration::ZERO } else { self.last_received_at.elapsed() }
+    }
+
     fn current_wait(&self) -> Duration {
         self.waiting_since.map_or(Duration::ZERO, |since| since.elapsed())
     }
--- a/crates/balancer/src/decisions/balancer/arrivals.rs
+++ b/crates/balancer/src/decisions/balancer/arrivals.rs
@@ -158,13 +158,28 @@
 
     /// Starts the timeout of a call whose body has been received completely.
     pub(super) fn on_body_received(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let is_receiving = |key: &CallKey| self.calls[*key].body().is_receiving;
-        let Some(key) = self.calls.key_of(id).filter(is_receiving) else { return };
+        let Some(key) = self.key_of_receiving(id) else { return };
         self.stop_receiving(key);
         self.calls[key].start_timeout(self.now);
         self.set_deadline_timer(key, actions);
     }
 
+    /// Ends the timeout of a call whose body no backend takes. Attempts that fail from now on count against
+    /// their backends, because the client does not delay them. The call ends with the last of its attempts.
+    pub(super) fn on_body_stalled(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(key) = self.key_of_receiving(id) else { return };
+        self.stop_receiving(key);
+        self.calls[key].end_timeout(self.now);
+        if !self.calls[key].has_attempt_in_flight() {
+            self.finish_unserved(key, actions);
+        }
+    }
+
+    /// Returns the key of the call with this id, if its body is still being received.
+    fn key_of_receiving(&self, id: RequestId) -> Option<CallKey> {
+        self.calls.key_of(id).filter(|key| self.calls[*key].body().is_receiving)
+    }
+
     pub(super) fn on_body_consumed(&mut self, id: RequestId) {
         if let Some(key) = self.calls.key_of(id) {
             self.calls[key].record_body_consumed();
--- a/crates/balancer/src/decisions/balancer/mod.rs
+++ b/crates/balancer/src/decisions/balancer/mod.rs
@@ -69,6 +69,7 @@
         match event {
             Event::Request(request) => self.on_request(request, actions),
             Event::BodyReceived(id) => self.on_body_received(id, actions),
+            Event::BodyStalled(id) => self.on_body_stalled(id, actions),
             Event::BodyConsumed(id) => self.on_body_consumed(id),
             Event::ResponseStarted { id, attempt } => self.on_response_started(id, attempt, actions),
             Event::AttemptEnded(ended) => self.on_attempt_ended(ended, actions),
--- a/crates/balancer/src/decisions/calls/call.rs
+++ b/crates/balancer/src/decisions/calls/call.rs
@@ -128,6 +128,11 @@
         self.deadline = now + self.timeout;
     }
 
+    /// Sets the deadline of a call whose timeout has passed by `now`, while its body was being received.
+    pub fn end_timeout(&mut self, now: Time) {
+        self.deadline = now;
+    }
+
     /// Returns the progress of the body.
     pub fn body(&self) -> BodyProgress {
         self.body
--- a/crates/balancer/src/interface/event.rs
+++ b/crates/balancer/src/interface/event.rs
@@ -100,6 +100,10 @@
     Request(Request),
     /// The body of a streamed request has been received completely. The timeout of the request starts.
     BodyReceived(RequestId),
+    /// The rest of the body of a streamed request, whose last byte the client may have sent, was not received
+    /// for the whole timeout of the request, because no backend takes it. The request gets its final response
+    /// as soon as its attempts have ended, which the caller ends too.
+    BodyStalled(RequestId),
     /// More of the body of a streamed request has been forwarded than is buffered. The request cannot be
     /// sent again.
     BodyConsumed(RequestId),
--- a/crates/balancer/tests/replay/attempts.rs
+++ b/crates/balancer/tests/replay/attempts.rs
@@ -53,7 +53,7 @@
             traffic.min_timeout_fraction + (1.0 - traffic.min_timeout_fraction) * self.random.random::<f64>();
         let timeout = timeout_fraction * self.settings.class(class).max_timeout;
         let streaming_body = self.draw_bool(traffic.streamed_fraction);
-        let body_duration = if streaming_body { self.schedule_body(id) } else { 0.0 };
+        let body_duration = if streaming_body { self.schedule_body(id, timeout) } else { 0.0 };
         let body_received_at = self.now + body_duration;
         self.requests.insert(id, OpenRequest { body_received_at, timeout, attempts: 0 });
         if self.draw_bool(traffic.disconnecting_fraction) {
@@ -63,16 +63,33 @@
         self.handle(Event::Request(Request { id, class, tenant, key, timeout, streaming_body }));
     }
 
-    /// Schedules the transfer of the body of a request, and returns the duration in seconds.
-    fn schedule_body(&mut self, id: RequestId) -> Time {
+    /// Schedules the transfer of the body of a request with this timeout, and returns the duration in
+    /// seconds, which is infinite if no backend takes the body.
+    fn schedule_body(&mut self, id: RequestId, timeout: Time) -> Time {
         let duration = MAX_BODY_DURATION * self.random.random::<f64>();
         if self.draw_bool(0.5) {
             self.event_queue.add(self.now + 0.5 * duration, SimulationEvent::BodyConsumed(id));
         }
+        // Scenarios without such bodies draw nothing here, so that their digests stay the same.
+        let stalled_fraction = self.scenario.traffic.stalled_fraction;
+        if stalled_fraction > 0.0 && self.draw_bool(stalled_fraction) {
+            self.event_queue.add(self.now + duration + timeout, SimulationEvent::BodyStalls(id));
+            return Time::INFINITY;
+        }
         self.event_queue.add(self.now + duration, SimulationEvent::BodyReceived(id));
         duration
     }
 
+    /// Reports that no backend takes the body of a request, and ends the attempts of the request.
+    pub(crate) fn stall_body(&mut self, id: RequestId) {
+        let open_attempts: Vec<_> =
+            self.attempts.keys().copied().filter(|attempt| attempt.request == id).collect();
+        self.handle(Event::BodyStalled(id));
+        for attempt in open_attempts {
+            self.schedule_end_now(attempt, Outcome::NoConnection);
+        }
+    }
+
     pub(crate) fn send_attempt(
         &mut self,
         request: RequestId,
--- a/crates/balancer/tests/replay/coverage.rs
+++ b/crates/balancer/tests/replay/coverage.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeMap;
 
 /// All kinds of events, actions and outcomes of attempts. The scenarios have to contain each of them.
-const OCCURRENCE_KINDS: [&str; 37] = [
+const OCCURRENCE_KINDS: [&str; 38] = [
     "Request",
     "BodyReceived",
+    "BodyStalled",
     "BodyConsumed",
     "ResponseStarted",
     "ClientDisconnected",
@@ -86,6 +87,7 @@
     match event {
         Event::Request(_) => "Request",
         Event::BodyReceived(_) => "BodyReceived",
+        Event::BodyStalled(_) => "BodyStalled",
         Event::BodyConsumed(_) => "BodyConsumed",
         Event::ResponseStarted { .. } => "ResponseStarted",
         Event::AttemptEnded(_) => "AttemptEnded",
--- a/crates/balancer/tests/replay/event_queue.rs
+++ b/crates/balancer/tests/replay/event_queue.rs
@@ -16,6 +16,8 @@
     AttemptEnds(AttemptId),
     /// The body of a request has been received.
     BodyReceived(RequestId),
+    /// No backend has taken the rest of the body of a request for its whole timeout.
+    BodyStalls(RequestId),
     /// So much of the body of a request has been forwarded that another attempt is impossible.
     BodyConsumed(RequestId),
     /// A client disconnects.
--- a/crates/balancer/tests/replay/scenario.rs
+++ b/crates/balancer/tests/replay/scenario.rs
@@ -52,6 +52,8 @@
     pub service_time: Time,
     /// The fraction of requests whose body is streamed.
     pub streamed_fraction: f64,
+    /// The fraction of streamed bodies that no backend takes to their end.
+    pub stalled_fraction: f64,
     /// The fraction of requests whose client disconnects before the deadline.
     pub disconnecting_fraction: f64,
     /// The fraction of attempts that fail at backends that serve requests.
@@ -66,6 +68,7 @@
             rate: 60.0,
             service_time: 0.02,
             streamed_fraction: 0.0,
+            stalled_fraction: 0.0,
             disconnecting_fraction: 0.01,
             failing_fraction: 0.02,
             min_timeout_fraction: 0.5,
--- a/crates/balancer/tests/replay/scenarios/mod.rs
+++ b/crates/balancer/tests/replay/scenarios/mod.rs
@@ -30,6 +30,7 @@
         requests::quiet_balancer(),
         requests::brief_timeouts(),
         overload::busy_entry_balancer(),
+        requests::stalled_bodies(),
     ]
 }
 
--- a/crates/balancer/tests/replay/scenarios/requests.rs
+++ b/crates/balancer/tests/replay/scenarios/requests.rs
@@ -54,6 +54,17 @@
         .at(5.0, set_behaviour(2, Behaviour::Hangs))
 }
 
+pub fn stalled_bodies() -> Scenario {
+    let mut scenario = Scenario::new("stalled_bodies", 17, settings(), endpoints(6));
+    scenario.traffic = Traffic {
+        streamed_fraction: 0.4,
+        stalled_fraction: 0.2,
+        failing_fraction: 0.1,
+        ..Traffic::default()
+    };
+    scenario.at(3.0, Change::Rate(150.0)).at(4.0, set_behaviour(2, Behaviour::Hangs))
+}
+
 pub fn brief_timeouts() -> Scenario {
     let mut settings = settings();
     for class in &mut settings.classes {
--- a/crates/balancer/tests/replay/simulation.rs
+++ b/crates/balancer/tests/replay/simulation.rs
@@ -115,6 +115,7 @@
             SimulationEvent::ResponseStarts(attempt) => self.handle_response_start(attempt),
             SimulationEvent::AttemptEnds(attempt) => self.handle_attempt_end(attempt),
             SimulationEvent::BodyReceived(id) => self.handle(Event::BodyReceived(id)),
+            SimulationEvent::BodyStalls(id) => self.stall_body(id),
             SimulationEvent::BodyConsumed(id) => self.handle(Event::BodyConsumed(id)),
             SimulationEvent::ClientDisconnects(id) => {
                 self.requests.remove(&id);
