--- a/crates/balancer-proxy/tests/stalled_request_bodies.rs
+++ b/crates/balancer-proxy/tests/stalled_request_bodies.rs
@@ -49,6 +49,17 @@
     Some(head)
 }
 
+/// Reads a request with a pause of [`BACKEND_PAUSE`] within its body. Returns `None` if the connection ends
+/// before the request is complete.
+fn read_request_with_pause(stream: &mut BufReader<TcpStream>) -> Option<()> {
+    let head = read_beginning(stream)?;
+    std::thread::sleep(BACKEND_PAUSE);
+    let length: u64 = head.header("content-length")?.parse().ok()?;
+    let rest_length = length - BYTES_BEFORE_STOP;
+    let read = std::io::copy(&mut stream.by_ref().take(rest_length), &mut std::io::sink()).ok()?;
+    (read == rest_length).then_some(())
+}
+
 /// Starts a backend that reads the beginning of a body, and nothing more until the test ends.
 fn backend_that_stops_reading() -> StubServer {
     StubServer::with_connection_handler(|stream| {
@@ -96,14 +107,10 @@
 #[test]
 fn a_request_is_served_if_its_backend_goes_on_reading_the_body_in_time() {
     let backend = StubServer::with_connection_handler(|stream| {
-        let Some(head) = read_beginning(stream) else { return };
-        std::thread::sleep(BACKEND_PAUSE);
-        let length: u64 = head.header("content-length").unwrap().parse().unwrap();
-        let mut rest = stream.by_ref().take(length - BYTES_BEFORE_STOP);
-        if std::io::copy(&mut rest, &mut std::io::sink()).is_ok() {
+        if read_request_with_pause(stream).is_some() {
             let _ = stream.get_mut().write_all(response("200 OK", "hello").as_bytes());
+            wait_for_input_or_close(stream);
         }
-        wait_for_input_or_close(stream);
     });
     let proxy = ProxyProcess::in_front_of(&[&backend]);
     let body = position_dependent_bytes(BODY_BYTES);
@@ -114,19 +121,16 @@
     assert_eq!(status, 200);
 }
 
-/// Starts a backend that reads the beginning of a body, pauses, reads the rest, and never responds. Reports
-/// when it has read the complete body.
+/// Starts a backend that reads a request with a pause within its body, and never responds. Reports when the
+/// backend has read the complete request.
 fn backend_that_pauses_and_never_responds() -> (StubServer, Receiver<Instant>) {
     let (report, read_completely) = channel();
     let report = Mutex::new(report);
     let backend = StubServer::with_connection_handler(move |stream| {
-        let Some(head) = read_beginning(stream) else { return };
-        std::thread::sleep(BACKEND_PAUSE);
-        let length: u64 = head.header("content-length").unwrap().parse().unwrap();
-        let mut rest = stream.by_ref().take(length - BYTES_BEFORE_STOP);
-        let _ = std::io::copy(&mut rest, &mut std::io::sink());
-        report.lock().unwrap().send(Instant::now()).unwrap();
-        wait_for_input_or_close(stream);
+        if read_request_with_pause(stream).is_some() {
+            report.lock().unwrap().send(Instant::now()).unwrap();
+            wait_for_input_or_close(stream);
+        }
     });
     (backend, read_completely)
 }
