Keep a connection open until the last bytes of its response are written

What callers saw: a client that reads a long response slowly got all but its last bytes when its connection was closed for a new one, or when the proxy shut down.

Cause: the HTTP library finishes a response once it has all bytes; the last ones wait in its write buffer until the socket accepts them. From the end in the library on the connection counted as idle: it could be evicted after 2 s, and the process exited without it.

Ruled out: the library's own shutdown, which writes what waits first if it is driven.

Change: while a write is blocked, a connection is in use. It cannot be evicted, the shutdown waits for it, and the 10 s of a client that does not read replace the timeouts of idle connections and of the next head. The events that cross are the end of the response in the library and the write of its last byte; the blocked write covers the time between.

--- a/crates/balancer-proxy/src/downstream/connection_table.rs
+++ b/crates/balancer-proxy/src/downstream/connection_table.rs
@@ -13,8 +13,8 @@
 const SLOTS_PER_REJECTION_SLOT: usize = 8;
 /// Longest duration of [`ConnectionTable::wait_for_close`].
 const MAX_CLOSE_WAIT: Duration = Duration::from_millis(50);
-/// Number of successive checks, at most [`MAX_CLOSE_WAIT`] apart, that must find no request in flight
-/// before the connections that are still open count as idle.
+/// Number of successive checks, at most [`MAX_CLOSE_WAIT`] apart, that must find no connection in
+/// use before the connections that are still open count as idle.
 const IDLE_CHECKS: usize = 10;
 
 /// The numbers of connections of each kind that fit in the table.
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Returns once all connections have closed, or the remaining ones have had no request in flight for some
+    /// Returns once all connections have closed, or the remaining ones have not been in use for some
     /// time. A request that has started to arrive gets a response if it is completed before its timeout, so
     /// the wait continues until then. A client that stays connected without a request does not prolong the
     /// wait, because such a client would keep the process from ending.
@@ -89,7 +89,7 @@
         let mut idle_checks = 0;
         while !self.is_empty() && idle_checks < IDLE_CHECKS {
             self.wait_for_close().await;
-            if self.has_requests_in_flight() {
+            if self.has_connections_in_use() {
                 idle_checks = 0;
             } else {
                 idle_checks += 1;
@@ -102,8 +102,8 @@
         self.connections.borrow().is_empty()
     }
 
-    fn has_requests_in_flight(&self) -> bool {
-        self.connections.borrow().iter().any(|connection| connection.progress().has_request_in_flight())
+    fn has_connections_in_use(&self) -> bool {
+        self.connections.borrow().iter().any(|connection| connection.progress().is_in_use())
     }
 
     /// Returns whether more than half of the slots for served connections are taken, so that connections
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -131,10 +131,11 @@
 
 /// Methods that return the conditions for closing or evicting a connection.
 impl RequestProgress {
-    /// Returns whether a request is complete, its response is not finished, and the write of the response has
-    /// not timed out.
+    /// Returns whether a request is complete, its response is not written to its end, and the write of the
+    /// response has not timed out.
     pub(super) fn is_busy(&self) -> bool {
-        self.phase.get() == RequestPhase::AwaitingResponse && !self.writes.is_timed_out(Instant::now())
+        let has_response = self.phase.get() == RequestPhase::AwaitingResponse || self.writes.is_blocked();
+        has_response && !self.writes.is_timed_out(Instant::now())
     }
 
     /// Returns whether the head of the current request is complete and its response is not finished.
@@ -147,6 +148,13 @@
         self.is_receiving_head() || self.is_response_due()
     }
 
+    /// Returns whether a request has arrived, at least in part, and its response is not written to its end. The
+    /// HTTP library finishes a response once the library has all of its bytes, and writes the last ones when
+    /// the client takes them.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.has_request_in_flight() || self.writes.is_blocked()
+    }
+
     /// Returns whether the head of a request has arrived in part.
     pub(super) fn is_receiving_head(&self) -> bool {
         matches!(self.phase.get(), RequestPhase::Head { .. }) && self.received.has_any.get()
@@ -158,18 +166,23 @@
         self.is_receiving_head() && has_received_recently && !self.is_timed_out()
     }
 
-    /// Returns whether the timeout of the current phase has passed.
+    /// Returns whether the timeout of a blocked write has passed, or that of the current phase if no write is
+    /// blocked.
     pub(super) fn is_timed_out(&self) -> bool {
+        if self.writes.is_blocked() {
+            return self.writes.is_timed_out(Instant::now());
+        }
         match self.phase.get() {
             RequestPhase::Idle => self.idle_since.get().elapsed() > KEEP_ALIVE_TIMEOUT,
             RequestPhase::Head { started } => started.elapsed() > HEAD_TIMEOUT,
-            RequestPhase::Body | RequestPhase::AwaitingResponse => self.writes.is_timed_out(Instant::now()),
+            RequestPhase::Body | RequestPhase::AwaitingResponse => false,
         }
     }
 
     /// Returns whether the connection has been idle for so long that it may be evicted.
     pub(super) fn is_evictable_as_idle(&self) -> bool {
-        self.phase.get() == RequestPhase::Idle && self.idle_since.get().elapsed() >= MIN_IDLE_BEFORE_EVICTION
+        let is_idle = self.phase.get() == RequestPhase::Idle && !self.writes.is_blocked();
+        is_idle && self.idle_since.get().elapsed() >= MIN_IDLE_BEFORE_EVICTION
     }
 
     /// Returns whether the connection has never had a request, and has received no byte for so long that it
--- a/crates/balancer-proxy/src/downstream/request_progress/tests.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the progress of requests and responses on one connection.
 
-use super::{HEAD_TIMEOUT, MIN_SILENCE_BEFORE_EVICTION, RequestProgress};
+use super::{HEAD_TIMEOUT, MIN_IDLE_BEFORE_EVICTION, MIN_SILENCE_BEFORE_EVICTION, RequestProgress};
 use crate::downstream::write_progress::WRITE_TIMEOUT;
+use std::time::Duration;
 use tokio::time::Instant;
 
 #[test]
@@ -105,3 +106,39 @@
     assert!(!progress.is_busy());
     assert!(progress.is_timed_out());
 }
+
+/// Guards against a response that is cut off at its end: the HTTP library finishes a response before the last
+/// bytes are written, and the connection counted as idle.
+#[test]
+fn a_connection_whose_response_is_not_written_to_its_end_is_not_idle() {
+    let progress = RequestProgress::new();
+    progress.record_bytes();
+    progress.complete_head();
+    progress.complete_request();
+    progress.finish_response();
+    std::thread::sleep(MIN_IDLE_BEFORE_EVICTION);
+    assert!(progress.is_evictable_as_idle());
+
+    progress.writes().record_blocked_write(Some(1), Instant::now());
+
+    assert!(progress.is_busy());
+    assert!(progress.is_in_use());
+    assert!(!progress.is_evictable_as_idle());
+    assert!(!progress.is_timed_out());
+    progress.writes().record_write();
+    assert!(!progress.is_busy());
+    assert!(!progress.is_in_use());
+    assert!(progress.is_evictable_as_idle());
+}
+
+#[test]
+fn the_next_head_does_not_time_out_before_the_response_is_written_to_its_end() {
+    let progress = RequestProgress::new();
+    progress.record_bytes();
+    std::thread::sleep(HEAD_TIMEOUT + Duration::from_millis(10));
+    assert!(progress.is_timed_out());
+
+    progress.writes().record_blocked_write(Some(1), Instant::now());
+
+    assert!(!progress.is_timed_out());
+}
--- a/crates/balancer-proxy/src/downstream/write_progress.rs
+++ b/crates/balancer-proxy/src/downstream/write_progress.rs
@@ -42,6 +42,11 @@
         self.blocked.set(Some(BlockedWrite { unacknowledged_bytes, last_progress }));
     }
 
+    /// Returns whether a write is blocked, so that the last bytes of a response may wait to be written.
+    pub(super) fn is_blocked(&self) -> bool {
+        self.blocked.get().is_some()
+    }
+
     /// Returns whether a write is blocked at time `now`, and has made no progress for so long that the client is
     /// assumed not to read the rest of its response.
     pub(super) fn is_timed_out(&self, now: Instant) -> bool {
--- a/crates/balancer-proxy/tests/common/socket_table.rs
+++ b/crates/balancer-proxy/tests/common/socket_table.rs
@@ -53,6 +53,20 @@
     established.filter(|row| row.ports.remote == port).map(|row| row.unread_bytes).sum()
 }
 
+/// Returns the number of bytes that are on their way between the two ends of an established connection: those
+/// written with `writer` as the local side and not acknowledged, and those that the other side has not read.
+/// Bytes that have arrived and are not acknowledged yet count twice.
+pub fn bytes_between(writer: ConnectionPorts) -> usize {
+    let reader = ConnectionPorts { local: writer.remote, remote: writer.local };
+    let established = rows().into_iter().filter(|row| row.state == TCP_ESTABLISHED);
+    let bytes = established.map(|row| match row.ports {
+        ports if ports == writer => row.unacknowledged_bytes,
+        ports if ports == reader => row.unread_bytes,
+        _ => 0,
+    });
+    bytes.sum()
+}
+
 fn sockets_in(state: &str) -> Vec<ConnectionPorts> {
     rows().into_iter().filter(|row| row.state == state).map(|row| row.ports).collect()
 }
@@ -61,6 +75,8 @@
 struct SocketRow {
     ports: ConnectionPorts,
     state: String,
+    /// The number of bytes that have been written and not been acknowledged.
+    unacknowledged_bytes: usize,
     /// The number of bytes that have arrived and not been read.
     unread_bytes: usize,
 }
@@ -71,13 +87,14 @@
 }
 
 /// Parses a row with the columns number, local address, remote address, state, and lengths of the queues of
-/// unsent and unread bytes.
+/// unacknowledged and unread bytes.
 fn parse_row(row: &str) -> SocketRow {
     let columns: Vec<_> = row.split_whitespace().collect();
-    let (_, unread) = columns[4].split_once(':').unwrap();
+    let (unacknowledged, unread) = columns[4].split_once(':').unwrap();
     SocketRow {
         ports: ConnectionPorts { local: port(columns[1]), remote: port(columns[2]) },
         state: columns[3].to_string(),
+        unacknowledged_bytes: usize::from_str_radix(unacknowledged, 16).unwrap(),
         unread_bytes: usize::from_str_radix(unread, 16).unwrap(),
     }
 }
