Close connections that time out during a graceful shutdown, too

What operators saw: a process that shuts down stayed for as long as a client that had stopped reading its response, until SIGKILL; the runbook says 10 s.

Cause: the task of a connection waited for a request to close it only up to the end of service; from then on only for the client.

Change: one function serves the connection before and after the end of service, and ends when the connection is to be closed. The close itself runs outside of the wait for the shutdown, so that the shutdown cannot interrupt it; a request to close that arrives in the same moment as the end of service is not lost, as the wait looks at the request and not only at its notification.

--- a/crates/balancer-proxy/src/downstream/close_request.rs
+++ b/crates/balancer-proxy/src/downstream/close_request.rs
@@ -28,8 +28,10 @@
         self.is_requested.get()
     }
 
-    /// Returns once [`Self::request`] has been called. Several calls before the wait count as one.
+    /// Returns once the close is requested, at once if it has been requested before.
     pub(super) async fn wait(&self) {
-        self.notify.notified().await;
+        while !self.is_requested() {
+            self.notify.notified().await;
+        }
     }
 }
--- a/crates/balancer-proxy/src/downstream/connection_task.rs
+++ b/crates/balancer-proxy/src/downstream/connection_task.rs
@@ -23,6 +23,15 @@
 /// Longest time that an evicted or timed-out connection may take to close while no request awaits a response.
 const EVICTED_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The reason why a connection is no longer served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServiceEnd {
+    /// The connection has ended, or its client has disconnected.
+    ConnectionEnded,
+    /// The connection is to be closed, as it was evicted or timed out.
+    CloseRequested,
+}
+
 /// Serves one client connection.
 pub(super) struct ConnectionTask {
     /// The handler of the requests.
@@ -49,17 +58,33 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(socket), service);
         let mut connection = pin!(connection);
+        let end_before_shutdown = tokio::select! {
+            biased; // a request that has arrived is read before the connection is closed
+            end = self.serve(connection.as_mut()) => Some(end),
+            () = self.wait_for_shutdown() => None,
+        };
+        let end = if let Some(end) = end_before_shutdown {
+            end
+        } else {
+            connection.as_mut().graceful_shutdown();
+            self.serve(connection.as_mut()).await
+        };
+        if end == ServiceEnd::CloseRequested {
+            self.close(connection).await;
+        }
+    }
+
+    /// Serves the connection until it ends, or is to be closed because it was evicted or timed out.
+    async fn serve<S>(&self, connection: Pin<&mut http1::Connection<TokioIo<ClientSocket>, S>>) -> ServiceEnd
+    where
+        S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
+    {
+        let client = self.slot.connection();
         tokio::select! {
             biased; // a request that has arrived is read before the connection is closed
-            () = client.serve_until_disconnect(connection.as_mut(), &self.stream) => return,
-            () = client.wait_for_close_request(&self.stream) => {
-                self.close(connection).await;
-                return;
-            }
-            () = self.wait_for_shutdown() => {}
+            () = client.serve_until_disconnect(connection, &self.stream) => ServiceEnd::ConnectionEnded,
+            () = client.wait_for_close_request(&self.stream) => ServiceEnd::CloseRequested,
         }
-        connection.as_mut().graceful_shutdown();
-        client.serve_until_disconnect(connection, &self.stream).await;
     }
 
     /// Handles a request, and adds `Connection: close` to the response if the connection closes after it.
--- a/crates/balancer-proxy/tests/slow_clients.rs
+++ b/crates/balancer-proxy/tests/slow_clients.rs
@@ -8,8 +8,8 @@
 
 use common::body::position_dependent_bytes;
 use common::configuration::request;
-use common::http::read_head;
-use common::proxy_process::ProxyProcess;
+use common::http::{read_body, read_head};
+use common::proxy_process::{ProxyProcess, exit_code};
 use common::stub_server::{StubServer, wait_for_input_or_close};
 use common::waiting::TEST_TIMEOUT;
 use std::io::{BufReader, Read, Write};
@@ -37,7 +37,7 @@
     let report = Mutex::new(report);
     let backend = StubServer::with_connection_handler(move |stream| {
         let Some(head) = read_head(stream) else { return };
-        let _ = common::http::read_body(stream, &head);
+        let _ = read_body(stream, &head);
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         let written =
             stream.get_mut().write_all(head.as_bytes()).and_then(|()| stream.get_mut().write_all(body));
@@ -103,3 +103,22 @@
         assert!(time <= MAX_TIME_WITHOUT_READ + CUT_OFF_TOLERANCE, "{time:?} after {time_until_stop:?}");
     }
 }
+
+/// Guards against a process that stays for as long as a client that does not read: no timeout applied to the
+/// connections that were open at the end of service.
+#[test]
+fn a_process_that_shuts_down_does_not_wait_for_a_client_that_stops_reading() {
+    let body: &'static [u8] = position_dependent_bytes(RESPONSE_BYTES).leak();
+    let (backend, _broken_off) = backend_with_response(body);
+    let mut proxy = ProxyProcess::in_front_of(&[&backend]);
+    let stream = begin_response(&proxy);
+    let stopped = Instant::now();
+
+    proxy.signal("-TERM");
+
+    assert_eq!(exit_code(&mut proxy.child), Some(0));
+    let time = stopped.elapsed();
+    assert!(time >= MAX_TIME_WITHOUT_READ - CUT_OFF_TOLERANCE, "{time:?}");
+    assert!(time <= MAX_TIME_WITHOUT_READ + CUT_OFF_TOLERANCE, "{time:?}");
+    drop(stream);
+}
