Poll a discovery that rejects calls less often, and wait 2 s for its answer

Cause: discovery rejects what it can't serve after 2 s, or at once. The proxy gave a poll up after 1.2 to 2 s and polled again soon, and polled about once a second after rejections. 300 proxies so made some 270 calls a second, more than discovery could serve, and what it served came late.

Change: a poll after a failure is given up 2 s after its wait, the time of the protocol. A rejection (429, 503) is an event of its own; the mean delay between the starts of polls grows with each from 1 to 3 s until a list arrives. Other failures are as before, and so are lists that are pushed.

--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -7,9 +7,9 @@
 use crate::upstream::connection::{Connection, connect_within};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
+use hyper::{Request, StatusCode};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -50,6 +50,14 @@
     InvalidList(#[from] serde_json::Error),
 }
 
+impl CallError {
+    /// Returns whether discovery has rejected the call, as a server does that gets more calls than it can serve.
+    pub(super) fn is_rejection(&self) -> bool {
+        const REJECTIONS: [StatusCode; 2] = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+        matches!(self, Self::Status(status) if REJECTIONS.iter().any(|rejection| rejection.as_u16() == *status))
+    }
+}
+
 /// A request for the endpoint list.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum ListRequest {
--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -15,7 +15,7 @@
 pub use self::listener::WatchListener;
 
 use self::client::{CallError, DiscoveryClient, ListRequest};
-use self::timing::{Backoff, Jitter, LastCall, SINGLE_CALL_TIMEOUT};
+use self::timing::{Backoff, Jitter, LastCall, REPEATED_POLL_RESPONSE_TIMEOUT, SINGLE_CALL_TIMEOUT};
 use super::endpoint_list::{EndpointNames, RawEndpoint, RawEndpointList};
 use super::maintenance_store::MaintenanceStore;
 use crate::log;
@@ -209,12 +209,15 @@
     /// Returns a [`CallError`] if no valid list arrives before the timeout.
     async fn watch_call(&self, client: &mut DiscoveryClient) -> Result<RawEndpointList, CallError> {
         let timing = self.last_call.get().next_timing();
-        let response_timeout = self.jitter.apply(timing.response_timeout);
+        let mut response_timeout = self.jitter.apply(timing.response_timeout);
         let request = match self.list_generation.get() {
-            Some(generation) => ListRequest::ChangesSince {
-                generation,
-                max_wait: timing.max_change_wait.min(self.max_poll_interval()),
-            },
+            Some(generation) => {
+                if self.must_poll() && self.last_call.get() == LastCall::Failed {
+                    response_timeout = REPEATED_POLL_RESPONSE_TIMEOUT;
+                }
+                let max_wait = timing.max_change_wait.min(self.max_poll_interval());
+                ListRequest::ChangesSince { generation, max_wait }
+            }
             None => ListRequest::Full,
         };
         let response = client.fetch(request, response_timeout).await;
@@ -263,7 +266,8 @@
         let address = self.address.get();
         log!("discovery: call to {address} failed: {error}; the current list stays in force");
         if self.must_poll() {
-            self.listener.on_watch_event(WatchEvent::Failed);
+            let event = if error.is_rejection() { WatchEvent::Rejected } else { WatchEvent::Failed };
+            self.listener.on_watch_event(event);
         }
     }
 
--- a/crates/balancer-proxy/src/control/discovery/timing.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing.rs
@@ -10,10 +10,11 @@
 //! A call fails after at most its wait for a change plus its response timeout with jitter, which include
 //! connecting:
 //!
-//! | call                       | longest time until it fails |
-//! | -------------------------- | --------------------------- |
-//! | after a success            | 1 + 1.25 x 1 = 2.25 s       |
-//! | after a failure            | 0.1 + 1.25 x 1.5 = 1.98 s   |
+//! | call                               | longest time until it fails |
+//! | ---------------------------------- | --------------------------- |
+//! | after a success                    | 1 + 1.25 x 1 = 2.25 s       |
+//! | after a failure                    | 0.1 + 1.25 x 1.5 = 1.98 s   |
+//! | after a failure, if polled         | 0.1 + 2 = 2.1 s             |
 //!
 //! In the next table, "pushed" means that this module schedules the calls, and "polled" that the decision
 //! module schedules the calls, with `POLL_BACKOFF_AFTER_FAILURE` and `POLL_BACKOFF_AFTER_START` of
@@ -28,17 +29,20 @@
 //! | pushed, after a success                      | 2.25 + 0.06 + 1.98 + 0.06                    | 4.35 |
 //! | pushed, after failures                       | 1.98 + 0.06 + 1.98 + 0.06                    | 4.08 |
 //! | pushed, after failures, generations restart  | 4.08 + 1.25                                  | 5.33 |
-//! | polled, after a success                      | 2.25 + 0.38 + 1.98 + 0.38                    | 4.99 |
-//! | polled, after failures                       | 1.98 + 0.38 + 1.98 + 0.38                    | 4.72 |
-//! | polled, after a success, generations restart | 4.99 + 0.06                                  | 5.05 |
+//! | polled, after a success                      | 2.25 + 0.38 + 2.1 + 0.38                     | 5.11 |
+//! | polled, after failures                       | 2.1 + 0.38 + 2.1 + 0.38                      | 4.96 |
+//! | polled, after a success, generations restart | 5.11 + 0.06                                  | 5.17 |
 //! | new address by SIGHUP, pushed (of 4 s)       | 1.25 + 0.06 + 1.88 + 0.06                    | 3.25 |
 //! | new address by SIGHUP, polled (of 4 s)       | 1.25 + 0.38 + 1.88 + 0.38                    | 3.89 |
 //!
+//! The bound does not hold for a polled discovery that rejects calls because more of them arrive than it can
+//! serve. A call starts at most 4.5 s after one that was rejected (`MAX_BACKOFF_AFTER_REJECTION`).
+//!
 //! # Load on discovery
 //!
-//! A discovery that rejects all calls gets one call a second from each proxy. A silent discovery gets a
-//! call every 1.6 s from each proxy, or every 1.85 s if it is polled. With 5,500 proxies, the load is 5,500
-//! calls a second in the first case, and some 3,000 to 3,400 in the second.
+//! A discovery that rejects all calls gets one call a second from each proxy, or one every 3 s if it is polled. A
+//! silent discovery gets a call every 1.6 s from each proxy, or every 2.35 s if it is polled. With 5,500 proxies,
+//! the load is 5,500 or 1,830 calls a second in the first case, and some 3,400 or 2,340 in the second.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -66,6 +70,12 @@
 const TIMING_AFTER_FAILURE: CallTiming =
     CallTiming { max_change_wait: Duration::from_millis(100), response_timeout: Duration::from_millis(1500) };
 
+/// Response timeout, without jitter, of a poll after a failure. A list that is polled comes from a discovery that
+/// many proxies share. By the protocol a response may come 2 s after the end of the wait, and an overloaded
+/// discovery may take that long to reject a call. A proxy that calls again before that adds to the overload. The
+/// decision module spreads the polls of different proxies.
+pub(super) const REPEATED_POLL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Response timeout, before jitter, of a call outside the watch.
 pub(super) const SINGLE_CALL_TIMEOUT: Duration = TIMING_AFTER_FAILURE.response_timeout;
 
--- a/crates/balancer-proxy/src/control/discovery/timing/tests.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of jitter, backoff and the bounds in the module's documentation.
 
-use super::{Backoff, Jitter, LastCall, MAX_JITTER_FRACTION, MIN_BACKOFF};
+use super::{Backoff, Jitter, LastCall, MAX_JITTER_FRACTION, MIN_BACKOFF, REPEATED_POLL_RESPONSE_TIMEOUT};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -93,10 +93,17 @@
     let full_list_call = longest_with_jitter(LastCall::Succeeded.next_timing().response_timeout);
     let pushed_backoffs = 2 * longest_with_jitter(MIN_BACKOFF);
 
+    let longest_polled_backoffs = 2 * Duration::from_millis(375);
+    let repeated_poll = LastCall::Failed.next_timing().max_change_wait + REPEATED_POLL_RESPONSE_TIMEOUT;
+
     let after_a_success = longest_call(LastCall::Succeeded) + longest_call(LastCall::Failed);
     let after_failures = 2 * longest_call(LastCall::Failed) + full_list_call;
+    let polled_after_a_success = longest_call(LastCall::Succeeded) + repeated_poll;
+    let polled_after_failures = 2 * repeated_poll;
 
     let bound = Duration::from_secs(6);
     assert!(after_a_success + pushed_backoffs < bound);
     assert!(after_failures + pushed_backoffs < bound);
+    assert!(polled_after_a_success + longest_polled_backoffs < bound);
+    assert!(polled_after_failures + longest_polled_backoffs < bound);
 }
--- a/crates/balancer-proxy/src/engine/decision_module.rs
+++ b/crates/balancer-proxy/src/engine/decision_module.rs
@@ -66,6 +66,7 @@
             WatchEvent::Full(listed) => handle(EndpointUpdate::Full(&into_endpoints(listed))),
             WatchEvent::Cached(listed) => handle(EndpointUpdate::Cached(&into_endpoints(listed))),
             WatchEvent::Failed => handle(EndpointUpdate::Failed),
+            WatchEvent::Rejected => handle(EndpointUpdate::Rejected),
         }
     }
 
--- a/crates/balancer-proxy/src/engine/endpoints.rs
+++ b/crates/balancer-proxy/src/engine/endpoints.rs
@@ -173,7 +173,7 @@
 fn listed_endpoints(event: &WatchEvent) -> &[ListedEndpoint] {
     match event {
         WatchEvent::Full(listed) | WatchEvent::Cached(listed) | WatchEvent::Changes(listed) => listed,
-        WatchEvent::Failed => &[],
+        WatchEvent::Failed | WatchEvent::Rejected => &[],
     }
 }
 
--- a/crates/balancer-proxy/src/watch_event.rs
+++ b/crates/balancer-proxy/src/watch_event.rs
@@ -14,6 +14,9 @@
     Cached(Vec<ListedEndpoint>),
     /// The failure of a call for the list. Sent only if the decision module schedules the next call.
     Failed,
+    /// The rejection of a call for the list, as discovery is overloaded. Sent only if the decision module
+    /// schedules the next call.
+    Rejected,
 }
 
 /// A backend in the endpoint list, and its address.
--- a/crates/balancer/src/decisions/balancer/endpoint_updates.rs
+++ b/crates/balancer/src/decisions/balancer/endpoint_updates.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use crate::decisions::timer::Timer;
-use crate::interface::{Action, BackendId, EndpointUpdate, MaintenanceChange, Status};
+use crate::interface::{Action, BackendId, EndpointUpdate, MaintenanceChange, Status, Time};
 use crate::support::BackendIndex;
 
 impl Balancer {
@@ -10,19 +10,27 @@
     pub(super) fn schedule_first_poll(&mut self, actions: &mut Vec<Action>) {
         let first = self.endpoint_polls.schedule_first(self.now, &self.settings, &mut self.random);
         if let Some(at) = first {
-            actions.push(Action::SetTimer { at, token: Timer::EndpointPoll.into() });
+            schedule_poll(at, actions);
         }
     }
 
     pub(super) fn on_endpoint_update(&mut self, update: EndpointUpdate<'_>, actions: &mut Vec<Action>) {
         let endpoints = match update {
-            EndpointUpdate::Failed => return self.schedule_poll_retry(actions),
+            EndpointUpdate::Failed => {
+                let at = self.endpoint_polls.schedule_retry(self.now, &mut self.random);
+                return schedule_poll(at, actions);
+            }
+            EndpointUpdate::Rejected => {
+                let at = self.endpoint_polls.schedule_retry_after_rejection(self.now, &mut self.random);
+                return schedule_poll(at, actions);
+            }
             EndpointUpdate::Full(endpoints) | EndpointUpdate::Cached(endpoints) => {
                 self.backends.mark_all_removed();
                 endpoints
             }
             EndpointUpdate::Changes(endpoints) => endpoints,
         };
+        self.endpoint_polls.record_list();
         for endpoint in endpoints {
             let index = self.backends.apply_endpoint(endpoint, self.now);
             self.close_idle_if_draining(index, actions);
@@ -31,11 +39,6 @@
         self.backends.remove_unreferenced();
     }
 
-    fn schedule_poll_retry(&mut self, actions: &mut Vec<Action>) {
-        let at = self.endpoint_polls.schedule_retry(self.now, &mut self.random);
-        actions.push(Action::SetTimer { at, token: Timer::EndpointPoll.into() });
-    }
-
     /// Closes the idle connections to a backend if it is draining. Called when the balancer is notified of
     /// the draining, and when an attempt at the backend ends, because the attempt leaves an idle
     /// connection.
@@ -70,3 +73,8 @@
         self.assign_subset();
     }
 }
+
+/// Sets the timer of the next poll of the endpoint list.
+fn schedule_poll(at: Time, actions: &mut Vec<Action>) {
+    actions.push(Action::SetTimer { at, token: Timer::EndpointPoll.into() });
+}
--- a/crates/balancer/src/interface/endpoint.rs
+++ b/crates/balancer/src/interface/endpoint.rs
@@ -56,4 +56,6 @@
     Cached(&'a [Endpoint]),
     /// A poll failed, or the watch was interrupted.
     Failed,
+    /// Discovery rejected a poll, because more calls arrive than discovery can serve.
+    Rejected,
 }
--- a/crates/balancer/tests/decision_invariants/random_events.rs
+++ b/crates/balancer/tests/decision_invariants/random_events.rs
@@ -49,6 +49,8 @@
     FullList { absent_backend: u32 },
     /// A poll of the endpoint list fails.
     PollFailed,
+    /// Discovery rejects a poll of the endpoint list.
+    PollRejected,
 }
 
 /// Generates one step.
@@ -71,6 +73,7 @@
         2 => change_endpoint,
         1 => (1..=BACKEND_COUNT).prop_map(|absent_backend| Step::FullList { absent_backend }),
         1 => Just(Step::PollFailed),
+        1 => Just(Step::PollRejected),
     ]
 }
 
@@ -169,6 +172,7 @@
             }
             Step::FullList { absent_backend } => self.send_full_list_without(absent_backend),
             Step::PollFailed => self.handle(Event::Endpoints(EndpointUpdate::Failed)),
+            Step::PollRejected => self.handle(Event::Endpoints(EndpointUpdate::Rejected)),
         }
     }
 
--- a/crates/balancer/tests/replay/scenario.rs
+++ b/crates/balancer/tests/replay/scenario.rs
@@ -31,6 +31,8 @@
     SendList,
     /// Discovery fails: polls fail, and the watch breaks.
     DiscoveryFails,
+    /// Discovery rejects polls, and the watch breaks.
+    DiscoveryRejects,
     /// Discovery works again.
     DiscoveryRecovers,
     /// Operators begin or end the maintenance of a backend.
--- a/crates/balancer/tests/replay/scenarios/backends.rs
+++ b/crates/balancer/tests/replay/scenarios/backends.rs
@@ -60,6 +60,20 @@
         .at(9.0, Change::DiscoveryRecovers)
 }
 
+pub fn overloaded_discovery() -> Scenario {
+    let settings = Settings { must_poll_endpoints: true, endpoint_poll_limit: 2.0, ..settings() };
+    let mut scenario = Scenario::new("overloaded_discovery", 18, settings, endpoints(5));
+    scenario.duration = 24.0;
+    scenario.traffic.rate = 10.0;
+    scenario
+        .at(2.0, Change::DiscoveryRejects)
+        .at(3.0, set_status(2, Status::Draining))
+        .at(14.0, Change::DiscoveryFails)
+        .at(16.0, Change::DiscoveryRejects)
+        .at(20.0, Change::DiscoveryRecovers)
+        .at(22.0, Change::DiscoveryRejects)
+}
+
 pub fn cross_zone_cost() -> Scenario {
     let settings = Settings {
         tier: Tier(1),
--- a/crates/balancer/tests/replay/scenarios/mod.rs
+++ b/crates/balancer/tests/replay/scenarios/mod.rs
@@ -31,6 +31,7 @@
         requests::brief_timeouts(),
         overload::busy_entry_balancer(),
         requests::stalled_bodies(),
+        backends::overloaded_discovery(),
     ]
 }
 
--- a/crates/fleet-bench/src/fleet/recording.rs
+++ b/crates/fleet-bench/src/fleet/recording.rs
@@ -38,6 +38,7 @@
             EndpointUpdate::Full(list) => Self::Full(list.to_vec()),
             EndpointUpdate::Cached(list) => Self::Cached(list.to_vec()),
             EndpointUpdate::Failed => Self::WithoutEndpoints(Event::Endpoints(EndpointUpdate::Failed)),
+            EndpointUpdate::Rejected => Self::WithoutEndpoints(Event::Endpoints(EndpointUpdate::Rejected)),
         }
     }
 }
