Choose the response timeout of a call to discovery in a function of its own

No change of behaviour: the choice between the jittered timeout and that of a repeated poll moves out of the call. The tests of polls, returns, reloads, updates and watches pass.

--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -208,24 +208,35 @@
     ///
     /// Returns a [`CallError`] if no valid list arrives before the timeout.
     async fn watch_call(&self, client: &mut DiscoveryClient) -> Result<RawEndpointList, CallError> {
-        let timing = self.last_call.get().next_timing();
-        let mut response_timeout = self.jitter.apply(timing.response_timeout);
         let request = match self.list_generation.get() {
             Some(generation) => {
-                if self.must_poll() && self.last_call.get() == LastCall::Failed {
-                    response_timeout = REPEATED_POLL_RESPONSE_TIMEOUT;
+                let max_change_wait = self.last_call.get().next_timing().max_change_wait;
+                ListRequest::ChangesSince {
+                    generation,
+                    max_wait: max_change_wait.min(self.max_poll_interval()),
                 }
-                let max_wait = timing.max_change_wait.min(self.max_poll_interval());
-                ListRequest::ChangesSince { generation, max_wait }
             }
             None => ListRequest::Full,
         };
+        let response_timeout = self.response_timeout(request);
         let response = client.fetch(request, response_timeout).await;
         let last_call = if response.is_ok() { LastCall::Succeeded } else { LastCall::Failed };
         self.last_call.set(last_call);
         response
     }
 
+    /// Returns the response timeout of the next call of the watch. The full list has to arrive sooner than a
+    /// repeated poll, as a new address has to be in effect within 4 s.
+    fn response_timeout(&self, request: ListRequest) -> Duration {
+        let last_call = self.last_call.get();
+        let with_jitter = self.jitter.apply(last_call.next_timing().response_timeout);
+        let is_repeated_poll = self.must_poll() && last_call == LastCall::Failed;
+        match request {
+            ListRequest::ChangesSince { .. } if is_repeated_poll => REPEATED_POLL_RESPONSE_TIMEOUT,
+            _ => with_jitter,
+        }
+    }
+
     /// Returns whether the decision module schedules the calls.
     fn must_poll(&self) -> bool {
         self.listener.settings().balancer.must_poll_endpoints
