Count a response that is cut off because its client stops reading as aborted

What operators saw: nothing.

Change: the body of a response counts itself as interrupted if it is dropped after the write timeout of its connection. A response whose client has disconnected is not counted, as before.

--- a/crates/balancer-proxy/src/downstream/response_body.rs
+++ b/crates/balancer-proxy/src/downstream/response_body.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use tokio::time::Instant;
 
 /// The result of a request, which is counted when its streamed response ends.
 struct PendingResult {
@@ -104,7 +105,12 @@
 }
 
 impl Drop for ResponseBody {
+    /// Counts a response that the proxy cuts off, because its client has stopped reading, as failed. A response
+    /// whose client has disconnected is not counted.
     fn drop(&mut self) {
+        if self.client.progress().writes().is_timed_out(Instant::now()) {
+            self.count_interrupted();
+        }
         self.client.progress().finish_response();
     }
 }
--- a/crates/balancer-proxy/tests/slow_clients.rs
+++ b/crates/balancer-proxy/tests/slow_clients.rs
@@ -11,7 +11,8 @@
 use common::http::{read_body, read_head};
 use common::proxy_process::{ProxyProcess, exit_code};
 use common::stub_server::{StubServer, wait_for_input_or_close};
-use common::waiting::TEST_TIMEOUT;
+use common::waiting::{TEST_TIMEOUT, wait_for};
+use serde_json::json;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::Mutex;
@@ -91,7 +92,7 @@
     let body: &'static [u8] = position_dependent_bytes(RESPONSE_BYTES).leak();
     for time_until_stop in [Duration::ZERO, Duration::from_secs(2)] {
         let (backend, broken_off) = backend_with_response(body);
-        let proxy = ProxyProcess::in_front_of(&[&backend]);
+        let proxy = ProxyProcess::with_management_address(&[&backend]);
         let mut stream = begin_response(&proxy);
 
         let _ = read_slowly(&mut stream, time_until_stop);
@@ -101,6 +102,8 @@
         let time = broken_off_at - stopped;
         assert!(time >= MAX_TIME_WITHOUT_READ - CUT_OFF_TOLERANCE, "{time:?} after {time_until_stop:?}");
         assert!(time <= MAX_TIME_WITHOUT_READ + CUT_OFF_TOLERANCE, "{time:?} after {time_until_stop:?}");
+        wait_for("the response in the metrics", || proxy.stats()["outstanding"] == 0);
+        assert_eq!(proxy.stats()["results"]["look"], json!({"succeeded": 0, "declined": 0, "aborted": 1}));
     }
 }
 
