Share the steps to a complete request in the tests of the request progress

Four tests repeated the same steps. Three comments say time and fraction where they said part. No change of behaviour; the assertions are as before.

--- a/crates/balancer-proxy/src/downstream/request_handler.rs
+++ b/crates/balancer-proxy/src/downstream/request_handler.rs
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Returns the remaining part of `timeout`, in seconds, for a request that was received at `received`.
+    /// Returns the time that remains of `timeout`, in seconds, for a request that was received at `received`.
     /// During a shutdown, the deadline of all responses bounds the result, so that the decision module uses
     /// the deadline that the engine enforces.
     fn time_left(&self, timeout: Time, received: Instant) -> Time {
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -9,8 +9,8 @@
 /// Longest time from the first byte of a request head to its end, and from the accept of a connection to the
 /// end of its first head. Guards against clients that send nothing, stop half way, or never end the head.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2400);
-/// Least time that is allowed for a body. If its head left a longer part of [`HEAD_TIMEOUT`] unused, the body
-/// is allowed that part instead.
+/// Least time that is allowed for a body. If its head left more time of [`HEAD_TIMEOUT`] unused, the body
+/// is allowed that time instead.
 const MIN_BODY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which an idle connection is closed.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
--- a/crates/balancer-proxy/src/downstream/request_progress/tests.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress/tests.rs
@@ -5,6 +5,15 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Returns the progress of a connection whose first request is complete.
+fn progress_of_complete_request() -> RequestProgress {
+    let progress = RequestProgress::new();
+    progress.record_bytes();
+    progress.complete_head();
+    progress.complete_request();
+    progress
+}
+
 #[test]
 fn a_new_connection_has_no_request_in_flight_until_bytes_arrive() {
     let progress = RequestProgress::new();
@@ -39,10 +48,7 @@
 
 #[test]
 fn bytes_that_arrive_before_the_response_start_the_next_head_after_it() {
-    let progress = RequestProgress::new();
-    progress.record_bytes();
-    progress.complete_head();
-    progress.complete_request();
+    let progress = progress_of_complete_request();
 
     progress.record_bytes();
     progress.finish_response();
@@ -83,10 +89,7 @@
 
 #[test]
 fn a_client_that_does_not_read_stays_busy_until_the_write_timeout() {
-    let progress = RequestProgress::new();
-    progress.record_bytes();
-    progress.complete_head();
-    progress.complete_request();
+    let progress = progress_of_complete_request();
 
     progress.writes().record_blocked_write(Some(1), Instant::now());
 
@@ -96,10 +99,7 @@
 
 #[test]
 fn a_client_that_does_not_read_is_timed_out_after_the_write_timeout() {
-    let progress = RequestProgress::new();
-    progress.record_bytes();
-    progress.complete_head();
-    progress.complete_request();
+    let progress = progress_of_complete_request();
 
     progress.writes().record_blocked_write(Some(1), Instant::now() - 2 * WRITE_TIMEOUT);
 
@@ -111,10 +111,7 @@
 /// bytes are written, and the connection counted as idle.
 #[test]
 fn a_connection_whose_response_is_not_written_to_its_end_is_not_idle() {
-    let progress = RequestProgress::new();
-    progress.record_bytes();
-    progress.complete_head();
-    progress.complete_request();
+    let progress = progress_of_complete_request();
     progress.finish_response();
     std::thread::sleep(MIN_IDLE_BEFORE_EVICTION);
     assert!(progress.is_evictable_as_idle());
--- a/crates/fleet-bench/src/control_plane/list_changes.rs
+++ b/crates/fleet-bench/src/control_plane/list_changes.rs
@@ -20,7 +20,7 @@
 /// List changes per restart: the backend begins to drain, and then returns or is replaced.
 const CHANGES_PER_RESTART: f64 = 2.0;
 
-/// Change rates of one list: the part of the fleet's changes that corresponds to the size of the list.
+/// Change rates of one list: the fraction of the fleet's changes that corresponds to the size of the list.
 pub struct ListChangeRates {
     /// Restarts per day.
     pub restarts_per_day: f64,
