Keep comments within 110 characters, and compare rejections in a shorter line

No change of behaviour: comments are wrapped again, and the statuses of a rejection are compared as numbers.

--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -51,10 +51,11 @@
 }
 
 impl CallError {
-    /// Returns whether discovery has rejected the call, as a server does that gets more calls than it can serve.
+    /// Returns whether discovery has rejected the call, as a server does that gets more calls than it can
+    /// serve.
     pub(super) fn is_rejection(&self) -> bool {
-        const REJECTIONS: [StatusCode; 2] = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
-        matches!(self, Self::Status(status) if REJECTIONS.iter().any(|rejection| rejection.as_u16() == *status))
+        let rejections = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+        matches!(self, Self::Status(status) if rejections.map(|status| status.as_u16()).contains(status))
     }
 }
 
--- a/crates/balancer-proxy/src/control/discovery/timing.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing.rs
@@ -40,9 +40,10 @@
 //!
 //! # Load on discovery
 //!
-//! A discovery that rejects all calls gets one call a second from each proxy, or one every 3 s if it is polled. A
-//! silent discovery gets a call every 1.6 s from each proxy, or every 2.35 s if it is polled. With 5,500 proxies,
-//! the load is 5,500 or 1,830 calls a second in the first case, and some 3,400 or 2,340 in the second.
+//! A discovery that rejects all calls gets one call a second from each proxy, or one every 3 s if it is
+//! polled. A silent discovery gets a call every 1.6 s from each proxy, or every 2.35 s if it is polled. With
+//! 5,500 proxies, the load is 5,500 or 1,830 calls a second in the first case, and some 3,400 or 2,340 in the
+//! second.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -70,10 +71,10 @@
 const TIMING_AFTER_FAILURE: CallTiming =
     CallTiming { max_change_wait: Duration::from_millis(100), response_timeout: Duration::from_millis(1500) };
 
-/// Response timeout, without jitter, of a poll after a failure. A list that is polled comes from a discovery that
-/// many proxies share. By the protocol a response may come 2 s after the end of the wait, and an overloaded
-/// discovery may take that long to reject a call. A proxy that calls again before that adds to the overload. The
-/// decision module spreads the polls of different proxies.
+/// Response timeout, without jitter, of a poll after a failure. A list that is polled comes from a discovery
+/// that many proxies share. By the protocol a response may come 2 s after the end of the wait, and an
+/// overloaded discovery may take that long to reject a call. A proxy that calls again before that adds to the
+/// overload. The decision module spreads the polls of different proxies.
 pub(super) const REPEATED_POLL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Response timeout, before jitter, of a call outside the watch.
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -148,9 +148,9 @@
         self.is_receiving_head() || self.is_response_due()
     }
 
-    /// Returns whether a request has arrived, at least in part, and its response is not written to its end. The
-    /// HTTP library finishes a response once the library has all of its bytes, and writes the last ones when
-    /// the client takes them.
+    /// Returns whether a request has arrived, at least in part, and its response is not written to its end.
+    /// The HTTP library finishes a response once the library has all of its bytes, and writes the last ones
+    /// when the client takes them.
     pub(super) fn is_in_use(&self) -> bool {
         self.has_request_in_flight() || self.writes.is_blocked()
     }
--- a/crates/balancer-proxy/src/downstream/response_body.rs
+++ b/crates/balancer-proxy/src/downstream/response_body.rs
@@ -105,8 +105,8 @@
 }
 
 impl Drop for ResponseBody {
-    /// Counts a response that the proxy cuts off, because its client has stopped reading, as failed. A response
-    /// whose client has disconnected is not counted.
+    /// Counts a response that the proxy cuts off, because its client has stopped reading, as failed. A
+    /// response whose client has disconnected is not counted.
     fn drop(&mut self) {
         if self.client.progress().writes().is_timed_out(Instant::now()) {
             self.count_interrupted();
--- a/crates/balancer-proxy/src/downstream/write_progress.rs
+++ b/crates/balancer-proxy/src/downstream/write_progress.rs
@@ -33,8 +33,9 @@
         self.blocked.set(None);
     }
 
-    /// Records that a write is blocked while this number of bytes is unacknowledged at time `now`. Nothing is written until
-    /// the write is no longer blocked, so that another number than before shows that the client takes bytes.
+    /// Records that a write is blocked while this number of bytes is unacknowledged at time `now`. Nothing is
+    /// written until the write is no longer blocked, so that another number than before shows that the client
+    /// takes bytes.
     pub(super) fn record_blocked_write(&self, unacknowledged_bytes: Option<usize>, now: Instant) {
         let unchanged =
             self.blocked.get().filter(|blocked| blocked.unacknowledged_bytes == unacknowledged_bytes);
@@ -47,8 +48,8 @@
         self.blocked.get().is_some()
     }
 
-    /// Returns whether a write is blocked at time `now`, and has made no progress for so long that the client is
-    /// assumed not to read the rest of its response.
+    /// Returns whether a write is blocked at time `now`, and has made no progress for so long that the client
+    /// is assumed not to read the rest of its response.
     pub(super) fn is_timed_out(&self, now: Instant) -> bool {
         self.blocked.get().is_some_and(|blocked| now - blocked.last_progress > WRITE_TIMEOUT)
     }
--- a/crates/balancer-proxy/tests/rejected_polls.rs
+++ b/crates/balancer-proxy/tests/rejected_polls.rs
@@ -1,8 +1,9 @@
-//! Polls of the endpoint list that discovery rejects or answers late, because more calls arrive than it can serve.
+//! Polls of the endpoint list that discovery rejects or answers late, because more calls arrive than it can
+//! serve.
 //!
-//! Guards against an overload that the proxies keep up themselves: each of them gave a call up after 1.2 s to 2 s,
-//! and called again soon, while discovery needed 2 s to reject a call. The proxies got no list, and went on sending
-//! to backends that were draining.
+//! Guards against an overload that the proxies keep up themselves: each of them gave a call up after 1.2 s to
+//! 2 s, and called again soon, while discovery needed 2 s to reject a call. The proxies got no list, and went
+//! on sending to backends that were draining.
 
 mod common;
 
@@ -40,7 +41,8 @@
     wait_for("five calls", || calls.lock().unwrap().len() >= 5);
 
     let calls = calls.lock().unwrap();
-    // The first retry follows soon. The mean pauses after that are 2 s, 3 s and 3 s, and the least pauses half.
+    // The first retry follows soon. The mean pauses after that are 2 s, 3 s and 3 s, and the least pauses
+    // half.
     for (index, least_ms) in [(2, 1_000), (3, 1_500), (4, 1_500)] {
         let pause = calls[index] - calls[index - 1];
         assert!(pause >= Duration::from_millis(least_ms), "before call {index}: {pause:?}");
--- a/crates/balancer-proxy/tests/slow_clients.rs
+++ b/crates/balancer-proxy/tests/slow_clients.rs
@@ -1,8 +1,8 @@
 //! Long responses to clients that read slowly, and to clients that stop reading.
 //!
-//! Guards against a client that reads all the time and is taken for one that reads nothing. The system reports
-//! a socket as writable only once a third of its send buffer is free. With a buffer of 4 MB, a client that
-//! reads 64 kB/s needs some 20 s for that, and the proxy cut its response off after 10 s.
+//! Guards against a client that reads all the time and is taken for one that reads nothing. The system
+//! reports a socket as writable only once a third of its send buffer is free. With a buffer of 4 MB, a client
+//! that reads 64 kB/s needs some 20 s for that, and the proxy cut its response off after 10 s.
 
 mod common;
 
@@ -27,8 +27,8 @@
 const TIME_BETWEEN_READS: Duration = Duration::from_millis(250);
 /// Time without a read after which a response is cut off, as the operators' page gives it.
 const MAX_TIME_WITHOUT_READ: Duration = Duration::from_secs(10);
-/// Time by which a response may be cut off earlier or later than [`MAX_TIME_WITHOUT_READ`] after the last read.
-/// The system of a slow client accepts more bytes only after some of its reads.
+/// Time by which a response may be cut off earlier or later than [`MAX_TIME_WITHOUT_READ`] after the last
+/// read. The system of a slow client accepts more bytes only after some of its reads.
 const CUT_OFF_TOLERANCE: Duration = Duration::from_secs(3);
 
 /// Starts a backend that responds with this body as fast as the proxy takes it. Reports the time at which the
--- a/crates/balancer-proxy/tests/unwritten_responses.rs
+++ b/crates/balancer-proxy/tests/unwritten_responses.rs
@@ -1,8 +1,8 @@
 //! Responses whose last bytes the proxy has received and not written, as the client reads slowly.
 //!
 //! Guards against a response that is cut off at its end. A response whose last bytes wait in the proxy until
-//! its client reads counted as finished, and its connection as idle: the proxy closed the connection for a new
-//! client, or exited during a graceful shutdown, and the client got all but the last bytes.
+//! its client reads counted as finished, and its connection as idle: the proxy closed the connection for a
+//! new client, or exited during a graceful shutdown, and the client got all but the last bytes.
 
 mod common;
 
--- a/crates/balancer/tests/concerns/endpoint_polls.rs
+++ b/crates/balancer/tests/concerns/endpoint_polls.rs
@@ -89,7 +89,8 @@
     assert_waits_fill_range(&waits, 0.125, 0.375);
 }
 
-/// Returns the waits between polls that are all rejected at once. `list_after` rejections are followed by a list.
+/// Returns the waits between polls that are all rejected at once. `list_after` rejections are followed by a
+/// list.
 fn waits_after_rejections(mut random: SmallRng, list_after: usize) -> [Time; 4] {
     let mut polls = EndpointPolls::default();
     let mut started_at = polls.schedule_retry(EVENT_TIME, &mut random);
--- a/crates/balancer/tests/overloaded_discovery.rs
+++ b/crates/balancer/tests/overloaded_discovery.rs
@@ -1,9 +1,9 @@
-//! A fleet of balancers that poll one discovery, which returns after an outage and can serve fewer calls a second
-//! than the balancers make if each of them calls about once a second.
+//! A fleet of balancers that poll one discovery, which returns after an outage and can serve fewer calls a
+//! second than the balancers make if each of them calls about once a second.
 //!
-//! Guards against an overload that does not end: discovery spent its time on calls that it had already rejected,
-//! because they had waited for too long, and all balancers called again soon. In a simulated day no new watch
-//! succeeded for 14 s, until the end of the day, and requests went to backends that were draining.
+//! Guards against an overload that does not end: discovery spent its time on calls that it had already
+//! rejected, because they had waited for too long, and all balancers called again soon. In a simulated day no
+//! new watch succeeded for 14 s, until the end of the day, and requests went to backends that were draining.
 
 mod common;
 
@@ -41,8 +41,8 @@
     Rejection,
 }
 
-/// A discovery with one queue. A call that was rejected after its wait keeps its place in the queue, and takes as
-/// much time as one that is served.
+/// A discovery with one queue. A call that was rejected after its wait keeps its place in the queue, and
+/// takes as much time as one that is served.
 #[derive(Default)]
 struct Discovery {
     queue: VecDeque<Call>,
--- a/crates/send-queue/src/lib.rs
+++ b/crates/send-queue/src/lib.rs
@@ -1,13 +1,13 @@
-//! The number of bytes in the send queue of a TCP socket, as Linux reports it. The number shows whether the peer
-//! accepts bytes while a write is blocked: the system reports a socket as writable only once a third of its
-//! send buffer is free, which a slow peer may need minutes for.
+//! The number of bytes in the send queue of a TCP socket, as Linux reports it. The number shows whether the
+//! peer accepts bytes while a write is blocked: the system reports a socket as writable only once a third of
+//! its send buffer is free, which a slow peer may need minutes for.
 
 use std::ffi::c_int;
 use std::io;
 use std::os::fd::{AsFd, AsRawFd};
 
-/// Returns the number of bytes that have been written to a connected TCP socket, and that the peer's system has
-/// not acknowledged (`SIOCOUTQ`).
+/// Returns the number of bytes that have been written to a connected TCP socket, and that the peer's system
+/// has not acknowledged (`SIOCOUTQ`).
 ///
 /// # Errors
 ///
