--- a/crates/balancer-proxy/src/control/discovery/timing/tests.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing/tests.rs
@@ -7,6 +7,10 @@
 /// Largest deviation that the rounding of durations may cause.
 const ROUNDING_TOLERANCE: Duration = Duration::from_micros(1);
 
+/// Longest delay from a failed poll to the next one: `POLL_BACKOFF_AFTER_FAILURE` of the decision module with
+/// its largest random factor.
+const MAX_POLL_BACKOFF_AFTER_FAILURE: Duration = Duration::from_millis(375);
+
 /// Returns the longest duration that jitter may produce from `duration`.
 fn longest_with_jitter(duration: Duration) -> Duration {
     duration.mul_f64(1.0 + MAX_JITTER_FRACTION)
@@ -93,7 +97,7 @@
     let full_list_call = longest_with_jitter(LastCall::Succeeded.next_timing().response_timeout);
     let pushed_backoffs = 2 * longest_with_jitter(MIN_BACKOFF);
 
-    let longest_polled_backoffs = 2 * Duration::from_millis(375);
+    let polled_backoffs = 2 * MAX_POLL_BACKOFF_AFTER_FAILURE;
     let repeated_poll = LastCall::Failed.next_timing().max_change_wait + REPEATED_POLL_RESPONSE_TIMEOUT;
 
     let after_a_success = longest_call(LastCall::Succeeded) + longest_call(LastCall::Failed);
@@ -104,6 +108,6 @@
     let bound = Duration::from_secs(6);
     assert!(after_a_success + pushed_backoffs < bound);
     assert!(after_failures + pushed_backoffs < bound);
-    assert!(polled_after_a_success + longest_polled_backoffs < bound);
-    assert!(polled_after_failures + longest_polled_backoffs < bound);
+    assert!(polled_after_a_success + polled_backoffs < bound);
+    assert!(polled_after_failures + polled_backoffs < bound);
 }
--- a/crates/balancer/tests/overloaded_discovery.rs
+++ b/crates/balancer/tests/overloaded_discovery.rs
@@ -3,7 +3,7 @@
 //!
 //! Guards against an overload that does not end: discovery spent its time on calls that it had already
 //! rejected, because they had waited for too long, and all balancers called again soon. In a simulated day no
-//! new watch succeeded for 14 s, until the end of the day, and requests went to backends that were draining.
+//! new watch succeeded for 12 s, until the end of the day, and requests went to backends that were draining.
 
 mod common;
 
