--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -45,7 +45,7 @@
 }
 
 fn play(record: &Record, folder: &Folder) -> (i32, String) {
-    let behaviour = Behaviour { work_ms: 20, pause_before_body_ms: PAUSE_BEFORE_BODY_MS };
+    let behaviour = Behaviour { work_ms: 20, pause_before_body_ms: PAUSE_BEFORE_BODY_MS, ..Behaviour::default() };
     let backend = Backend::start("s-1", behaviour, record);
     let discovery = Discovery::start("discovery", 40, record);
     discovery.set(&backend.name, backend.address, 0, "SERVING");
--- a/review/stand-ins-2/backend.rs
+++ b/review/stand-ins-2/backend.rs
@@ -14,8 +14,16 @@
     pub work_ms: u64,
     /// The time from a head to the read of the body that follows, in milliseconds.
     pub pause_before_body_ms: u64,
+    /// The length of the body of an answer, in bytes, if it is a long one.
+    pub answer_bytes: usize,
+    /// One in so many answers is not written whole: the connection ends after its head and the first bytes of
+    /// its body. With 0 all answers are written whole.
+    pub breaks_off_one_in: usize,
 }
 
+/// How much of the body of an answer is written before the connection ends.
+const BYTES_BEFORE_BREAK: usize = 4000;
+
 /// A request that has run.
 #[derive(Clone)]
 pub struct Run {
@@ -92,10 +100,23 @@
             head.word(0),
             body.len()
         ));
-        runs.lock().unwrap().push(Run { at_ms, id: id.to_string(), remaining_ms, backend: name.to_string() });
+        let number = {
+            let mut runs = runs.lock().unwrap();
+            runs.push(Run { at_ms, id: id.to_string(), remaining_ms, backend: name.to_string() });
+            runs.len()
+        };
         sleep_ms(behaviour.work_ms);
-        let text = format!("{name} served {id}\n");
-        writer.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).as_bytes())?;
+        let mut text = format!("{name} served {id}\n");
+        if behaviour.answer_bytes > 0 {
+            text = text.repeat(behaviour.answer_bytes / text.len());
+        }
+        let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        if behaviour.breaks_off_one_in > 0 && number % behaviour.breaks_off_one_in == 0 {
+            answer.truncate(answer.len() - text.len() + BYTES_BEFORE_BREAK);
+            record.line(&format!("{name}: its connection ends after the head and {BYTES_BEFORE_BREAK} bytes of {}", text.len()));
+            return writer.write_all(answer.as_bytes()); // and closes the connection
+        }
+        writer.write_all(answer.as_bytes())?;
     }
     Ok(())
 }
