--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,5 +1,6 @@
-//! Case: the connection of a backend ends just after the beginning of a long answer, and the proxy closes the connection of the client
-//! without a single byte, neither of that answer nor of one of its own.
+//! Case: the connection of a backend ends just after the beginning of a long answer, and the proxy closes the
+//! connection of the client without a single byte, neither of that answer nor of one of its own. A client that
+//! takes this for a close between requests, as the protocol page has it, sends its request once more.
 
 #[path = "../stand-ins-2/mod.rs"]
 mod stand_ins;
@@ -9,15 +10,15 @@
 use stand_ins::proxy::{Configuration, Folder, Proxy};
 use stand_ins::record::Record;
 use stand_ins::{client, has_trouble, sleep_ms};
-use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// The length of an answer. Over 64 KiB the proxy passes an answer on while it comes.
 const ANSWER_BYTES: usize = 1 << 20;
-/// The number of requests.
+/// The number of requests of the class that must never run twice.
 const REQUESTS: u64 = 30;
-/// One in so many answers of each backend is reset just after its beginning.
+/// One in so many answers of each backend breaks off just after its beginning.
 const BREAKS_OFF_ONE_IN: usize = 3;
 
 /// How a request ended for its client.
@@ -63,16 +64,30 @@
     sleep_ms(500);
     let mut ends = Vec::new();
     for number in 0..REQUESTS {
-        ends.push(send(number, configuration.listen, record));
-        sleep_ms(100);
+        let Some(kept) = kept_connection(number, configuration.listen) else {
+            return (2, "no connection was kept".to_string());
+        };
+        let id = format!("{:016x}", 0xf000 + number);
+        let end = send(&id, kept, record);
+        if end == End::Unanswered {
+            record.line(&format!("client: sends {id} once more, on a new connection"));
+            let new = client::connect(configuration.listen, Duration::from_secs(5)).map(BufReader::new);
+            let _ = new.map(|new| send(&id, new, record));
+        }
+        ends.push(end);
+        sleep_ms(50);
     }
     if proxy.has_ended() {
         return (2, "the proxy has ended".to_string());
     }
+    let mut ids: Vec<String> = backends.iter().flat_map(Backend::runs).map(|run| run.id).collect();
+    ids.sort();
+    let ran_again = ids.windows(2).filter(|pair| pair[0] == pair[1] && pair[0].contains("00f0")).count();
     let count = |wanted: End| ends.iter().filter(|end| **end == wanted).count();
     let unanswered = count(End::Unanswered);
     let verdict = format!(
-        "of {REQUESTS} requests, {} were answered, {} broke off within an answer, {unanswered} got no byte of one",
+        "of {REQUESTS} requests, {} were answered, {} broke off within an answer, {unanswered} got no byte of one; {ran_again} \
+         ran a second time when their clients sent them once more",
         count(End::Answered),
         count(End::BrokenOff)
     );
@@ -80,26 +95,37 @@
     (code, verdict)
 }
 
-/// Sends a request on a connection that has served one before, and reads what comes.
-fn send(number: u64, proxy: SocketAddr, record: &Record) -> End {
-    let id = format!("{:016x}", 0xf000 + number);
-    let headers = [("X-Txn", id.as_str()), ("X-Lane", "quote"), ("X-Remaining-Ms", "3000"), ("Connection", "close")];
-    let Ok(mut stream) = client::connect(proxy, Duration::from_secs(5)) else { return End::NotWritten };
-    if stream.write_all(client::request_head("GET", "/api", &headers).as_bytes()).is_err() {
+/// Returns a connection that has carried a request and its whole answer, and that the proxy keeps.
+fn kept_connection(number: u64, proxy: SocketAddr) -> Option<BufReader<TcpStream>> {
+    (0..5).find_map(|attempt| {
+        let id = format!("{:016x}", 0xa0000 + 16 * number + attempt);
+        let headers = [("X-Txn", id.as_str()), ("X-Lane", "quote"), ("X-Remaining-Ms", "3000")];
+        let mut stream = client::connect(proxy, Duration::from_secs(5)).ok()?;
+        stream.write_all(client::request_head("GET", "/api", &headers).as_bytes()).ok()?;
+        let mut reader = BufReader::new(stream);
+        client::read_answer(&mut reader).ok().filter(|answer| answer.status == 200).map(|_| reader)
+    })
+}
+
+/// Sends a request of the class that must never run twice, and reads what comes.
+fn send(id: &str, mut connection: BufReader<TcpStream>, record: &Record) -> End {
+    let headers = [("X-Txn", id), ("X-Lane", "lodge"), ("X-Remaining-Ms", "3000"), ("Content-Length", "4")];
+    let request = client::request_head("POST", "/api", &headers) + "file";
+    if connection.get_mut().write_all(request.as_bytes()).is_err() {
         return End::NotWritten;
     }
     record.line(&format!("client: {id}: the last byte is written"));
-    let mut answer = Vec::new();
-    let ended = stream.read_to_end(&mut answer);
-    let text = String::from_utf8_lossy(&answer);
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-    let length = head.lines().find_map(|line| line.to_lowercase().strip_prefix("content-length:")?.trim().parse().ok());
-    let end = match length {
-        _ if answer.is_empty() => End::Unanswered,
-        Some(length) if body.len() == length => End::Answered,
-        _ => End::BrokenOff,
+    let is_unanswered = |connection: &mut BufReader<TcpStream>| -> io::Result<bool> { Ok(connection.fill_buf()?.is_empty()) };
+    let end = match is_unanswered(&mut connection) {
+        Ok(true) | Err(_) => End::Unanswered,
+        Ok(false) if client::read_answer(&mut connection).is_ok() => End::Answered,
+        Ok(false) => End::BrokenOff,
+    };
+    let text = match end {
+        End::Answered => "a whole answer",
+        End::BrokenOff => "the connection ended within an answer",
+        _ => "the connection ended without a byte",
     };
-    let status = head.lines().next().unwrap_or("");
-    record.line(&format!("client: {id}: {} bytes came ({status}), then the end: {ended:?}", answer.len()));
+    record.line(&format!("client: {id}: {text}"));
     end
 }
