--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -18,7 +18,7 @@
 const ANSWER_BYTES: usize = 1 << 20;
 /// The number of requests of the class that must never run twice.
 const REQUESTS: u64 = 30;
-/// One in so many answers of each backend breaks off just after its beginning.
+/// One in so many answers of each backend to these requests breaks off just after its beginning.
 const BREAKS_OFF_ONE_IN: usize = 3;
 
 /// How a request ended for its client.
--- a/review/stand-ins-2/backend.rs
+++ b/review/stand-ins-2/backend.rs
@@ -16,8 +16,8 @@
     pub pause_before_body_ms: u64,
     /// The length of the body of an answer, in bytes, if it is a long one.
     pub answer_bytes: usize,
-    /// One in so many answers is not written whole: the connection ends after its head and the first bytes of
-    /// its body. With 0 all answers are written whole.
+    /// One in so many answers to POST is not written whole: the connection ends after its head and the first
+    /// bytes of its body. With 0 all answers are written whole.
     pub breaks_off_one_in: usize,
 }
 
@@ -35,6 +35,8 @@
     pub remaining_ms: u64,
     /// The name of the backend.
     pub backend: String,
+    /// Whether the method was POST.
+    pub is_post: bool,
 }
 
 /// A stand-in for a backend.
@@ -100,10 +102,11 @@
             head.word(0),
             body.len()
         ));
-        let number = {
+        let posts = {
             let mut runs = runs.lock().unwrap();
-            runs.push(Run { at_ms, id: id.to_string(), remaining_ms, backend: name.to_string() });
-            runs.len()
+            let is_post = head.word(0) == "POST";
+            runs.push(Run { at_ms, id: id.to_string(), remaining_ms, backend: name.to_string(), is_post });
+            if is_post { runs.iter().filter(|run| run.is_post).count() } else { 0 }
         };
         sleep_ms(behaviour.work_ms);
         let mut text = format!("{name} served {id}\n");
@@ -111,7 +114,7 @@
             text = text.repeat(behaviour.answer_bytes / text.len());
         }
         let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
-        if behaviour.breaks_off_one_in > 0 && number % behaviour.breaks_off_one_in == 0 {
+        if behaviour.breaks_off_one_in > 0 && posts > 0 && posts % behaviour.breaks_off_one_in == 0 {
             answer.truncate(answer.len() - text.len() + BYTES_BEFORE_BREAK);
             record.line(&format!("{name}: its connection ends after the head and {BYTES_BEFORE_BREAK} bytes of {}", text.len()));
             return writer.write_all(answer.as_bytes()); // and closes the connection
