--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -9,7 +9,6 @@
 use stand_ins::proxy::{Configuration, Folder, Proxy};
 use stand_ins::record::Record;
 use stand_ins::{client, has_trouble, sleep_ms};
-use std::time::Duration;
 
 /// How long the new discovery takes for an answer: less than the 2 s after which a call counts as answered.
 const ANSWER_DELAY_MS: u64 = 1900;
@@ -18,7 +17,7 @@
 /// The grace of a drain: `rules.drain-grace`, and 50 ms that each time limit gains on sockets.
 const GRACE_MS: u64 = 1050;
 /// How long clients send after the signal.
-const DURATION_MS: u64 = 25_000;
+const DURATION_MS: u64 = 17_000;
 
 fn main() {
     let record = Record::start();
@@ -30,7 +29,7 @@
 
 fn play(record: &Record, folder: &Folder) -> (i32, String) {
     let backends: Vec<Backend> = (1..=3)
-        .map(|n| Backend::start(&format!("s-{n}"), Behaviour { work_ms: 5, ..Behaviour::default() }, record))
+        .map(|n| Backend::start(&format!("s-{n}"), Behaviour { work_ms: 20, ..Behaviour::default() }, record))
         .collect();
     let first = Discovery::start("first discovery", 40, record);
     let second = Discovery::start("second discovery", 70, record);
@@ -64,17 +63,7 @@
     proxy.signal("HUP");
     first.retire();
 
-    let mut number = 0u64;
-    while record.now_ms() < signal_ms + DURATION_MS {
-        number += 1;
-        let id = format!("{:016x}", 0xb000 + number);
-        let headers = [("X-Txn", id.as_str()), ("X-Lane", "quote"), ("X-Remaining-Ms", "2000")];
-        match client::get(configuration.listen, "/api", &headers, Duration::from_secs(3)) {
-            Ok(answer) => record.line(&format!("client: {id} answered {} {}", answer.status, answer.body)),
-            Err(error) => record.line(&format!("client: {id} without an answer: {error}")),
-        };
-        sleep_ms(100);
-    }
+    client::send_steadily(configuration.listen, signal_ms + DURATION_MS, record);
     if proxy.has_ended() {
         return (2, "the proxy has ended".to_string());
     }
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -1,6 +1,8 @@
 //! A stand-in for a client.
 
 use super::message::Head;
+use super::record::Record;
+use super::sleep_ms;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -43,3 +45,32 @@
     stream.write_all(request_head("GET", path, headers).as_bytes())?;
     read_answer(&mut BufReader::new(stream))
 }
+
+/// The number of clients of [`send_steadily`].
+const STEADY_CLIENTS: u64 = 6;
+
+/// Has several clients send requests of the class `quote`, each on a connection of its own, until this time of the
+/// record.
+pub fn send_steadily(proxy: SocketAddr, until_ms: u64, record: &Record) {
+    let clients: Vec<_> = (0..STEADY_CLIENTS)
+        .map(|client| {
+            let record = record.clone();
+            std::thread::spawn(move || {
+                let mut number = 0;
+                while record.now_ms() < until_ms {
+                    number += 1;
+                    let id = format!("{:016x}", (client + 1) << 32 | number);
+                    let headers = [("X-Txn", id.as_str()), ("X-Lane", "quote"), ("X-Remaining-Ms", "2000")];
+                    match get(proxy, "/api", &headers, Duration::from_secs(3)) {
+                        Ok(answer) => record.line(&format!("client: {id} answered {} {}", answer.status, answer.body)),
+                        Err(error) => record.line(&format!("client: {id} without an answer: {error}")),
+                    };
+                    sleep_ms(60);
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        let _ = client.join();
+    }
+}
