Write the beginning of a response that breaks off before its connection ends

What callers saw: a backend's connection ended just after the beginning of a long response, and the client's connection ended without a byte.

Cause: the HTTP library keeps head and beginning in its write buffer until the body has nothing more to give, and discards the buffer if the body fails before. ResponseBody::poll_frame reported the failure at once.

Ruled out: a reset that takes sent bytes from the client, as the clients had sent nothing that was unread.

Change: the body reports its failure only once the socket has been flushed, which the library does each time its buffer has become empty (FlushSignal). Failure and write cross no more: the one waits for the other.

--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -3,6 +3,7 @@
 //! written. [`super::request_handler`] and [`super::response_body`] record requests and responses.
 
 use super::close_request::CloseRequest;
+use super::flush_signal::FlushSignal;
 use super::framing::RequestFraming;
 use super::request_progress::RequestProgress;
 use socket2::SockRef;
@@ -33,6 +34,7 @@
     /// Wakes [`Self::wait_for_disconnect`] when a head is complete.
     head_complete: Notify,
     close_request: CloseRequest,
+    flush_signal: FlushSignal,
 }
 
 impl ClientConnection {
@@ -43,6 +45,7 @@
             framing: RefCell::default(),
             head_complete: Notify::new(),
             close_request: CloseRequest::default(),
+            flush_signal: FlushSignal::default(),
         })
     }
 
@@ -51,6 +54,11 @@
         &self.progress
     }
 
+    /// Returns the signal that all bytes of a response have been written.
+    pub(super) fn flush_signal(&self) -> &FlushSignal {
+        &self.flush_signal
+    }
+
     /// Records bytes that have arrived from the client.
     pub(super) fn record_bytes(&self, data: &[u8]) {
         self.framing.borrow_mut().feed(data);
--- a/crates/balancer-proxy/src/downstream/client_socket.rs
+++ b/crates/balancer-proxy/src/downstream/client_socket.rs
@@ -120,7 +120,9 @@
         written
     }
 
+    /// Records the flush. The HTTP library flushes the socket once it has written all bytes that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.flush_signal().record_flush();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/balancer-proxy/src/downstream/response_body.rs
+++ b/crates/balancer-proxy/src/downstream/response_body.rs
@@ -27,6 +27,8 @@
     /// The number of bytes that are still to be sent, if the length is known.
     remaining_bytes: Option<u64>,
     pending_result: Option<PendingResult>,
+    /// The failure of the content, which is reported once all bytes before it have been written.
+    failure: Option<StreamError>,
     client: Rc<ClientConnection>,
 }
 
@@ -40,7 +42,7 @@
         // Without content, the HTTP library leaves a Content-Length header as it is, which HEAD requires.
         let is_empty = matches!(&content, ResponseContent::Buffered(data) if data.is_empty());
         let content = if is_empty { None } else { Some(content) };
-        Self { content, remaining_bytes, pending_result: None, client }
+        Self { content, remaining_bytes, pending_result: None, failure: None, client }
     }
 
     /// Counts the request with this status: at once if the body is buffered, else at the end of the body.
@@ -123,13 +125,20 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        let next = ready!(self.poll_next(cx));
-        self.record_progress(next.as_ref());
-        Poll::Ready(next.map(|data| data.map(Frame::data)))
+        if self.failure.is_none() {
+            let next = ready!(self.poll_next(cx));
+            self.record_progress(next.as_ref());
+            match next.transpose() {
+                Ok(data) => return Poll::Ready(data.map(|data| Ok(Frame::data(data)))),
+                Err(failure) => self.failure = Some(failure),
+            }
+        }
+        ready!(self.client.flush_signal().poll_flushed(cx));
+        Poll::Ready(self.failure.take().map(Err))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.content.is_none()
+        self.content.is_none() && self.failure.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
