Do not take a client for silent while no backend takes the body of its request

Cause: a connection without a complete request counted as silent once no byte had come for 0.5 s. The proxy reads no more of a body than a backend takes, so that no byte comes from a client that has sent all.

Ruled out: the time of the request, and the timeout of the body, which does not count time in which nothing is awaited.

Change: while a body arrives, a client is silent only for as long as the receiver of the body awaits its next bytes. The receiver and the connection share the record of that wait (SenderWait), which the monitor of the transfer rate kept for itself before. A client that stops within a body, with nothing unread, may still be closed after 0.5 s.

--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -6,6 +6,7 @@
 use super::flush_signal::FlushSignal;
 use super::framing::RequestFraming;
 use super::request_progress::RequestProgress;
+use crate::upstream::sender_wait::SenderWait;
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::mem::MaybeUninit;
@@ -19,12 +20,14 @@
 const HEAD_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Properties of a received head that cannot be read from the parsed head.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ReceivedHead {
     /// Whether the head states the length of the body in two ways.
     pub(super) length_is_ambiguous: bool,
     /// The time that the body may take, in addition to the time that its bytes take at the minimum rate.
     pub(super) body_timeout: Duration,
+    /// The record of since when the next bytes of the body are awaited.
+    pub(super) sender_wait: SenderWait,
 }
 
 /// The state of one client connection.
@@ -70,7 +73,7 @@
         let body_timeout = self.progress.complete_head();
         self.head_complete.notify_one();
         let length_is_ambiguous = self.framing.borrow_mut().next_is_ambiguous();
-        ReceivedHead { length_is_ambiguous, body_timeout }
+        ReceivedHead { length_is_ambiguous, body_timeout, sender_wait: self.progress.sender_wait().clone() }
     }
 
     /// Requests that the connection be closed.
--- a/crates/balancer-proxy/src/downstream/request.rs
+++ b/crates/balancer-proxy/src/downstream/request.rs
@@ -135,7 +135,7 @@
     if length == Some(0) {
         return Ok(ForwardedBody::Buffered(Bytes::new()));
     }
-    let source = StreamedRequestBody::new(body, received_head.body_timeout);
+    let source = StreamedRequestBody::new(body, received_head.body_timeout, received_head.sender_wait);
     match source.read_buffered().await? {
         Some(content) => Ok(ForwardedBody::Buffered(content)),
         None => Ok(ForwardedBody::Streamed { body: source, length }),
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -2,6 +2,7 @@
 //! progress. The table of connections reads the progress to decide which connections time out or are evicted.
 
 use super::write_progress::WriteProgress;
+use crate::upstream::sender_wait::SenderWait;
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -16,7 +17,7 @@
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Time after which an idle connection may be evicted.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_secs(2);
-/// Time without received bytes after which a connection that has never completed a request may be
+/// Time without bytes from the client after which a connection that has never completed a request may be
 /// evicted.
 const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(500);
 
@@ -70,6 +71,8 @@
     /// accepted.
     idle_since: Cell<Instant>,
     received: ReceivedBytes,
+    /// The record of since when the next bytes of the current body are awaited.
+    sender_wait: SenderWait,
     writes: WriteProgress,
 }
 
@@ -83,6 +86,7 @@
             has_had_request: Cell::new(false),
             idle_since: Cell::new(now),
             received: ReceivedBytes::new(now),
+            sender_wait: SenderWait::default(),
             writes: WriteProgress::default(),
         }
     }
@@ -123,6 +127,11 @@
         self.phase.set(phase);
     }
 
+    /// Returns the record of since when the next bytes of a body are awaited, for the receiver of the body.
+    pub(super) fn sender_wait(&self) -> &SenderWait {
+        &self.sender_wait
+    }
+
     /// Returns the progress of the writes, to record it.
     pub(super) fn writes(&self) -> &WriteProgress {
         &self.writes
@@ -185,10 +194,21 @@
         is_idle && self.idle_since.get().elapsed() >= MIN_IDLE_BEFORE_EVICTION
     }
 
-    /// Returns whether the connection has never had a request, and has received no byte for so long that it
-    /// may be evicted.
+    /// Returns whether the connection has never had a request, and its client has sent no byte for so long that
+    /// the connection may be evicted.
     pub(super) fn is_evictable_as_silent(&self) -> bool {
-        !self.has_had_request.get() && self.received.silence() >= MIN_SILENCE_BEFORE_EVICTION
+        !self.has_had_request.get() && self.client_silence() >= MIN_SILENCE_BEFORE_EVICTION
+    }
+
+    /// Returns for how long the client has sent no byte, as far as the proxy can tell. While no backend takes
+    /// the next bytes of a body, the proxy reads nothing, and the client may have sent all of the request.
+    fn client_silence(&self) -> Duration {
+        match self.phase.get() {
+            RequestPhase::Body => self.received.silence().min(self.sender_wait.duration()),
+            RequestPhase::Idle | RequestPhase::Head { .. } | RequestPhase::AwaitingResponse => {
+                self.received.silence()
+            }
+        }
     }
 
     /// Returns the time at which the last response finished; at first, the time at which the connection
--- a/crates/balancer-proxy/src/downstream/request_progress/tests.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress/tests.rs
@@ -87,6 +87,36 @@
     assert!(!progress.is_evictable_as_silent());
 }
 
+/// Guards against the eviction of a connection whose client has sent a whole request, of which the proxy has
+/// not read the end because no backend takes the body.
+#[test]
+fn a_connection_whose_body_is_not_awaited_is_not_evictable_as_silent() {
+    let progress = RequestProgress::new();
+    progress.record_bytes();
+    progress.complete_head();
+
+    std::thread::sleep(MIN_SILENCE_BEFORE_EVICTION);
+
+    assert!(!progress.is_evictable_as_silent());
+}
+
+#[test]
+fn a_connection_whose_body_is_awaited_is_evictable_once_its_client_has_been_silent() {
+    let progress = RequestProgress::new();
+    progress.record_bytes();
+    progress.complete_head();
+    progress.sender_wait().start();
+    let is_evictable_at_first = progress.is_evictable_as_silent();
+
+    std::thread::sleep(MIN_SILENCE_BEFORE_EVICTION);
+    let is_evictable_after_silence = progress.is_evictable_as_silent();
+    progress.record_bytes();
+
+    assert!(!is_evictable_at_first);
+    assert!(is_evictable_after_silence);
+    assert!(!progress.is_evictable_as_silent(), "bytes have arrived that the body has not received yet");
+}
+
 #[test]
 fn a_client_that_does_not_read_stays_busy_until_the_write_timeout() {
     let progress = progress_of_complete_request();
--- a/crates/balancer-proxy/src/upstream/mod.rs
+++ b/crates/balancer-proxy/src/upstream/mod.rs
@@ -15,5 +15,6 @@
 pub(crate) mod request_body;
 pub(crate) mod response_body;
 mod send_deadlines;
+pub(crate) mod sender_wait;
 mod socket;
 mod transfer_rate;
--- a/crates/balancer-proxy/src/upstream/request_body.rs
+++ b/crates/balancer-proxy/src/upstream/request_body.rs
@@ -5,6 +5,7 @@
 use super::body_buffer::BodyBuffer;
 use super::body_chunks::BodyChunks;
 use super::completion_flag::CompletionFlag;
+use super::sender_wait::SenderWait;
 use super::transfer_rate::TransferRateMonitor;
 use crate::limits::{MAX_BODY_BYTES, max_buffered_bytes};
 use crate::stream_error::StreamError;
@@ -93,13 +94,13 @@
 
 impl StreamedRequestBody {
     /// Creates the body that is received as `incoming`. The body may take `base_timeout` to arrive, and more
-    /// time for each byte received.
-    pub fn new(incoming: Incoming, base_timeout: Duration) -> Rc<Self> {
+    /// time for each byte received. Since when bytes are awaited from the client is recorded in `sender_wait`.
+    pub fn new(incoming: Incoming, base_timeout: Duration, sender_wait: SenderWait) -> Rc<Self> {
         let state = ReceiveState {
             buffered: BodyChunks::default(),
             remaining_bytes: incoming.size_hint().exact(),
             incoming,
-            transfer_rate: TransferRateMonitor::new(base_timeout),
+            transfer_rate: TransferRateMonitor::new(base_timeout, sender_wait),
             end: None,
             is_consumed: false,
             end_waker: None,
--- a/crates/balancer-proxy/src/upstream/transfer_rate.rs
+++ b/crates/balancer-proxy/src/upstream/transfer_rate.rs
@@ -1,6 +1,7 @@
 //! Detection of stalled senders, whose bodies arrive below a minimum transfer rate, and of bodies that are
 //! not received because the receiving side is stalled.
 
+use super::sender_wait::SenderWait;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -41,8 +42,8 @@
 pub(super) struct TransferRateMonitor {
     /// The time that the body may take in addition to the time for its bytes.
     base_timeout: Duration,
-    /// The time since which the next chunk is awaited; `None` if no chunk is awaited.
-    waiting_since: Option<Instant>,
+    /// Since when the next chunk is awaited.
+    sender_wait: SenderWait,
     /// The time at which the last chunk was received; at first, the time of the creation.
     last_received_at: Instant,
     /// The gaps before the end of which the last byte may have been sent, in their order.
@@ -54,11 +55,13 @@
 }
 
 impl TransferRateMonitor {
-    /// Creates the monitor of a body that may take `base_timeout` in addition to the time for its bytes.
-    pub(super) fn new(base_timeout: Duration) -> Self {
+    /// Creates the monitor of a body that may take `base_timeout` in addition to the time for its bytes. The
+    /// monitor records in `sender_wait` since when the next chunk is awaited.
+    pub(super) fn new(base_timeout: Duration, sender_wait: SenderWait) -> Self {
+        sender_wait.end();
         Self {
             base_timeout,
-            waiting_since: None,
+            sender_wait,
             last_received_at: Instant::now(),
             gaps: VecDeque::new(),
             waited: Duration::ZERO,
@@ -73,14 +76,14 @@
 
     /// Records that a chunk is awaited from now on. Does nothing if a chunk is already awaited.
     pub(super) fn start_waiting(&mut self) {
-        self.waiting_since.get_or_insert_with(Instant::now);
+        self.sender_wait.start();
     }
 
     /// Records that a chunk of this length, or the end of the body, has been received.
     pub(super) fn record_chunk(&mut self, bytes: usize) {
         self.record_gap();
-        self.waited += self.current_wait();
-        self.waiting_since = None;
+        self.waited += self.sender_wait.duration();
+        self.sender_wait.end();
         self.last_received_at = Instant::now();
         self.received_bytes += bytes;
         self.remove_outdated_gaps();
@@ -89,7 +92,7 @@
     /// Returns whether the body has been awaited for longer than the sum of its base timeout and the time
     /// for the received bytes.
     pub(super) fn is_too_slow(&self) -> bool {
-        self.waited + self.current_wait() > self.base_timeout + time_allowed_for(self.received_bytes)
+        self.waited + self.sender_wait.duration() > self.base_timeout + time_allowed_for(self.received_bytes)
     }
 
     /// Returns for how long the receiving side may have delayed the last byte after the sender had sent it:
@@ -118,7 +121,7 @@
 
     /// Returns whether a chunk is awaited that the sender has not sent.
     fn is_sender_awaited(&self) -> bool {
-        self.current_wait() >= MIN_WAIT_FOR_SENT_CHUNK
+        self.sender_wait.duration() >= MIN_WAIT_FOR_SENT_CHUNK
     }
 
     fn remove_outdated_gaps(&mut self) {
@@ -129,11 +132,7 @@
 
     /// Returns the time since the last chunk, or zero while a chunk is awaited.
     fn current_gap(&self) -> Duration {
-        if self.waiting_since.is_some() { Duration::ZERO } else { self.last_received_at.elapsed() }
-    }
-
-    fn current_wait(&self) -> Duration {
-        self.waiting_since.map_or(Duration::ZERO, |since| since.elapsed())
+        if self.sender_wait.is_waiting() { Duration::ZERO } else { self.last_received_at.elapsed() }
     }
 }
 
--- a/crates/balancer-proxy/src/upstream/transfer_rate/tests.rs
+++ b/crates/balancer-proxy/src/upstream/transfer_rate/tests.rs
@@ -4,6 +4,7 @@
     MAX_SOCKET_BUFFER_BYTES, MIN_RECORDED_GAP, MIN_TRANSFER_BYTES_PER_SECOND, MIN_WAIT_FOR_SENT_CHUNK,
     TransferRateMonitor, time_allowed_for,
 };
+use crate::upstream::sender_wait::SenderWait;
 use std::time::Duration;
 
 /// An hour, which is a timeout that no test reaches.
@@ -11,9 +12,14 @@
 /// The least length of a pause between two chunks.
 const PAUSE: Duration = Duration::from_millis(2);
 
+/// Returns the monitor of a body that may take `base_timeout` in addition to the time for its bytes.
+fn monitor(base_timeout: Duration) -> TransferRateMonitor {
+    TransferRateMonitor::new(base_timeout, SenderWait::default())
+}
+
 #[test]
 fn time_in_which_no_chunk_is_awaited_does_not_count() {
-    let monitor = TransferRateMonitor::new(Duration::ZERO);
+    let monitor = monitor(Duration::ZERO);
 
     std::thread::sleep(Duration::from_millis(2));
 
@@ -22,8 +28,8 @@
 
 #[test]
 fn a_body_is_too_slow_once_it_has_been_awaited_for_longer_than_allowed() {
-    let mut strict = TransferRateMonitor::new(Duration::ZERO);
-    let mut tolerant = TransferRateMonitor::new(ONE_HOUR);
+    let mut strict = monitor(Duration::ZERO);
+    let mut tolerant = monitor(ONE_HOUR);
 
     strict.start_waiting();
     tolerant.start_waiting();
@@ -35,7 +41,7 @@
 
 #[test]
 fn received_bytes_extend_the_time_that_the_body_is_allowed() {
-    let mut monitor = TransferRateMonitor::new(Duration::ZERO);
+    let mut monitor = monitor(Duration::ZERO);
     let bytes_of_an_hour = ONE_HOUR.as_secs() as usize * MIN_TRANSFER_BYTES_PER_SECOND as usize;
     monitor.start_waiting();
     std::thread::sleep(Duration::from_millis(2));
@@ -49,7 +55,7 @@
 
 #[test]
 fn time_counts_as_unreceived_only_while_no_chunk_is_awaited() {
-    let mut monitor = TransferRateMonitor::new(Duration::ZERO);
+    let mut monitor = monitor(Duration::ZERO);
     std::thread::sleep(PAUSE);
     let before_the_wait = monitor.time_unreceived();
 
@@ -66,7 +72,7 @@
 
 #[test]
 fn gaps_between_chunks_add_up_to_the_time_that_the_last_byte_may_have_waited() {
-    let mut monitor = TransferRateMonitor::new(Duration::ZERO);
+    let mut monitor = monitor(Duration::ZERO);
     for _ in 0..2 {
         std::thread::sleep(MIN_RECORDED_GAP);
         monitor.record_chunk(1);
@@ -84,7 +90,7 @@
 
 #[test]
 fn the_last_byte_was_not_sent_before_a_chunk_that_was_awaited_for_long() {
-    let mut monitor = TransferRateMonitor::new(Duration::ZERO);
+    let mut monitor = monitor(Duration::ZERO);
     std::thread::sleep(MIN_RECORDED_GAP);
     monitor.record_chunk(1);
 
@@ -97,7 +103,7 @@
 
 #[test]
 fn the_last_byte_was_not_sent_before_more_bytes_than_socket_buffers_hold() {
-    let mut monitor = TransferRateMonitor::new(Duration::ZERO);
+    let mut monitor = monitor(Duration::ZERO);
     std::thread::sleep(MIN_RECORDED_GAP);
     monitor.record_chunk(MAX_SOCKET_BUFFER_BYTES);
     let gaps_within_the_buffers = monitor.recorded_gaps();
--- /dev/null
+++ b/crates/balancer-proxy/tests/request_body_eviction.rs
@@ -0,0 +1,88 @@
+//! Requests whose bodies are arriving while new connections need the slots of the table.
+//!
+//! Guards against a request that is closed without a response. While a backend takes no more of a long body, the
+//! proxy reads nothing from the client, and took it for one that sends nothing: the connection was reset for a
+//! new one, although the client had written its last byte.
+
+mod common;
+
+use common::body::{position_dependent_bytes, write_in_background};
+use common::configuration::request_with_framing;
+use common::http::{read_body, read_head, read_message, response};
+use common::proxy_process::ProxyProcess;
+use common::socket_table::unread_bytes_from_port;
+use common::stub_server::StubServer;
+use common::waiting::{TEST_TIMEOUT, wait_for};
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::mpsc::{Sender, channel};
+use std::time::{Duration, Instant};
+
+/// Limit of sockets that leaves room for about 20 client connections.
+const SOCKET_LIMIT: usize = 64;
+/// Number of new connections, more than have room.
+const NEW_CONNECTIONS: usize = 40;
+/// Length of a body that the buffers of all sockets on the way to a backend do not hold, in bytes.
+const BODY_BYTES: usize = 24 << 20;
+/// Longer than a connection without a request must be silent before it may be closed.
+const SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(600);
+
+/// Starts a backend that reads no body until the returned sender sends.
+fn backend_that_reads_late() -> (StubServer, Sender<()>) {
+    let (release, released) = channel();
+    let released = Mutex::new(released);
+    let backend = StubServer::with_connection_handler(move |stream| {
+        while let Some(head) = read_head(stream) {
+            if head.start_line.starts_with("POST")
+                && released.lock().unwrap().recv_timeout(TEST_TIMEOUT).is_err()
+            {
+                return;
+            }
+            if read_body(stream, &head).is_none() {
+                return;
+            }
+            let _ = stream.get_mut().write_all(response("200 OK", "hello").as_bytes());
+        }
+    });
+    (backend, release)
+}
+
+/// Waits until the proxy has read nothing from a client for [`SILENCE_BEFORE_EVICTION`], although bytes have
+/// arrived.
+fn wait_until_proxy_stops_reading(client: &BufReader<TcpStream>) {
+    let port = client.get_ref().local_addr().unwrap().port();
+    let mut unread_bytes = 0;
+    let mut unchanged_since = Instant::now();
+    wait_for("the end of the reads", || {
+        let unread_now = unread_bytes_from_port(port);
+        if unread_now != unread_bytes {
+            unread_bytes = unread_now;
+            unchanged_since = Instant::now();
+        }
+        unread_bytes > 0 && unchanged_since.elapsed() >= SILENCE_BEFORE_EVICTION
+    });
+}
+
+fn is_closed(client: &BufReader<TcpStream>) -> bool {
+    client.get_ref().set_nonblocking(true).unwrap();
+    client.get_ref().peek(&mut [0]).is_ok_and(|length| length == 0)
+}
+
+#[test]
+fn a_request_whose_body_waits_for_its_backend_is_not_closed_for_new_connections() {
+    let (backend, release) = backend_that_reads_late();
+    let proxy = ProxyProcess::with_socket_limit(&[&backend], SOCKET_LIMIT);
+    let mut client = proxy.connect();
+    let head = request_with_framing("order", &format!("Content-Length: {BODY_BYTES}\r\n\r\n"));
+    let parts = vec![head.into_bytes(), position_dependent_bytes(BODY_BYTES)];
+    let writer = write_in_background(&client, parts);
+    wait_until_proxy_stops_reading(&client);
+
+    let new: Vec<_> = (0..NEW_CONNECTIONS).map(|_| proxy.connect()).collect();
+    wait_for("a connection that is closed for a new one", || new.iter().any(is_closed));
+    release.send(()).unwrap();
+
+    assert_eq!(read_message(&mut client).expect("no complete response").status(), 200);
+    writer.join().unwrap();
+}
