Keep a connection open whose request body is on its way as the close begins

What callers saw: an idle connection was chosen for closing, and the head of a request arrived in that moment. The connection was closed 0.2 s later, while the body was on its way, without a response.

Cause: the request to close was withdrawn for a head that is arriving and for a complete request, but not for a body. The close itself asked for a complete request only. A request that crossed the close kept its slot without counting as open, so that no other connection made room for a new one.

Change: one condition decides at both places (prevents_close), and a close that a request crosses is withdrawn. The events that cross are the choice of the connection and the first byte of its next request; whichever comes first, the request is served. Its time stays bounded by the timeouts of head and body.

--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -81,6 +81,11 @@
         self.close_request.request();
     }
 
+    /// Withdraws the request to close the connection, as the connection is in use again.
+    pub(super) fn withdraw_close(&self) {
+        self.close_request.withdraw();
+    }
+
     /// Returns whether the connection is to be closed because it was evicted or timed out.
     pub(super) fn is_closing(&self) -> bool {
         self.close_request.is_requested()
@@ -92,11 +97,10 @@
         loop {
             self.close_request.wait().await;
             tokio::task::yield_now().await; // lets the connection read the bytes that have arrived
-            let is_in_use = self.progress.is_busy() || self.progress.is_head_progressing();
-            if !is_in_use && !self.has_unread_request(stream) {
+            if !self.progress.prevents_close() && !self.has_unread_request(stream) {
                 return;
             }
-            self.close_request.withdraw();
+            self.withdraw_close();
         }
     }
 
@@ -111,12 +115,13 @@
         }
     }
 
-    /// Returns whether bytes of a new request have arrived and none of them has been read. The runtime asks
-    /// the system for new bytes between two rounds of tasks, and the task of this connection reads these
-    /// bytes in the next round. A close would discard bytes that arrived while other tasks of the current
-    /// round ran.
+    /// Returns whether bytes of a new request, or of a body that is awaited, have arrived and have not been read.
+    /// The runtime asks the system for new bytes between two rounds of tasks, and the task of this connection
+    /// reads these bytes in the next round. A close would discard bytes that arrived while other tasks of the
+    /// current round ran.
     fn has_unread_request(&self, stream: &TcpStream) -> bool {
-        !self.progress.has_request_in_flight() && has_unread_bytes(stream)
+        let is_read_on_arrival = !self.progress.has_request_in_flight() || self.progress.is_body_awaited();
+        is_read_on_arrival && has_unread_bytes(stream)
     }
 
     /// Drives `connection` until it ends, or until the client disconnects while a response is due.
--- a/crates/balancer-proxy/src/downstream/connection_task.rs
+++ b/crates/balancer-proxy/src/downstream/connection_task.rs
@@ -32,6 +32,15 @@
     CloseRequested,
 }
 
+/// The result of the close of a connection that was evicted or timed out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// The connection is closed, or no request is on its way.
+    Completed,
+    /// A request has arrived, at least in part, and is served.
+    Withdrawn,
+}
+
 /// Serves one client connection.
 pub(super) struct ConnectionTask {
     /// The handler of the requests.
@@ -63,14 +72,14 @@
             end = self.serve(connection.as_mut()) => Some(end),
             () = self.wait_for_shutdown() => None,
         };
-        let end = if let Some(end) = end_before_shutdown {
+        let mut end = if let Some(end) = end_before_shutdown {
             end
         } else {
             connection.as_mut().graceful_shutdown();
             self.serve(connection.as_mut()).await
         };
-        if end == ServiceEnd::CloseRequested {
-            self.close(connection).await;
+        while end == ServiceEnd::CloseRequested && self.close(connection.as_mut()).await == Close::Withdrawn {
+            end = self.serve(connection.as_mut()).await;
         }
     }
 
@@ -112,21 +121,21 @@
         self.slot.connection().wait_until_between_requests(&self.stream).await;
     }
 
-    /// Closes a connection that was evicted or timed out. A request that becomes complete during the close is
-    /// still served.
-    async fn close<S>(&self, mut connection: Pin<&mut http1::Connection<TokioIo<ClientSocket>, S>>)
+    /// Closes a connection that was evicted or timed out. The close is withdrawn if a request arrives meanwhile,
+    /// completely or in part: the connection then closes after the response to this request.
+    async fn close<S>(&self, mut connection: Pin<&mut http1::Connection<TokioIo<ClientSocket>, S>>) -> Close
     where
         S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
     {
         connection.as_mut().graceful_shutdown();
         let client = self.slot.connection();
-        loop {
-            let closed = client.serve_until_disconnect(connection.as_mut(), &self.stream);
-            let timed_out = tokio::time::timeout(EVICTED_CLOSE_TIMEOUT, closed).await.is_err();
-            if !timed_out || !client.progress().is_busy() {
-                return;
-            }
+        let closed = client.serve_until_disconnect(connection, &self.stream);
+        let has_timed_out = tokio::time::timeout(EVICTED_CLOSE_TIMEOUT, closed).await.is_err();
+        if has_timed_out && client.progress().prevents_close() {
+            client.withdraw_close();
+            return Close::Withdrawn;
         }
+        Close::Completed
     }
 }
 
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -142,11 +142,22 @@
 impl RequestProgress {
     /// Returns whether a request is complete, its response is not written to its end, and the write of the
     /// response has not timed out.
-    pub(super) fn is_busy(&self) -> bool {
+    fn is_busy(&self) -> bool {
         let has_response = self.phase.get() == RequestPhase::AwaitingResponse || self.writes.is_blocked();
         has_response && !self.writes.is_timed_out(Instant::now())
     }
 
+    /// Returns whether the connection must stay open for its current request or response: a complete request, a
+    /// body that is arriving or waits for its backend, a head that is arriving.
+    pub(super) fn prevents_close(&self) -> bool {
+        self.is_busy() || self.is_body_progressing() || self.is_head_progressing()
+    }
+
+    /// Returns whether a body is expected, and its client does not count as silent.
+    fn is_body_progressing(&self) -> bool {
+        self.phase.get() == RequestPhase::Body && !self.is_evictable_as_silent()
+    }
+
     /// Returns whether the head of the current request is complete and its response is not finished.
     pub(super) fn is_response_due(&self) -> bool {
         matches!(self.phase.get(), RequestPhase::Body | RequestPhase::AwaitingResponse)
@@ -164,13 +175,18 @@
         self.has_request_in_flight() || self.writes.is_blocked()
     }
 
+    /// Returns whether the next bytes of a body are awaited from the client.
+    pub(super) fn is_body_awaited(&self) -> bool {
+        self.phase.get() == RequestPhase::Body && self.sender_wait.is_waiting()
+    }
+
     /// Returns whether the head of a request has arrived in part.
     pub(super) fn is_receiving_head(&self) -> bool {
         matches!(self.phase.get(), RequestPhase::Head { .. }) && self.received.has_any.get()
     }
 
     /// Returns whether a head is arriving, has received bytes recently, and has not timed out.
-    pub(super) fn is_head_progressing(&self) -> bool {
+    fn is_head_progressing(&self) -> bool {
         let has_received_recently = self.received.silence() < MIN_SILENCE_BEFORE_EVICTION;
         self.is_receiving_head() && has_received_recently && !self.is_timed_out()
     }
--- a/crates/balancer-proxy/src/upstream/sender_wait.rs
+++ b/crates/balancer-proxy/src/upstream/sender_wait.rs
@@ -29,7 +29,8 @@
     }
 
     /// Returns whether bytes are awaited.
-    pub(super) fn is_waiting(&self) -> bool {
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
         self.since.get().is_some()
     }
 
--- a/crates/balancer-proxy/tests/request_body_eviction.rs
+++ b/crates/balancer-proxy/tests/request_body_eviction.rs
@@ -2,13 +2,14 @@
 //!
 //! Guards against a request that is closed without a response. While a backend takes no more of a long body, the
 //! proxy reads nothing from the client, and took it for one that sends nothing: the connection was reset for a
-//! new one, although the client had written its last byte.
+//! new one, although the client had written its last byte. A connection that was chosen for closing while idle
+//! was closed 0.2 s later, although the head of a request had arrived and its body was on the way.
 
 mod common;
 
 use common::body::{position_dependent_bytes, write_in_background};
-use common::configuration::request_with_framing;
-use common::http::{read_body, read_head, read_message, response};
+use common::configuration::{request, request_with_framing};
+use common::http::{exchange, read_body, read_head, read_message, response};
 use common::proxy_process::ProxyProcess;
 use common::socket_table::unread_bytes_from_port;
 use common::stub_server::StubServer;
@@ -27,6 +28,10 @@
 const BODY_BYTES: usize = 24 << 20;
 /// Longer than a connection without a request must be silent before it may be closed.
 const SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(600);
+/// Longer than a connection without a request must be idle before it may be closed.
+const IDLE_TIME_BEFORE_EVICTION: Duration = Duration::from_millis(2_200);
+/// Longer than a connection that is chosen for closing stays open without a request.
+const PAUSE_BEFORE_BODY: Duration = Duration::from_millis(400);
 
 /// Starts a backend that reads no body until the returned sender sends.
 fn backend_that_reads_late() -> (StubServer, Sender<()>) {
@@ -86,3 +91,33 @@
     assert_eq!(read_message(&mut client).expect("no complete response").status(), 200);
     writer.join().unwrap();
 }
+
+#[test]
+fn a_request_whose_head_arrives_as_its_idle_connection_is_chosen_for_closing_may_send_its_body_later() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::with_socket_limit(&[&backend], SOCKET_LIMIT);
+    let mut idle: Vec<_> = (0..10).map(|_| proxy.connect()).collect();
+    for client in &mut idle {
+        assert_eq!(exchange(client, &request("look", 9000)).status(), 200);
+    }
+    std::thread::sleep(IDLE_TIME_BEFORE_EVICTION);
+
+    // The new connections arrive first, so that the proxy closes idle ones before it reads the heads.
+    let new: Vec<_> = proxy.while_stopped(|| {
+        let new = (0..NEW_CONNECTIONS).map(|_| proxy.connect()).collect();
+        for client in &mut idle {
+            let head = request_with_framing("order", "Content-Length: 4\r\n\r\n");
+            client.get_mut().write_all(head.as_bytes()).unwrap();
+        }
+        new
+    });
+    std::thread::sleep(PAUSE_BEFORE_BODY);
+    for client in &mut idle {
+        let _ = client.get_mut().write_all(b"body"); // fails if the connection is closed
+    }
+
+    for client in &mut idle {
+        assert_eq!(read_message(client).expect("no complete response").status(), 200);
+    }
+    drop(new);
+}
