Count the memory of long heads, streamed bodies and connections as it is used

What callers saw: a process passed its memory limit and was killed, with hundreds of clients at once (reported by operators of another deployment).

Cause: a client connection counted as 16 KiB. It takes 26 kB with a short head and 60 kB with a long one, since read buffers grow to twice the head and each field takes an entry and a name. Bytes behind a request that awaits its response were read ahead. A streamed body counted by its beginning only.

Ruled out: growth over time, and the budget of bodies, which held its bound.

Change: the excess of a head over 4 KiB or 16 lines and the read buffers of a streamed body come from the budget of bodies, now that of requests; without memory a request gets 503, an unfinished head its close. Nothing is read behind a request that awaits its response. A client connection counts as 28 KiB of three eighths of the memory. A connection whose buffers have grown closes after its response once a quarter of the connections are in use.

The test of the capacities asserted a quarter of the memory and 16 KiB for each client connection, which was the fault; it asserts the new fractions to the unit, as before.

--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -5,10 +5,13 @@
 use super::close_request::CloseRequest;
 use super::flush_signal::FlushSignal;
 use super::framing::RequestFraming;
+use super::head_memory;
 use super::request_progress::RequestProgress;
+use crate::limits::{Budget, Permit};
 use crate::upstream::sender_wait::SenderWait;
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +27,8 @@
 pub(super) struct ReceivedHead {
     /// Whether the head states the length of the body in two ways.
     pub(super) length_is_ambiguous: bool,
+    /// The memory in bytes that the head uses beyond what is counted with its connection.
+    pub(super) excess_bytes: usize,
     /// The time that the body may take, in addition to the time that its bytes take at the minimum rate.
     pub(super) body_timeout: Duration,
     /// The record of since when the next bytes of the body are awaited.
@@ -38,6 +43,10 @@
     head_complete: Notify,
     close_request: CloseRequest,
     flush_signal: FlushSignal,
+    /// The permit for the memory of a long head that is not complete.
+    unfinished_head: RefCell<Option<Permit>>,
+    /// Set once the buffers of the connection have grown, which they keep until the connection ends.
+    has_grown_buffers: Cell<bool>,
 }
 
 impl ClientConnection {
@@ -49,6 +58,8 @@
             head_complete: Notify::new(),
             close_request: CloseRequest::default(),
             flush_signal: FlushSignal::default(),
+            unfinished_head: RefCell::default(),
+            has_grown_buffers: Cell::new(false),
         })
     }
 
@@ -72,8 +83,46 @@
     pub(super) fn complete_head(&self) -> ReceivedHead {
         let body_timeout = self.progress.complete_head();
         self.head_complete.notify_one();
-        let length_is_ambiguous = self.framing.borrow_mut().next_is_ambiguous();
-        ReceivedHead { length_is_ambiguous, body_timeout, sender_wait: self.progress.sender_wait().clone() }
+        let head = self.framing.borrow_mut().next_head();
+        let excess_bytes = head_memory::excess_bytes(head.size);
+        if head_memory::is_long(head.size.bytes) {
+            self.record_grown_buffers();
+        }
+        // The permit for the complete head replaces that for the unfinished one.
+        self.unfinished_head.take();
+        let length_is_ambiguous = head.length_is_ambiguous;
+        ReceivedHead {
+            length_is_ambiguous,
+            excess_bytes,
+            body_timeout,
+            sender_wait: self.progress.sender_wait().clone(),
+        }
+    }
+
+    /// Acquires the memory of a head that has become a long one and is not complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `budget` has no memory left. The connection must then be closed.
+    pub(super) fn acquire_unfinished_head(&self, budget: &Rc<Budget>) -> io::Result<()> {
+        let is_long = head_memory::is_long(self.framing.borrow().unfinished_head_bytes());
+        let mut permit = self.unfinished_head.borrow_mut();
+        if is_long && permit.is_none() {
+            *permit = Some(
+                budget.try_acquire(head_memory::UNFINISHED_HEAD_BYTES).ok_or(io::ErrorKind::OutOfMemory)?,
+            );
+        }
+        Ok(())
+    }
+
+    /// Records that the buffers of the connection have grown.
+    pub(super) fn record_grown_buffers(&self) {
+        self.has_grown_buffers.set(true);
+    }
+
+    /// Returns whether the buffers of the connection have grown.
+    pub(super) fn has_grown_buffers(&self) -> bool {
+        self.has_grown_buffers.get()
     }
 
     /// Requests that the connection be closed.
--- a/crates/balancer-proxy/src/downstream/client_socket.rs
+++ b/crates/balancer-proxy/src/downstream/client_socket.rs
@@ -3,6 +3,7 @@
 //! that the client still sends, so that the last response reaches the client.
 
 use super::client_connection::ClientConnection;
+use crate::limits::Budget;
 use send_queue::unacknowledged_bytes;
 use socket2::SockRef;
 use std::io;
@@ -28,6 +29,8 @@
 pub(super) struct ClientSocket {
     stream: Rc<TcpStream>,
     connection: Rc<ClientConnection>,
+    /// The budget for the memory of the requests of all clients.
+    request_budget: Rc<Budget>,
     /// The timer of the next check for progress; set once a write has been blocked.
     progress_check: Option<Pin<Box<Sleep>>>,
     /// The timer that ends the discarding of bytes; set once the sending side is shut down.
@@ -37,9 +40,13 @@
 }
 
 impl ClientSocket {
-    /// Creates the socket of `connection`.
-    pub(super) fn new(stream: Rc<TcpStream>, connection: Rc<ClientConnection>) -> Self {
-        Self { stream, connection, progress_check: None, linger: None, discarded_bytes: 0 }
+    /// Creates the socket of `connection`. Long heads use memory of `request_budget`.
+    pub(super) fn new(
+        stream: Rc<TcpStream>,
+        connection: Rc<ClientConnection>,
+        request_budget: Rc<Budget>,
+    ) -> Self {
+        Self { stream, connection, request_budget, progress_check: None, linger: None, discarded_bytes: 0 }
     }
 
     /// Reads the bytes that have arrived, without recording them.
@@ -94,16 +101,20 @@
 }
 
 impl AsyncRead for ClientSocket {
+    /// Reads the bytes that have arrived. Reads nothing while a complete request awaits its response: the bytes
+    /// of the next requests would use memory that no budget counts.
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.connection.progress().poll_may_read(cx));
         let filled_before = buffer.filled().len();
         let read = self.poll_read_stream(cx, buffer);
         let received = &buffer.filled()[filled_before..];
         if !received.is_empty() {
             self.connection.record_bytes(received);
+            self.connection.acquire_unfinished_head(&self.request_budget)?;
         }
         read
     }
--- a/crates/balancer-proxy/src/downstream/connection_table.rs
+++ b/crates/balancer-proxy/src/downstream/connection_table.rs
@@ -112,6 +112,12 @@
         2 * self.connections.borrow().len() > self.limits.get().served
     }
 
+    /// Returns whether more than a quarter of the slots for served connections are taken, so that connections
+    /// whose buffers have grown should close after their responses.
+    pub(super) fn is_quarter_full(&self) -> bool {
+        4 * self.connections.borrow().len() > self.limits.get().served
+    }
+
     /// Returns whether more connections are open than can be served. Connections that are being closed do not
     /// count.
     pub(super) fn is_served_limit_exceeded(&self) -> bool {
--- a/crates/balancer-proxy/src/downstream/connection_task.rs
+++ b/crates/balancer-proxy/src/downstream/connection_task.rs
@@ -62,7 +62,8 @@
     pub(super) async fn run(self) {
         let client = self.slot.connection();
         let service = service_fn(|request| self.respond(request));
-        let socket = ClientSocket::new(self.stream.clone(), client.clone());
+        let socket =
+            ClientSocket::new(self.stream.clone(), client.clone(), self.handler.request_budget().clone());
         let connection = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(socket), service);
@@ -99,6 +100,9 @@
     /// Handles a request, and adds `Connection: close` to the response if the connection closes after it.
     async fn respond(&self, request: Request<Incoming>) -> Result<ClientResponse, Infallible> {
         let mut response = self.handler.handle(request, self.slot.connection(), self.admission).await;
+        if response.body().is_streamed() {
+            self.slot.connection().record_grown_buffers();
+        }
         if self.closes_after(&response) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -113,6 +117,7 @@
             || response.status().is_client_error()
             || self.lifecycle.is_last_response()
             || self.connections.is_half_full()
+            || (self.slot.connection().has_grown_buffers() && self.connections.is_quarter_full())
     }
 
     /// Returns once a shutdown closes the connection, and no head is arriving.
--- a/crates/balancer-proxy/src/downstream/framing.rs
+++ b/crates/balancer-proxy/src/downstream/framing.rs
@@ -1,5 +1,5 @@
-//! Tracks the framing of the requests on a connection, to detect a request that states its length in two
-//! ways. Bytes of such a request that one side reads as a body may be read as another request by the other
+//! Tracks the framing of the requests on a connection, to measure their heads and to detect a request that
+//! states its length in two ways. Bytes of such a request that one side reads as a body may be read as another request by the other
 //! side (request smuggling). The HTTP library chooses one of the two lengths itself, and does not report the
 //! choice.
 
@@ -7,8 +7,8 @@
 
 /// Number of bytes of a line that are examined. The headers that state a length are shorter.
 const MAX_LINE_BYTES: usize = 128;
-/// Number of heads that may be read ahead of [`RequestFraming::next_is_ambiguous`]. Heads beyond this
-/// number count as ambiguous.
+/// Number of heads that may be read ahead of [`RequestFraming::next_head`]. Heads beyond this number count as
+/// ambiguous.
 const MAX_HEADS_READ_AHEAD: usize = 256;
 
 /// The part of a request to which the next byte belongs.
@@ -68,6 +68,29 @@
     }
 }
 
+/// The size of a head.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct HeadSize {
+    /// The length in bytes.
+    pub(super) bytes: usize,
+    /// The number of lines.
+    pub(super) lines: usize,
+}
+
+/// Properties of a complete head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct HeadSummary {
+    /// Whether the head states the length of the body in two ways.
+    pub(super) length_is_ambiguous: bool,
+    /// The size of the head.
+    pub(super) size: HeadSize,
+}
+
+impl HeadSummary {
+    /// The summary of a head that was not recorded.
+    const UNKNOWN: Self = Self { length_is_ambiguous: true, size: HeadSize { bytes: 0, lines: 0 } };
+}
+
 /// The framing of the requests that have arrived on one connection.
 #[derive(Debug, Default)]
 pub(super) struct RequestFraming {
@@ -76,17 +99,23 @@
     line: Vec<u8>,
     /// Whether a line of the current head has arrived. Empty lines before the first line are skipped.
     head_has_started: bool,
+    /// The size of the current head, as far as it has arrived.
+    head_size: HeadSize,
     length_headers: LengthHeaders,
-    /// Whether the length is ambiguous, for each head that [`Self::next_is_ambiguous`] has not returned yet,
-    /// in order of arrival.
-    ambiguous: VecDeque<bool>,
+    /// The summary of each head that [`Self::next_head`] has not returned yet, in order of arrival.
+    heads: VecDeque<HeadSummary>,
 }
 
 impl RequestFraming {
-    /// Returns whether the next request, in order of arrival, states its length in two ways. A request whose
+    /// Returns the summary of the head of the next request, in order of arrival. The length of a request whose
     /// head was not recorded counts as ambiguous.
-    pub(super) fn next_is_ambiguous(&mut self) -> bool {
-        self.ambiguous.pop_front().unwrap_or(true)
+    pub(super) fn next_head(&mut self) -> HeadSummary {
+        self.heads.pop_front().unwrap_or(HeadSummary::UNKNOWN)
+    }
+
+    /// Returns the number of bytes that have arrived of a head that is not complete.
+    pub(super) fn unfinished_head_bytes(&self) -> usize {
+        self.head_size.bytes
     }
 
     /// Tracks the framing through `data`, the next bytes that have arrived.
@@ -120,6 +149,9 @@
     fn feed_line(&mut self, data: &mut &[u8]) {
         let line_end = data.iter().position(|byte| *byte == b'\n');
         let text = &data[..line_end.unwrap_or(data.len())];
+        if self.part == RequestPart::Head {
+            self.head_size.bytes += text.len() + usize::from(line_end.is_some());
+        }
         let capacity = MAX_LINE_BYTES.saturating_sub(self.line.len());
         self.line.extend_from_slice(&text[..text.len().min(capacity)]);
         if let Some(line_end) = line_end {
@@ -136,6 +168,7 @@
         match self.part {
             RequestPart::Head if !line.is_empty() => {
                 self.head_has_started = true;
+                self.head_size.lines += 1;
                 self.length_headers.record(line);
                 RequestPart::Head
             }
@@ -147,12 +180,13 @@
         }
     }
 
-    /// Records whether the length of a complete head is ambiguous, and returns the part that follows.
+    /// Records the summary of a complete head, and returns the part that follows.
     fn end_head(&mut self) -> RequestPart {
         self.head_has_started = false;
         let length_headers = std::mem::take(&mut self.length_headers);
-        if self.ambiguous.len() < MAX_HEADS_READ_AHEAD {
-            self.ambiguous.push_back(length_headers.is_ambiguous());
+        let size = std::mem::take(&mut self.head_size);
+        if self.heads.len() < MAX_HEADS_READ_AHEAD {
+            self.heads.push_back(HeadSummary { length_is_ambiguous: length_headers.is_ambiguous(), size });
         }
         length_headers.next_part()
     }
--- a/crates/balancer-proxy/src/downstream/framing/tests.rs
+++ b/crates/balancer-proxy/src/downstream/framing/tests.rs
@@ -1,15 +1,14 @@
-//! Tests of the detection of ambiguous lengths.
+//! Tests of the detection of ambiguous lengths, and of the measurement of heads.
 
-use super::RequestFraming;
+use super::{HeadSize, HeadSummary, RequestFraming};
 
-/// Returns, for each head in `text`, whether its length is ambiguous. The text arrives in pieces of
-/// `piece_bytes` bytes.
-fn ambiguous_heads(text: &str, piece_bytes: usize) -> Vec<bool> {
+/// Returns the summary of each head in `text`, which arrives in pieces of `piece_bytes` bytes.
+fn heads(text: &str, piece_bytes: usize) -> Vec<HeadSummary> {
     let mut framing = RequestFraming::default();
     for piece in text.as_bytes().chunks(piece_bytes) {
         framing.feed(piece);
     }
-    framing.ambiguous.into()
+    framing.heads.into()
 }
 
 #[test]
@@ -27,13 +26,42 @@
     .concat();
 
     for piece_bytes in [1, 2, 3, 7, 64, text.len()] {
-        let ambiguous = ambiguous_heads(&text, piece_bytes);
+        let heads = heads(&text, piece_bytes);
 
+        let ambiguous: Vec<bool> = heads.iter().map(|head| head.length_is_ambiguous).collect();
         assert_eq!(ambiguous, [false, false, true, true, false, false, false], "{piece_bytes}");
     }
 }
 
 #[test]
 fn a_head_that_was_not_recorded_counts_as_ambiguous() {
-    assert!(RequestFraming::default().next_is_ambiguous());
+    assert!(RequestFraming::default().next_head().length_is_ambiguous);
+}
+
+#[test]
+fn measures_each_head_without_its_body_in_pieces_of_any_size() {
+    let first = "POST /api HTTP/1.1\r\nHost: p\r\nContent-Length: 30\r\n\r\n";
+    let second = "GET /api HTTP/1.1\r\nHost: p\r\n\r\n";
+    let text = format!("{first}{}{second}", "b".repeat(30));
+
+    for piece_bytes in [1, 5, text.len()] {
+        let sizes: Vec<HeadSize> = heads(&text, piece_bytes).iter().map(|head| head.size).collect();
+
+        let expected =
+            [HeadSize { bytes: first.len(), lines: 3 }, HeadSize { bytes: second.len(), lines: 2 }];
+        assert_eq!(sizes, expected, "{piece_bytes}");
+    }
+}
+
+#[test]
+fn an_unfinished_head_has_the_bytes_that_have_arrived_until_it_is_complete() {
+    let mut framing = RequestFraming::default();
+    let unfinished = "GET /api HTTP/1.1\r\nHost: p\r\nX-Na";
+    framing.feed(unfinished.as_bytes());
+    let bytes_of_unfinished = framing.unfinished_head_bytes();
+
+    framing.feed(b"me: 1\r\n\r\n");
+
+    assert_eq!(bytes_of_unfinished, unfinished.len());
+    assert_eq!(framing.unfinished_head_bytes(), 0);
 }
--- a/crates/balancer-proxy/src/downstream/mod.rs
+++ b/crates/balancer-proxy/src/downstream/mod.rs
@@ -9,6 +9,7 @@
 mod flush_signal;
 mod forwarded_headers;
 mod framing;
+mod head_memory;
 mod lifecycle;
 mod request;
 mod request_error;
--- a/crates/balancer-proxy/src/downstream/request.rs
+++ b/crates/balancer-proxy/src/downstream/request.rs
@@ -5,7 +5,7 @@
 use super::forwarded_headers::remove_hop_by_hop_headers;
 use super::request_error::RequestError;
 use super::request_head::ParsedHead;
-use crate::limits::{Budget, MAX_BODY_BYTES, Permit, max_buffered_bytes};
+use crate::limits::{Budget, MAX_BODY_BYTES, MAX_PIECE_BYTES, Permit, max_buffered_bytes};
 use crate::settings::SettingsSnapshot;
 use crate::stream_error::StreamError;
 use crate::upstream::forwarded_request::{ForwardedBody, ForwardedRequest};
@@ -17,6 +17,10 @@
 use hyper::http::request::Parts;
 use std::rc::Rc;
 
+/// Memory in bytes of a streamed body beyond its buffered beginning: a read buffer, and the chunk that waits for a
+/// backend, which may be a slice of another one.
+const STREAM_BUFFER_BYTES: usize = 2 * MAX_PIECE_BYTES;
+
 /// A request that has been read and checked.
 pub(super) struct ParsedRequest {
     parts: Parts,
@@ -24,8 +28,8 @@
     body: ForwardedBody,
     /// The settings that the request was checked against.
     settings: Rc<SettingsSnapshot>,
-    /// The permit for the memory of the buffered part of the body.
-    body_permit: Permit,
+    /// The permits for the memory of the head and of the body.
+    memory_permits: [Permit; 2],
 }
 
 /// A request in the form that the engine takes.
@@ -36,8 +40,9 @@
     pub(super) request: Request,
     /// The request that attempts send to backends.
     pub(super) forwarded: ForwardedRequest,
-    /// The permit for the memory of the buffered part of the body, which is held until the final response.
-    pub(super) body_permit: Permit,
+    /// The permits for the memory of the head and of the body, which is held until the
+    /// final response.
+    pub(super) memory_permits: [Permit; 2],
 }
 
 impl ParsedRequest {
@@ -84,7 +89,7 @@
             client_request_id,
             request: Request { streaming_body, ..request },
             forwarded: ForwardedRequest { method, uri, headers, body: self.body },
-            body_permit: self.body_permit,
+            memory_permits: self.memory_permits,
         }
     }
 }
@@ -95,12 +100,12 @@
 /// # Errors
 ///
 /// Returns an error if the request is malformed, does not fit the settings, is too large or does not
-/// arrive in time, or if `body_budget` has no memory left for its body.
+/// arrive in time, or if `request_budget` has no memory left for the request.
 pub(super) async fn read(
     request: hyper::Request<Incoming>,
     received_head: ReceivedHead,
     settings: Rc<SettingsSnapshot>,
-    body_budget: &Rc<Budget>,
+    request_budget: &Rc<Budget>,
 ) -> Result<ParsedRequest, RequestError> {
     let (parts, body) = request.into_parts();
     if received_head.length_is_ambiguous {
@@ -112,12 +117,16 @@
     }
     check_target(&parts.uri)?;
     let head = ParsedHead::parse(&parts.method, &parts.headers, &settings)?;
-    let Some(body_permit) = body_budget.try_acquire(max_buffered_bytes(length)) else {
-        let class = settings.proxy.class_name(head.request.class).to_string();
-        return Err(RequestError::BodyCapacityExhausted { class });
+    let capacity_exhausted = || RequestError::BodyCapacityExhausted {
+        class: settings.proxy.class_name(head.request.class).to_string(),
     };
+    let buffered_bytes = received_head.excess_bytes + max_buffered_bytes(length);
+    let buffer_permit = request_budget.try_acquire(buffered_bytes).ok_or_else(capacity_exhausted)?;
     let body = read_body(body, length, received_head).await?;
-    Ok(ParsedRequest { parts, head, body, settings, body_permit })
+    let stream_bytes = if matches!(body, ForwardedBody::Streamed { .. }) { STREAM_BUFFER_BYTES } else { 0 };
+    let stream_permit = request_budget.try_acquire(stream_bytes).ok_or_else(capacity_exhausted)?;
+    let memory_permits = [buffer_permit, stream_permit];
+    Ok(ParsedRequest { parts, head, body, settings, memory_permits })
 }
 
 /// Checks that the request target is a path.
--- a/crates/balancer-proxy/src/downstream/request_handler.rs
+++ b/crates/balancer-proxy/src/downstream/request_handler.rs
@@ -40,14 +40,19 @@
 pub(super) struct RequestHandler {
     engine: Rc<Engine>,
     lifecycle: Rc<Lifecycle>,
-    /// The budget for the bytes of request bodies that are buffered at the same time.
-    body_budget: Rc<Budget>,
+    /// The budget for the memory of request bodies that are buffered at the same time, and of long heads.
+    request_budget: Rc<Budget>,
 }
 
 impl RequestHandler {
     /// Creates a handler that submits requests to `engine`.
-    pub(super) fn new(engine: Rc<Engine>, lifecycle: Rc<Lifecycle>, body_budget: Rc<Budget>) -> Self {
-        Self { engine, lifecycle, body_budget }
+    pub(super) fn new(engine: Rc<Engine>, lifecycle: Rc<Lifecycle>, request_budget: Rc<Budget>) -> Self {
+        Self { engine, lifecycle, request_budget }
+    }
+
+    /// Returns the budget for the memory of requests.
+    pub(super) fn request_budget(&self) -> &Rc<Budget> {
+        &self.request_budget
     }
 
     /// Returns whether the proxy accepts requests and a backend has been listed.
@@ -120,7 +125,7 @@
         received_head: ReceivedHead,
     ) -> Result<ParsedRequest, RequestError> {
         let settings = self.engine.settings();
-        let parsed = request::read(request, received_head, settings, &self.body_budget).await;
+        let parsed = request::read(request, received_head, settings, &self.request_budget).await;
         if let Err(error @ RequestError::BodyCapacityExhausted { class }) = &parsed {
             self.engine.metrics().class_metrics(class).start_request().finish(error.status());
         }
@@ -157,7 +162,8 @@
         streamed_body: Option<Rc<StreamedRequestBody>>,
         accounting: &mut RequestAccounting<'_>,
     ) -> Result<FinalResponse, RequestError> {
-        let Submission { client_request_id, request, forwarded, body_permit: _body_permit } = submission;
+        let Submission { client_request_id, request, forwarded, memory_permits: _memory_permits } =
+            submission;
         let submitted = self.engine.submit(client_request_id, request, forwarded);
         let SubmittedRequest { id, response: mut receiver } =
             submitted.map_err(|ClientRequestIdInUse| RequestError::DuplicateRequestId)?;
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -3,7 +3,8 @@
 
 use super::write_progress::WriteProgress;
 use crate::upstream::sender_wait::SenderWait;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -73,6 +74,8 @@
     received: ReceivedBytes,
     /// The record of since when the next bytes of the current body are awaited.
     sender_wait: SenderWait,
+    /// The task that is to read the next request once the response to the current one is finished.
+    next_reader: RefCell<Option<Waker>>,
     writes: WriteProgress,
 }
 
@@ -87,6 +90,7 @@
             idle_since: Cell::new(now),
             received: ReceivedBytes::new(now),
             sender_wait: SenderWait::default(),
+            next_reader: RefCell::default(),
             writes: WriteProgress::default(),
         }
     }
@@ -125,6 +129,18 @@
         let next_has_started = self.received.pipelined.take();
         let phase = if next_has_started { RequestPhase::Head { started: now } } else { RequestPhase::Idle };
         self.phase.set(phase);
+        if let Some(reader) = self.next_reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Returns `Ready` if bytes may be read, which is not so while a complete request awaits its response.
+    pub(super) fn poll_may_read(&self, cx: &Context<'_>) -> Poll<()> {
+        if self.phase.get() != RequestPhase::AwaitingResponse {
+            return Poll::Ready(());
+        }
+        self.next_reader.replace(Some(cx.waker().clone()));
+        Poll::Pending
     }
 
     /// Returns the record of since when the next bytes of a body are awaited, for the receiver of the body.
--- a/crates/balancer-proxy/src/downstream/response_body.rs
+++ b/crates/balancer-proxy/src/downstream/response_body.rs
@@ -45,6 +45,11 @@
         Self { content, remaining_bytes, pending_result: None, failure: None, client }
     }
 
+    /// Returns whether the content is still being received from the backend.
+    pub(super) fn is_streamed(&self) -> bool {
+        matches!(self.content, Some(ResponseContent::Streamed(_)))
+    }
+
     /// Counts the request with this status: at once if the body is buffered, else at the end of the body.
     pub(super) fn count_at_end(&mut self, outstanding: OutstandingRequest, status: StatusCode) {
         match self.content {
--- a/crates/balancer-proxy/src/downstream/server.rs
+++ b/crates/balancer-proxy/src/downstream/server.rs
@@ -27,8 +27,8 @@
     handler: Rc<RequestHandler>,
     lifecycle: Rc<Lifecycle>,
     connections: Rc<ConnectionTable>,
-    /// The budget for the bytes of request bodies that are buffered at the same time.
-    body_budget: Rc<Budget>,
+    /// The budget for the memory of request bodies that are buffered at the same time, and of long heads.
+    request_budget: Rc<Budget>,
     /// The lock that shows whether a second process serves the same address, if the address is shared.
     instance_lock: Option<Rc<InstanceLock>>,
     /// An accepted connection that waits for a slot. The connection is stored here, because a shutdown
@@ -45,14 +45,14 @@
         instance_lock: Option<Rc<InstanceLock>>,
     ) -> Rc<Self> {
         let lifecycle = Rc::new(Lifecycle::new());
-        let body_budget = Budget::new(capacities.request_body_bytes);
-        let handler = RequestHandler::new(engine.clone(), lifecycle.clone(), body_budget.clone());
+        let request_budget = Budget::new(capacities.request_bytes);
+        let handler = RequestHandler::new(engine.clone(), lifecycle.clone(), request_budget.clone());
         Rc::new(Self {
             engine,
             handler: Rc::new(handler),
             lifecycle,
             connections: ConnectionTable::new(capacities.client_connections),
-            body_budget,
+            request_budget,
             instance_lock,
             pending: Cell::new(None),
         })
@@ -76,7 +76,7 @@
     /// Changes the limits on connections and on buffered request bodies.
     pub fn set_capacities(&self, capacities: Capacities) {
         self.connections.set_limit(capacities.client_connections);
-        self.body_budget.set_limit(capacities.request_body_bytes);
+        self.request_budget.set_limit(capacities.request_bytes);
         self.engine.set_connection_limit(capacities.backend_connections);
     }
 
--- a/crates/balancer-proxy/src/lib.rs
+++ b/crates/balancer-proxy/src/lib.rs
@@ -55,10 +55,10 @@
 //! // During an upgrade, each of the two processes uses half of the limits.
 //! let limits = ProcessLimits { file_descriptors: 1024, memory_bytes: 64 << 20 };
 //! let capacities = Capacities::new(limits.for_this_process(OtherProcess::Running), 0);
-//! assert_eq!(capacities.request_body_bytes, 8 << 20);
+//! assert_eq!(capacities.request_bytes, 8 << 20);
 //!
-//! // Bodies are buffered within a budget. A permit returns its bytes when it is dropped.
-//! let budget = Budget::new(capacities.request_body_bytes);
+//! // Requests use memory within a budget. A permit returns its bytes when it is dropped.
+//! let budget = Budget::new(capacities.request_bytes);
 //! let permit = budget.try_acquire(8 << 20).expect("the budget is unused");
 //! assert!(budget.try_acquire(1).is_none());
 //! drop(permit);
--- a/crates/balancer-proxy/src/limits/capacities.rs
+++ b/crates/balancer-proxy/src/limits/capacities.rs
@@ -1,4 +1,4 @@
-//! The numbers of connections and of bytes of request bodies that the process may hold, derived from the
+//! The numbers of connections and of bytes of requests that the process may hold, derived from the
 //! limits on file descriptors and memory.
 
 use super::message_size::{MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES};
@@ -8,9 +8,16 @@
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Largest number of file descriptors that capacities are derived from, even if the system grants more.
 const MAX_DESCRIPTORS: usize = 16 << 10;
-/// Divisor of the memory. Request heads, request bodies and backend responses may each use one fourth of the
-/// memory, and one fourth is left for the rest of the process.
-const MEMORY_DIVISOR: usize = 4;
+/// Fraction of the memory that client connections may use. What the three fractions leave is for the rest of the
+/// process.
+const CLIENT_MEMORY_FRACTION: Fraction = Fraction { numerator: 3, denominator: 8 };
+/// Fraction of the memory that long heads and the bodies of requests may use.
+const REQUEST_MEMORY_FRACTION: Fraction = Fraction { numerator: 1, denominator: 4 };
+/// Fraction of the memory that backend connections and their responses may use.
+const BACKEND_MEMORY_FRACTION: Fraction = Fraction { numerator: 1, denominator: 4 };
+/// Memory of a client connection with a short head and no body in bytes: the buffers of the HTTP library, the
+/// task of the connection, the parsed head and the open request.
+const CLIENT_CONNECTION_BYTES: usize = 28 << 10;
 /// Fraction of the descriptors that client connections may use. This fraction is the larger one because idle
 /// client connections stay open too.
 const CLIENT_DESCRIPTOR_FRACTION: Fraction = Fraction { numerator: 3, denominator: 5 };
@@ -70,16 +77,16 @@
     }
 }
 
-/// Upper bounds on connections and on buffered request bodies.
+/// Upper bounds on connections and on the memory of requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacities {
     /// Largest number of client connections, at least 1.
     pub client_connections: usize,
     /// Largest number of backend connections, at least 1.
     pub backend_connections: usize,
-    /// Largest number of bytes of request bodies that are buffered at the same time, at least
+    /// Largest number of bytes of long heads and of request bodies that are buffered at the same time, at least
     /// [`MAX_BUFFERED_BODY_BYTES`].
-    pub request_body_bytes: usize,
+    pub request_bytes: usize,
 }
 
 impl Capacities {
@@ -89,13 +96,14 @@
     pub fn new(limits: ProcessLimits, reserved_descriptors: usize) -> Self {
         let usable = limits.file_descriptors.min(MAX_DESCRIPTORS);
         let descriptors = usable.saturating_sub(RESERVED_DESCRIPTORS + reserved_descriptors);
-        let memory_bytes = limits.memory_bytes / MEMORY_DIVISOR;
-        let clients_in_memory = memory_bytes / MAX_HEAD_BYTES;
-        let backends_in_memory = memory_bytes / (MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES);
+        let clients_in_memory = CLIENT_MEMORY_FRACTION.of(limits.memory_bytes) / CLIENT_CONNECTION_BYTES;
+        let backend_bytes = BACKEND_MEMORY_FRACTION.of(limits.memory_bytes);
+        let backends_in_memory = backend_bytes / (MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES);
+        let request_bytes = REQUEST_MEMORY_FRACTION.of(limits.memory_bytes);
         Self {
             client_connections: CLIENT_DESCRIPTOR_FRACTION.of(descriptors).min(clients_in_memory).max(1),
             backend_connections: BACKEND_DESCRIPTOR_FRACTION.of(descriptors).min(backends_in_memory).max(1),
-            request_body_bytes: memory_bytes.max(MAX_BUFFERED_BODY_BYTES),
+            request_bytes: request_bytes.max(MAX_BUFFERED_BODY_BYTES),
         }
     }
 }
--- a/crates/balancer-proxy/tests/limits.rs
+++ b/crates/balancer-proxy/tests/limits.rs
@@ -5,6 +5,8 @@
 };
 
 const AMPLE_MEMORY_BYTES: usize = 1 << 40;
+/// Memory that each client connection is counted with, in bytes.
+const CLIENT_CONNECTION_BYTES: usize = 28 << 10;
 
 #[test]
 fn a_budget_issues_units_up_to_its_limit() {
@@ -75,15 +77,15 @@
 }
 
 #[test]
-fn connections_are_bounded_by_a_fourth_of_the_memory() {
+fn connections_and_requests_are_bounded_by_their_fractions_of_the_memory() {
     let memory_bytes = 4 * 10 * (MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES);
     let limits = ProcessLimits { file_descriptors: 10_000, memory_bytes };
 
     let capacities = Capacities::new(limits, 0);
 
-    assert_eq!(capacities.client_connections, memory_bytes / 4 / MAX_HEAD_BYTES);
+    assert_eq!(capacities.client_connections, memory_bytes * 3 / 8 / CLIENT_CONNECTION_BYTES);
     assert_eq!(capacities.backend_connections, 10);
-    assert_eq!(capacities.request_body_bytes, memory_bytes / 4);
+    assert_eq!(capacities.request_bytes, memory_bytes / 4);
 }
 
 #[test]
@@ -92,10 +94,7 @@
 
     let capacities = Capacities::new(limits, 17);
 
-    let expected = Capacities {
-        client_connections: 1,
-        backend_connections: 1,
-        request_body_bytes: MAX_BUFFERED_BODY_BYTES,
-    };
+    let expected =
+        Capacities { client_connections: 1, backend_connections: 1, request_bytes: MAX_BUFFERED_BODY_BYTES };
     assert_eq!(capacities, expected);
 }
