Poll the system for events before a connection goes on that wakes itself

Cause: the HTTP library serves 16 requests of a connection and wakes its own task; the runtime runs 61 woken tasks before it asks the system for events.

Ruled out: the interval of the runtime (set to 8, no change), as the limit is that of the set of local tasks; and the time of one poll.

Change: FairTask tells wakes of a task by itself from others. After its own, the task goes on only once the runtime has polled for events.

--- a/crates/balancer-proxy/src/downstream/mod.rs
+++ b/crates/balancer-proxy/src/downstream/mod.rs
@@ -6,6 +6,7 @@
 mod close_request;
 mod connection_table;
 mod connection_task;
+mod fair_task;
 mod flush_signal;
 mod forwarded_headers;
 mod framing;
--- a/crates/balancer-proxy/src/downstream/server.rs
+++ b/crates/balancer-proxy/src/downstream/server.rs
@@ -4,6 +4,7 @@
 use super::client_listener::ClientListener;
 use super::connection_table::ConnectionTable;
 use super::connection_task::ConnectionTask;
+use super::fair_task::FairTask;
 use super::lifecycle::Lifecycle;
 use super::request_handler::{Admission, RequestHandler};
 use super::shutdown_schedule::ShutdownSchedule;
@@ -145,7 +146,7 @@
             stream: Rc::new(stream),
             slot,
         };
-        tokio::task::spawn_local(task.run());
+        tokio::task::spawn_local(FairTask::new(task.run()));
     }
 
     /// Closes connections that time out. Never returns.
