Reject a request whose id has been used by one that may not run twice

Cause: the proxy knew the ids of its open requests only, and closes a request when its client leaves, while its attempt may run on.

Ruled out: retries by the proxy, one attempt for each request.

Claims stand in a table in memory and in a file that the other process reads.

--- a/crates/balancer-proxy/src/control/instance_lock.rs
+++ b/crates/balancer-proxy/src/control/instance_lock.rs
@@ -36,6 +36,8 @@
     settings_path: PathBuf,
     /// The Unix socket on which this process may offer its listener.
     listener_offer_path: PathBuf,
+    /// The file in which this process records the request ids that it has claimed.
+    used_request_ids_path: PathBuf,
 }
 
 impl InstanceLock {
@@ -123,6 +125,20 @@
         running.map(|path| state_files::listener_offer_path(path)).collect()
     }
 
+    /// Returns the path of the file in which this process records the request ids that it has claimed, or `None` in
+    /// a process without a lock.
+    #[must_use]
+    pub fn own_used_request_ids_path(&self) -> Option<PathBuf> {
+        self.held.as_ref().map(|held| held.used_request_ids_path.clone())
+    }
+
+    /// Returns the paths of the files in which other processes record the request ids that they have claimed, also
+    /// those of processes that have ended.
+    #[must_use]
+    pub fn other_used_request_ids_paths(&self) -> Vec<PathBuf> {
+        self.other_paths.iter().map(|path| state_files::used_request_ids_path(path)).collect()
+    }
+
     /// Returns whether another process runs and accepts connections.
     #[must_use]
     pub fn other_is_listening(&self) -> bool {
@@ -144,7 +160,8 @@
         let settings_path = state_files::published_settings_path(path);
         std::fs::write(&settings_path, "")?;
         let listener_offer_path = state_files::listener_offer_path(path);
-        Ok(Some(Self { file, settings_path, listener_offer_path }))
+        let used_request_ids_path = state_files::used_request_ids_path(path);
+        Ok(Some(Self { file, settings_path, listener_offer_path, used_request_ids_path }))
     }
 }
 
--- a/crates/balancer-proxy/src/control/mod.rs
+++ b/crates/balancer-proxy/src/control/mod.rs
@@ -6,6 +6,7 @@
 //! - `management`, `management_protocol`: the calls of operators
 //! - `maintenance`, `maintenance_record`, `maintenance_store`: the backends in maintenance
 //! - `instance_lock`, `listener_handover`, `state_files`: coordination with the other process of an upgrade
+//! - `used_request_ids`: the ids of requests that may have run, in both processes
 
 pub mod config;
 pub mod discovery;
@@ -19,3 +20,4 @@
 mod management_protocol;
 pub(crate) mod reload;
 pub mod state_files;
+pub mod used_request_ids;
--- a/crates/balancer-proxy/src/control/state_files.rs
+++ b/crates/balancer-proxy/src/control/state_files.rs
@@ -10,6 +10,7 @@
 //! | `dewpier-LISTEN.seat-0`, `.seat-1` | [`InstanceLock`] | empty, or [`LISTENING_MARK`] |
 //! | `dewpier-LISTEN.seat-0.settings`, `.seat-1.settings` | [`InstanceLock`] | fingerprint of the settings |
 //! | `dewpier-LISTEN.seat-0.listener`, `.seat-1.listener` | [`ListenerOffer`] | a Unix socket |
+//! | `dewpier-LISTEN.seat-0.ids`, `.seat-1.ids` | [`UsedRequestIds`] | claims of request ids, 16 bytes each |
 //! | `dewpier-LISTEN.book` | [`MaintenanceStore`] | the maintenance record as JSON |
 //! | `dewpier-LISTEN.book.lock` | [`MaintenanceStore`] | empty |
 //! | `dewpier-LISTEN.book.new-PID` | [`MaintenanceStore`] | the next record, until it is renamed |
@@ -17,6 +18,7 @@
 //! [`InstanceLock`]: super::instance_lock::InstanceLock
 //! [`ListenerOffer`]: super::listener_handover::ListenerOffer
 //! [`MaintenanceStore`]: super::maintenance_store::MaintenanceStore
+//! [`UsedRequestIds`]: super::used_request_ids::UsedRequestIds
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -30,6 +32,7 @@
 const INSTANCE_LOCK_EXTENSIONS: [&str; 2] = ["seat-0", "seat-1"];
 const PUBLISHED_SETTINGS_EXTENSION: &str = "settings";
 const LISTENER_OFFER_EXTENSION: &str = "listener";
+const USED_REQUEST_IDS_EXTENSION: &str = "ids";
 const MAINTENANCE_RECORD_EXTENSION: &str = "book";
 const MAINTENANCE_LOCK_EXTENSION: &str = "lock";
 const MAINTENANCE_STAGING_EXTENSION_PREFIX: &str = "new-";
@@ -62,6 +65,12 @@
     instance_lock_path.with_added_extension(LISTENER_OFFER_EXTENSION)
 }
 
+/// Returns the path of the file in which the holder of a lock file records the request ids that it has claimed.
+#[must_use]
+pub fn used_request_ids_path(instance_lock_path: &Path) -> PathBuf {
+    instance_lock_path.with_added_extension(USED_REQUEST_IDS_EXTENSION)
+}
+
 /// Returns the path of the file with the maintenance record.
 #[must_use]
 pub fn maintenance_record_path(base: &Path) -> PathBuf {
--- a/crates/balancer-proxy/src/engine/dispatcher.rs
+++ b/crates/balancer-proxy/src/engine/dispatcher.rs
@@ -134,10 +134,10 @@
             Action::Cancel { id, attempt } => state.cancel(AttemptId { request: id, number: attempt }),
             Action::Withdraw { id, attempt } => state.withdraw(AttemptId { request: id, number: attempt }),
             Action::Reject { id, retry_after } => {
-                state.requests.respond(id, FinalResponse::Rejected(retry_after));
+                state.respond(id, FinalResponse::Rejected(retry_after));
             }
             Action::Fail { id } => {
-                state.requests.respond(id, FinalResponse::Failed);
+                state.respond(id, FinalResponse::Failed);
             }
             Action::SetTimer { at, token } => self.timers.set(at, Timer::Decision(token)),
             Action::HealthCheck(backend) => self.check_health(state, backend),
--- a/crates/balancer-proxy/src/engine/requests.rs
+++ b/crates/balancer-proxy/src/engine/requests.rs
@@ -3,6 +3,7 @@
 //! Each accepted request gets exactly one final response: [`OpenRequests`] owns the sender of the request's
 //! channel, and closing the request consumes the sender.
 
+use crate::control::used_request_ids::UsedRequestIds;
 use crate::settings::SettingsSnapshot;
 use crate::upstream::forwarded_request::ForwardedRequest;
 use crate::upstream::response_body::BackendResponse;
@@ -37,6 +38,10 @@
     pub(super) timeout: Time,
     /// The number of attempts sent so far.
     pub(super) attempts_sent: usize,
+    /// Whether the request has claimed its client request id, as the request must not run twice.
+    pub(super) claims_id: bool,
+    /// Whether an attempt that has ended may have run at its backend.
+    pub(super) may_have_run: bool,
     /// The settings in force when the request arrived, which apply to the request until its end.
     pub(super) settings: Rc<SettingsSnapshot>,
 }
@@ -98,6 +103,8 @@
     /// The time by which all requests must have their final responses because the process ends, in seconds
     /// of the proxy's clock; infinite before a shutdown.
     shutdown_deadline: Time,
+    /// The ids of the requests that may have run.
+    used_request_ids: UsedRequestIds,
 }
 
 impl OpenRequests {
@@ -108,9 +115,20 @@
             client_request_ids: HashSet::new(),
             last_id: 0,
             shutdown_deadline: Time::INFINITY,
+            used_request_ids: UsedRequestIds::in_memory(),
         }
     }
 
+    /// Replaces the ids of the requests that may have run.
+    pub(super) fn set_used_request_ids(&mut self, used_request_ids: UsedRequestIds) {
+        self.used_request_ids = used_request_ids;
+    }
+
+    /// Returns the ids of the requests that may have run.
+    pub(super) fn used_request_ids(&self) -> &UsedRequestIds {
+        &self.used_request_ids
+    }
+
     /// Returns a new id, which no earlier request has had.
     pub(super) fn next_id(&mut self) -> RequestId {
         self.last_id += 1;
--- a/crates/balancer-proxy/src/engine/requests/tests.rs
+++ b/crates/balancer-proxy/src/engine/requests/tests.rs
@@ -29,6 +29,8 @@
         deadline,
         timeout: 5.0,
         attempts_sent: 0,
+        claims_id: false,
+        may_have_run: false,
         settings: Rc::new(settings),
     };
     (request, receiver)
--- a/crates/balancer-proxy/src/engine/state.rs
+++ b/crates/balancer-proxy/src/engine/state.rs
@@ -12,6 +12,17 @@
 use crate::upstream::attempt::AttemptResult;
 use balancer::{AttemptId, AttemptNumber, BackendId, EndedAttempt, Event, Outcome, RequestId, Settings};
 
+/// The use of the id that a client gave a request.
+pub(super) struct RequestUsage {
+    client_request_id: u64,
+    /// Whether the request has claimed the id.
+    claims_id: bool,
+    /// Whether an attempt has been written completely and was not rejected.
+    may_have_run: bool,
+    /// The attempts of the request.
+    attempts: Vec<AttemptId>,
+}
+
 /// The state that events and actions change.
 pub(super) struct EngineState {
     clock: Clock,
@@ -37,14 +48,22 @@
     /// Ends an attempt: notifies the module, and sends the client the response if it is the first one to
     /// the request. Does nothing if the attempt has already ended.
     pub(super) fn end_attempt(&mut self, id: AttemptId, result: AttemptResult) {
+        let write_progress = self.attempts.write_progress(id);
         let Some(sent) = self.attempts.remove(id) else {
             return;
         };
+        // A backend may respond before the last byte of a streamed body has been written.
+        let is_executed = result.response.is_some();
+        let may_be_executed =
+            write_progress == Some(WriteProgress::Complete) && result.outcome != Outcome::Rejected;
+        if let Some(request) = self.requests.get_mut(id.request) {
+            request.may_have_run |= is_executed || may_be_executed;
+        }
         if self.requests.get(id.request).is_some_and(|request| request.forwarded.is_consumed()) {
             self.decision_module.push(Event::BodyConsumed(id.request));
         }
         if let Some(response) = result.response {
-            self.requests.respond(id.request, FinalResponse::Success(response));
+            self.respond(id.request, FinalResponse::Success(response));
         }
         self.decision_module.push(Event::AttemptEnded(EndedAttempt {
             id: id.request,
@@ -119,11 +138,43 @@
     /// Fails a request that is still open at its deadline because the module has not decided in time. The
     /// module is notified of the end as a disconnect of the client.
     pub(super) fn expire_request_deadline(&mut self, id: RequestId) {
-        if self.requests.respond(id, FinalResponse::Failed) {
+        if self.respond(id, FinalResponse::Failed) {
             self.decision_module.push(Event::ClientDisconnected(id));
         }
     }
 
+    /// Closes a request with its final response. Returns whether the request was open; otherwise the response is
+    /// dropped.
+    pub(super) fn respond(&mut self, id: RequestId, response: FinalResponse) -> bool {
+        let Some(usage) = self.request_usage(id) else {
+            return false;
+        };
+        self.release_if_unused(&usage);
+        self.requests.respond(id, response)
+    }
+
+    /// Returns the use of an open request's id, or `None` if the request is not open.
+    pub(super) fn request_usage(&self, id: RequestId) -> Option<RequestUsage> {
+        let request = self.requests.get(id)?;
+        let attempts: Vec<_> =
+            request.sent_attempt_numbers().map(|number| AttemptId { request: id, number }).collect();
+        let is_written =
+            |attempt: &AttemptId| self.attempts.write_progress(*attempt) == Some(WriteProgress::Complete);
+        let may_have_run = request.may_have_run || attempts.iter().any(is_written);
+        let OpenRequest { client_request_id, claims_id, .. } = *request;
+        Some(RequestUsage { client_request_id, claims_id, may_have_run, attempts })
+    }
+
+    /// Allows another request to use the id of a request, unless one of the attempts may have run or is still
+    /// running.
+    pub(super) fn release_if_unused(&self, usage: &RequestUsage) {
+        let is_running =
+            usage.attempts.iter().any(|attempt| self.attempts.write_progress(*attempt).is_some());
+        if usage.claims_id && !usage.may_have_run && !is_running {
+            self.requests.used_request_ids().release(usage.client_request_id);
+        }
+    }
+
     fn abort(&mut self, id: AttemptId, outcome: Outcome) {
         self.end_attempt(id, AttemptResult::without_response(outcome));
     }
--- a/crates/balancer-proxy/src/engine/submission.rs
+++ b/crates/balancer-proxy/src/engine/submission.rs
@@ -4,8 +4,9 @@
 use super::Engine;
 use super::requests::{FinalResponse, OpenRequest};
 use super::timers::Timer;
+use crate::control::used_request_ids::{RequestIdUsed, UsedRequestIds};
 use crate::upstream::forwarded_request::ForwardedRequest;
-use balancer::{AttemptId, Event, Request, RequestId, Time};
+use balancer::{AttemptId, Effect, Event, Request, RequestId, Time};
 use std::rc::Rc;
 use std::time::Instant;
 use thiserror::Error;
@@ -26,16 +27,19 @@
     pub response: oneshot::Receiver<FinalResponse>,
 }
 
-/// The error for a request with the same client request id as another open request.
+/// The error for a request with the same client request id as another one that is open or may have run.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-#[error("the client's request id is in use")]
+#[error("the client's request id is in use or has been used")]
 pub struct ClientRequestIdInUse;
 
 impl Engine {
-    /// Returns whether a request with this client request id is open.
+    /// Returns whether a request with this client request id is open in this process, or may have run in any
+    /// process that shares the address.
     #[must_use]
     pub fn is_client_request_id_in_use(&self, client_request_id: u64) -> bool {
-        self.dispatcher.state().requests.is_client_request_id_in_use(client_request_id)
+        let state = self.dispatcher.state();
+        state.requests.is_client_request_id_in_use(client_request_id)
+            || state.requests.used_request_ids().contains(client_request_id)
     }
 
     /// Accepts a request, and assigns its [`Request::id`]. `client_request_id` is the id that the client
@@ -44,7 +48,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ClientRequestIdInUse`] if another open request has the same client request id.
+    /// Returns [`ClientRequestIdInUse`] if another open request has the same client request id, or if such a request
+    /// may have run and must not run twice.
     pub fn submit(
         &self,
         client_request_id: u64,
@@ -64,6 +69,11 @@
             let _ = sender.send(FinalResponse::Rejected(None)); // cannot fail: the receiver exists
             return Ok(submitted);
         }
+        let claims_id = settings.balancer.classes[request.class.0].effect != Effect::Safe;
+        if claims_id {
+            let claim = state.requests.used_request_ids().claim(client_request_id);
+            claim.map_err(|RequestIdUsed| ClientRequestIdInUse)?;
+        }
         let now = self.dispatcher.clock.now();
         // The client's timeout started when the client sent the request, which may have waited to be read.
         request.timeout -= self.event_loop_lag.get();
@@ -78,6 +88,8 @@
                 deadline: if request.streaming_body { Time::INFINITY } else { now + timeout },
                 timeout,
                 attempts_sent: 0,
+                claims_id,
+                may_have_run: false,
                 settings,
             },
         );
@@ -107,6 +119,11 @@
         self.dispatcher.handle(state, Event::BodyReceived(id));
     }
 
+    /// Replaces the ids of the requests that may have run, before the first request arrives.
+    pub fn set_used_request_ids(&self, used_request_ids: UsedRequestIds) {
+        self.dispatcher.state().requests.set_used_request_ids(used_request_ids);
+    }
+
     /// Limits the deadlines of all requests, including later ones, to `shutdown_deadline`, because the
     /// process is shutting down.
     pub fn set_shutdown_deadline(&self, shutdown_deadline: Instant) {
@@ -121,8 +138,12 @@
     /// Ends a request whose client has disconnected. Does nothing if the request is not open.
     pub fn abandon(&self, id: RequestId) {
         let mut state = self.dispatcher.state();
-        if state.requests.abandon(id) {
-            self.dispatcher.handle(state, Event::ClientDisconnected(id));
-        }
+        let Some(usage) = state.request_usage(id) else {
+            return;
+        };
+        state.requests.abandon(id);
+        self.dispatcher.handle(state, Event::ClientDisconnected(id));
+        // The module has ended the attempts that can still be kept from running.
+        self.dispatcher.state().release_if_unused(&usage);
     }
 }
--- a/crates/balancer-proxy/src/process/proxy.rs
+++ b/crates/balancer-proxy/src/process/proxy.rs
@@ -7,6 +7,7 @@
 use crate::control::maintenance::Maintenance;
 use crate::control::management::Management;
 use crate::control::reload::Reloader;
+use crate::control::used_request_ids::UsedRequestIds;
 use crate::downstream::client_listener::ClientListener;
 use crate::downstream::server::Server;
 use crate::engine::Engine;
@@ -48,6 +49,9 @@
         discovery.start(std::mem::take(&mut config.cached_endpoints));
 
         let instance_lock = management.as_ref().and_then(|management| management.instance_lock.clone());
+        if let Some(instance_lock) = &instance_lock {
+            engine.set_used_request_ids(UsedRequestIds::shared(instance_lock));
+        }
         let server = Server::new(engine.clone(), capacities, instance_lock);
         let proxy = Self { engine, discovery, server };
         if let Some(management) = management {
