Time a head whose beginning arrives together with the request before

What callers saw: nothing reported. A client that sent a request and the beginning of the next one at once, and then stopped, kept its connection for 75 s. Clients that stop in a request are owed an error or a close in 3 s.

Cause: bytes start the next head only if they arrive while a response is awaited or the connection is idle. The bytes of the next head that were read with the end of the request before were recorded as that request's, and the connection counted as idle after the response.

Change: at the end of a response the framing tells whether the next head has begun. Empty lines between requests are no part of a head.

--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -125,6 +125,15 @@
         self.has_grown_buffers.get()
     }
 
+    /// Records that the response to the current request is finished. The beginning of the next request may have
+    /// been read together with the end of the current one.
+    pub(super) fn finish_response(&self) {
+        if self.framing.borrow().has_next_request() {
+            self.progress.record_next_request();
+        }
+        self.progress.finish_response();
+    }
+
     /// Requests that the connection be closed.
     pub(super) fn request_close(&self) {
         self.close_request.request();
--- a/crates/balancer-proxy/src/downstream/framing.rs
+++ b/crates/balancer-proxy/src/downstream/framing.rs
@@ -118,6 +118,12 @@
         self.head_size.bytes
     }
 
+    /// Returns whether the head of a request that [`Self::next_head`] has not returned has arrived, at least in
+    /// part.
+    pub(super) fn has_next_request(&self) -> bool {
+        self.head_has_started || !self.line.is_empty() || !self.heads.is_empty()
+    }
+
     /// Tracks the framing through `data`, the next bytes that have arrived.
     pub(super) fn feed(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
@@ -173,6 +179,10 @@
                 RequestPart::Head
             }
             RequestPart::Head if self.head_has_started => self.end_head(),
+            RequestPart::Head => {
+                self.head_size = HeadSize::default();
+                RequestPart::Head
+            }
             RequestPart::ChunkSize => part_after_chunk_size(line),
             RequestPart::ChunkEnd => RequestPart::ChunkSize,
             RequestPart::Trailers if line.is_empty() => RequestPart::Head,
--- a/crates/balancer-proxy/src/downstream/framing/tests.rs
+++ b/crates/balancer-proxy/src/downstream/framing/tests.rs
@@ -53,6 +53,20 @@
     }
 }
 
+#[test]
+fn empty_lines_between_requests_are_no_part_of_the_next_head() {
+    let mut framing = RequestFraming::default();
+    framing.feed(b"GET /api HTTP/1.1\r\nHost: p\r\n\r\n");
+    framing.next_head();
+
+    framing.feed(b"\r\n\r\n");
+
+    assert!(!framing.has_next_request());
+    assert_eq!(framing.unfinished_head_bytes(), 0);
+    framing.feed(b"G");
+    assert!(framing.has_next_request());
+}
+
 #[test]
 fn an_unfinished_head_has_the_bytes_that_have_arrived_until_it_is_complete() {
     let mut framing = RequestFraming::default();
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -100,7 +100,7 @@
         self.received.record();
         match self.phase.get() {
             RequestPhase::Idle => self.phase.set(RequestPhase::Head { started: Instant::now() }),
-            RequestPhase::AwaitingResponse => self.received.pipelined.set(true),
+            RequestPhase::AwaitingResponse => self.record_next_request(),
             RequestPhase::Head { .. } | RequestPhase::Body => {}
         }
     }
@@ -121,6 +121,11 @@
         self.has_had_request.set(true);
     }
 
+    /// Records that bytes of the next request have arrived before the response to the current one is finished.
+    pub(super) fn record_next_request(&self) {
+        self.received.pipelined.set(true);
+    }
+
     /// Records that the response to the current request is finished.
     pub(super) fn finish_response(&self) {
         let now = Instant::now();
--- a/crates/balancer-proxy/src/downstream/response_body.rs
+++ b/crates/balancer-proxy/src/downstream/response_body.rs
@@ -118,7 +118,7 @@
         if self.client.progress().writes().is_timed_out(Instant::now()) {
             self.count_interrupted();
         }
-        self.client.progress().finish_response();
+        self.client.finish_response();
     }
 }
 
--- a/crates/balancer-proxy/tests/malformed_clients.rs
+++ b/crates/balancer-proxy/tests/malformed_clients.rs
@@ -70,6 +70,25 @@
     assert_eq!(read_message(&mut busy).expect("no complete response").status(), 200);
 }
 
+/// Guards against a connection that stays open for 75 s: the beginning of the second head was read together with the
+/// first request, and the connection counted as idle once the first response was finished.
+#[test]
+fn ends_a_head_that_arrives_with_the_request_before_and_stays_incomplete_within_three_seconds() {
+    let backend = StubServer::responding_with("hello");
+    let proxy = ProxyProcess::in_front_of(&[&backend]);
+    let mut stream = proxy.connect();
+    let next = request("order", 9000);
+
+    let text = request("order", 9000) + &next[..next.len() / 2];
+    assert_eq!(exchange(&mut stream, &text).status(), 200);
+
+    let started = Instant::now();
+    wait_for_error(&mut stream);
+    // The timeout is 3 s. A busy machine is given more, still far less than without a timeout.
+    assert!(started.elapsed() < Duration::from_secs(15), "{:?}", started.elapsed());
+    assert_eq!(backend.request_count(), 1);
+}
+
 #[test]
 fn ends_a_request_that_stays_incomplete_within_three_seconds() {
     let backend = StubServer::responding_with("hello");
