--- a/crates/balancer-proxy/src/control/instance_lock.rs
+++ b/crates/balancer-proxy/src/control/instance_lock.rs
@@ -125,15 +125,15 @@
         running.map(|path| state_files::listener_offer_path(path)).collect()
     }
 
-    /// Returns the path of the file in which this process records the request ids that it has claimed, or `None` in
-    /// a process without a lock.
+    /// Returns the path of the file in which this process records the request ids that it has claimed, or
+    /// `None` in a process without a lock.
     #[must_use]
     pub fn own_used_request_ids_path(&self) -> Option<PathBuf> {
         self.held.as_ref().map(|held| held.used_request_ids_path.clone())
     }
 
-    /// Returns the paths of the files in which other processes record the request ids that they have claimed, also
-    /// those of processes that have ended.
+    /// Returns the paths of the files in which other processes record the request ids that they have claimed,
+    /// also those of processes that have ended.
     #[must_use]
     pub fn other_used_request_ids_paths(&self) -> Vec<PathBuf> {
         self.other_paths.iter().map(|path| state_files::used_request_ids_path(path)).collect()
--- a/crates/balancer-proxy/src/control/state_files.rs
+++ b/crates/balancer-proxy/src/control/state_files.rs
@@ -65,7 +65,8 @@
     instance_lock_path.with_added_extension(LISTENER_OFFER_EXTENSION)
 }
 
-/// Returns the path of the file in which the holder of a lock file records the request ids that it has claimed.
+/// Returns the path of the file in which the holder of a lock file records the request ids that it has
+/// claimed.
 #[must_use]
 pub fn used_request_ids_path(instance_lock_path: &Path) -> PathBuf {
     instance_lock_path.with_added_extension(USED_REQUEST_IDS_EXTENSION)
--- a/crates/balancer-proxy/src/control/used_request_ids.rs
+++ b/crates/balancer-proxy/src/control/used_request_ids.rs
@@ -1,12 +1,14 @@
-//! The ids of requests that may have run, so that a request does not run again under an id that has been used.
+//! The ids of requests that may have run, so that a request does not run again under an id that has been
+//! used.
 //!
-//! A client whose connection ended may send its request again, here or at the other process of an upgrade, while
-//! or after the first one runs. A request that may not run twice claims its id before its first attempt, and
-//! releases the id if the request has certainly not run. A claim expires after `CLAIM_DURATION`.
+//! A client whose connection ended may send its request again, here or at the other process of an upgrade,
+//! while or after the first one runs. A request that may not run twice claims its id before its first
+//! attempt, and releases the id if the request has certainly not run. A claim expires after `CLAIM_DURATION`.
 //!
-//! Each process records its claims in a table of its own, in memory and in a file, and reads the file of the other
-//! process. The claim is written before the other table is read: of two processes that claim an id at the same time,
-//! at least one finds the claim of the other. Without the files each process knows its own claims only.
+//! Each process records its claims in a table of its own, in memory and in a file, and reads the file of the
+//! other process. The claim is written before the other table is read: of two processes that claim an id at
+//! the same time, at least one finds the claim of the other. Without the files each process knows its own
+//! claims only.
 
 use super::instance_lock::InstanceLock;
 use crate::log;
@@ -136,8 +138,8 @@
     }
 }
 
-/// Opens the file of a table, and creates the file if no process has had it yet, so that this process opens no file
-/// later.
+/// Opens the file of a table, and creates the file if no process has had it yet, so that this process opens
+/// no file later.
 fn open_table(path: &Path) -> io::Result<File> {
     let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
     file.set_len((BUCKETS * BUCKET_BYTES) as u64)?;
--- a/crates/balancer-proxy/src/downstream/client_connection.rs
+++ b/crates/balancer-proxy/src/downstream/client_connection.rs
@@ -125,8 +125,8 @@
         self.has_grown_buffers.get()
     }
 
-    /// Records that the response to the current request is finished. The beginning of the next request may have
-    /// been read together with the end of the current one.
+    /// Records that the response to the current request is finished. The beginning of the next request may
+    /// have been read together with the end of the current one.
     pub(super) fn finish_response(&self) {
         if self.framing.borrow().has_next_request() {
             self.progress.record_next_request();
@@ -173,10 +173,10 @@
         }
     }
 
-    /// Returns whether bytes of a new request, or of a body that is awaited, have arrived and have not been read.
-    /// The runtime asks the system for new bytes between two rounds of tasks, and the task of this connection
-    /// reads these bytes in the next round. A close would discard bytes that arrived while other tasks of the
-    /// current round ran.
+    /// Returns whether bytes of a new request, or of a body that is awaited, have arrived and have not been
+    /// read. The runtime asks the system for new bytes between two rounds of tasks, and the task of this
+    /// connection reads these bytes in the next round. A close would discard bytes that arrived while other
+    /// tasks of the current round ran.
     fn has_unread_request(&self, stream: &TcpStream) -> bool {
         let is_read_on_arrival = !self.progress.has_request_in_flight() || self.progress.is_body_awaited();
         is_read_on_arrival && has_unread_bytes(stream)
--- a/crates/balancer-proxy/src/downstream/client_socket.rs
+++ b/crates/balancer-proxy/src/downstream/client_socket.rs
@@ -101,8 +101,8 @@
 }
 
 impl AsyncRead for ClientSocket {
-    /// Reads the bytes that have arrived. Reads nothing while a complete request awaits its response: the bytes
-    /// of the next requests would use memory that no budget counts.
+    /// Reads the bytes that have arrived. Reads nothing while a complete request awaits its response: the
+    /// bytes of the next requests would use memory that no budget counts.
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/balancer-proxy/src/downstream/connection_task.rs
+++ b/crates/balancer-proxy/src/downstream/connection_task.rs
@@ -126,8 +126,8 @@
         self.slot.connection().wait_until_between_requests(&self.stream).await;
     }
 
-    /// Closes a connection that was evicted or timed out. The close is withdrawn if a request arrives meanwhile,
-    /// completely or in part: the connection then closes after the response to this request.
+    /// Closes a connection that was evicted or timed out. The close is withdrawn if a request arrives
+    /// meanwhile, completely or in part: the connection then closes after the response to this request.
     async fn close<S>(&self, mut connection: Pin<&mut http1::Connection<TokioIo<ClientSocket>, S>>) -> Close
     where
         S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
--- a/crates/balancer-proxy/src/downstream/fair_task.rs
+++ b/crates/balancer-proxy/src/downstream/fair_task.rs
@@ -1,9 +1,9 @@
 //! A task that lets the runtime poll the system for events each time the task wakes itself.
 //!
-//! The HTTP library serves up to 16 requests of a connection in a row, and then wakes its own task to go on. A task
-//! that is woken while it runs is run again before the runtime asks the system for new events, up to 61 times.
-//! One client that sends small requests at full speed, which the proxy answers by itself, so delays each step of
-//! all other connections.
+//! The HTTP library serves up to 16 requests of a connection in a row, and then wakes its own task to go on.
+//! A task that is woken while it runs is run again before the runtime asks the system for new events, up to
+//! 61 times. One client that sends small requests at full speed, which the proxy answers by itself, so delays
+//! each step of all other connections.
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -47,7 +47,8 @@
     }
 }
 
-/// A future that is polled again after it has woken itself only once the runtime has polled the system for events.
+/// A future that is polled again after it has woken itself only once the runtime has polled the system for
+/// events.
 pub(super) struct FairTask<F> {
     future: Pin<Box<F>>,
     wake_filter: Arc<WakeFilter>,
--- a/crates/balancer-proxy/src/downstream/fair_task/tests.rs
+++ b/crates/balancer-proxy/src/downstream/fair_task/tests.rs
@@ -11,7 +11,8 @@
 
 /// Longer than any step takes, even on a busy machine.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
-/// Number of times that the busy task wakes itself, more than the runtime runs tasks between two polls for events.
+/// Number of times that the busy task wakes itself, more than the runtime runs tasks between two polls for
+/// events.
 const SELF_WAKES: usize = 1_000;
 
 /// A task that wakes itself [`SELF_WAKES`] times. Writes to `peer` in its first poll, and counts its polls.
@@ -30,8 +31,8 @@
     .await;
 }
 
-/// Guards against a client that delays all others by requests at full speed: without the pause, the task of its
-/// connection ran 61 times before the runtime noticed the bytes of another client.
+/// Guards against a client that delays all others by requests at full speed: without the pause, the task of
+/// its connection ran 61 times before the runtime noticed the bytes of another client.
 #[test]
 fn the_bytes_of_another_client_are_read_after_a_task_has_woken_itself_a_few_times() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/balancer-proxy/src/downstream/flush_signal.rs
+++ b/crates/balancer-proxy/src/downstream/flush_signal.rs
@@ -1,8 +1,8 @@
 //! A signal that all bytes of a response that the HTTP library holds have been written to the socket.
 //!
-//! The library ends a connection as soon as the body of a response fails, and discards what it has not written.
-//! [`super::response_body`] awaits the signal before it reports a failure, so that the client gets all bytes of
-//! the response that were passed to the library. [`super::client_socket`] gives the signal.
+//! The library ends a connection as soon as the body of a response fails, and discards what it has not
+//! written. [`super::response_body`] awaits the signal before it reports a failure, so that the client gets
+//! all bytes of the response that were passed to the library. [`super::client_socket`] gives the signal.
 
 use std::cell::RefCell;
 use std::task::{Context, Poll, Waker};
@@ -35,9 +35,9 @@
         }
     }
 
-    /// Returns `Ready` once a flush has taken place since the first call. Wakes the task at once after the first
-    /// call: the library flushes whenever its connection is polled, but need not do so in the poll that makes
-    /// this call.
+    /// Returns `Ready` once a flush has taken place since the first call. Wakes the task at once after the
+    /// first call: the library flushes whenever its connection is polled, but need not do so in the poll that
+    /// makes this call.
     pub(super) fn poll_flushed(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut state = self.state.borrow_mut();
         match &*state {
--- a/crates/balancer-proxy/src/downstream/framing.rs
+++ b/crates/balancer-proxy/src/downstream/framing.rs
@@ -1,7 +1,7 @@
 //! Tracks the framing of the requests on a connection, to measure their heads and to detect a request that
-//! states its length in two ways. Bytes of such a request that one side reads as a body may be read as another request by the other
-//! side (request smuggling). The HTTP library chooses one of the two lengths itself, and does not report the
-//! choice.
+//! states its length in two ways. Bytes of such a request that one side reads as a body may be read as
+//! another request by the other side (request smuggling). The HTTP library chooses one of the two lengths
+//! itself, and does not report the choice.
 
 use std::collections::VecDeque;
 
@@ -107,8 +107,8 @@
 }
 
 impl RequestFraming {
-    /// Returns the summary of the head of the next request, in order of arrival. The length of a request whose
-    /// head was not recorded counts as ambiguous.
+    /// Returns the summary of the head of the next request, in order of arrival. The length of a request
+    /// whose head was not recorded counts as ambiguous.
     pub(super) fn next_head(&mut self) -> HeadSummary {
         self.heads.pop_front().unwrap_or(HeadSummary::UNKNOWN)
     }
@@ -118,8 +118,8 @@
         self.head_size.bytes
     }
 
-    /// Returns whether the head of a request that [`Self::next_head`] has not returned has arrived, at least in
-    /// part.
+    /// Returns whether the head of a request that [`Self::next_head`] has not returned has arrived, at least
+    /// in part.
     pub(super) fn has_next_request(&self) -> bool {
         self.head_has_started || !self.line.is_empty() || !self.heads.is_empty()
     }
--- a/crates/balancer-proxy/src/downstream/head_memory.rs
+++ b/crates/balancer-proxy/src/downstream/head_memory.rs
@@ -1,8 +1,9 @@
 //! The memory that the heads of requests use beyond what is counted for each connection.
 //!
-//! The capacity for client connections covers the head that most requests have. The buffers of the HTTP library
-//! grow to more than twice the length of a long head, and each field takes far more than its bytes once the head
-//! is parsed. The heads of many clients together must not exceed the memory limit of the process.
+//! The capacity for client connections covers the head that most requests have. The buffers of the HTTP
+//! library grow to more than twice the length of a long head, and each field takes far more than its bytes
+//! once the head is parsed. The heads of many clients together must not exceed the memory limit of the
+//! process.
 
 use super::framing::HeadSize;
 use crate::limits::MAX_HEAD_BYTES;
@@ -11,7 +12,8 @@
 const INCLUDED_HEAD_BYTES: usize = 4 << 10;
 /// Number of lines of a head whose memory is counted with the connection.
 const INCLUDED_HEAD_LINES: usize = 16;
-/// Memory of a further line in bytes: the entry with its name, in the parsed head and in the one of an attempt.
+/// Memory of a further line in bytes: the entry with its name, in the parsed head and in the one of an
+/// attempt.
 const BYTES_PER_LINE: usize = 256;
 /// Number of bytes that the read buffers of a connection allocate for each byte of a long head.
 const BUFFER_BYTES_PER_HEAD_BYTE: usize = 2;
--- a/crates/balancer-proxy/src/downstream/request.rs
+++ b/crates/balancer-proxy/src/downstream/request.rs
@@ -17,8 +17,8 @@
 use hyper::http::request::Parts;
 use std::rc::Rc;
 
-/// Memory in bytes of a streamed body beyond its buffered beginning: a read buffer, and the chunk that waits for a
-/// backend, which may be a slice of another one.
+/// Memory in bytes of a streamed body beyond its buffered beginning: a read buffer, and the chunk that waits
+/// for a backend, which may be a slice of another one.
 const STREAM_BUFFER_BYTES: usize = 2 * MAX_PIECE_BYTES;
 
 /// A request that has been read and checked.
--- a/crates/balancer-proxy/src/downstream/request_progress.rs
+++ b/crates/balancer-proxy/src/downstream/request_progress.rs
@@ -121,7 +121,8 @@
         self.has_had_request.set(true);
     }
 
-    /// Records that bytes of the next request have arrived before the response to the current one is finished.
+    /// Records that bytes of the next request have arrived before the response to the current one is
+    /// finished.
     pub(super) fn record_next_request(&self) {
         self.received.pipelined.set(true);
     }
@@ -168,8 +169,8 @@
         has_response && !self.writes.is_timed_out(Instant::now())
     }
 
-    /// Returns whether the connection must stay open for its current request or response: a complete request, a
-    /// body that is arriving or waits for its backend, a head that is arriving.
+    /// Returns whether the connection must stay open for its current request or response: a complete request,
+    /// a body that is arriving or waits for its backend, a head that is arriving.
     pub(super) fn prevents_close(&self) -> bool {
         self.is_busy() || self.is_body_progressing() || self.is_head_progressing()
     }
@@ -231,8 +232,8 @@
         is_idle && self.idle_since.get().elapsed() >= MIN_IDLE_BEFORE_EVICTION
     }
 
-    /// Returns whether the connection has never had a request, and its client has sent no byte for so long that
-    /// the connection may be evicted.
+    /// Returns whether the connection has never had a request, and its client has sent no byte for so long
+    /// that the connection may be evicted.
     pub(super) fn is_evictable_as_silent(&self) -> bool {
         !self.has_had_request.get() && self.client_silence() >= MIN_SILENCE_BEFORE_EVICTION
     }
--- a/crates/balancer-proxy/src/engine/state.rs
+++ b/crates/balancer-proxy/src/engine/state.rs
@@ -143,8 +143,8 @@
         }
     }
 
-    /// Closes a request with its final response. Returns whether the request was open; otherwise the response is
-    /// dropped.
+    /// Closes a request with its final response. Returns whether the request was open; otherwise the response
+    /// is dropped.
     pub(super) fn respond(&mut self, id: RequestId, response: FinalResponse) -> bool {
         let Some(usage) = self.request_usage(id) else {
             return false;
--- a/crates/balancer-proxy/src/engine/submission.rs
+++ b/crates/balancer-proxy/src/engine/submission.rs
@@ -48,8 +48,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ClientRequestIdInUse`] if another open request has the same client request id, or if such a request
-    /// may have run and must not run twice.
+    /// Returns [`ClientRequestIdInUse`] if another open request has the same client request id, or if such a
+    /// request may have run and must not run twice.
     pub fn submit(
         &self,
         client_request_id: u64,
--- a/crates/balancer-proxy/src/limits/capacities.rs
+++ b/crates/balancer-proxy/src/limits/capacities.rs
@@ -8,8 +8,8 @@
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Largest number of file descriptors that capacities are derived from, even if the system grants more.
 const MAX_DESCRIPTORS: usize = 16 << 10;
-/// Fraction of the memory that client connections may use. What the three fractions leave is for the rest of the
-/// process.
+/// Fraction of the memory that client connections may use. What the three fractions leave is for the rest of
+/// the process.
 const CLIENT_MEMORY_FRACTION: Fraction = Fraction { numerator: 3, denominator: 8 };
 /// Fraction of the memory that long heads and the bodies of requests may use.
 const REQUEST_MEMORY_FRACTION: Fraction = Fraction { numerator: 1, denominator: 4 };
@@ -84,8 +84,8 @@
     pub client_connections: usize,
     /// Largest number of backend connections, at least 1.
     pub backend_connections: usize,
-    /// Largest number of bytes of long heads and of request bodies that are buffered at the same time, at least
-    /// [`MAX_BUFFERED_BODY_BYTES`].
+    /// Largest number of bytes of long heads and of request bodies that are buffered at the same time, at
+    /// least [`MAX_BUFFERED_BODY_BYTES`].
     pub request_bytes: usize,
 }
 
--- a/crates/balancer-proxy/src/upstream/request_body.rs
+++ b/crates/balancer-proxy/src/upstream/request_body.rs
@@ -94,7 +94,8 @@
 
 impl StreamedRequestBody {
     /// Creates the body that is received as `incoming`. The body may take `base_timeout` to arrive, and more
-    /// time for each byte received. Since when bytes are awaited from the client is recorded in `sender_wait`.
+    /// time for each byte received. Since when bytes are awaited from the client is recorded in
+    /// `sender_wait`.
     pub fn new(incoming: Incoming, base_timeout: Duration, sender_wait: SenderWait) -> Rc<Self> {
         let state = ReceiveState {
             buffered: BodyChunks::default(),
--- a/crates/balancer-proxy/src/upstream/sender_wait.rs
+++ b/crates/balancer-proxy/src/upstream/sender_wait.rs
@@ -1,7 +1,7 @@
 //! The record of since when the next bytes of a request body are awaited from their sender.
 //!
-//! The receiver of the body keeps the record. The connection of the sender shares the record, to tell a sender
-//! that sends nothing from one whose bytes the proxy does not read, because no backend takes them.
+//! The receiver of the body keeps the record. The connection of the sender shares the record, to tell a
+//! sender that sends nothing from one whose bytes the proxy does not read, because no backend takes them.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/balancer-proxy/tests/interrupted_responses.rs
+++ b/crates/balancer-proxy/tests/interrupted_responses.rs
@@ -1,9 +1,9 @@
 //! Long responses that break off just after their beginning.
 //!
-//! Guards against a response of which the client gets no byte. The proxy read the beginning and the end of the
-//! backend's connection at once. The HTTP library ends a connection as soon as the body of its response fails,
-//! and discards what it has not written. The client took the close for one between requests, and sent its
-//! request again, which ran twice.
+//! Guards against a response of which the client gets no byte. The proxy read the beginning and the end of
+//! the backend's connection at once. The HTTP library ends a connection as soon as the body of its response
+//! fails, and discards what it has not written. The client took the close for one between requests, and sent
+//! its request again, which ran twice.
 
 mod common;
 
@@ -20,8 +20,8 @@
 
 /// Length of a response that the proxy streams, in bytes.
 const RESPONSE_BYTES: usize = 1 << 20;
-/// Number of bytes of the body that the backend writes, which fit into one read of the proxy together with the
-/// head.
+/// Number of bytes of the body that the backend writes, which fit into one read of the proxy together with
+/// the head.
 const WRITTEN_BYTES: usize = 4_000;
 
 /// A backend that breaks off its response to each request.
--- a/crates/balancer-proxy/tests/malformed_clients.rs
+++ b/crates/balancer-proxy/tests/malformed_clients.rs
@@ -70,8 +70,8 @@
     assert_eq!(read_message(&mut busy).expect("no complete response").status(), 200);
 }
 
-/// Guards against a connection that stays open for 75 s: the beginning of the second head was read together with the
-/// first request, and the connection counted as idle once the first response was finished.
+/// Guards against a connection that stays open for 75 s: the beginning of the second head was read together
+/// with the first request, and the connection counted as idle once the first response was finished.
 #[test]
 fn ends_a_head_that_arrives_with_the_request_before_and_stays_incomplete_within_three_seconds() {
     let backend = StubServer::responding_with("hello");
--- a/crates/balancer-proxy/tests/repeated_request_ids.rs
+++ b/crates/balancer-proxy/tests/repeated_request_ids.rs
@@ -1,8 +1,8 @@
 //! Requests that come again with the id of an earlier one.
 //!
-//! Guards against a request that runs twice: a client left while its unsafe request ran, and came again with the
-//! same id. The proxy knew the ids of its open requests only, and forwarded the request a second time, as did the
-//! other process of an upgrade.
+//! Guards against a request that runs twice: a client left while its unsafe request ran, and came again with
+//! the same id. The proxy knew the ids of its open requests only, and forwarded the request a second time, as
+//! did the other process of an upgrade.
 
 mod common;
 
@@ -151,8 +151,9 @@
     assert_eq!(backend.request_count(), 1);
 }
 
-/// Sends a request, and sends the request again on another connection so that it arrives just before the reset of
-/// the first one. Returns the status of the second response, and the number of requests at the backend.
+/// Sends a request, and sends the request again on another connection so that it arrives just before the
+/// reset of the first one. Returns the status of the second response, and the number of requests at the
+/// backend.
 fn repeat_before_reset(class: &str) -> (u16, usize) {
     let (backend, _release) = StubServer::holding_first_response("hello");
     let proxy = ProxyProcess::in_front_of(&[&backend]);
--- a/crates/balancer-proxy/tests/request_body_eviction.rs
+++ b/crates/balancer-proxy/tests/request_body_eviction.rs
@@ -1,9 +1,9 @@
 //! Requests whose bodies are arriving while new connections need the slots of the table.
 //!
-//! Guards against a request that is closed without a response. While a backend takes no more of a long body, the
-//! proxy reads nothing from the client, and took it for one that sends nothing: the connection was reset for a
-//! new one, although the client had written its last byte. A connection that was chosen for closing while idle
-//! was closed 0.2 s later, although the head of a request had arrived and its body was on the way.
+//! Guards against a request that is closed without a response. While a backend takes no more of a long body,
+//! the proxy reads nothing from the client, and took it for one that sends nothing: the connection was reset
+//! for a new one, although the client had written its last byte. A connection that was chosen for closing
+//! while idle was closed 0.2 s later, although the head of a request had arrived and its body was on the way.
 
 mod common;
 
