--- a/crates/balancer-proxy/tests/state_file_names.rs
+++ b/crates/balancer-proxy/tests/state_file_names.rs
@@ -28,3 +28,13 @@
     let staging = state_files::maintenance_staging_path(&record, 4711);
     assert_eq!(staging, Path::new("/t/dewpier-127.0.0.1:7070.book.new-4711"));
 }
+
+/// Later versions read the claims of this one, and write claims that this one reads.
+#[test]
+fn the_file_of_used_request_ids_has_the_name_that_the_first_version_with_it_gave_it() {
+    let lock = Path::new("/t/dewpier-127.0.0.1:7070.seat-1");
+
+    let path = state_files::used_request_ids_path(lock);
+
+    assert_eq!(path, Path::new("/t/dewpier-127.0.0.1:7070.seat-1.ids"));
+}
