Drop a list from discovery that is older than the current one

Cause: a process that starts beside another one fetches the full list beside its watch. apply_list replaced the current list by every full list, whatever its generation. A full list that was slow on its way undid the changes that the watch had received meanwhile, and the open watch asked for changes after these.

Change: ListOrder owns the generation of the current list, and each list passes through it. A call remembers the generation at its start; a lower one in its response is a restart of the numbers, followed as before. Any other list below the current generation is dropped. The instant at which the lists cross no longer matters: either order ends with the newer one.

--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -5,16 +5,19 @@
 //! if the decision module schedules the calls, for each call that fails.
 //!
 //! - `client`: one HTTP call
+//! - `list_order`: which of two lists is older
 //! - `listener`: the trait of the receiver of watch events
 //! - `timing`: timeouts and backoff, and the resulting bound on the age of the list
 
 mod client;
+mod list_order;
 mod listener;
 mod timing;
 
 pub use self::listener::WatchListener;
 
 use self::client::{CallError, DiscoveryClient, ListRequest};
+use self::list_order::{CallStart, ListAge, ListExtent, ListOrder};
 use self::timing::{Backoff, Jitter, LastCall, REPEATED_POLL_RESPONSE_TIMEOUT, SINGLE_CALL_TIMEOUT};
 use super::endpoint_list::{EndpointNames, RawEndpoint, RawEndpointList};
 use super::maintenance_store::MaintenanceStore;
@@ -41,9 +44,8 @@
     address_epoch: Cell<u64>,
     /// The ids of backends and zones.
     names: RefCell<EndpointNames>,
-    /// Generation of the current list, from which changes are requested; `None` if the full list has to
-    /// be requested.
-    list_generation: Cell<Option<u64>>,
+    /// The generation of the current list, and which other lists are older.
+    list_order: RefCell<ListOrder>,
     /// The task of the watch, if it is running.
     watch_task: RefCell<Option<AbortHandle>>,
     /// The outcome of the last call, which decides the timing of the next.
@@ -73,7 +75,7 @@
             address: Cell::new(address),
             address_epoch: Cell::new(0),
             names: RefCell::new(EndpointNames::new(&settings.proxy.zones)),
-            list_generation: Cell::new(None),
+            list_order: RefCell::new(ListOrder::without_list()),
             watch_task: RefCell::default(),
             last_call: Cell::new(LastCall::Succeeded),
             jitter: Jitter::new(seed),
@@ -85,7 +87,7 @@
     /// Passes the cached list to the listener, and starts the watch unless the decision module schedules
     /// the calls.
     pub fn start(self: &Rc<Self>, cached: RawEndpointList) {
-        self.list_generation.set(Some(cached.generation));
+        self.list_order.replace(ListOrder::after_full_list(cached.generation));
         let endpoints = self.translate(cached.instances);
         self.listener.on_watch_event(WatchEvent::Cached(endpoints));
         if !self.must_poll() {
@@ -135,7 +137,7 @@
         self.stop_watch();
         self.address.set(address);
         self.address_epoch.set(self.address_epoch.get() + 1);
-        self.list_generation.set(None);
+        self.list_order.replace(ListOrder::without_list());
         self.last_call.set(LastCall::Succeeded);
         self.start_watch();
     }
@@ -161,12 +163,13 @@
             let epoch = this.address_epoch.get();
             let mut client = DiscoveryClient::new(this.address.get());
             let response_timeout = this.jitter.apply(SINGLE_CALL_TIMEOUT);
+            let call_start = this.list_order.borrow().begin_call();
             let response = client.fetch(ListRequest::Full, response_timeout).await;
             if this.address_epoch.get() != epoch {
                 return;
             }
             match response {
-                Ok(list) => this.apply_list(list),
+                Ok(list) => this.apply_list(list, call_start),
                 Err(error) => this.report_failure(&error),
             }
         });
@@ -181,9 +184,8 @@
         loop {
             let call_start = Instant::now();
             match self.watch_call(&mut client).await {
-                Ok(list) => {
-                    self.apply_list(list);
-                    if !self.needs_full_list() {
+                Ok(()) => {
+                    if !self.list_order.borrow().needs_full_list() {
                         backoff.reset();
                         continue;
                     }
@@ -201,14 +203,15 @@
         }
     }
 
-    /// Makes one call of the watch: for changes, or for the full list if there is no current list. The
-    /// outcome decides the timing of the next call.
+    /// Makes one call of the watch, for changes or for the full list, and applies the list in the response.
+    /// The outcome decides the timing of the next call.
     ///
     /// # Errors
     ///
     /// Returns a [`CallError`] if no valid list arrives before the timeout.
-    async fn watch_call(&self, client: &mut DiscoveryClient) -> Result<RawEndpointList, CallError> {
-        let request = match self.list_generation.get() {
+    async fn watch_call(&self, client: &mut DiscoveryClient) -> Result<(), CallError> {
+        let call_start = self.list_order.borrow().begin_call();
+        let request = match self.list_order.borrow().changes_since() {
             Some(generation) => {
                 let max_change_wait = self.last_call.get().next_timing().max_change_wait;
                 ListRequest::ChangesSince {
@@ -222,7 +225,8 @@
         let response = client.fetch(request, response_timeout).await;
         let last_call = if response.is_ok() { LastCall::Succeeded } else { LastCall::Failed };
         self.last_call.set(last_call);
-        response
+        self.apply_list(response?, call_start);
+        Ok(())
     }
 
     /// Returns the response timeout of the next call of the watch. The full list has to arrive sooner than a
@@ -249,25 +253,26 @@
         Duration::try_from_secs_f64(limit_seconds).unwrap_or(Duration::MAX)
     }
 
-    /// Returns whether the full list must be fetched because there is no current list to apply changes to.
-    fn needs_full_list(&self) -> bool {
-        self.list_generation.get().is_none()
-    }
-
-    /// Passes a list on to the listener.
-    ///
-    /// Changes whose generation precedes that of the current list, and changes without a current list,
-    /// show that discovery has restarted its generation numbers. Such changes are passed on too, and the
-    /// full list is requested next.
-    fn apply_list(&self, list: RawEndpointList) {
-        let current = self.list_generation.get();
-        let is_consistent = list.reset || current.is_some_and(|current| list.generation >= current);
-        self.list_generation.set(is_consistent.then_some(list.generation));
+    /// Passes the list in the response to the call with this start on to the listener, unless the list is
+    /// older than the current one.
+    fn apply_list(&self, list: RawEndpointList, call_start: CallStart) {
+        self.has_responded.send_replace(true);
+        let extent = if list.reset { ListExtent::Full } else { ListExtent::Changes };
+        let age = self.list_order.borrow_mut().accept(list.generation, extent, call_start);
+        if age == ListAge::Outdated {
+            log!(
+                "discovery: dropped a list of generation {}, which is older than the current list",
+                list.generation
+            );
+            return;
+        }
 
         let endpoints = self.translate(list.instances);
-        let event = if list.reset { WatchEvent::Full(endpoints) } else { WatchEvent::Changes(endpoints) };
+        let event = match extent {
+            ListExtent::Full => WatchEvent::Full(endpoints),
+            ListExtent::Changes => WatchEvent::Changes(endpoints),
+        };
         self.listener.on_watch_event(event);
-        self.has_responded.send_replace(true);
         self.names.borrow_mut().retain_backends(|id| self.listener.is_backend_in_use(id));
     }
 
--- a/crates/balancer-proxy/tests/common/scripted_discovery.rs
+++ b/crates/balancer-proxy/tests/common/scripted_discovery.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use super::configuration::{endpoint_list, listed_endpoint, serving_list};
-use super::http::read_message;
+use super::http::{HttpMessage, read_message};
 use super::stub_server::{StubServer, wait_for_input_or_close};
 
 /// The start of a response that ends within its head.
@@ -26,6 +26,12 @@
     pub request_line: String,
 }
 
+/// A call that a scripted discovery is handling.
+struct HandledCall<'a> {
+    earlier_calls: usize,
+    request_line: &'a str,
+}
+
 /// A stand-in for discovery that counts calls over all connections and handles each by its number.
 pub struct ScriptedDiscovery {
     /// The server that receives the calls.
@@ -38,18 +44,33 @@
     /// calls. The connection is closed if the function returns [`ControlFlow::Break`].
     pub fn new(
         handle_call: impl Fn(usize, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
+    ) -> Self {
+        Self::with_handler(move |call, stream| handle_call(call.earlier_calls, stream))
+    }
+
+    /// Starts a discovery that handles each call by the function, which gets the request line of the call. The
+    /// connection is closed if the function returns [`ControlFlow::Break`].
+    pub fn with_call_handler(
+        handle_call: impl Fn(&str, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
+    ) -> Self {
+        Self::with_handler(move |call, stream| handle_call(call.request_line, stream))
+    }
+
+    fn with_handler(
+        handle_call: impl Fn(&HandledCall, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
     ) -> Self {
         let calls: Arc<Mutex<Vec<ReceivedCall>>> = Arc::default();
         let received = calls.clone();
         let server = StubServer::with_connection_handler(move |stream| {
-            while let Some(message) = read_message(stream) {
+            while let Some(HttpMessage { start_line: request_line, .. }) = read_message(stream) {
                 let earlier_calls = {
                     let mut received = received.lock().unwrap();
-                    received
-                        .push(ReceivedCall { received_at: Instant::now(), request_line: message.start_line });
+                    let received_at = Instant::now();
+                    received.push(ReceivedCall { received_at, request_line: request_line.clone() });
                     received.len() - 1
                 };
-                if handle_call(earlier_calls, stream).is_break() {
+                let call = HandledCall { earlier_calls, request_line: &request_line };
+                if handle_call(&call, stream).is_break() {
                     return;
                 }
             }
