Use a slow response of discovery after the call has been followed by another

Cause: one timeout served two purposes, to notice a silent discovery and to say how long a response may take. A call was given up 0.75 to 1.88 s after its wait for a change, and the next one met the same delay from its beginning. A discovery that takes 1.9 s for each response was called for ever and never heard.

Evidence: in the log of the case no call of the new address is answered, each is given up after 0.9 to 1.8 s.

Change: the timeout only starts the next call. The call before goes on for 6 s in a task of its own, and its list is applied when it arrives; ListOrder keeps crossing lists in order. SIGHUP for the same address keeps the calls in progress; one for another address ends them. The response and the timeout no longer race, as the list is used in either order.

When calls start does not depend on those in progress: silence is noticed as soon as before, and the bounds and the load of timing.rs hold. A silent discovery holds up to 6 calls of a proxy at once in place of one. The responses to all calls share a budget of 4 MiB.

Ruled out: a longer timeout, which breaks the 4 s of a new address where the list is polled (4.8 s after two failed calls).

--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -1,7 +1,7 @@
-//! The HTTP client of discovery: makes one call at a time, on a connection that is reused until it
-//! fails.
+//! The HTTP client of discovery: makes one call at a time, on a connection that is reused until it fails.
 
 use crate::control::endpoint_list::RawEndpointList;
+use crate::limits::{Budget, Permit};
 use crate::upstream::attempt_body::AttemptBody;
 use crate::upstream::body_buffer::BodyBuffer;
 use crate::upstream::connection::{Connection, connect_within};
@@ -12,11 +12,13 @@
 use hyper::{Request, StatusCode};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 
-/// Largest response body that is accepted, in bytes.
-const MAX_LIST_BYTES: usize = 4 << 20;
+/// Largest number of bytes of response bodies that the calls in progress hold together. A single body may use
+/// all of them.
+pub(super) const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// The error of a call to discovery.
 #[derive(Debug, Error)]
@@ -42,8 +44,8 @@
     /// The response body is incomplete.
     #[error("cannot read the response body: {0}")]
     Body(#[source] hyper::Error),
-    /// The response body exceeds [`MAX_LIST_BYTES`].
-    #[error("the response body is longer than {MAX_LIST_BYTES} bytes")]
+    /// The response bodies of all calls in progress exceed [`MAX_LIST_BYTES`].
+    #[error("the response bodies of all calls are longer than {MAX_LIST_BYTES} bytes")]
     BodyTooLong,
     /// The response body is not an endpoint list.
     #[error("invalid endpoint list: {0}")]
@@ -86,7 +88,7 @@
     }
 
     /// Returns how long discovery may wait for a change before it responds.
-    fn max_wait(self) -> Duration {
+    pub(super) fn max_wait(self) -> Duration {
         match self {
             Self::Full => Duration::ZERO,
             Self::ChangesSince { max_wait, .. } => max_wait,
@@ -98,30 +100,40 @@
 pub(super) struct DiscoveryClient {
     /// The address of discovery.
     address: SocketAddr,
+    /// The budget for the bytes of response bodies, which all clients share.
+    list_budget: Rc<Budget>,
     /// The connection of the last call, if that call succeeded.
     idle_connection: Option<Connection>,
 }
 
+/// A response body, and the permit for its bytes.
+struct BudgetedBody {
+    bytes: Bytes,
+    _permit: Permit,
+}
+
 impl DiscoveryClient {
     /// Creates a client without a connection.
-    pub(super) fn new(address: SocketAddr) -> Self {
-        Self { address, idle_connection: None }
+    pub(super) fn new(address: SocketAddr, list_budget: Rc<Budget>) -> Self {
+        Self { address, list_budget, idle_connection: None }
     }
 
-    /// Makes one call, on the idle connection or else on a new connection.
+    /// Makes one call, on the idle connection or else on a new connection. Returns the client with its
+    /// connection, and the list.
     ///
     /// # Errors
     ///
     /// Returns a [`CallError`] if no valid list arrives before the timeout. The timeout is the sum of
-    /// `response_timeout` and the longest wait for a change that the request allows, and includes connecting.
+    /// `max_response_time` and the longest wait for a change that the request allows, and includes connecting.
     pub(super) async fn fetch(
-        &mut self,
+        mut self,
         request: ListRequest,
-        response_timeout: Duration,
-    ) -> Result<RawEndpointList, CallError> {
-        let timeout = request.max_wait() + response_timeout;
+        max_response_time: Duration,
+    ) -> Result<(Self, RawEndpointList), CallError> {
+        let timeout = request.max_wait() + max_response_time;
         let exchange = self.exchange(request, timeout);
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::Timeout))
+        let list = tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::Timeout))?;
+        Ok((self, list))
     }
 
     async fn exchange(
@@ -137,13 +149,13 @@
         let response = connection.send(request).await.ok_or(CallError::ConnectionClosed)?;
         let response = response.map_err(TrySendError::into_error)?;
         let status = response.status();
-        let body = read_body(&mut connection, response.into_body()).await?;
+        let body = self.read_body(&mut connection, response.into_body()).await?;
         if !status.is_success() {
             return Err(CallError::Status(status.as_u16()));
         }
 
         self.idle_connection = connection.into_reusable();
-        Ok(serde_json::from_slice(&body)?)
+        Ok(serde_json::from_slice(&body.bytes)?)
     }
 
     /// Takes the idle connection if it can still be used, or else establishes a new connection.
@@ -154,14 +166,21 @@
             None => connect_within(self.address, connect_timeout).await.map_err(CallError::Connect),
         }
     }
-}
-
-/// Reads the complete body of a response.
-async fn read_body(connection: &mut Connection, mut incoming: Incoming) -> Result<Bytes, CallError> {
-    let mut buffer = BodyBuffer::new(MAX_LIST_BYTES);
-    while let Some(frame) = connection.drive(incoming.frame()).await.ok_or(CallError::ConnectionClosed)? {
-        let chunk = frame.map_err(CallError::Body)?.into_data().unwrap_or_default();
-        buffer.append(chunk).map_err(|_| CallError::BodyTooLong)?;
+    /// Reads the complete body of a response.
+    async fn read_body(
+        &self,
+        connection: &mut Connection,
+        mut incoming: Incoming,
+    ) -> Result<BudgetedBody, CallError> {
+        let mut permit = self.list_budget.try_acquire(0).ok_or(CallError::BodyTooLong)?;
+        let mut buffer = BodyBuffer::new(MAX_LIST_BYTES);
+        while let Some(frame) = connection.drive(incoming.frame()).await.ok_or(CallError::ConnectionClosed)? {
+            let chunk = frame.map_err(CallError::Body)?.into_data().unwrap_or_default();
+            if !permit.try_extend(chunk.len()) {
+                return Err(CallError::BodyTooLong);
+            }
+            buffer.append(chunk).map_err(|_| CallError::BodyTooLong)?;
+        }
+        Ok(BudgetedBody { bytes: buffer.into_bytes(), _permit: permit })
     }
-    Ok(buffer.into_bytes())
 }
--- a/crates/balancer-proxy/src/control/discovery/list_order.rs
+++ b/crates/balancer-proxy/src/control/discovery/list_order.rs
@@ -60,6 +60,11 @@
         self.needs_full_list
     }
 
+    /// Has the full list requested next. The current list stays in force.
+    pub(super) fn require_full_list(&mut self) {
+        self.needs_full_list = true;
+    }
+
     /// Returns the generation after which changes can be requested, or `None` if the full list has to be
     /// requested.
     pub(super) fn changes_since(&self) -> Option<u64> {
--- a/crates/balancer-proxy/src/control/discovery/list_order/tests.rs
+++ b/crates/balancer-proxy/src/control/discovery/list_order/tests.rs
@@ -115,3 +115,15 @@
         assert_eq!(order.needs_full_list(), extent == ListExtent::Changes);
     }
 }
+
+#[test]
+fn the_full_list_is_requested_once_it_is_required() {
+    let mut order = ListOrder::after_full_list(41);
+
+    order.require_full_list();
+
+    assert_eq!(order.changes_since(), None);
+    let call = order.begin_call();
+    order.accept(41, ListExtent::Full, call);
+    assert_eq!(order.changes_since(), Some(41));
+}
--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -4,23 +4,29 @@
 //! and the ids of endpoint names. Its listener receives a [`WatchEvent`] for each list that arrives and,
 //! if the decision module schedules the calls, for each call that fails.
 //!
+//! - `calls`: the tasks of the calls in progress
 //! - `client`: one HTTP call
 //! - `list_order`: which of two lists is older
 //! - `listener`: the trait of the receiver of watch events
 //! - `timing`: timeouts and backoff, and the resulting bound on the age of the list
+//! - `watch`: the sequence of calls
 
+mod calls;
 mod client;
 mod list_order;
 mod listener;
 mod timing;
+mod watch;
 
 pub use self::listener::WatchListener;
 
-use self::client::{CallError, DiscoveryClient, ListRequest};
+use self::calls::CallsInProgress;
+use self::client::{CallError, DiscoveryClient, ListRequest, MAX_LIST_BYTES};
 use self::list_order::{CallStart, ListAge, ListExtent, ListOrder};
-use self::timing::{Backoff, Jitter, LastCall, REPEATED_POLL_RESPONSE_TIMEOUT, SINGLE_CALL_TIMEOUT};
+use self::timing::{Jitter, LastCall, MAX_RESPONSE_TIME, SINGLE_CALL_TIMEOUT};
 use super::endpoint_list::{EndpointNames, RawEndpoint, RawEndpointList};
 use super::maintenance_store::MaintenanceStore;
+use crate::limits::Budget;
 use crate::log;
 use crate::settings::SettingsSnapshot;
 use crate::watch_event::{ListedEndpoint, WatchEvent};
@@ -29,9 +35,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch as watch_channel};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// Keeps the endpoint list of its listener up to date.
 pub struct Discovery {
@@ -39,9 +44,10 @@
     listener: Rc<dyn WatchListener>,
     /// The address that calls go to.
     address: Cell<SocketAddr>,
-    /// Number of changes of the address. A response to a call that began before the last change is
-    /// dropped.
-    address_epoch: Cell<u64>,
+    /// The calls in progress to this address.
+    calls: CallsInProgress,
+    /// The budget for the bytes of the responses to the calls in progress.
+    list_budget: Rc<Budget>,
     /// The ids of backends and zones.
     names: RefCell<EndpointNames>,
     /// The generation of the current list, and which other lists are older.
@@ -55,7 +61,7 @@
     /// The store of the backends ever listed; `None` in a proxy without a management address.
     maintenance_store: Option<Rc<MaintenanceStore>>,
     /// Whether discovery has responded since the start.
-    has_responded: watch::Sender<bool>,
+    has_responded: watch_channel::Sender<bool>,
 }
 
 impl Discovery {
@@ -73,14 +79,15 @@
         Rc::new(Self {
             listener,
             address: Cell::new(address),
-            address_epoch: Cell::new(0),
+            calls: CallsInProgress::default(),
+            list_budget: Budget::new(MAX_LIST_BYTES),
             names: RefCell::new(EndpointNames::new(&settings.proxy.zones)),
             list_order: RefCell::new(ListOrder::without_list()),
             watch_task: RefCell::default(),
             last_call: Cell::new(LastCall::Succeeded),
             jitter: Jitter::new(seed),
             maintenance_store,
-            has_responded: watch::Sender::new(false),
+            has_responded: watch_channel::Sender::new(false),
         })
     }
 
@@ -130,14 +137,19 @@
         let _ = self.has_responded.subscribe().wait_for(|responded| *responded).await;
     }
 
-    /// Switches to the discovery at `address` and fetches the full list there, as generations of two
-    /// discoveries cannot be compared. The current list stays in force until the new list arrives.
+    /// Switches to the discovery at `address`, be it new or not, and fetches the full list there. The current
+    /// list stays in force until the new list arrives. Responses of an earlier address are dropped, as the
+    /// generations of two discoveries cannot be compared. Calls to the same address go on, so that a slow
+    /// discovery responds to one of them also if the address is set in quick succession.
     pub fn change_address(self: &Rc<Self>, address: SocketAddr) {
         log!("discovery: now at {address}");
         self.stop_watch();
-        self.address.set(address);
-        self.address_epoch.set(self.address_epoch.get() + 1);
-        self.list_order.replace(ListOrder::without_list());
+        if self.address.replace(address) == address {
+            self.list_order.borrow_mut().require_full_list();
+        } else {
+            self.calls.abort_all();
+            self.list_order.replace(ListOrder::without_list());
+        }
         self.last_call.set(LastCall::Succeeded);
         self.start_watch();
     }
@@ -160,84 +172,58 @@
     pub fn fetch_full_list(self: &Rc<Self>) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            let epoch = this.address_epoch.get();
-            let mut client = DiscoveryClient::new(this.address.get());
+            let address = this.address.get();
             let response_timeout = this.jitter.apply(SINGLE_CALL_TIMEOUT);
-            let call_start = this.list_order.borrow().begin_call();
-            let response = client.fetch(ListRequest::Full, response_timeout).await;
-            if this.address_epoch.get() != epoch {
-                return;
-            }
-            match response {
-                Ok(list) => this.apply_list(list, call_start),
-                Err(error) => this.report_failure(&error),
+            let outcome = this.call(this.new_client(), ListRequest::Full, response_timeout).await;
+            if let Err(error) = outcome
+                && this.address.get() == address
+            {
+                this.report_failure(&error);
             }
         });
     }
 
-    /// Calls discovery without a pause while calls succeed, as discovery would end the watch during a pause.
-    /// After a failed call, the next call follows after a backoff. If the decision module schedules the
-    /// calls, a failed call ends the watch instead, and the module starts the next watch.
-    async fn watch(self: Rc<Self>) {
-        let mut client = DiscoveryClient::new(self.address.get());
-        let mut backoff = Backoff::new();
-        loop {
-            let call_start = Instant::now();
-            match self.watch_call(&mut client).await {
-                Ok(()) => {
-                    if !self.list_order.borrow().needs_full_list() {
-                        backoff.reset();
-                        continue;
-                    }
-                }
-                Err(error) if self.must_poll() => {
-                    // The task is cleared before the decision module is notified, as the module may start
-                    // the next watch immediately, and `start_watch` does nothing while a task is set.
-                    *self.watch_task.borrow_mut() = None;
-                    self.report_failure(&error);
-                    return;
-                }
-                Err(error) => self.report_failure(&error),
-            }
-            tokio::time::sleep_until(backoff.next_call_at(call_start, &self.jitter)).await;
-        }
+    /// Creates a client without a connection.
+    fn new_client(&self) -> DiscoveryClient {
+        DiscoveryClient::new(self.address.get(), self.list_budget.clone())
     }
 
-    /// Makes one call of the watch, for changes or for the full list, and applies the list in the response.
-    /// The outcome decides the timing of the next call.
+    /// Makes a call, and waits until the list in the response has been applied. Returns the client for the
+    /// next call.
+    ///
+    /// A call that exceeds the timeout goes on for up to [`MAX_RESPONSE_TIME`], and its list is applied when it
+    /// arrives: discovery may be slow rather than silent. A failure after the timeout is not reported again.
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] if no valid list arrives before the timeout.
-    async fn watch_call(&self, client: &mut DiscoveryClient) -> Result<(), CallError> {
+    /// Returns a [`CallError`] if no valid list has arrived before the timeout, which is the sum of
+    /// `response_timeout` and the longest wait for a change that the request allows.
+    async fn call(
+        self: &Rc<Self>,
+        client: DiscoveryClient,
+        request: ListRequest,
+        response_timeout: Duration,
+    ) -> Result<DiscoveryClient, CallError> {
+        let this = self.clone();
         let call_start = self.list_order.borrow().begin_call();
-        let request = match self.list_order.borrow().changes_since() {
-            Some(generation) => {
-                let max_change_wait = self.last_call.get().next_timing().max_change_wait;
-                ListRequest::ChangesSince {
-                    generation,
-                    max_wait: max_change_wait.min(self.max_poll_interval()),
+        let (outcome_sender, outcome) = oneshot::channel();
+        self.calls.start(async move {
+            let response = client.fetch(request, MAX_RESPONSE_TIME).await;
+            let result = response.map(|(client, list)| {
+                if outcome_sender.is_closed() {
+                    log!("discovery: a response from {} came late and is used", this.address.get());
                 }
-            }
-            None => ListRequest::Full,
-        };
-        let response_timeout = self.response_timeout(request);
-        let response = client.fetch(request, response_timeout).await;
-        let last_call = if response.is_ok() { LastCall::Succeeded } else { LastCall::Failed };
-        self.last_call.set(last_call);
-        self.apply_list(response?, call_start);
-        Ok(())
-    }
-
-    /// Returns the response timeout of the next call of the watch. The full list has to arrive sooner than a
-    /// repeated poll, as a new address has to be in effect within 4 s.
-    fn response_timeout(&self, request: ListRequest) -> Duration {
-        let last_call = self.last_call.get();
-        let with_jitter = self.jitter.apply(last_call.next_timing().response_timeout);
-        let is_repeated_poll = self.must_poll() && last_call == LastCall::Failed;
-        match request {
-            ListRequest::ChangesSince { .. } if is_repeated_poll => REPEATED_POLL_RESPONSE_TIMEOUT,
-            _ => with_jitter,
+                this.apply_list(list, call_start);
+                client
+            });
+            // Fails if the caller no longer waits.
+            let _ = outcome_sender.send(result);
+        });
+        let timeout = request.max_wait() + response_timeout;
+        match tokio::time::timeout(timeout, outcome).await {
+            Ok(Ok(result)) => result,
+            // The sender is dropped only if the call was ended for another one.
+            Ok(Err(_)) | Err(_) => Err(CallError::Timeout),
         }
     }
 
@@ -246,13 +232,6 @@
         self.listener.settings().balancer.must_poll_endpoints
     }
 
-    /// Returns the longest interval between two polls that the settings allow, which bounds the wait for
-    /// a change. After a longer interval the proxy counts as not notified.
-    fn max_poll_interval(&self) -> Duration {
-        let limit_seconds = self.listener.settings().balancer.endpoint_poll_limit;
-        Duration::try_from_secs_f64(limit_seconds).unwrap_or(Duration::MAX)
-    }
-
     /// Passes the list in the response to the call with this start on to the listener, unless the list is
     /// older than the current one.
     fn apply_list(&self, list: RawEndpointList, call_start: CallStart) {
--- a/crates/balancer-proxy/src/control/discovery/timing.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing.rs
@@ -7,8 +7,8 @@
 //! made just before discovery can be reached again; a backoff; a call with half a response; another backoff;
 //! and a call that succeeds.
 //!
-//! A call fails after at most its wait for a change plus its response timeout with jitter, which include
-//! connecting:
+//! A call counts as failed, and is followed by another one, after at most its wait for a change plus its
+//! response timeout with jitter, which include connecting:
 //!
 //! | call                               | longest time until it fails |
 //! | ---------------------------------- | --------------------------- |
@@ -38,12 +38,36 @@
 //! The bound does not hold for a polled discovery that rejects calls because more of them arrive than it can
 //! serve. A call starts at most 4.5 s after one that was rejected (`MAX_BACKOFF_AFTER_REJECTION`).
 //!
+//! # Slow responses
+//!
+//! A sound discovery may take 2 s for a response after the wait that the call allows. The full list allows no
+//! wait and may take 6 s, after which a change counts as notified in any case. Most timeouts above are
+//! shorter, as a silent discovery has to be noticed early. A call therefore goes on after its timeout, for
+//! up to [`MAX_RESPONSE_TIME`], and its list is applied when the list arrives. The calls that follow, and so
+//! the load on discovery, do not depend on that.
+//!
+//! Slow responses meet the bounds after one call without a response, which is the first of the sum. The last
+//! is the slow call itself, whose response tells a pending change without a wait:
+//!
+//! | worst case                                   | call + backoff + slow call | sum  |
+//! | -------------------------------------------- | -------------------------- | ---- |
+//! | pushed, after a success                      | 2.25 + 0.06 + 2            | 4.31 |
+//! | pushed, after failures                       | 1.98 + 0.06 + 2            | 4.04 |
+//! | polled, after a success                      | 2.25 + 0.38 + 2            | 4.63 |
+//! | polled, after failures                       | 2.1 + 0.38 + 2             | 4.48 |
+//! | new address by SIGHUP, pushed (of 4 s)       | 1.25 + 0.06 + 2            | 3.31 |
+//! | new address by SIGHUP, polled (of 4 s)       | 1.25 + 0.38 + 2            | 3.63 |
+//!
+//! After a call that fails at once, a slow response that shows a restart of the generations, and a slow full
+//! list, take at most 0.38 + 2.1 + 0.06 + 2 = 4.54 s. The bounds do not hold for a slow discovery if two calls in
+//! a row get no response, or if a call without a response and a restart of the generations come together.
+//!
 //! # Load on discovery
 //!
 //! A discovery that rejects all calls gets one call a second from each proxy, or one every 3 s if it is
 //! polled. A silent discovery gets a call every 1.6 s from each proxy, or every 2.35 s if it is polled. With
 //! 5,500 proxies, the load is 5,500 or 1,830 calls a second in the first case, and some 3,400 or 2,340 in the
-//! second.
+//! second. A silent discovery holds up to 6 of these calls of each proxy at the same time.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -77,6 +101,11 @@
 /// overload. The decision module spreads the polls of different proxies.
 pub(super) const REPEATED_POLL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time for the response to any call, in addition to the wait for a change. A change counts as
+/// notified after this time, whether or not a response has arrived. A call that exceeds its response timeout
+/// is followed by another one, and goes on.
+pub(super) const MAX_RESPONSE_TIME: Duration = Duration::from_secs(6);
+
 /// Response timeout, before jitter, of a call outside the watch.
 pub(super) const SINGLE_CALL_TIMEOUT: Duration = TIMING_AFTER_FAILURE.response_timeout;
 
--- a/crates/balancer-proxy/src/control/discovery/timing/tests.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of jitter, backoff and the bounds in the module's documentation.
 
-use super::{Backoff, Jitter, LastCall, MAX_JITTER_FRACTION, MIN_BACKOFF, REPEATED_POLL_RESPONSE_TIMEOUT};
+use super::{
+    Backoff, Jitter, LastCall, MAX_JITTER_FRACTION, MAX_RESPONSE_TIME, MIN_BACKOFF,
+    REPEATED_POLL_RESPONSE_TIMEOUT,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -11,6 +14,21 @@
 /// its largest random factor.
 const MAX_POLL_BACKOFF_AFTER_FAILURE: Duration = Duration::from_millis(375);
 
+/// Longest time that a sound discovery takes for a response after the wait that the call allows.
+const SLOW_RESPONSE: Duration = Duration::from_secs(2);
+
+/// Time after which a change counts as notified.
+const CHANGE_BOUND: Duration = Duration::from_secs(6);
+
+/// Time after SIGHUP at which what the discovery at a new address says counts as notified.
+const NEW_ADDRESS_BOUND: Duration = Duration::from_secs(4);
+
+/// Returns the longest duration of a call of the watch until its timeout.
+fn longest_call(last_call: LastCall) -> Duration {
+    let timing = last_call.next_timing();
+    timing.max_change_wait + longest_with_jitter(timing.response_timeout)
+}
+
 /// Returns the longest duration that jitter may produce from `duration`.
 fn longest_with_jitter(duration: Duration) -> Duration {
     duration.mul_f64(1.0 + MAX_JITTER_FRACTION)
@@ -90,10 +108,6 @@
 
 #[test]
 fn two_failed_calls_in_a_row_end_within_the_bound_of_the_protocol() {
-    let longest_call = |last_call: LastCall| {
-        let timing = last_call.next_timing();
-        timing.max_change_wait + longest_with_jitter(timing.response_timeout)
-    };
     let full_list_call = longest_with_jitter(LastCall::Succeeded.next_timing().response_timeout);
     let pushed_backoffs = 2 * longest_with_jitter(MIN_BACKOFF);
 
@@ -105,9 +119,28 @@
     let polled_after_a_success = longest_call(LastCall::Succeeded) + repeated_poll;
     let polled_after_failures = 2 * repeated_poll;
 
-    let bound = Duration::from_secs(6);
-    assert!(after_a_success + pushed_backoffs < bound);
-    assert!(after_failures + pushed_backoffs < bound);
-    assert!(polled_after_a_success + polled_backoffs < bound);
-    assert!(polled_after_failures + polled_backoffs < bound);
+    assert!(after_a_success + pushed_backoffs < CHANGE_BOUND);
+    assert!(after_failures + pushed_backoffs < CHANGE_BOUND);
+    assert!(polled_after_a_success + polled_backoffs < CHANGE_BOUND);
+    assert!(polled_after_failures + polled_backoffs < CHANGE_BOUND);
+}
+
+#[test]
+fn a_slow_response_after_a_call_without_a_response_arrives_within_the_bounds_of_the_protocol() {
+    let backoffs = [longest_with_jitter(MIN_BACKOFF), MAX_POLL_BACKOFF_AFTER_FAILURE];
+    let repeated_poll = LastCall::Failed.next_timing().max_change_wait + REPEATED_POLL_RESPONSE_TIMEOUT;
+    let failed_calls = [longest_call(LastCall::Succeeded), longest_call(LastCall::Failed), repeated_poll];
+    let failed_full_list_call = longest_with_jitter(LastCall::Succeeded.next_timing().response_timeout);
+
+    for backoff in backoffs {
+        for failed_call in failed_calls {
+            assert!(failed_call + backoff + SLOW_RESPONSE < CHANGE_BOUND, "{failed_call:?}, {backoff:?}");
+        }
+        assert!(failed_full_list_call + backoff + SLOW_RESPONSE < NEW_ADDRESS_BOUND, "{backoff:?}");
+    }
+}
+
+#[test]
+fn a_call_goes_on_for_as_long_as_its_list_is_of_use() {
+    assert!(MAX_RESPONSE_TIME >= CHANGE_BOUND);
 }
--- a/crates/balancer-proxy/src/limits/budget.rs
+++ b/crates/balancer-proxy/src/limits/budget.rs
@@ -60,6 +60,18 @@
     units: usize,
 }
 
+impl Permit {
+    /// Acquires `units` more units of the budget. Returns whether that many units were available.
+    #[must_use]
+    pub fn try_extend(&mut self, units: usize) -> bool {
+        let Some(mut addition) = self.budget.try_acquire(units) else {
+            return false;
+        };
+        self.units += std::mem::take(&mut addition.units);
+        true
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         let used = self.budget.used.get();
--- a/crates/balancer-proxy/tests/common/mod.rs
+++ b/crates/balancer-proxy/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub mod scripted_discovery;
 pub mod settings_reload;
 pub mod shared_address;
+pub mod slow_discovery;
 pub mod socket_table;
 pub mod state_folder;
 pub mod stub_server;
--- a/crates/balancer-proxy/tests/common/scripted_discovery.rs
+++ b/crates/balancer-proxy/tests/common/scripted_discovery.rs
@@ -26,12 +26,6 @@
     pub request_line: String,
 }
 
-/// A call that a scripted discovery is handling.
-struct HandledCall<'a> {
-    earlier_calls: usize,
-    request_line: &'a str,
-}
-
 /// A stand-in for discovery that counts calls over all connections and handles each by its number.
 pub struct ScriptedDiscovery {
     /// The server that receives the calls.
@@ -45,19 +39,13 @@
     pub fn new(
         handle_call: impl Fn(usize, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
     ) -> Self {
-        Self::with_handler(move |call, stream| handle_call(call.earlier_calls, stream))
+        Self::with_call_handler(move |earlier_calls, _, stream| handle_call(earlier_calls, stream))
     }
 
-    /// Starts a discovery that handles each call by the function, which gets the request line of the call. The
-    /// connection is closed if the function returns [`ControlFlow::Break`].
+    /// Starts a discovery like [`ScriptedDiscovery::new`], whose function gets the request line of the call as
+    /// well.
     pub fn with_call_handler(
-        handle_call: impl Fn(&str, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
-    ) -> Self {
-        Self::with_handler(move |call, stream| handle_call(call.request_line, stream))
-    }
-
-    fn with_handler(
-        handle_call: impl Fn(&HandledCall, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
+        handle_call: impl Fn(usize, &str, &mut BufReader<TcpStream>) -> ControlFlow<()> + Send + Sync + 'static,
     ) -> Self {
         let calls: Arc<Mutex<Vec<ReceivedCall>>> = Arc::default();
         let received = calls.clone();
@@ -69,8 +57,7 @@
                     received.push(ReceivedCall { received_at, request_line: request_line.clone() });
                     received.len() - 1
                 };
-                let call = HandledCall { earlier_calls, request_line: &request_line };
-                if handle_call(&call, stream).is_break() {
+                if handle_call(earlier_calls, &request_line, stream).is_break() {
                     return;
                 }
             }
--- a/crates/balancer-proxy/tests/crossing_lists.rs
+++ b/crates/balancer-proxy/tests/crossing_lists.rs
@@ -32,7 +32,7 @@
     let (report_full_list_read, full_list_read) = channel();
     let (report_changes_applied, changes_applied) = channel();
     let full_list_released = Mutex::new(full_list_released);
-    let discovery = ScriptedDiscovery::with_call_handler(move |request_line, stream| {
+    let discovery = ScriptedDiscovery::with_call_handler(move |_, request_line, stream| {
         if request_line.contains("since=1&") {
             stream.get_mut().write_all(changes.as_bytes()).unwrap();
             return ControlFlow::Continue(());
--- a/crates/balancer-proxy/tests/limits.rs
+++ b/crates/balancer-proxy/tests/limits.rs
@@ -31,6 +31,19 @@
     assert!(budget.try_acquire(3).is_some());
 }
 
+#[test]
+fn a_permit_is_extended_by_available_units_and_returns_them_with_its_own() {
+    let budget = Budget::new(3);
+    let mut permit = budget.try_acquire(1).unwrap();
+
+    assert!(permit.try_extend(2));
+    assert!(!permit.try_extend(1));
+    assert!(budget.is_full());
+    drop(permit);
+
+    assert!(budget.try_acquire(3).is_some());
+}
+
 #[test]
 fn permits_beyond_a_lowered_limit_stay_valid_and_block_new_ones() {
     let budget = Budget::new(3);
--- /dev/null
+++ b/crates/balancer-proxy/tests/slow_discovery.rs
@@ -0,0 +1,138 @@
+//! A discovery that takes almost as long for each response as the protocol allows: 2 s after the wait that the
+//! call allows, and 6 s for a call that allows no wait.
+//!
+//! Guards against calls that were given up before such a response arrived, each time, so that no list ever came
+//! and requests went on to backends that were draining. The proxy repeats a call without a response early, as
+//! discovery may be silent; the response to the earlier call has to be used nevertheless.
+
+mod common;
+
+use common::configuration::endpoint_list;
+use common::proxy_process::{ProxyProcess, exit_code};
+use common::scripted_discovery::BackendReplacement;
+use common::shared_address::SharedAddress;
+use common::slow_discovery::{
+    CHANGE_BOUND, CallFate, assert_replaced_within, for_each_mode_and_seed, initial_configuration,
+    list_after, slow_discovery,
+};
+use common::waiting::wait_for;
+use std::time::{Duration, Instant};
+
+/// Time after a new process is ready at which what discovery says binds, and the grace period of a drain.
+const NEW_PROCESS_BOUND: Duration = Duration::from_secs(3);
+
+/// Returns whether a call asks for the full list.
+fn asks_for_full_list(request_line: &str) -> bool {
+    !request_line.contains("since=")
+}
+
+#[test]
+fn a_change_in_slow_responses_is_in_effect_in_time_from_the_start_and_after_a_failure() {
+    for fate_of_first_call in [CallFate::Slow, CallFate::Closed, CallFate::Silent] {
+        for_each_mode_and_seed(|registry_mode, seed| {
+            let backends = BackendReplacement::start();
+            let list = backends.event(2, "DRAINING");
+            let discovery = slow_discovery(move |earlier_calls, _| {
+                let fate = if earlier_calls == 0 { fate_of_first_call } else { CallFate::Slow };
+                (fate, list.clone())
+            });
+            let configuration = initial_configuration(&backends, registry_mode, seed);
+            let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
+            wait_for("the first call", || discovery.call_count() > 0);
+
+            let first_call = discovery.call(0).received_at;
+            let case = format!("changes, {registry_mode}, seed {seed}");
+            assert_replaced_within(&proxy, CHANGE_BOUND, first_call, &case);
+        });
+    }
+}
+
+#[test]
+fn a_change_in_slow_responses_is_in_effect_in_time_after_successful_calls() {
+    for_each_mode_and_seed(|registry_mode, seed| {
+        let backends = BackendReplacement::start();
+        let cached_list = backends.cached_list();
+        let change = backends.event(2, "DRAINING");
+        let discovery = slow_discovery(move |earlier_calls, _| match earlier_calls {
+            0 | 1 => (CallFate::Prompt, cached_list.clone()),
+            _ => (CallFate::Slow, change.clone()),
+        });
+        let configuration = initial_configuration(&backends, registry_mode, seed);
+        let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
+        wait_for("the first slow call", || discovery.call_count() > 2);
+
+        let first_slow_call = discovery.call(2).received_at;
+        let case = format!("changes after a success, {registry_mode}, seed {seed}");
+        assert_replaced_within(&proxy, CHANGE_BOUND, first_slow_call, &case);
+    });
+}
+
+#[test]
+fn the_full_list_after_a_restart_of_generations_is_used_if_its_response_is_slow() {
+    for_each_mode_and_seed(|registry_mode, seed| {
+        let backends = BackendReplacement::start();
+        let list = list_after(&backends, 0);
+        let restarted = endpoint_list(0, false, &[]);
+        let discovery = slow_discovery(move |_, request_line| {
+            if asks_for_full_list(request_line) {
+                (CallFate::Slow, list.clone())
+            } else {
+                (CallFate::Prompt, restarted.clone())
+            }
+        });
+        let configuration = initial_configuration(&backends, registry_mode, seed);
+        let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
+        wait_for("the first call", || discovery.call_count() > 0);
+
+        let first_call = discovery.call(0).received_at;
+        let case = format!("restarted generations, {registry_mode}, seed {seed}");
+        assert_replaced_within(&proxy, CHANGE_BOUND, first_call, &case);
+    });
+}
+
+#[test]
+fn the_full_list_at_the_start_beside_another_process_is_used_if_its_response_is_slow() {
+    for_each_mode_and_seed(|registry_mode, seed| {
+        let backends = BackendReplacement::start();
+        let list = list_after(&backends, 2);
+        // The watch gets no response, so that the list comes from the call beside the watch alone.
+        let discovery = slow_discovery(move |_, request_line| {
+            let fate = if asks_for_full_list(request_line) { CallFate::Slow } else { CallFate::Silent };
+            (fate, list.clone())
+        });
+        let configuration = initial_configuration(&backends, registry_mode, seed);
+        let shared_address = SharedAddress::new();
+        let mut old_process = shared_address.start(&configuration);
+        let new_process = shared_address.start_with_discovery(&configuration, discovery.server.address);
+        let ready = Instant::now();
+        old_process.signal("-TERM");
+        assert_eq!(exit_code(&mut old_process.child), Some(0));
+
+        let case = format!("single call, {registry_mode}, seed {seed}");
+        assert_replaced_within(&new_process, NEW_PROCESS_BOUND, ready, &case);
+    });
+}
+
+#[test]
+fn a_slow_discovery_gets_no_more_calls_than_a_silent_one() {
+    /// Number of calls until the end of the test.
+    const CALL_COUNT: usize = 6;
+    /// Shortest mean interval between calls without a response in time: 0.1 s for a change, and 1.5 s for the
+    /// response less a quarter of jitter.
+    const MIN_MEAN_INTERVAL: Duration = Duration::from_millis(1_225);
+    for fate in [CallFate::Slow, CallFate::Silent] {
+        for_each_mode_and_seed(|registry_mode, seed| {
+            let backends = BackendReplacement::start();
+            let change = backends.event(2, "DRAINING");
+            let discovery = slow_discovery(move |_, _| (fate, change.clone()));
+            let configuration = initial_configuration(&backends, registry_mode, seed);
+            let _proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
+
+            wait_for("the calls", || discovery.call_count() >= CALL_COUNT);
+
+            let last_call = discovery.call(CALL_COUNT - 1).received_at;
+            let mean_interval = (last_call - discovery.call(0).received_at) / (CALL_COUNT - 1) as u32;
+            assert!(mean_interval >= MIN_MEAN_INTERVAL, "{registry_mode}, seed {seed}: {mean_interval:?}");
+        });
+    }
+}
