--- a/crates/balancer-proxy/tests/common/http.rs
+++ b/crates/balancer-proxy/tests/common/http.rs
@@ -35,6 +35,13 @@
     BufReader::new(stream)
 }
 
+/// Returns whether the peer has closed a connection of which everything has been read. The connection no longer
+/// blocks afterwards.
+pub fn is_closed_by_peer(stream: &BufReader<TcpStream>) -> bool {
+    stream.get_ref().set_nonblocking(true).unwrap();
+    stream.get_ref().peek(&mut [0]).is_ok_and(|length| length == 0)
+}
+
 /// Writes a request and reads its response.
 ///
 /// # Panics
--- a/crates/balancer-proxy/tests/common/slow_discovery.rs
+++ b/crates/balancer-proxy/tests/common/slow_discovery.rs
@@ -13,8 +13,6 @@
 use super::stub_server::wait_for_input_or_close;
 use super::waiting::wait_for;
 
-/// Time that discovery takes for a response, in addition to its wait for a change.
-const RESPONSE_TIME: Duration = Duration::from_millis(1_950);
 /// Time after SIGHUP at which what the discovery at a new address says counts as notified.
 pub const NEW_ADDRESS_BOUND: Duration = Duration::from_secs(4);
 /// Time after which a change counts as notified.
@@ -24,18 +22,21 @@
 pub const REGISTRY_MODES: [&str; 2] = ["automatic", "subscribe"];
 
 /// The fate of a call.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub enum CallFate {
-    /// The response is written after [`RESPONSE_TIME`].
-    Slow,
-    /// The response is written at once.
-    Prompt,
+    /// The response is written after this time, in addition to the wait for a change.
+    Responds(Duration),
     /// The connection is closed without a response.
     Closed,
     /// There is no response.
     Silent,
 }
 
+/// A response that takes almost as long as the protocol allows.
+pub const SLOW: CallFate = CallFate::Responds(Duration::from_millis(1_950));
+/// A response that follows the wait for a change without a delay.
+pub const PROMPT: CallFate = CallFate::Responds(Duration::ZERO);
+
 /// Starts a discovery that handles each call, by the number of earlier calls, according to a function. The
 /// function gets the request line as well, and returns the list of the response.
 pub fn slow_discovery(
@@ -44,8 +45,7 @@
     ScriptedDiscovery::with_call_handler(move |earlier_calls, request_line, stream| {
         let (fate, list) = fate_and_list(earlier_calls, request_line);
         match fate {
-            CallFate::Slow => std::thread::sleep(change_wait(request_line) + RESPONSE_TIME),
-            CallFate::Prompt => {}
+            CallFate::Responds(delay) => std::thread::sleep(change_wait(request_line) + delay),
             CallFate::Closed => return ControlFlow::Break(()),
             CallFate::Silent => {
                 wait_for_input_or_close(stream);
--- a/crates/balancer-proxy/tests/connection_limits.rs
+++ b/crates/balancer-proxy/tests/connection_limits.rs
@@ -7,7 +7,7 @@
 use common::configuration::{
     READINESS_REQUEST, configuration, default_settings, endpoint_list, listed_endpoint, request, serving_list,
 };
-use common::http::{HttpMessage, exchange, read_message, response};
+use common::http::{HttpMessage, exchange, is_closed_by_peer, read_message, response};
 use common::proxy_process::ProxyProcess;
 use common::stub_server::{Reply, StubServer};
 use common::waiting::wait_for;
@@ -82,12 +82,7 @@
     std::thread::sleep(Duration::from_millis(550)); // silent connections may be closed, idle ones not
 
     let new = open_connections(&proxy, 20);
-    wait_for("a closed connection", || {
-        silent.iter().any(|stream| {
-            stream.get_ref().set_nonblocking(true).unwrap();
-            stream.get_ref().peek(&mut [0]).is_ok_and(|length| length == 0)
-        })
-    });
+    wait_for("a closed connection", || silent.iter().any(is_closed_by_peer));
 
     assert_eq!(exchange(&mut health_checker, READINESS_REQUEST).status(), 200);
     drop(new);
--- a/crates/balancer-proxy/tests/request_body_eviction.rs
+++ b/crates/balancer-proxy/tests/request_body_eviction.rs
@@ -9,7 +9,7 @@
 
 use common::body::{position_dependent_bytes, write_in_background};
 use common::configuration::{request, request_with_framing};
-use common::http::{exchange, read_body, read_head, read_message, response};
+use common::http::{exchange, is_closed_by_peer, read_body, read_head, read_message, response};
 use common::proxy_process::ProxyProcess;
 use common::socket_table::unread_bytes_from_port;
 use common::stub_server::StubServer;
@@ -69,11 +69,6 @@
     });
 }
 
-fn is_closed(client: &BufReader<TcpStream>) -> bool {
-    client.get_ref().set_nonblocking(true).unwrap();
-    client.get_ref().peek(&mut [0]).is_ok_and(|length| length == 0)
-}
-
 #[test]
 fn a_request_whose_body_waits_for_its_backend_is_not_closed_for_new_connections() {
     let (backend, release) = backend_that_reads_late();
@@ -85,7 +80,7 @@
     wait_until_proxy_stops_reading(&client);
 
     let new: Vec<_> = (0..NEW_CONNECTIONS).map(|_| proxy.connect()).collect();
-    wait_for("a connection that is closed for a new one", || new.iter().any(is_closed));
+    wait_for("a connection that is closed for a new one", || new.iter().any(is_closed_by_peer));
     release.send(()).unwrap();
 
     assert_eq!(read_message(&mut client).expect("no complete response").status(), 200);
--- a/crates/balancer-proxy/tests/slow_discovery.rs
+++ b/crates/balancer-proxy/tests/slow_discovery.rs
@@ -12,8 +12,8 @@
 use common::scripted_discovery::BackendReplacement;
 use common::shared_address::SharedAddress;
 use common::slow_discovery::{
-    CHANGE_BOUND, CallFate, assert_replaced_within, for_each_mode_and_seed, initial_configuration,
-    list_after, slow_discovery,
+    CHANGE_BOUND, CallFate, PROMPT, SLOW, assert_replaced_within, for_each_mode_and_seed,
+    initial_configuration, list_after, slow_discovery,
 };
 use common::waiting::wait_for;
 use std::time::{Duration, Instant};
@@ -28,12 +28,12 @@
 
 #[test]
 fn a_change_in_slow_responses_is_in_effect_in_time_from_the_start_and_after_a_failure() {
-    for fate_of_first_call in [CallFate::Slow, CallFate::Closed, CallFate::Silent] {
+    for fate_of_first_call in [SLOW, CallFate::Closed, CallFate::Silent] {
         for_each_mode_and_seed(|registry_mode, seed| {
             let backends = BackendReplacement::start();
             let list = backends.event(2, "DRAINING");
             let discovery = slow_discovery(move |earlier_calls, _| {
-                let fate = if earlier_calls == 0 { fate_of_first_call } else { CallFate::Slow };
+                let fate = if earlier_calls == 0 { fate_of_first_call } else { SLOW };
                 (fate, list.clone())
             });
             let configuration = initial_configuration(&backends, registry_mode, seed);
@@ -54,8 +54,8 @@
         let cached_list = backends.cached_list();
         let change = backends.event(2, "DRAINING");
         let discovery = slow_discovery(move |earlier_calls, _| match earlier_calls {
-            0 | 1 => (CallFate::Prompt, cached_list.clone()),
-            _ => (CallFate::Slow, change.clone()),
+            0 | 1 => (PROMPT, cached_list.clone()),
+            _ => (SLOW, change.clone()),
         });
         let configuration = initial_configuration(&backends, registry_mode, seed);
         let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
@@ -73,12 +73,10 @@
         let backends = BackendReplacement::start();
         let list = list_after(&backends, 0);
         let restarted = endpoint_list(0, false, &[]);
-        let discovery = slow_discovery(move |_, request_line| {
-            if asks_for_full_list(request_line) {
-                (CallFate::Slow, list.clone())
-            } else {
-                (CallFate::Prompt, restarted.clone())
-            }
+        let discovery = slow_discovery(move |earlier_calls, request_line| match earlier_calls {
+            0 => (PROMPT, restarted.clone()),
+            _ if asks_for_full_list(request_line) => (SLOW, list.clone()),
+            _ => (CallFate::Silent, list.clone()),
         });
         let configuration = initial_configuration(&backends, registry_mode, seed);
         let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
@@ -97,7 +95,7 @@
         let list = list_after(&backends, 2);
         // The watch gets no response, so that the list comes from the call beside the watch alone.
         let discovery = slow_discovery(move |_, request_line| {
-            let fate = if asks_for_full_list(request_line) { CallFate::Slow } else { CallFate::Silent };
+            let fate = if asks_for_full_list(request_line) { SLOW } else { CallFate::Silent };
             (fate, list.clone())
         });
         let configuration = initial_configuration(&backends, registry_mode, seed);
@@ -120,7 +118,7 @@
     /// Shortest mean interval between calls without a response in time: 0.1 s for a change, and 1.5 s for the
     /// response less a quarter of jitter.
     const MIN_MEAN_INTERVAL: Duration = Duration::from_millis(1_225);
-    for fate in [CallFate::Slow, CallFate::Silent] {
+    for fate in [SLOW, CallFate::Silent] {
         for_each_mode_and_seed(|registry_mode, seed| {
             let backends = BackendReplacement::start();
             let change = backends.event(2, "DRAINING");
--- a/crates/balancer-proxy/tests/slow_discovery_reload.rs
+++ b/crates/balancer-proxy/tests/slow_discovery_reload.rs
@@ -9,7 +9,7 @@
 use common::proxy_process::ProxyProcess;
 use common::scripted_discovery::BackendReplacement;
 use common::slow_discovery::{
-    CHANGE_BOUND, CallFate, NEW_ADDRESS_BOUND, REGISTRY_MODES, assert_replaced_within,
+    CHANGE_BOUND, CallFate, NEW_ADDRESS_BOUND, REGISTRY_MODES, SLOW, assert_replaced_within,
     for_each_mode_and_seed, initial_configuration, list_after, move_discovery, slow_discovery,
 };
 use common::stub_server::silent_discovery;
@@ -17,64 +17,44 @@
 use serde_json::json;
 use std::time::{Duration, Instant};
 
-#[test]
-fn a_new_address_whose_responses_are_slow_is_in_effect_in_time() {
+/// Switches a proxy by SIGHUP to a discovery whose first call and later calls have these fates. Asserts that its
+/// list is in force within the bound, for each registry mode and seed.
+fn check_new_address(first_call: CallFate, later_calls: CallFate, bound: Duration) {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
         let list = list_after(&backends, 2);
-        let discovery = slow_discovery(move |_, _| (CallFate::Slow, list.clone()));
+        let discovery = slow_discovery(move |earlier_calls, _| {
+            let fate = if earlier_calls == 0 { first_call } else { later_calls };
+            (fate, list.clone())
+        });
         let mut configuration = initial_configuration(&backends, registry_mode, seed);
         let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
 
         let signalled = Instant::now();
         move_discovery(&proxy, &mut configuration, &discovery);
 
-        let case = format!("new address, {registry_mode}, seed {seed}");
-        assert_replaced_within(&proxy, NEW_ADDRESS_BOUND, signalled, &case);
+        let case = format!("{registry_mode}, seed {seed}, {first_call:?} first, then {later_calls:?}");
+        assert_replaced_within(&proxy, bound, signalled, &case);
     });
 }
 
 #[test]
-fn a_new_address_whose_first_call_fails_and_whose_responses_are_slow_is_in_effect_in_time() {
-    for fate_of_first_call in [CallFate::Closed, CallFate::Silent] {
-        for_each_mode_and_seed(|registry_mode, seed| {
-            let backends = BackendReplacement::start();
-            let list = list_after(&backends, 2);
-            let discovery = slow_discovery(move |earlier_calls, _| {
-                let fate = if earlier_calls == 0 { fate_of_first_call } else { CallFate::Slow };
-                (fate, list.clone())
-            });
-            let mut configuration = initial_configuration(&backends, registry_mode, seed);
-            let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
-
-            let signalled = Instant::now();
-            move_discovery(&proxy, &mut configuration, &discovery);
+fn a_new_address_whose_responses_are_slow_is_in_effect_in_time() {
+    check_new_address(SLOW, SLOW, NEW_ADDRESS_BOUND);
+}
 
-            let case = format!("new address after a failure, {registry_mode}, seed {seed}");
-            assert_replaced_within(&proxy, NEW_ADDRESS_BOUND, signalled, &case);
-        });
+#[test]
+fn a_new_address_whose_first_call_fails_and_whose_responses_are_slow_is_in_effect_in_time() {
+    for first_call in [CallFate::Closed, CallFate::Silent] {
+        check_new_address(first_call, SLOW, NEW_ADDRESS_BOUND);
     }
 }
 
 #[test]
 fn the_full_list_that_takes_5_s_is_used() {
-    const FULL_LIST_TIME: Duration = Duration::from_secs(5);
-    for_each_mode_and_seed(|registry_mode, seed| {
-        let backends = BackendReplacement::start();
-        let list = list_after(&backends, 2);
-        let discovery = slow_discovery(move |_, _| {
-            std::thread::sleep(FULL_LIST_TIME);
-            (CallFate::Prompt, list.clone())
-        });
-        let mut configuration = initial_configuration(&backends, registry_mode, seed);
-        let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
+    let slower = CallFate::Responds(Duration::from_secs(5));
 
-        let signalled = Instant::now();
-        move_discovery(&proxy, &mut configuration, &discovery);
-
-        let case = format!("a full list after 5 s, {registry_mode}, seed {seed}");
-        assert_replaced_within(&proxy, CHANGE_BOUND, signalled, &case);
-    });
+    check_new_address(slower, slower, CHANGE_BOUND);
 }
 
 #[test]
@@ -83,7 +63,7 @@
         let backends = BackendReplacement::start();
         let change = backends.event(2, "DRAINING");
         let discovery = slow_discovery(move |earlier_calls, _| {
-            let fate = if earlier_calls == 0 { CallFate::Slow } else { CallFate::Silent };
+            let fate = if earlier_calls == 0 { SLOW } else { CallFate::Silent };
             (fate, change.clone())
         });
         let mut configuration = initial_configuration(&backends, registry_mode, seed);
@@ -105,7 +85,7 @@
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
         let list = list_after(&backends, 2);
-        let discovery = slow_discovery(move |_, _| (CallFate::Slow, list.clone()));
+        let discovery = slow_discovery(move |_, _| (SLOW, list.clone()));
         let mut configuration = initial_configuration(&backends, registry_mode, seed);
         let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
         let signalled = Instant::now();
