Keep one client connection in the tests of a slow discovery

Cause: that test reads the socket table of the system 150 times. The tests of a slow discovery, which run just before, sent each request on a connection of its own and left 33,120 sockets in TIME_WAIT, so that reading the table took up to 60 ms.

--- a/crates/balancer-proxy/tests/common/slow_discovery.rs
+++ b/crates/balancer-proxy/tests/common/slow_discovery.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 
 use super::configuration::{configuration, default_settings, endpoint_list, listed_endpoint, request};
-use super::http::response;
+use super::http::{exchange, response};
 use super::proxy_process::ProxyProcess;
 use super::scripted_discovery::{BackendReplacement, ScriptedDiscovery};
 use super::stub_server::wait_for_input_or_close;
@@ -99,11 +99,14 @@
 /// # Panics
 /// If it takes longer, or if the old backend gets a later request.
 pub fn assert_replaced_within(proxy: &ProxyProcess, bound: Duration, start: Instant, case: &str) {
-    wait_for(case, || proxy.exchange(&request("look", 9000)).body == b"new");
+    // One connection serves all requests: thousands of closed ones would slow down the tests that follow, which
+    // read the socket table of the system.
+    let mut client = proxy.connect();
+    wait_for(case, || exchange(&mut client, &request("look", 9000)).body == b"new");
 
     assert!(start.elapsed() < bound, "{case}: {:?}", start.elapsed());
     for _ in 0..10 {
-        assert_eq!(proxy.exchange(&request("look", 9000)).body, b"new", "{case}");
+        assert_eq!(exchange(&mut client, &request("look", 9000)).body, b"new", "{case}");
     }
 }
 
