End a call for changes 2.2 s after its wait, also if a later one follows

Cause: since each call goes on for 6 s after its wait, so that a silent discovery holds 4 or 5 calls of a watch at once, where it held one.

Change: a call for changes goes on for 2.2 s after its wait, the 2 s of the protocol and 0.2 s for the network and a process that is held up. Calls start over 1.2 s apart, so that one or two are in progress. A call for the full list, which is not repeated once a list has come, still has 6 s.

--- a/crates/balancer-proxy/src/control/discovery/calls.rs
+++ b/crates/balancer-proxy/src/control/discovery/calls.rs
@@ -9,7 +9,7 @@
 use tokio::task::AbortHandle;
 
 /// Largest number of calls in progress. A watch has at most 6, as its calls follow one another after over a
-/// second and end after `MAX_RESPONSE_TIME`. More calls are in progress only after SIGHUP in quick succession.
+/// second and end after `MAX_FULL_LIST_TIME`. More calls are in progress only after SIGHUP in quick succession.
 const MAX_CALLS_IN_PROGRESS: usize = 8;
 
 /// The tasks of the calls in progress to one discovery.
--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -1,5 +1,6 @@
 //! The HTTP client of discovery: makes one call at a time, on a connection that is reused until it fails.
 
+use super::timing::{MAX_CHANGES_TIME, MAX_FULL_LIST_TIME};
 use crate::control::endpoint_list::RawEndpointList;
 use crate::limits::{Budget, Permit};
 use crate::upstream::attempt_body::AttemptBody;
@@ -94,6 +95,14 @@
             Self::ChangesSince { max_wait, .. } => max_wait,
         }
     }
+
+    /// Returns the longest time from the start of the call to the complete response.
+    fn max_duration(self) -> Duration {
+        match self {
+            Self::Full => MAX_FULL_LIST_TIME,
+            Self::ChangesSince { max_wait, .. } => max_wait + MAX_CHANGES_TIME,
+        }
+    }
 }
 
 /// Calls discovery at one address. Dropping the client ends the call in progress and the connection.
@@ -123,14 +132,10 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] if no valid list arrives before the timeout. The timeout is the sum of
-    /// `max_response_time` and the longest wait for a change that the request allows, and includes connecting.
-    pub(super) async fn fetch(
-        mut self,
-        request: ListRequest,
-        max_response_time: Duration,
-    ) -> Result<(Self, RawEndpointList), CallError> {
-        let timeout = request.max_wait() + max_response_time;
+    /// Returns a [`CallError`] if no valid list arrives within the longest duration of the call, which includes
+    /// connecting.
+    pub(super) async fn fetch(mut self, request: ListRequest) -> Result<(Self, RawEndpointList), CallError> {
+        let timeout = request.max_duration();
         let exchange = self.exchange(request, timeout);
         let list = tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::Timeout))?;
         Ok((self, list))
--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -23,7 +23,7 @@
 use self::calls::CallsInProgress;
 use self::client::{CallError, DiscoveryClient, ListRequest, MAX_LIST_BYTES};
 use self::list_order::{CallStart, ListAge, ListExtent, ListOrder};
-use self::timing::{Jitter, LastCall, MAX_RESPONSE_TIME, SINGLE_CALL_TIMEOUT};
+use self::timing::{Jitter, LastCall, SINGLE_CALL_TIMEOUT};
 use super::endpoint_list::{EndpointNames, RawEndpoint, RawEndpointList};
 use super::maintenance_store::MaintenanceStore;
 use crate::limits::Budget;
@@ -191,8 +191,8 @@
     /// Makes a call, and waits until the list in the response has been applied. Returns the client for the
     /// next call.
     ///
-    /// A call that exceeds the timeout goes on for up to [`MAX_RESPONSE_TIME`], and its list is applied when it
-    /// arrives: discovery may be slow rather than silent. A failure after the timeout is not reported again.
+    /// A call that exceeds the timeout goes on for as long as a sound discovery may take, and its list is applied
+    /// when the list arrives. A failure after the timeout is not reported again.
     ///
     /// # Errors
     ///
@@ -208,7 +208,7 @@
         let call_start = self.list_order.borrow().begin_call();
         let (outcome_sender, outcome) = oneshot::channel();
         self.calls.start(async move {
-            let response = client.fetch(request, MAX_RESPONSE_TIME).await;
+            let response = client.fetch(request).await;
             let result = response.map(|(client, list)| {
                 if outcome_sender.is_closed() {
                     log!("discovery: a response from {} came late and is used", this.address.get());
--- a/crates/balancer-proxy/src/control/discovery/timing.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing.rs
@@ -43,7 +43,7 @@
 //! A sound discovery may take 2 s for a response after the wait that the call allows. The full list allows no
 //! wait and may take 6 s, after which a change counts as notified in any case. Most timeouts above are
 //! shorter, as a silent discovery has to be noticed early. A call therefore goes on after its timeout, for
-//! up to [`MAX_RESPONSE_TIME`], and its list is applied when the list arrives. The calls that follow, and so
+//! up to [`MAX_FULL_LIST_TIME`] or [`MAX_CHANGES_TIME`], and its list is applied when the list arrives. The calls that follow, and so
 //! the load on discovery, do not depend on that.
 //!
 //! Slow responses meet the bounds after one call without a response, which is the first of the sum. The last
@@ -67,7 +67,8 @@
 //! A discovery that rejects all calls gets one call a second from each proxy, or one every 3 s if it is
 //! polled. A silent discovery gets a call every 1.6 s from each proxy, or every 2.35 s if it is polled. With
 //! 5,500 proxies, the load is 5,500 or 1,830 calls a second in the first case, and some 3,400 or 2,340 in the
-//! second. A silent discovery holds up to 6 of these calls of each proxy at the same time.
+//! second. A silent discovery holds 1 or 2 of these calls of each proxy at the same time, and 3 at most just after
+//! a success; from proxies that have no list from that discovery, up to 6.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -101,10 +102,13 @@
 /// overload. The decision module spreads the polls of different proxies.
 pub(super) const REPEATED_POLL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Longest time for the response to any call, in addition to the wait for a change. A change counts as
-/// notified after this time, whether or not a response has arrived. A call that exceeds its response timeout
-/// is followed by another one, and goes on.
-pub(super) const MAX_RESPONSE_TIME: Duration = Duration::from_secs(6);
+/// Longest time for the full list. A change counts as notified after this time, whether or not a response has
+/// arrived.
+pub(super) const MAX_FULL_LIST_TIME: Duration = Duration::from_secs(6);
+
+/// Longest time for changes, in addition to the wait for a change: the 2 s of the protocol, and 0.2 s for the
+/// network and for a process that is held up. A longer time would add connections to a silent discovery.
+pub(super) const MAX_CHANGES_TIME: Duration = Duration::from_millis(2_200);
 
 /// Response timeout, before jitter, of a call outside the watch.
 pub(super) const SINGLE_CALL_TIMEOUT: Duration = TIMING_AFTER_FAILURE.response_timeout;
--- a/crates/balancer-proxy/src/control/discovery/timing/tests.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of jitter, backoff and the bounds in the module's documentation.
 
 use super::{
-    Backoff, Jitter, LastCall, MAX_JITTER_FRACTION, MAX_RESPONSE_TIME, MIN_BACKOFF,
+    Backoff, Jitter, LastCall, MAX_CHANGES_TIME, MAX_FULL_LIST_TIME, MAX_JITTER_FRACTION, MIN_BACKOFF,
     REPEATED_POLL_RESPONSE_TIMEOUT,
 };
 use std::time::Duration;
@@ -141,6 +141,7 @@
 }
 
 #[test]
-fn a_call_goes_on_for_as_long_as_its_list_is_of_use() {
-    assert!(MAX_RESPONSE_TIME >= CHANGE_BOUND);
+fn a_call_goes_on_for_as_long_as_a_sound_discovery_may_take() {
+    assert!(MAX_FULL_LIST_TIME >= CHANGE_BOUND);
+    assert!(MAX_CHANGES_TIME > SLOW_RESPONSE);
 }
