Log a late response without saying that its list is used

The line said so before the list was judged, and the list may be dropped as older than the current one, which the next line says.

--- a/crates/balancer-proxy/src/control/discovery/client.rs
+++ b/crates/balancer-proxy/src/control/discovery/client.rs
@@ -171,6 +171,7 @@
             None => connect_within(self.address, connect_timeout).await.map_err(CallError::Connect),
         }
     }
+
     /// Reads the complete body of a response.
     async fn read_body(
         &self,
--- a/crates/balancer-proxy/src/control/discovery/mod.rs
+++ b/crates/balancer-proxy/src/control/discovery/mod.rs
@@ -211,7 +211,7 @@
             let response = client.fetch(request).await;
             let result = response.map(|(client, list)| {
                 if outcome_sender.is_closed() {
-                    log!("discovery: a response from {} came late and is used", this.address.get());
+                    log!("discovery: a response from {} came late", this.address.get());
                 }
                 this.apply_list(list, call_start);
                 client
