Count a latency in one bucket of the report only

Cause: from 2,048 us on the histogram stores two and more neighbouring latencies as one. A latency of 3,000 us is stored as one with 3,001 us, so that it was counted in the bucket up to 3 ms and in the one from 3,001 us on.

Change: the counts of the buckets are differences of the counts up to their limits. They add up to the number of latencies by construction.

The test of the report is as it was.

--- a/crates/fleet-bench/src/latency.rs
+++ b/crates/fleet-bench/src/latency.rs
@@ -51,10 +51,21 @@
         self.0.max() as f64 / 1e3
     }
 
-    /// Returns the number of latencies between two values in microseconds, both included.
+    /// Returns the number of latencies in each bucket, given the ascending upper limits of the buckets in
+    /// microseconds. A latency belongs to the first bucket whose limit it does not exceed; one that the
+    /// histogram can't distinguish from a limit does not exceed it.
     #[must_use]
-    pub fn count_between_us(&self, low: u64, high: u64) -> u64 {
-        self.0.count_between(low, high)
+    pub fn bucket_counts(&self, limits_us: &[u64]) -> Vec<u64> {
+        let mut counted = 0;
+        limits_us
+            .iter()
+            .map(|&limit_us| {
+                let up_to_limit = self.0.count_between(0, limit_us);
+                let in_bucket = up_to_limit - counted;
+                counted = up_to_limit;
+                in_bucket
+            })
+            .collect()
     }
 }
 
--- a/crates/fleet-bench/src/latency_overhead/tables.rs
+++ b/crates/fleet-bench/src/latency_overhead/tables.rs
@@ -106,14 +106,8 @@
 }
 
 /// Returns the percentage of the calls in each bucket of the histogram.
-fn bucket_cells(latencies: &LatencyHistogram) -> Vec<Value> {
-    let mut cells = Vec::new();
-    let mut low_us = 0;
-    for limit_ms in BUCKET_LIMITS_MS {
-        let high_us = (1e3 * limit_ms) as u64;
-        let count = latencies.count_between_us(low_us, high_us);
-        cells.push((100.0 * count as f64 / latencies.len() as f64).into());
-        low_us = high_us + 1;
-    }
-    cells
+fn bucket_cells(latencies: &LatencyHistogram) -> impl Iterator<Item = Value> {
+    let counts = latencies.bucket_counts(&BUCKET_LIMITS_MS.map(|limit_ms| (1e3 * limit_ms) as u64));
+    let total = latencies.len() as f64;
+    counts.into_iter().map(move |count| (100.0 * count as f64 / total).into())
 }
--- a/crates/fleet-bench/src/lib.rs
+++ b/crates/fleet-bench/src/lib.rs
@@ -86,7 +86,7 @@
 pub mod error;
 pub mod fleet;
 pub mod instance;
-mod latency;
+pub mod latency;
 pub mod latency_overhead;
 pub mod plan;
 mod proxy;
