--- a/crates/balancer-proxy/tests/common/scripted_discovery.rs
+++ b/crates/balancer-proxy/tests/common/scripted_discovery.rs
@@ -122,11 +122,20 @@
 
     /// Returns the event. `old_lifecycle` is the state of the old backend in it.
     pub fn event(&self, generation: u64, old_lifecycle: &str) -> Value {
-        let endpoints = [
+        endpoint_list(generation, false, &self.endpoints(old_lifecycle))
+    }
+
+    /// Returns the full list after the replacement. The old backend is draining in it.
+    pub fn full_list(&self, generation: u64) -> Value {
+        endpoint_list(generation, true, &self.endpoints("DRAINING"))
+    }
+
+    /// Returns both backends with this state of the old one.
+    fn endpoints(&self, old_lifecycle: &str) -> [Value; 2] {
+        [
             listed_endpoint("s-0", self.old.address, old_lifecycle),
             listed_endpoint("s-1", self.new.address, "SERVING"),
-        ];
-        endpoint_list(generation, false, &endpoints)
+        ]
     }
 
     /// Returns the endpoint list from before the event.
--- a/crates/balancer-proxy/tests/common/slow_discovery.rs
+++ b/crates/balancer-proxy/tests/common/slow_discovery.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 
-use super::configuration::{configuration, default_settings, endpoint_list, listed_endpoint, request};
+use super::configuration::{configuration, default_settings, request};
 use super::http::{exchange, response};
 use super::proxy_process::ProxyProcess;
 use super::scripted_discovery::{BackendReplacement, ScriptedDiscovery};
@@ -66,15 +66,6 @@
     Duration::from_millis(digits.parse().unwrap())
 }
 
-/// Returns the full list after the replacement of a backend.
-pub fn list_after(backends: &BackendReplacement, generation: u64) -> Value {
-    let endpoints = [
-        listed_endpoint("s-0", backends.old.address, "DRAINING"),
-        listed_endpoint("s-1", backends.new.address, "SERVING"),
-    ];
-    endpoint_list(generation, true, &endpoints)
-}
-
 /// Returns a configuration with the old backend in its cached list. A proxy with registry mode `subscribe`
 /// polls early.
 pub fn initial_configuration(backends: &BackendReplacement, registry_mode: &str, seed: u64) -> Value {
--- a/crates/balancer-proxy/tests/slow_discovery_reload.rs
+++ b/crates/balancer-proxy/tests/slow_discovery_reload.rs
@@ -10,7 +10,7 @@
 use common::scripted_discovery::BackendReplacement;
 use common::slow_discovery::{
     CHANGE_BOUND, CallFate, NEW_ADDRESS_BOUND, REGISTRY_MODES, SLOW, assert_replaced_within,
-    for_each_mode_and_seed, initial_configuration, list_after, move_discovery, slow_discovery,
+    for_each_mode_and_seed, initial_configuration, move_discovery, slow_discovery,
 };
 use common::stub_server::silent_discovery;
 use common::waiting::wait_for;
@@ -22,7 +22,7 @@
 fn check_new_address(first_call: CallFate, later_calls: CallFate, bound: Duration) {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
-        let list = list_after(&backends, 2);
+        let list = backends.full_list(2);
         let discovery = slow_discovery(move |earlier_calls, _| {
             let fate = if earlier_calls == 0 { first_call } else { later_calls };
             (fate, list.clone())
@@ -84,7 +84,7 @@
 fn a_slow_response_is_used_though_the_list_is_requested_again_in_quick_succession() {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
-        let list = list_after(&backends, 2);
+        let list = backends.full_list(2);
         let discovery = slow_discovery(move |_, _| (SLOW, list.clone()));
         let mut configuration = initial_configuration(&backends, registry_mode, seed);
         let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
