Share repeated steps of the tests of crowds, takeovers and slow discovery

The end of a process by SIGKILL, the checks after a crowd has left and the steps of a slow discovery stood several times in the tests. Each is one function now. No assertion changes; the tests touched pass.

--- a/crates/balancer-proxy/tests/common/proxy_process.rs
+++ b/crates/balancer-proxy/tests/common/proxy_process.rs
@@ -198,6 +198,12 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
+    /// Ends the process by SIGKILL, and waits until it has ended.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Stops the process by SIGSTOP, runs the function and then resumes the process by SIGCONT.
     pub fn while_stopped<T>(&self, function: impl FnOnce() -> T) -> T {
         self.signal("-STOP");
--- a/crates/balancer-proxy/tests/crowd_memory.rs
+++ b/crates/balancer-proxy/tests/crowd_memory.rs
@@ -108,12 +108,11 @@
     peak
 }
 
-fn assert_within_memory_limit(peak_kb: usize) {
+/// Asserts that the memory stayed within its limit while the crowd was connected, and that the proxy serves a
+/// new client once the crowd has left.
+fn assert_withstood(proxy: &ProxyProcess, crowd: Vec<TcpStream>, peak_kb: usize) {
     assert!(peak_kb <= MEMORY_LIMIT_MB << 10, "{peak_kb} kB");
-}
-
-/// Fails if the proxy does not serve a new client once the crowd has left.
-fn assert_serves(proxy: &ProxyProcess) {
+    drop(crowd);
     wait_for("a response", || {
         let mut client = proxy.connect();
         let _ = client.get_mut().write_all(b"GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n");
@@ -132,9 +131,7 @@
     let crowd = connect_crowd(&proxy, || request_with_long_head(VALUE_BYTES, &framing));
     let peak_kb = peak_memory_kb(&proxy, || {});
 
-    assert_within_memory_limit(peak_kb);
-    drop(crowd);
-    assert_serves(&proxy);
+    assert_withstood(&proxy, crowd, peak_kb);
 }
 
 #[test]
@@ -153,9 +150,7 @@
     }
     let peak_kb = peak_memory_kb(&proxy, || {});
 
-    assert_within_memory_limit(peak_kb);
-    drop(crowd);
-    assert_serves(&proxy);
+    assert_withstood(&proxy, crowd, peak_kb);
 }
 
 #[test]
@@ -172,9 +167,7 @@
         });
         let peak_kb = peak_memory_kb(&proxy, || {});
 
-        assert_within_memory_limit(peak_kb);
-        drop(crowd);
-        assert_serves(&proxy);
+        assert_withstood(&proxy, crowd, peak_kb);
     }
 }
 
@@ -197,9 +190,7 @@
             sent_bytes += piece_bytes;
         });
 
-        assert_within_memory_limit(peak_kb);
-        drop(crowd);
-        assert_serves(&proxy);
+        assert_withstood(&proxy, crowd, peak_kb);
     }
 }
 
@@ -217,7 +208,5 @@
         }
     });
 
-    assert_within_memory_limit(peak_kb);
-    drop(crowd);
-    assert_serves(&proxy);
+    assert_withstood(&proxy, crowd, peak_kb);
 }
--- a/crates/balancer-proxy/tests/listener_handover.rs
+++ b/crates/balancer-proxy/tests/listener_handover.rs
@@ -31,8 +31,7 @@
     old.signal("-STOP");
     next.signal("-STOP");
     let clients = begin_requests(&next, 30);
-    old.child.kill().unwrap();
-    old.child.wait().unwrap();
+    old.kill();
     next.signal("-CONT");
 
     assert_all_served(clients);
@@ -60,8 +59,7 @@
     old.signal("-STOP");
     next.signal("-STOP");
     let clients = begin_requests(&old, 30);
-    next.child.kill().unwrap();
-    next.child.wait().unwrap();
+    next.kill();
     old.signal("-CONT");
 
     assert_all_served(clients);
@@ -102,8 +100,7 @@
     }
     let clients = begin_requests(&third, 30);
     for process in [&mut old, &mut second] {
-        process.child.kill().unwrap();
-        process.child.wait().unwrap();
+        process.kill();
     }
     third.signal("-CONT");
 
--- a/crates/balancer-proxy/tests/listener_offer.rs
+++ b/crates/balancer-proxy/tests/listener_offer.rs
@@ -28,8 +28,7 @@
 fn replaces_the_socket_of_a_process_that_was_killed() {
     let fixture = TakeoverFixture::new();
     let mut killed = fixture.start();
-    killed.child.kill().unwrap();
-    killed.child.wait().unwrap();
+    killed.kill();
     assert!(fixture.first_offer_path().exists(), "the socket of the killed process has been removed");
 
     let restarted = fixture.start();
--- a/crates/balancer-proxy/tests/readiness.rs
+++ b/crates/balancer-proxy/tests/readiness.rs
@@ -85,8 +85,7 @@
         let shared_address = shared_addresses[index].clone();
         let (configuration, discovery) = (without_management.clone(), discoveries[index % 4]);
         if index < 4 {
-            old.child.kill().unwrap();
-            old.child.wait().unwrap();
+            old.kill();
             starts.push(Box::new(move || shared_address.start_with_discovery(&configuration, discovery)));
         } else {
             let old = Mutex::new(Some(old));
--- a/crates/balancer-proxy/tests/settings_reload_by_two_processes.rs
+++ b/crates/balancer-proxy/tests/settings_reload_by_two_processes.rs
@@ -53,8 +53,7 @@
     old.signal("-STOP");
     old.replace_configuration(&versioned_configuration(5, &[&backend]));
     old.signal("-HUP");
-    old.child.kill().unwrap();
-    old.child.wait().unwrap();
+    old.kill();
     check_version_in_force(&[&new], 5);
     let next = shared_address.start_with_configuration_of(&old);
     next.wait_until_ready();
--- a/crates/balancer-proxy/tests/slow_discovery.rs
+++ b/crates/balancer-proxy/tests/slow_discovery.rs
@@ -9,13 +9,14 @@
 
 use common::configuration::endpoint_list;
 use common::proxy_process::{ProxyProcess, exit_code};
-use common::scripted_discovery::BackendReplacement;
+use common::scripted_discovery::{BackendReplacement, ScriptedDiscovery};
 use common::shared_address::SharedAddress;
 use common::slow_discovery::{
     CHANGE_BOUND, CallFate, PROMPT, SLOW, assert_replaced_within, for_each_mode_and_seed,
     initial_configuration, slow_discovery,
 };
 use common::waiting::wait_for;
+use serde_json::Value;
 use std::time::{Duration, Instant};
 
 /// Time after a new process is ready at which what discovery says binds, and the grace period of a drain.
@@ -26,6 +27,21 @@
     !request_line.contains("since=")
 }
 
+/// Starts a proxy with this discovery, and asserts that the old backend is replaced in time after the call with
+/// this number of earlier calls.
+fn assert_replaced_in_time_after(
+    bound_starts_at_call: usize,
+    discovery: &ScriptedDiscovery,
+    configuration: &Value,
+    case: &str,
+) {
+    let proxy = ProxyProcess::with_configuration(configuration, discovery.server.address);
+    wait_for("the call from which the bound counts", || discovery.call_count() > bound_starts_at_call);
+
+    let bound_start = discovery.call(bound_starts_at_call).received_at;
+    assert_replaced_within(&proxy, CHANGE_BOUND, bound_start, case);
+}
+
 #[test]
 fn a_change_in_slow_responses_is_in_effect_in_time_from_the_start_and_after_a_failure() {
     for fate_of_first_call in [SLOW, CallFate::Closed, CallFate::Silent] {
@@ -37,12 +53,8 @@
                 (fate, list.clone())
             });
             let configuration = initial_configuration(&backends, registry_mode, seed);
-            let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
-            wait_for("the first call", || discovery.call_count() > 0);
-
-            let first_call = discovery.call(0).received_at;
             let case = format!("changes, {registry_mode}, seed {seed}");
-            assert_replaced_within(&proxy, CHANGE_BOUND, first_call, &case);
+            assert_replaced_in_time_after(0, &discovery, &configuration, &case);
         });
     }
 }
@@ -58,12 +70,8 @@
             _ => (SLOW, change.clone()),
         });
         let configuration = initial_configuration(&backends, registry_mode, seed);
-        let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
-        wait_for("the first slow call", || discovery.call_count() > 2);
-
-        let first_slow_call = discovery.call(2).received_at;
         let case = format!("changes after a success, {registry_mode}, seed {seed}");
-        assert_replaced_within(&proxy, CHANGE_BOUND, first_slow_call, &case);
+        assert_replaced_in_time_after(2, &discovery, &configuration, &case);
     });
 }
 
@@ -79,12 +87,8 @@
             _ => (CallFate::Silent, list.clone()),
         });
         let configuration = initial_configuration(&backends, registry_mode, seed);
-        let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
-        wait_for("the first call", || discovery.call_count() > 0);
-
-        let first_call = discovery.call(0).received_at;
         let case = format!("restarted generations, {registry_mode}, seed {seed}");
-        assert_replaced_within(&proxy, CHANGE_BOUND, first_call, &case);
+        assert_replaced_in_time_after(0, &discovery, &configuration, &case);
     });
 }
 
@@ -103,12 +107,8 @@
                 (fate, response.clone())
             });
             let configuration = initial_configuration(&backends, registry_mode, seed);
-            let proxy = ProxyProcess::with_configuration(&configuration, discovery.server.address);
-            wait_for("the first call", || discovery.call_count() > 0);
-
-            let first_call = discovery.call(0).received_at;
             let case = format!("restarted, {fate_of_first_call:?} first, {registry_mode}, seed {seed}");
-            assert_replaced_within(&proxy, CHANGE_BOUND, first_call, &case);
+            assert_replaced_in_time_after(0, &discovery, &configuration, &case);
         });
     }
 }
--- a/crates/balancer-proxy/tests/upgrade_maintenance.rs
+++ b/crates/balancer-proxy/tests/upgrade_maintenance.rs
@@ -25,8 +25,7 @@
     wait_for("the end of maintenance", || old.stats()["ejected"] == json!(0));
     assert!(old.management_call("maint-on s-1\n").starts_with("OK"));
     wait_for("the maintenance of a backend", || next.stats()["ejected"] == json!(1));
-    old.child.kill().unwrap();
-    old.child.wait().unwrap();
+    old.kill();
 
     for _ in 0..10 {
         assert_ne!(next.exchange(&request("look", 9000)).body, b"one");
