--- a/crates/balancer-proxy/src/control/discovery/calls.rs
+++ b/crates/balancer-proxy/src/control/discovery/calls.rs
@@ -1,6 +1,6 @@
 //! The calls to discovery that are in progress.
 //!
-//! Each call is a task of its own, so that a call goes on after its caller has stopped to wait. A caller makes
+//! Each call is a task of its own, so that a call goes on after its caller has stopped waiting. A caller makes
 //! another call after a timeout, because discovery may be silent; discovery may as well be slow, and a list
 //! that arrives later is used.
 
--- a/crates/balancer-proxy/src/control/discovery/fetch.rs
+++ b/crates/balancer-proxy/src/control/discovery/fetch.rs
@@ -67,7 +67,7 @@
         let timeout = request.max_wait() + response_timeout;
         match tokio::time::timeout(timeout, outcome).await {
             Ok(Ok(result)) => result,
-            // The sender is dropped only if the call was ended for another one.
+            // The sender is dropped only if the call was ended: for another call, or for a new address.
             Ok(Err(_)) | Err(_) => Err(CallError::Timeout),
         }
     }
--- a/crates/balancer-proxy/src/control/discovery/timing.rs
+++ b/crates/balancer-proxy/src/control/discovery/timing.rs
@@ -44,7 +44,8 @@
 //! wait and may take 6 s, after which a change counts as notified in any case. Most timeouts above are
 //! shorter, as a silent discovery has to be noticed early. A call therefore goes on after its timeout, for
 //! up to [`MAX_FULL_LIST_TIME`] or [`MAX_CHANGES_TIME`], and its list is applied when the list arrives. The
-//! calls that follow, and so the load on discovery, do not depend on that.
+//! calls that follow, and so the load on discovery, do not depend on that, except for the full list after a
+//! restart of the generations.
 //!
 //! Slow responses meet the bounds after one call without a response, which is the first of the sum. The last
 //! is the slow call itself, whose response tells a pending change without a wait:
--- a/crates/balancer-proxy/tests/common/scripted_discovery.rs
+++ b/crates/balancer-proxy/tests/common/scripted_discovery.rs
@@ -125,9 +125,9 @@
         endpoint_list(generation, false, &self.endpoints(old_lifecycle))
     }
 
-    /// Returns the full list after the replacement. The old backend is draining in it.
-    pub fn full_list(&self, generation: u64) -> Value {
-        endpoint_list(generation, true, &self.endpoints("DRAINING"))
+    /// Returns the full list with both backends. `old_lifecycle` is the state of the old backend in it.
+    pub fn full_list(&self, generation: u64, old_lifecycle: &str) -> Value {
+        endpoint_list(generation, true, &self.endpoints(old_lifecycle))
     }
 
     /// Returns both backends with this state of the old one.
--- a/crates/balancer-proxy/tests/crossing_lists.rs
+++ b/crates/balancer-proxy/tests/crossing_lists.rs
@@ -6,27 +6,18 @@
 
 mod common;
 
-use common::configuration::{configuration, default_settings, endpoint_list, listed_endpoint, request};
+use common::configuration::{configuration, default_settings, request};
 use common::http::response;
 use common::proxy_process::{ProxyProcess, exit_code};
 use common::scripted_discovery::{BackendReplacement, ScriptedDiscovery};
 use common::shared_address::SharedAddress;
 use common::stub_server::wait_for_input_or_close;
 use common::waiting::{TEST_TIMEOUT, wait_for_disconnect};
-use serde_json::Value;
 use std::io::Write;
 use std::ops::ControlFlow;
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
 
-/// Returns changes after which both backends are in service.
-fn both_in_service(backends: &BackendReplacement) -> [Value; 2] {
-    [
-        listed_endpoint("s-0", backends.old.address, "SERVING"),
-        listed_endpoint("s-1", backends.new.address, "SERVING"),
-    ]
-}
-
 /// Asserts that requests go to the new backend alone.
 fn assert_drained(proxy: &ProxyProcess) {
     for _ in 0..20 {
@@ -39,7 +30,7 @@
     let backends = BackendReplacement::start();
     let cached_list = backends.cached_list();
     let changes = response("200 OK", &backends.event(3, "DRAINING").to_string());
-    let full_list = response("200 OK", &endpoint_list(2, true, &both_in_service(&backends)).to_string());
+    let full_list = response("200 OK", &backends.full_list(2, "SERVING").to_string());
     let (release_full_list, full_list_released) = channel();
     let (report_full_list_read, full_list_read) = channel();
     let (report_changes_applied, changes_applied) = channel();
@@ -79,7 +70,7 @@
 {
     let backends = BackendReplacement::start();
     let newer = response("200 OK", &backends.event(3, "DRAINING").to_string());
-    let older = response("200 OK", &endpoint_list(2, false, &both_in_service(&backends)).to_string());
+    let older = response("200 OK", &backends.event(2, "SERVING").to_string());
     let (release_older, older_released) = channel();
     let (report_older_read, older_read) = channel();
     let (report_newer_applied, newer_applied) = channel();
--- a/crates/balancer-proxy/tests/slow_discovery.rs
+++ b/crates/balancer-proxy/tests/slow_discovery.rs
@@ -79,7 +79,7 @@
 fn the_full_list_after_a_restart_of_generations_is_used_if_its_response_is_slow() {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
-        let list = backends.full_list(0);
+        let list = backends.full_list(0, "DRAINING");
         let restarted = endpoint_list(0, false, &[]);
         let discovery = slow_discovery(move |earlier_calls, request_line| match earlier_calls {
             0 => (PROMPT, restarted.clone()),
@@ -99,7 +99,7 @@
     for fate_of_first_call in [SLOW, CallFate::Closed] {
         for_each_mode_and_seed(|registry_mode, seed| {
             let backends = BackendReplacement::start();
-            let list = backends.full_list(0);
+            let list = backends.full_list(0, "DRAINING");
             let restarted = endpoint_list(0, false, &[]);
             let discovery = slow_discovery(move |earlier_calls, request_line| {
                 let fate = if earlier_calls == 0 { fate_of_first_call } else { SLOW };
@@ -117,7 +117,7 @@
 fn the_full_list_at_the_start_beside_another_process_is_used_if_its_response_is_slow() {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
-        let list = backends.full_list(2);
+        let list = backends.full_list(2, "DRAINING");
         // The watch gets no response, so that the list comes from the call beside the watch alone.
         let discovery = slow_discovery(move |_, request_line| {
             let fate = if asks_for_full_list(request_line) { SLOW } else { CallFate::Silent };
--- a/crates/balancer-proxy/tests/slow_discovery_reload.rs
+++ b/crates/balancer-proxy/tests/slow_discovery_reload.rs
@@ -22,7 +22,7 @@
 fn check_new_address(first_call: CallFate, later_calls: CallFate, bound: Duration) {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
-        let list = backends.full_list(2);
+        let list = backends.full_list(2, "DRAINING");
         let discovery = slow_discovery(move |earlier_calls, _| {
             let fate = if earlier_calls == 0 { first_call } else { later_calls };
             (fate, list.clone())
@@ -84,7 +84,7 @@
 fn a_slow_response_is_used_though_the_list_is_requested_again_in_quick_succession() {
     for_each_mode_and_seed(|registry_mode, seed| {
         let backends = BackendReplacement::start();
-        let list = backends.full_list(2);
+        let list = backends.full_list(2, "DRAINING");
         let discovery = slow_discovery(move |_, _| (SLOW, list.clone()));
         let mut configuration = initial_configuration(&backends, registry_mode, seed);
         let proxy = ProxyProcess::with_configuration(&configuration, silent_discovery().address);
--- a/crates/fleet-bench/src/latency.rs
+++ b/crates/fleet-bench/src/latency.rs
@@ -56,6 +56,8 @@
     /// histogram can't distinguish from a limit does not exceed it.
     #[must_use]
     pub fn bucket_counts(&self, limits_us: &[u64]) -> Vec<u64> {
+        // The counts are differences, as the counts of adjoining ranges overlap: `count_between` includes all
+        // latencies that the histogram can't distinguish from an end of its range.
         let mut counted = 0;
         limits_us
             .iter()
